--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: demo test check format soak bench
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/bronzebeam demo
+
+test: $(VENV)/.installed
+	$(BIN)/nose2 --config unittest.cfg
+
+check: $(VENV)/.installed
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/isort --check-only --quiet src tests
+	$(BIN)/flake8 src tests
+	$(BIN)/mypy
+
+format: $(VENV)/.installed
+	$(BIN)/isort --quiet src tests
+	$(BIN)/black --quiet src tests
+
+bench: $(VENV)/.installed
+	$(BIN)/bronzebeam bench --quick
+
+soak: $(VENV)/.installed
+	$(BIN)/bronzebeam soak --seed $(SEED) --minutes $(MINUTES)
--- /dev/null
+++ b/src/bronzebeam/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments against the stand-ins."""
--- /dev/null
+++ b/src/bronzebeam/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own state and take messages."""
--- /dev/null
+++ b/src/bronzebeam/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Environment documents: schema, checks, review and promotion."""
--- /dev/null
+++ b/src/bronzebeam/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon and its lifecycle."""
--- /dev/null
+++ b/src/bronzebeam/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The request filter chain, one filter a module."""
--- /dev/null
+++ b/src/bronzebeam/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the systems that surround the product."""
--- /dev/null
+++ b/src/bronzebeam/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, traces and metrics."""
--- /dev/null
+++ b/src/bronzebeam/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers, the store and peers."""
