Add the platform's stand-ins and the clients of store and instance list

Cause: documents and entries need a store and an instance list to talk to. Ruled out: one httpx client for calls and watches (a silent watch would share its pool with calls), time-outs of single reads only (a dripping reply would pass them); cancelling hypercorn (it leaves its sockets open), so it is told to stop. Conclusion: each fault switch is visible through the clients.

--- /dev/null
+++ b/src/bronzebeam/cli_standin.py
@@ -0,0 +1,30 @@
+"""Commands that run the platform's stand-ins as processes of their own."""
+
+import anyio
+import click
+
+from bronzebeam.standins import instances, store
+
+_ADDRESS = click.option("--address", default="127.0.0.1", show_default=True)
+_PORT = click.option("--port", type=int, required=True)
+
+
+@click.group()
+def standin() -> None:
+    """Run a stand-in of the platform on a loopback port."""
+
+
+@standin.command("store")
+@_ADDRESS
+@_PORT
+def run_store(address: str, port: int) -> None:
+    """Run the stand-in of the configuration store."""
+    anyio.run(store.serve, address, port)
+
+
+@standin.command("instances")
+@_ADDRESS
+@_PORT
+def run_instances(address: str, port: int) -> None:
+    """Run the stand-in of the instance list."""
+    anyio.run(instances.serve, address, port)
--- /dev/null
+++ b/src/bronzebeam/standins/http_json.py
@@ -0,0 +1,130 @@
+"""HTTP with JSON for the stand-ins, as raw ASGI."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+import anyio
+import orjson
+from attrs import field, frozen
+from hypercorn.asyncio import serve as hypercorn_serve
+from hypercorn.config import Config
+
+Message = dict[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Application = Callable[[Any, Any, Any], Awaitable[None]]
+
+_JSON_HEADER = (b"content-type", b"application/json")
+
+
+@frozen(kw_only=True)
+class JsonRequest:
+    """
+    A request with its decoded body.
+
+    :ivar path: percent-decoded path.
+    :ivar body: decoded JSON; None if the body is empty.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = field(factory=dict)
+    body: Any = None
+
+
+@frozen(kw_only=True)
+class JsonResponse:
+    """A response; `truncated` breaks the connection off before the body."""
+
+    status: int = 200
+    body: Any = None
+    truncated: bool = False
+
+
+Handler = Callable[[JsonRequest], Awaitable[JsonResponse | None]]
+
+
+def build_json_app(handle: Handler) -> Application:
+    """
+    Build an ASGI application around `handle`.
+
+    :param handle: answers a request; None leaves it without any answer.
+    """
+
+    async def app(scope: Any, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await _run_lifespan(receive, send)
+            return
+        request = await _read_request(scope, receive)
+        response = await handle(request)
+        if response is None:
+            await _wait_for_disconnect(receive)
+            return
+        await _send_response(response, send)
+
+    return app
+
+
+async def serve_app(app: Application, *, address: str, port: int) -> None:
+    """Serve `app` on the asyncio backend until cancelled."""
+    config = Config()
+    config.bind = [f"{address}:{port}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = 0.5
+    config.shutdown_timeout = 0.5
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_set_when_cancelled, stop)
+        # Hypercorn leaves its sockets open if it is cancelled instead of told to
+        # stop, and without a trigger it replaces the process's signal handlers.
+        with anyio.CancelScope(shield=True):
+            await hypercorn_serve(app, config, shutdown_trigger=stop.wait)
+
+
+async def _set_when_cancelled(event: anyio.Event) -> None:
+    try:
+        await anyio.sleep_forever()
+    finally:
+        event.set()
+
+
+async def _run_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read_request(scope: Any, receive: Receive) -> JsonRequest:
+    chunks: list[bytes] = []
+    more = True
+    while more:
+        message = await receive()
+        chunks.append(message.get("body", b""))
+        more = message.get("more_body", False)
+    data = b"".join(chunks)
+    return JsonRequest(
+        method=scope["method"],
+        path=scope["path"],
+        query=dict(parse_qsl(scope["query_string"].decode())),
+        body=orjson.loads(data) if data else None,
+    )
+
+
+async def _send_response(response: JsonResponse, send: Send) -> None:
+    data = orjson.dumps(response.body)
+    headers = [_JSON_HEADER, (b"content-length", str(len(data)).encode())]
+    await send(
+        {"type": "http.response.start", "status": response.status, "headers": headers}
+    )
+    if response.truncated:
+        data = data[:-1]
+    await send({"type": "http.response.body", "body": data})
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
--- /dev/null
+++ b/src/bronzebeam/transport/http_json.py
@@ -0,0 +1,80 @@
+"""Bounded HTTP calls with JSON bodies, for calls that are rare."""
+
+from collections.abc import Collection
+from typing import Any, Final
+
+import anyio
+import httpx
+from attrs import define, field, frozen
+
+CONNECT_SECONDS: Final = 1.0
+
+
+class CallFailed(Exception):
+    """No usable answer came: refused, broken off, too late or not JSON."""
+
+
+@frozen(kw_only=True)
+class JsonReply:
+    """A reply's status and decoded body."""
+
+    status: int
+    body: Any
+
+
+@define(kw_only=True)
+class JsonClient:
+    """
+    An HTTP client whose calls each end within a bound.
+
+    :ivar base_url: scheme, IP address and port of the server.
+    :ivar transport: replaces the network, for tests.
+    """
+
+    base_url: str
+    transport: httpx.AsyncBaseTransport | None = None
+    _client: httpx.AsyncClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._client = httpx.AsyncClient(
+            base_url=self.base_url,
+            transport=self.transport,
+            timeout=httpx.Timeout(None, connect=CONNECT_SECONDS),
+            trust_env=False,
+        )
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        bound_seconds: float,
+        body: Any = None,
+        params: dict[str, Any] | None = None,
+        accepted: Collection[int] = (200,),
+    ) -> JsonReply:
+        """
+        Make one call and decode its reply.
+
+        :param bound_seconds: time after which the call is given up.
+        :param accepted: statuses that count as an answer.
+        :raises CallFailed: if no usable answer came; the call may have been applied.
+        """
+        try:
+            with anyio.fail_after(bound_seconds):
+                response = await self._client.request(
+                    method, path, json=body, params=params
+                )
+            if response.status_code not in accepted:
+                raise CallFailed(f"{method} {path}: status {response.status_code}")
+            return JsonReply(status=response.status_code, body=response.json())
+        except TimeoutError as error:
+            raise CallFailed(
+                f"{method} {path}: no answer in {bound_seconds} s"
+            ) from error
+        except (httpx.HTTPError, ValueError) as error:
+            raise CallFailed(f"{method} {path}: {error!r}") from error
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
--- /dev/null
+++ b/src/bronzebeam/transport/instance_list.py
@@ -0,0 +1,113 @@
+"""The platform's list of live and leaving instances."""
+
+from enum import Enum
+from typing import Any, Final, Protocol
+
+import httpx
+from attrs import define, field, frozen
+
+from bronzebeam.transport.http_json import CallFailed, JsonClient
+
+LIST_SECONDS: Final = 2.0
+
+
+class InstanceRole(Enum):
+    """What runs on an instance."""
+
+    ENTRY = "entry"
+    BACKEND = "backend"
+
+
+class InstanceState(Enum):
+    """Whether an instance is to receive new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@frozen(kw_only=True)
+class ListedInstance:
+    """
+    One instance as the list shows it, which may be out of date.
+
+    :ivar instance: name, unique to one life of the instance.
+    :ivar service: service that a backend server belongs to; None for an entry.
+    :ivar address: IP address and port for requests.
+    :ivar peer_address: IP address and port for other entries; None for a backend.
+    """
+
+    instance: str
+    role: InstanceRole
+    service: str | None
+    address: str
+    peer_address: str | None
+    failure_domain: str
+    state: InstanceState
+
+
+class InstanceListUnavailable(Exception):
+    """The instance list gave no usable answer."""
+
+
+class InstanceList(Protocol):
+    """Reads the instance list, in bounded time."""
+
+    async def fetch(self) -> tuple[ListedInstance, ...]:
+        """
+        Read the list.
+
+        :raises InstanceListUnavailable: if no usable answer came.
+        """
+
+
+@define(kw_only=True)
+class HttpInstanceList:
+    """
+    Client of the instance list over HTTP; satisfies `InstanceList`.
+
+    :ivar base_url: for instance ``http://127.0.0.1:7001``.
+    :ivar call_seconds: bound of each call.
+    :ivar transport: replaces the network, for tests.
+    """
+
+    base_url: str
+    call_seconds: float = LIST_SECONDS
+    transport: httpx.AsyncBaseTransport | None = None
+    _client: JsonClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._client = JsonClient(base_url=self.base_url, transport=self.transport)
+
+    async def __aenter__(self) -> "HttpInstanceList":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def fetch(self) -> tuple[ListedInstance, ...]:
+        """Read the list."""
+        try:
+            reply = await self._client.call(
+                "GET", "/instances", bound_seconds=self.call_seconds
+            )
+            return tuple(_read_instance(item) for item in reply.body["instances"])
+        except CallFailed as error:
+            raise InstanceListUnavailable(str(error)) from error
+        except (KeyError, TypeError, ValueError) as error:
+            raise InstanceListUnavailable(f"malformed list: {error!r}") from error
+
+
+def _read_instance(item: Any) -> ListedInstance:
+    return ListedInstance(
+        instance=item["instance"],
+        role=InstanceRole(item["role"]),
+        service=item.get("service"),
+        address=item["address"],
+        peer_address=item.get("peer_address"),
+        failure_domain=item["failure_domain"],
+        state=InstanceState(item["state"]),
+    )
--- /dev/null
+++ b/tests/test_store_standin.py
@@ -0,0 +1,200 @@
+"""Tests of the platform's stand-ins and of their clients, over loopback."""
+
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import anyio
+import httpx
+
+from bronzebeam.standins import instances, store
+from bronzebeam.transport.http_json import CallFailed, JsonClient
+from bronzebeam.transport.instance_list import (
+    HttpInstanceList,
+    InstanceListUnavailable,
+    InstanceState,
+)
+from bronzebeam.transport.store import (
+    Conflict,
+    StoredValue,
+    StoreUnavailable,
+    Written,
+)
+from bronzebeam.transport.store_http import HttpStore
+
+Serve = Callable[[str, int], Coroutine[Any, Any, None]]
+
+
+def run_against(serve: Serve, check: Callable[[str], Awaitable[None]]) -> None:
+    """Serve a stand-in on a free loopback port while `check` runs on its URL."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    url = f"http://127.0.0.1:{port}"
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve, "127.0.0.1", port)
+            with anyio.fail_after(20):
+                await wait_until_up(url)
+                await check(url)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def wait_until_up(url: str) -> None:
+    client = JsonClient(base_url=url)
+    while True:
+        try:
+            await client.call("POST", "/faults", bound_seconds=1, body={})
+        except CallFailed:
+            await anyio.sleep(0.02)
+            continue
+        await client.close()
+        return
+
+
+async def post(url: str, path: str, **body: Any) -> None:
+    async with httpx.AsyncClient(base_url=url) as client:
+        (await client.post(path, json=body)).raise_for_status()
+
+
+async def unavailable(call: Awaitable[object]) -> bool:
+    try:
+        await call
+    except StoreUnavailable:
+        return True
+    return False
+
+
+def test_compare_and_swap_finds_the_revision() -> None:
+    async def check(url: str) -> None:
+        async with HttpStore(base_url=url) as client:
+            key = "a/b c%"
+            assert await client.get(key) is None
+            first = await client.compare_and_swap(key=key, value=1, expected=0)
+            assert first == Written(mod_revision=1)
+            again = await client.compare_and_swap(key=key, value=2, expected=0)
+            held = StoredValue(key=key, value=1, mod_revision=1)
+            assert again == Conflict(current=held)
+            assert await client.list_prefix("a/") == (held,)
+
+    run_against(store.serve, check)
+
+
+def test_watch_returns_at_the_change_and_a_silent_one_is_given_up() -> None:
+    async def check(url: str) -> None:
+        async with HttpStore(base_url=url, watch_margin_seconds=0.2) as client:
+            seen: list[StoredValue | None] = []
+
+            async def watch() -> None:
+                seen.append(await client.watch(key="k", after=0, wait_seconds=10))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch)
+                while (await calls(url))["watch"] == 0:
+                    await anyio.sleep(0.01)
+                await client.compare_and_swap(key="k", value=1, expected=0)
+            assert seen == [StoredValue(key="k", value=1, mod_revision=1)]
+            assert await client.watch(key="k", after=1, wait_seconds=0.05) is None
+            await post(url, "/faults", silent_watches=True)
+            assert await unavailable(client.watch(key="k", after=0, wait_seconds=0.05))
+            assert await client.get("k") is not None
+
+    run_against(store.serve, check)
+
+
+def test_lost_reply_is_unavailable_and_yet_applied() -> None:
+    async def check(url: str) -> None:
+        async with HttpStore(base_url=url) as client:
+            await post(url, "/faults", drop_write_replies=1)
+            write = client.compare_and_swap(key="k", value=1, expected=0)
+            assert await unavailable(write)
+            held = await client.get("k")
+            assert held is not None and held.value == 1
+
+    run_against(store.serve, check)
+
+
+def test_refusal_and_silence_are_unavailable_and_unapplied() -> None:
+    async def check(url: str) -> None:
+        async with HttpStore(base_url=url, call_seconds=0.2) as client:
+            for fault in ("refuse_all", "answer_nothing"):
+                await post(url, "/faults", **{fault: True})
+                write = client.compare_and_swap(key="k", value=1, expected=0)
+                assert await unavailable(write)
+                await post(url, "/faults", **{fault: False})
+                assert await client.get("k") is None
+            await post(url, "/faults", delay_ms=400)
+            assert await unavailable(client.get("k"))
+
+    run_against(store.serve, check)
+
+
+def test_lapsed_lease_deletes_its_keys() -> None:
+    async def check(url: str) -> None:
+        async with HttpStore(base_url=url) as client:
+            lease_id = await client.grant_lease(ttl_seconds=0.3)
+            await client.compare_and_swap(
+                key="k", value=1, expected=0, lease_id=lease_id
+            )
+            assert await client.keep_lease(lease_id=lease_id)
+            while await client.get("k") is not None:
+                await anyio.sleep(0.05)
+            assert not await client.keep_lease(lease_id=lease_id)
+            late = client.compare_and_swap(
+                key="k", value=2, expected=0, lease_id=lease_id
+            )
+            assert await unavailable(late)
+
+    run_against(store.serve, check)
+
+
+def test_store_comes_back_older() -> None:
+    async def check(url: str) -> None:
+        async with HttpStore(base_url=url) as client:
+            await client.compare_and_swap(key="k", value="old", expected=0)
+            await post(url, "/snapshot/take")
+            await client.compare_and_swap(key="k", value="new", expected=1)
+            await post(url, "/snapshot/restore")
+            held = await client.get("k")
+            assert held == StoredValue(key="k", value="old", mod_revision=1)
+
+    run_against(store.serve, check)
+
+
+def test_instance_list_lags_and_refuses() -> None:
+    async def check(url: str) -> None:
+        async with httpx.AsyncClient(base_url=url) as client:
+            for state in ("live", "leaving"):
+                body = {
+                    "role": "entry",
+                    "service": None,
+                    "address": "127.0.0.1:9001",
+                    "peer_address": "127.0.0.1:9101",
+                    "failure_domain": "west-1",
+                    "state": state,
+                }
+                await client.put("/instances/entry-1", json=body)
+        async with HttpInstanceList(base_url=url) as listing:
+            (listed,) = await listing.fetch()
+            assert listed.instance == "entry-1"
+            assert listed.state is InstanceState.LEAVING
+            await post(url, "/faults", lag_ms=60_000)
+            assert await listing.fetch() == ()
+            await post(url, "/faults", refuse=True)
+            refused = False
+            try:
+                await listing.fetch()
+            except InstanceListUnavailable:
+                refused = True
+            assert refused
+
+    run_against(instances.serve, check)
+
+
+async def calls(url: str) -> dict[str, int]:
+    async with httpx.AsyncClient(base_url=url) as client:
+        counted: dict[str, int] = (await client.get("/calls")).json()["calls"]
+        return counted
