Load, check and encode environment documents

Cause: operators edit JSON; entries and commands need one typed, checked value. Ruled out: hashing the typed value after decoding (a later release that fills in a new default would refuse documents accepted before), so the hash is taken over the JSON as stored; reporting findings across fields together with those of the schema (they would rest on values that are malformed). Conclusion: a document that loads has the shape and the bounds of the model.

--- /dev/null
+++ b/src/bronzebeam/documents/loading.py
@@ -0,0 +1,204 @@
+"""Environment documents and accepted documents from and to JSON."""
+
+import hashlib
+import json
+from collections.abc import Iterable
+from enum import Enum
+from importlib.resources import files
+from typing import Any, Final, TypeVar
+
+import attrs
+import orjson
+from jsonschema import Draft202012Validator
+
+from bronzebeam.documents.checks import check_document
+from bronzebeam.documents.model import (
+    AcceptedDocument,
+    BackendSpec,
+    CallerLimitSpec,
+    ClassSpec,
+    CoverageSpec,
+    DeadlineSpec,
+    EnvironmentDocument,
+    FleetSpec,
+    HedgingSpec,
+    OperationSpec,
+    ServiceKind,
+    ServiceSpec,
+)
+from bronzebeam.findings import Finding, FindingsError, json_pointer
+
+SpecT = TypeVar("SpecT", bound=attrs.AttrsInstance)
+
+_CANONICAL: Final = orjson.OPT_SORT_KEYS
+
+
+def _load_validator(name: str) -> Draft202012Validator:
+    text = files("bronzebeam.documents").joinpath(name).read_text("utf-8")
+    return Draft202012Validator(json.loads(text))
+
+
+_DOCUMENT_VALIDATOR: Final = _load_validator("schema.json")
+_ACCEPTED_VALIDATOR: Final = _load_validator("accepted_schema.json")
+
+
+def load_document(data: bytes, *, subject: str = "document") -> EnvironmentDocument:
+    """
+    Decode and fully check an operator's document.
+
+    :param subject: what the findings name as checked, for instance the file.
+    :raises FindingsError: with every finding of the first stage that has any: the
+        JSON text, the schema, the checks across fields.
+    """
+    document = document_from_json(_parse(data, subject), subject=subject)
+    findings = check_document(document)
+    if findings:
+        raise _findings_error(subject, findings)
+    return document
+
+
+def document_from_json(value: Any, *, subject: str = "document") -> EnvironmentDocument:
+    """
+    Build a document from decoded JSON, without the checks across fields.
+
+    :raises FindingsError: with every finding of the schema.
+    """
+    _validate(_DOCUMENT_VALIDATOR, value, subject)
+    return EnvironmentDocument(
+        environment=value["environment"],
+        fleet=_build(FleetSpec, value["fleet"]),
+        classes=tuple(_build(ClassSpec, item) for item in value["classes"]),
+        caller_limit=_build(CallerLimitSpec, value["caller_limit"]),
+        services=tuple(_build_service(item) for item in value["services"]),
+    )
+
+
+def document_to_json(document: EnvironmentDocument) -> dict[str, Any]:
+    """Return the document as plain JSON values, defaults filled in."""
+    return attrs.asdict(
+        document,
+        value_serializer=lambda _, __, value: (
+            value.value if isinstance(value, Enum) else value
+        ),
+    )
+
+
+def canonical_json(value: Any) -> bytes:
+    """Encode JSON values in one way only: sorted keys, no spaces."""
+    return orjson.dumps(value, option=_CANONICAL)
+
+
+def content_hash(document: EnvironmentDocument) -> str:
+    """Return the SHA-256 of the document's canonical JSON, in hexadecimal."""
+    return _hash_json(document_to_json(document))
+
+
+def accepted_from_json(value: Any) -> AcceptedDocument:
+    """
+    Build an accepted document from the store's or a peer's value.
+
+    The hash is checked over the value as received: a newer release may fill in
+    defaults that the accepting one did not know.
+
+    :raises FindingsError: if it is malformed or its content hash does not match.
+    """
+    subject = "accepted document"
+    _validate(_ACCEPTED_VALIDATOR, value, subject)
+    if _hash_json(value["document"]) != value["content_hash"]:
+        finding = Finding(
+            place="/content_hash", message="the hash does not match the document"
+        )
+        raise _findings_error(subject, (finding,))
+    return AcceptedDocument(
+        revision=int(value["revision"]),
+        write_id=value["write_id"],
+        content_hash=value["content_hash"],
+        author=value["author"],
+        approved_by=value["approved_by"],
+        document=document_from_json(value["document"], subject=subject),
+    )
+
+
+def accepted_to_json(accepted: AcceptedDocument) -> dict[str, Any]:
+    """Return the accepted document as plain JSON values, for store and peers."""
+    value = attrs.asdict(accepted, recurse=False)
+    value["document"] = document_to_json(accepted.document)
+    return value
+
+
+def _findings_error(subject: str, findings: Any) -> FindingsError:
+    # Any, since mypy cannot infer the type that the field's converter takes.
+    return FindingsError(subject=subject, findings=findings)
+
+
+def _hash_json(value: Any) -> str:
+    return hashlib.sha256(canonical_json(value)).hexdigest()
+
+
+def _parse(data: bytes, subject: str) -> Any:
+    repeated: list[str] = []
+
+    def collect(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        names = [name for name, _ in pairs]
+        repeated.extend(name for name in set(names) if names.count(name) > 1)
+        return dict(pairs)
+
+    try:
+        value = json.loads(data, object_pairs_hook=collect, parse_constant=_refuse)
+    except ValueError as error:
+        findings = [Finding(place="", message=f"not valid JSON: {error}")]
+    else:
+        findings = [
+            Finding(place="", message=f"the key {name!r} stands twice in one object")
+            for name in sorted(repeated)
+        ]
+    if findings:
+        raise _findings_error(subject, findings)
+    return value
+
+
+def _refuse(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _validate(validator: Draft202012Validator, value: Any, subject: str) -> None:
+    findings = _schema_findings(validator, value)
+    if findings:
+        raise _findings_error(subject, findings)
+
+
+def _schema_findings(validator: Draft202012Validator, value: Any) -> list[Finding]:
+    errors: Iterable[Any] = validator.iter_errors(value)
+    return sorted(
+        (
+            Finding(place=json_pointer(error.absolute_path), message=error.message)
+            for error in errors
+        ),
+        key=lambda finding: finding.place,
+    )
+
+
+def _build_service(value: dict[str, Any]) -> ServiceSpec:
+    nested = {
+        "kind": ServiceKind(value["kind"]),
+        "backend": _build(BackendSpec, value["backend"]),
+        "deadline": _build(DeadlineSpec, value["deadline"]),
+        "coverage": _build(CoverageSpec, value.get("coverage", {})),
+        "hedging": _build(HedgingSpec, value.get("hedging", {})),
+        "operations": tuple(
+            _build(OperationSpec, item) for item in value.get("operations", ())
+        ),
+    }
+    return _build(ServiceSpec, {**value, **nested})
+
+
+def _build(spec: type[SpecT], value: dict[str, Any]) -> SpecT:
+    """Build a value object; equal documents must hold equal types of numbers."""
+    types = {item.name: item.type for item in attrs.fields(spec)}
+    return spec(**{key: _number(item, types[key]) for key, item in value.items()})
+
+
+def _number(value: Any, wanted: Any) -> Any:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return value
+    return float(value) if wanted is float else int(value)
