Add replica choice, slow start and ejection

Cause: the fan-out needs one decision per sub-request, at 30 a query. Ruled out: latency in the score without decay (a replica that was slow once would never be tried again, so LatencyAverage decays while idle); slow-start weight as a divisor of the score (with two replicas the cold one gets nothing, then half at once, so the weight is the probability of taking part); keeping the first ejection where half are ejected (a dead replica would stay preferred over one that has come back, so the newest evidence wins).

--- /dev/null
+++ b/src/bronzebeam/routing/choice.py
@@ -0,0 +1,137 @@
+"""Choice of the replica that a sub-request is sent to."""
+
+import math
+import random
+from collections.abc import Collection, Sequence
+from typing import Final
+
+from attrs import frozen
+
+LATENCY_TIME_CONSTANT_SECONDS: Final = 10.0
+# Samples of one instant must still move the average.
+MAXIMUM_RETAINED_SHARE: Final = 0.99
+MINIMUM_LATENCY_MS: Final = 1.0
+OTHER_DOMAIN_FACTOR: Final = 1.1
+REPORTED_LOAD_SHARE: Final = 0.5
+
+
+@frozen(kw_only=True)
+class ReplicaView:
+    """
+    What one entry knows of a replica at the moment of a choice.
+
+    :ivar slots: requests that the replica runs at a time.
+    :ivar own_in_flight: sub-requests of this entry that the replica has not answered.
+    :ivar reported_in_flight: load of the whole fleet, as of the replica's last reply.
+    :ivar latency_ms: moving average of reply times; 0 if there is none.
+    :ivar leaving: the replica takes no new work.
+    :ivar ejected: first-hand evidence speaks against the replica.
+    :ivar weight: slow-start weight, 0 to 1.
+    :ivar free_connections: open connections that carry no sub-request.
+    """
+
+    replica: str
+    failure_domain: str
+    slots: int
+    own_in_flight: int
+    reported_in_flight: int
+    latency_ms: float
+    leaving: bool
+    ejected: bool
+    weight: float
+    free_connections: int
+
+
+@frozen(kw_only=True)
+class LatencyAverage:
+    """
+    Moving average of a replica's reply times, weighted by time.
+
+    It decays to nothing while no sample comes, so that a replica which was slow is
+    tried again after a while.
+
+    :ivar latency_ms: the average at `sampled_at_seconds`.
+    :ivar sampled_at_seconds: monotonic time of the last sample.
+    """
+
+    latency_ms: float = 0.0
+    sampled_at_seconds: float = -math.inf
+
+    def at(self, now_seconds: float) -> float:
+        """Return the average at `now_seconds`, in milliseconds."""
+        return self.latency_ms * self._retained_share(now_seconds)
+
+    def observe(self, *, latency_ms: float, now_seconds: float) -> "LatencyAverage":
+        """
+        Return the average with one more sample.
+
+        :param latency_ms: reply time, or the time waited in vain for a reply that
+            was cancelled.
+        """
+        if self.sampled_at_seconds == -math.inf:
+            average_ms = latency_ms
+        else:
+            retained = min(self._retained_share(now_seconds), MAXIMUM_RETAINED_SHARE)
+            average_ms = retained * self.latency_ms + (1 - retained) * latency_ms
+        return LatencyAverage(latency_ms=average_ms, sampled_at_seconds=now_seconds)
+
+    def _retained_share(self, now_seconds: float) -> float:
+        idle_seconds = max(0.0, now_seconds - self.sampled_at_seconds)
+        return math.exp(-idle_seconds / LATENCY_TIME_CONSTANT_SECONDS)
+
+
+def choose_replica(
+    *,
+    candidates: Sequence[ReplicaView],
+    own_failure_domain: str,
+    excluded: Collection[str],
+    rng: random.Random,
+) -> ReplicaView | None:
+    """
+    Choose a replica by power of two choices; None if no candidate may be used.
+
+    Leaving and excluded replicas are never chosen, ejected ones only if no other is
+    left. Replicas with a free connection go before those without, and a cold one
+    takes part in a choice with the probability that its slow-start weight gives.
+
+    :param excluded: replicas that the sub-request must not go to.
+    """
+    usable = [
+        view for view in candidates if not view.leaving and view.replica not in excluded
+    ]
+    if len(usable) < 2:
+        return usable[0] if usable else None
+    pool = [view for view in usable if not view.ejected] or usable
+    pool = [view for view in pool if view.free_connections > 0] or pool
+    pool = [
+        view for view in pool if view.weight >= 1.0 or rng.random() < view.weight
+    ] or pool
+    return _better_of_two(pool, own_failure_domain, rng)
+
+
+def score_replica(view: ReplicaView, own_failure_domain: str) -> float:
+    """Estimate the reply time of one more sub-request, in milliseconds."""
+    own = view.own_in_flight
+    load = own + REPORTED_LOAD_SHARE * max(0, view.reported_in_flight - own)
+    estimate_ms = max(view.latency_ms, MINIMUM_LATENCY_MS) * (1 + load / view.slots)
+    if view.failure_domain != own_failure_domain:
+        estimate_ms *= OTHER_DOMAIN_FACTOR
+    return estimate_ms
+
+
+def _better_of_two(
+    pool: list[ReplicaView], own_failure_domain: str, rng: random.Random
+) -> ReplicaView:
+    count = len(pool)
+    if count == 1:
+        return pool[0]
+    first = int(rng.random() * count)
+    second = int(rng.random() * (count - 1)) if count > 2 else 0
+    if second >= first:
+        second += 1
+    one, other = pool[first], pool[second]
+    if score_replica(other, own_failure_domain) < score_replica(
+        one, own_failure_domain
+    ):
+        return other
+    return one
--- /dev/null
+++ b/tests/test_routing_choice.py
@@ -0,0 +1,195 @@
+"""Tests of replica choice, slow start and ejection."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from bronzebeam.routing.choice import LatencyAverage, ReplicaView, choose_replica
+from bronzebeam.routing.ejection import (
+    LONGEST_EJECTION_SECONDS,
+    Evidence,
+    ShardEjections,
+)
+from bronzebeam.routing.slow_start import slow_start_weight
+from tests.fixtures_routing import OWN_DOMAIN, replica_view
+
+COMMON = settings(derandomize=True, database=None, deadline=None)
+
+views = st.builds(
+    replica_view,
+    st.sampled_from("abcdef"),
+    failure_domain=st.sampled_from([OWN_DOMAIN, "domain-2"]),
+    own_in_flight=st.integers(0, 5),
+    reported_in_flight=st.integers(0, 5),
+    latency_ms=st.floats(0, 1000),
+    leaving=st.booleans(),
+    ejected=st.booleans(),
+    weight=st.floats(0, 1),
+    free_connections=st.integers(0, 2),
+)
+
+
+def choose(*candidates: ReplicaView, excluded: str = "", seed: int = 1) -> str | None:
+    chosen = choose_replica(
+        candidates=candidates,
+        own_failure_domain=OWN_DOMAIN,
+        excluded=set(excluded),
+        rng=random.Random(seed),
+    )
+    return chosen.replica if chosen else None
+
+
+@COMMON
+@given(
+    st.lists(views, max_size=6, unique_by=lambda view: view.replica),
+    st.sets(st.sampled_from("abcdef")),
+    st.integers(0, 99),
+)
+def test_choice_keeps_its_rules(
+    candidates: list[ReplicaView], excluded: set[str], seed: int
+) -> None:
+    usable = [v for v in candidates if not v.leaving and v.replica not in excluded]
+    chosen = choose_replica(
+        candidates=candidates,
+        own_failure_domain=OWN_DOMAIN,
+        excluded=excluded,
+        rng=random.Random(seed),
+    )
+    assert (chosen is None) == (not usable)
+    if chosen is not None:
+        assert chosen in usable
+        assert not chosen.ejected or all(view.ejected for view in usable)
+
+
+def test_choice_weighs_load_latency_and_domain() -> None:
+    for seed in range(20):
+        better = replica_view("a")
+        for worse in (
+            replica_view("b", own_in_flight=1),
+            replica_view("b", reported_in_flight=2),
+            replica_view("b", latency_ms=20.0),
+            replica_view("b", failure_domain="domain-2"),
+            replica_view("b", latency_ms=1.0, free_connections=0),
+        ):
+            assert choose(better, worse, seed=seed) == "a"
+            assert choose(worse, better, seed=seed) == "a"
+
+
+def test_choice_spreads_over_equals() -> None:
+    names = [choose(*map(replica_view, "abc"), seed=seed) for seed in range(300)]
+    assert all(70 <= names.count(name) <= 130 for name in "abc")
+
+
+def test_cold_replica_takes_the_share_of_its_weight() -> None:
+    warm = replica_view("a", own_in_flight=2)
+    cold = replica_view("b", weight=0.1)
+    names = [choose(warm, cold, seed=seed) for seed in range(1000)]
+    assert 60 <= names.count("b") <= 140
+
+
+def test_slow_start_weight_grows_to_one() -> None:
+    weights = [slow_start_weight(available_for_seconds=s) for s in (-1, 0, 5, 10, 99)]
+    assert weights == [0.1, 0.1, 0.55, 1.0, 1.0]
+
+
+def test_latency_average_follows_samples_and_decays() -> None:
+    average = LatencyAverage().observe(latency_ms=100.0, now_seconds=0.0)
+    assert average.at(0.0) == 100.0
+    assert average.at(30.0) < 6.0
+    for tenth in range(1, 301):
+        average = average.observe(latency_ms=10.0, now_seconds=tenth / 10)
+    assert 9.0 < average.at(30.0) < 16.0
+    for _ in range(500):
+        average = average.observe(latency_ms=50.0, now_seconds=30.0)
+    assert average.at(30.0) > 45.0
+
+
+def observe(
+    state: ShardEjections, replica: str, evidence: Evidence, now: float, of: str = "ab"
+) -> ShardEjections:
+    return state.observe(
+        replica=replica, evidence=evidence, now_seconds=now, replicas=of
+    )
+
+
+def eject(
+    state: ShardEjections, replica: str, now: float, of: str = "ab"
+) -> ShardEjections:
+    for _ in range(2):
+        state = observe(state, replica, Evidence.LOST_CONNECTION, now, of)
+    return state
+
+
+@COMMON
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("abcde"),
+            st.sampled_from(Evidence),
+            st.floats(0, 3),
+            st.sampled_from(["ab", "abc", "abcde", "a", "de"]),
+        ),
+        max_size=60,
+    )
+)
+def test_ejection_never_passes_half(
+    events: list[tuple[str, Evidence, float, str]],
+) -> None:
+    state, now = ShardEjections(), 0.0
+    for replica, evidence, pause, replicas in events:
+        now += pause
+        state = observe(state, replica, evidence, now, replicas)
+        ejected = state.ejected(now_seconds=now, replicas=replicas)
+        assert 2 * len(ejected) <= len(replicas)
+        assert ejected <= set(replicas)
+        assert set(state.records) <= {*replicas, replica}
+        later = now + LONGEST_EJECTION_SECONDS
+        assert not state.ejected(now_seconds=later, replicas=replicas)
+
+
+def test_only_consecutive_failures_eject() -> None:
+    state = ShardEjections()
+    for evidence in [Evidence.FAILURE, Evidence.FAILURE, Evidence.SUCCESS] * 5:
+        state = observe(state, "a", evidence, 0.0)
+    assert not state.ejected(now_seconds=0.0, replicas="ab")
+    for _ in range(3):
+        state = observe(state, "a", Evidence.FAILURE, 0.0)
+    assert state.ejected(now_seconds=0.0, replicas="ab") == {"a"}
+
+
+def test_newest_evidence_wins_where_half_are_ejected() -> None:
+    state = eject(eject(ShardEjections(), "a", 0.0), "b", 0.5)
+    assert state.ejected(now_seconds=0.5, replicas="ab") == {"b"}
+    state = eject(eject(ShardEjections(), "a", 0.0), "a", 1.0)
+    state = eject(state, "b", 1.5)
+    assert state.ejected(now_seconds=1.5, replicas="ab") == {"b"}
+
+
+def test_ejections_shrink_with_the_shard() -> None:
+    state = eject(ShardEjections(), "a", 0.0, "abcde")
+    assert not state.ejected(now_seconds=0.0, replicas="bc")
+    state = eject(state, "b", 0.1, "abcde")
+    assert state.ejected(now_seconds=0.1, replicas="abcde") == {"a", "b"}
+    assert state.ejected(now_seconds=0.1, replicas="ab") == {"b"}
+
+
+def test_ejections_have_a_longest_time() -> None:
+    state, now = ShardEjections(), 0.0
+    for _ in range(10):
+        state = eject(state, "a", now)
+        now += LONGEST_EJECTION_SECONDS
+        assert not state.ejected(now_seconds=now, replicas="ab")
+    assert state.ejected(now_seconds=now - 0.1, replicas="ab") == {"a"}
+
+
+def test_ejection_backs_off_until_the_replica_is_well() -> None:
+    state = eject(ShardEjections(), "a", 0.0)
+    assert not state.ejected(now_seconds=1.0, replicas="ab")
+    state = observe(state, "a", Evidence.FAILURE, 1.0)
+    assert state.ejected(now_seconds=2.9, replicas="ab") == {"a"}
+    state = observe(state, "a", Evidence.SUCCESS, 3.5)
+    state = eject(state, "a", 4.0)
+    assert state.ejected(now_seconds=7.9, replicas="ab") == {"a"}
+    state = observe(state, "a", Evidence.SUCCESS, 20.0)
+    assert not state.records
+    assert not eject(state, "a", 30.0).ejected(now_seconds=31.0, replicas="ab")
