--- /dev/null
+++ b/src/bronzebeam/routing/budget.py
@@ -0,0 +1,80 @@
+"""The extra load that hedges and retries of a service may add."""
+
+from collections import deque
+from typing import Final
+
+from attrs import define, field
+
+BURST_LIMIT: Final = 10.0
+HEDGE_RESERVE: Final = 1.0
+WINDOW_SECONDS: Final = 10.0
+_BUCKET_SECONDS: Final = 0.5
+_BUCKETS: Final = int(WINDOW_SECONDS / _BUCKET_SECONDS)
+_ROUNDING: Final = 1e-9
+
+
+@define(kw_only=True)
+class _Bucket:
+    number: int
+    firsts: int = 0
+    extras: int = 0
+
+
+@define(kw_only=True)
+class ExtraLoadBudget:
+    """
+    Budget that hedges and retries of one service share on one entry.
+
+    An extra sub-request is allowed if two bounds hold: over the last 10 s the extras
+    are at most `extra_load_share` of the first sub-requests; and over any stretch of
+    time they are at most that share plus `BURST_LIMIT`. The time passed in must not
+    go back.
+
+    :ivar extra_load_share: extra sub-requests allowed, as a share of first ones.
+    """
+
+    extra_load_share: float
+    _tokens: float = field(default=0.0, init=False)
+    _buckets: deque[_Bucket] = field(factory=deque, init=False)
+    _firsts: int = field(default=0, init=False)
+    _extras: int = field(default=0, init=False)
+
+    def count_firsts(self, count: int, *, now_seconds: float) -> None:
+        """Count `count` first sub-requests, sent at `now_seconds`."""
+        self._bucket_at(now_seconds).firsts += count
+        self._firsts += count
+        self._tokens = min(BURST_LIMIT, self._tokens + count * self.extra_load_share)
+
+    def take(self, *, now_seconds: float, reserve: float = 0.0) -> bool:
+        """
+        Take one extra sub-request from the budget, if it allows one.
+
+        :param reserve: extras to leave for others; hedges leave `HEDGE_RESERVE`, so
+            that retries of failed sub-requests find some.
+        :return: whether the extra sub-request may be sent.
+        """
+        bucket = self._bucket_at(now_seconds)
+        allowed = self._settled_firsts() * self.extra_load_share + _ROUNDING
+        if self._extras + 1 > allowed or self._tokens + _ROUNDING < 1.0 + reserve:
+            return False
+        bucket.extras += 1
+        self._extras += 1
+        self._tokens -= 1.0
+        return True
+
+    def _bucket_at(self, now_seconds: float) -> _Bucket:
+        number = int(now_seconds / _BUCKET_SECONDS)
+        while self._buckets and self._buckets[0].number < number - _BUCKETS:
+            expired = self._buckets.popleft()
+            self._firsts -= expired.firsts
+            self._extras -= expired.extras
+        if not self._buckets or self._buckets[-1].number < number:
+            self._buckets.append(_Bucket(number=number))
+        return self._buckets[-1]
+
+    def _settled_firsts(self) -> int:
+        """Return the first sub-requests that are surely within the window."""
+        oldest = self._buckets[0]
+        if oldest.number == self._buckets[-1].number - _BUCKETS:
+            return self._firsts - oldest.firsts
+        return self._firsts
--- /dev/null
+++ b/src/bronzebeam/routing/hedging.py
@@ -0,0 +1,206 @@
+"""When a hedge or a retry of a sub-request is sent."""
+
+from collections.abc import Sequence
+from enum import Enum
+from typing import Final
+
+from attrs import define, field, frozen
+from hdrh.histogram import HdrHistogram
+
+from bronzebeam.documents.model import HedgingSpec
+from bronzebeam.routing.budget import HEDGE_RESERVE, ExtraLoadBudget
+
+MINIMUM_HEDGE_DELAY_MS: Final = 1.0
+MINIMUM_SAMPLES: Final = 100
+MOST_ATTEMPTS: Final = 3
+RECOMPUTE_SECONDS: Final = 1.0
+HALF_WINDOW_SECONDS: Final = 10.0
+# Share of the budget that hedges plan to use; the rest is for retries.
+PLANNED_HEDGE_SHARE: Final = 0.8
+_LOWEST_US: Final = 1
+_HIGHEST_US: Final = 60_000_000
+_SIGNIFICANT_DIGITS: Final = 2
+
+
+def hedge_percentile(spec: HedgingSpec) -> float:
+    """Return the percentile whose hedges fit the extra-load budget of `spec`."""
+    return max(
+        spec.percentile, 100.0 * (1.0 - PLANNED_HEDGE_SHARE * spec.extra_load_share)
+    )
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
+
+
+@define(kw_only=True)
+class HedgeDelay:
+    """
+    Delay after which a first sub-request is hedged: a latency percentile.
+
+    Two histograms hold the samples; each half window the older one is dropped. The
+    percentile is recomputed at most once a second.
+
+    :ivar percentile: 0 to 100.
+    """
+
+    percentile: float
+    _recent: HdrHistogram = field(factory=_new_histogram, init=False)
+    _earlier: HdrHistogram = field(factory=_new_histogram, init=False)
+    _rotated_at_seconds: float | None = field(default=None, init=False)
+    _computed_at_seconds: float | None = field(default=None, init=False)
+    _delay_ms: float | None = field(default=None, init=False)
+
+    def record(self, *, latency_ms: float, now_seconds: float) -> None:
+        """
+        Take in the time of one first sub-request.
+
+        :param latency_ms: time to its reply. For one that was cancelled when its
+            hedge won, the time waited so far: leaving it out would hide the slow
+            ones and lower the percentile with each hedge.
+        """
+        self._rotate(now_seconds)
+        micros = min(max(int(latency_ms * 1000), _LOWEST_US), _HIGHEST_US)
+        self._recent.record_value(micros)
+
+    def delay_ms(self, *, now_seconds: float) -> float | None:
+        """Return the delay in milliseconds; None while there are too few samples."""
+        computed = self._computed_at_seconds
+        if computed is None or now_seconds - computed >= RECOMPUTE_SECONDS:
+            self._rotate(now_seconds)
+            self._computed_at_seconds = now_seconds
+            self._delay_ms = self._compute()
+        return self._delay_ms
+
+    def _compute(self) -> float | None:
+        samples = _new_histogram()
+        samples.add(self._earlier)
+        samples.add(self._recent)
+        if samples.get_total_count() < MINIMUM_SAMPLES:
+            return None
+        micros = float(samples.get_value_at_percentile(self.percentile))
+        return max(micros / 1000, MINIMUM_HEDGE_DELAY_MS)
+
+    def _rotate(self, now_seconds: float) -> None:
+        if self._rotated_at_seconds is None:
+            self._rotated_at_seconds = now_seconds
+            return
+        age_seconds = now_seconds - self._rotated_at_seconds
+        if age_seconds < HALF_WINDOW_SECONDS:
+            return
+        stale = age_seconds >= 2 * HALF_WINDOW_SECONDS
+        self._earlier = _new_histogram() if stale else self._recent
+        self._recent = _new_histogram()
+        self._rotated_at_seconds = now_seconds
+
+
+class Verdict(Enum):
+    """Whether an extra sub-request may be sent, or what speaks against it."""
+
+    ALLOWED = "allowed"
+    NOT_IDEMPOTENT = "not_idempotent"
+    SOLO = "solo"
+    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    NO_OTHER_REPLICA = "no_other_replica"
+    TOO_LITTLE_TIME = "too_little_time"
+    OVER_BUDGET = "over_budget"
+
+
+class FailureKind(Enum):
+    """
+    How an attempt failed.
+
+    `NOT_SENT`: no byte of it left, so that it added no load. `NOT_RUN`: the backend
+    server's own word, shed or draining. `UNKNOWN`: it may have run.
+    """
+
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@frozen(kw_only=True)
+class SubRequestState:
+    """
+    What a decision on an extra sub-request depends on.
+
+    :ivar solo: the request runs on one backend server at a time.
+    :ivar attempts: attempts so far, whether sent or not.
+    :ivar other_replicas: replicas that the next attempt may go to.
+    :ivar remaining_ms: time to the deadline.
+    :ivar expected_ms: expected reply time of one more attempt.
+    """
+
+    idempotent: bool
+    solo: bool
+    attempts: int
+    other_replicas: int
+    remaining_ms: float
+    expected_ms: float
+
+
+def allow_hedge(
+    state: SubRequestState, *, budget: ExtraLoadBudget, now_seconds: float
+) -> Verdict:
+    """Decide on a hedge, and take it from `budget` if it is allowed."""
+    if not state.idempotent:
+        return Verdict.NOT_IDEMPOTENT
+    if state.solo:
+        return Verdict.SOLO
+    obstacle = _find_obstacle(state)
+    if obstacle is not None:
+        return obstacle
+    taken = budget.take(now_seconds=now_seconds, reserve=HEDGE_RESERVE)
+    return Verdict.ALLOWED if taken else Verdict.OVER_BUDGET
+
+
+def allow_retry(
+    state: SubRequestState,
+    *,
+    failure: FailureKind,
+    budget: ExtraLoadBudget,
+    now_seconds: float,
+) -> Verdict:
+    """
+    Decide on a retry, and take it from `budget` if it is allowed.
+
+    An attempt that may have run is retried only if it is idempotent and not solo.
+    One that was not sent is retried without a charge on the budget.
+    """
+    if failure is FailureKind.UNKNOWN:
+        if not state.idempotent:
+            return Verdict.NOT_IDEMPOTENT
+        if state.solo:
+            return Verdict.SOLO
+    obstacle = _find_obstacle(state)
+    if obstacle is not None:
+        return obstacle
+    if failure is FailureKind.NOT_SENT or budget.take(now_seconds=now_seconds):
+        return Verdict.ALLOWED
+    return Verdict.OVER_BUDGET
+
+
+def replicas_to_exclude(*, tried: Sequence[str], replicas: int) -> frozenset[str]:
+    """
+    Return the replicas that the next attempt must not go to.
+
+    While an untried replica is left these are all tried ones; after that only the
+    one tried last, so that a third attempt can go back to the first replica.
+
+    :param tried: replicas of the attempts so far, in order.
+    :param replicas: number of the shard's replicas that may be used.
+    """
+    distinct = frozenset(tried)
+    if len(distinct) < replicas:
+        return distinct
+    return frozenset(tried[-1:])
+
+
+def _find_obstacle(state: SubRequestState) -> Verdict | None:
+    if state.attempts >= MOST_ATTEMPTS:
+        return Verdict.TOO_MANY_ATTEMPTS
+    if state.other_replicas < 1:
+        return Verdict.NO_OTHER_REPLICA
+    if state.expected_ms >= state.remaining_ms:
+        return Verdict.TOO_LITTLE_TIME
+    return None
--- /dev/null
+++ b/tests/test_routing_hedging.py
@@ -0,0 +1,160 @@
+"""Tests of the extra-load budget and of hedges and retries."""
+
+from attrs import evolve
+from hypothesis import given, settings, strategies as st
+
+from bronzebeam.documents.model import HedgingSpec
+from bronzebeam.routing.budget import BURST_LIMIT, WINDOW_SECONDS, ExtraLoadBudget
+from bronzebeam.routing.hedging import (
+    FailureKind,
+    HedgeDelay,
+    SubRequestState,
+    Verdict,
+    allow_hedge,
+    allow_retry,
+    hedge_percentile,
+    replicas_to_exclude,
+)
+
+COMMON = settings(derandomize=True, database=None, deadline=None)
+STATE = SubRequestState(
+    idempotent=True,
+    solo=False,
+    attempts=1,
+    other_replicas=1,
+    remaining_ms=100.0,
+    expected_ms=10.0,
+)
+
+
+def full_budget() -> ExtraLoadBudget:
+    budget = ExtraLoadBudget(extra_load_share=0.05)
+    budget.count_firsts(1000, now_seconds=0.0)
+    return budget
+
+
+@COMMON
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 4), st.integers(0, 300), st.integers(0, 30)),
+        max_size=60,
+    ),
+    st.sampled_from([0.0, 0.01, 0.05, 0.5]),
+)
+def test_extras_stay_within_the_share(
+    steps: list[tuple[float, int, int]], share: float
+) -> None:
+    budget, now = ExtraLoadBudget(extra_load_share=share), 0.0
+    firsts: list[tuple[float, int]] = []
+    extras: list[tuple[float, int]] = []
+    for pause, count, tries in steps:
+        now += pause
+        budget.count_firsts(count, now_seconds=now)
+        firsts.append((now, count))
+        taken = sum(budget.take(now_seconds=now) for _ in range(tries))
+        extras.append((now, taken))
+        start = now - WINDOW_SECONDS
+        if taken:
+            assert in_window(extras, start) <= share * in_window(firsts, start) + 1e-6
+        for since, _ in firsts:
+            most = share * in_window(firsts, since - 1e-9) + BURST_LIMIT
+            assert in_window(extras, since - 1e-9) <= most + 1e-6
+
+
+def in_window(counts: list[tuple[float, int]], after: float) -> int:
+    return sum(count for at, count in counts if at > after)
+
+
+def test_budget_is_used_up_and_comes_back() -> None:
+    budget = ExtraLoadBudget(extra_load_share=0.05)
+    assert not budget.take(now_seconds=0.0)
+    budget.count_firsts(100, now_seconds=0.0)
+    assert [budget.take(now_seconds=1.0) for _ in range(6)] == [True] * 5 + [False]
+    budget.count_firsts(100, now_seconds=11.5)
+    assert budget.take(now_seconds=11.5)
+
+
+def test_extras_count_while_any_of_their_window_lasts() -> None:
+    budget = ExtraLoadBudget(extra_load_share=0.5)
+    budget.count_firsts(10, now_seconds=0.1)
+    assert [budget.take(now_seconds=0.4) for _ in range(5)] == [True] * 5
+    budget.count_firsts(4, now_seconds=10.2)
+    assert not budget.take(now_seconds=10.2)
+
+
+def test_hedges_leave_a_reserve_for_retries() -> None:
+    budget = ExtraLoadBudget(extra_load_share=0.05)
+    budget.count_firsts(20, now_seconds=0.0)
+    assert allow_hedge(STATE, budget=budget, now_seconds=0.0) is Verdict.OVER_BUDGET
+    retried = allow_retry(
+        STATE, failure=FailureKind.UNKNOWN, budget=budget, now_seconds=0.0
+    )
+    assert retried is Verdict.ALLOWED
+
+
+def test_hedge_refusals() -> None:
+    refusals = {
+        Verdict.NOT_IDEMPOTENT: evolve(STATE, idempotent=False),
+        Verdict.SOLO: evolve(STATE, solo=True),
+        Verdict.TOO_MANY_ATTEMPTS: evolve(STATE, attempts=3),
+        Verdict.NO_OTHER_REPLICA: evolve(STATE, other_replicas=0),
+        Verdict.TOO_LITTLE_TIME: evolve(STATE, remaining_ms=10.0),
+        Verdict.ALLOWED: STATE,
+    }
+    for verdict, state in refusals.items():
+        decided = allow_hedge(state, budget=full_budget(), now_seconds=0.0)
+        assert decided is verdict
+
+
+def retry(state: SubRequestState, failure: FailureKind) -> Verdict:
+    return allow_retry(state, failure=failure, budget=full_budget(), now_seconds=0.0)
+
+
+def test_call_that_may_have_run_is_never_retried() -> None:
+    call = evolve(STATE, idempotent=False)
+    suspect = evolve(STATE, solo=True)
+    assert retry(call, FailureKind.UNKNOWN) is Verdict.NOT_IDEMPOTENT
+    assert retry(suspect, FailureKind.UNKNOWN) is Verdict.SOLO
+    for failure in (FailureKind.NOT_RUN, FailureKind.NOT_SENT):
+        assert retry(call, failure) is Verdict.ALLOWED
+        assert retry(suspect, failure) is Verdict.ALLOWED
+        tried = evolve(call, attempts=3)
+        assert retry(tried, failure) is Verdict.TOO_MANY_ATTEMPTS
+
+
+def test_resend_after_not_run_is_charged_and_after_not_sent_is_not() -> None:
+    empty = ExtraLoadBudget(extra_load_share=0.05)
+    verdicts = [
+        allow_retry(STATE, failure=failure, budget=empty, now_seconds=0.0)
+        for failure in (FailureKind.NOT_RUN, FailureKind.NOT_SENT)
+    ]
+    assert verdicts == [Verdict.OVER_BUDGET, Verdict.ALLOWED]
+
+
+def test_third_attempt_goes_back_only_when_all_are_tried() -> None:
+    assert replicas_to_exclude(tried="a", replicas=2) == {"a"}
+    assert replicas_to_exclude(tried="ab", replicas=2) == {"b"}
+    assert replicas_to_exclude(tried="ab", replicas=3) == {"a", "b"}
+
+
+def test_hedge_percentile_fits_the_budget() -> None:
+    assert hedge_percentile(HedgingSpec(percentile=90.0)) == 96.0
+    assert hedge_percentile(HedgingSpec(percentile=99.0)) == 99.0
+
+
+def test_hedge_delay_follows_the_percentile_and_forgets() -> None:
+    delay = HedgeDelay(percentile=95.0)
+    for sample in range(99):
+        delay.record(latency_ms=float(sample + 1), now_seconds=0.0)
+    assert delay.delay_ms(now_seconds=0.0) is None
+    delay.record(latency_ms=100.0, now_seconds=0.0)
+    assert delay.delay_ms(now_seconds=0.9) is None
+    computed = delay.delay_ms(now_seconds=1.0)
+    assert computed is not None and 94.0 <= computed <= 96.0
+    for step in range(1000):
+        delay.record(latency_ms=2.0, now_seconds=12.0 + step / 50)
+    computed = delay.delay_ms(now_seconds=32.0)
+    assert computed is not None and 1.9 <= computed <= 2.1
+    for _ in range(100):
+        delay.record(latency_ms=2.0, now_seconds=33.0)
+    assert delay.delay_ms(now_seconds=100.0) is None
