--- /dev/null
+++ b/src/bronzebeam/controllers/configuration.py
@@ -0,0 +1,274 @@
+"""The accepted configuration in force at this entry; it only moves up."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+
+import anyio
+import orjson
+from attrs import evolve
+
+from bronzebeam.clock import Clock
+from bronzebeam.controllers.base import Controller
+from bronzebeam.controllers.configuration_view import (
+    ConfigurationMessage,
+    ConfigurationView,
+    NewsArrived,
+    PeerRevision,
+    StoreRead,
+    StoreUnwatched,
+    announce,
+)
+from bronzebeam.controllers.document_difference import apply_changes, json_checksum
+from bronzebeam.controllers.membership import ContactFailed, MembershipController
+from bronzebeam.controllers.news_outbox import NewsOutbox
+from bronzebeam.controllers.peer_messages import ConfigurationNews
+from bronzebeam.controllers.readiness import Readiness, decide_readiness
+from bronzebeam.controllers.store_watch import StoreWatch
+from bronzebeam.documents.model import DOCUMENT_KEY_PREFIX, AcceptedDocument
+from bronzebeam.findings import FindingsError
+from bronzebeam.routing.membership_state import MemberState
+from bronzebeam.transport.peer import PeerClient, PeerUnavailable
+from bronzebeam.transport.store import Store, StoredValue
+
+ISOLATED_WATCH_SECONDS: Final = 3.0
+OLDER_READS: Final = 2
+
+ReadDocument = Callable[[Any], AcceptedDocument]
+WriteDocument = Callable[[AcceptedDocument], dict[str, Any]]
+
+
+__all__ = [
+    "ConfigurationController",
+    "ConfigurationView",
+    "NewsArrived",
+    "PeerRevision",
+    "Readiness",
+]
+
+
+class ConfigurationController(Controller[ConfigurationMessage]):
+    """
+    Owns the accepted document in force.
+
+    Of two documents the one of higher revision is kept. Under the same revision the
+    one that is in force stays, and `split` is set until a higher revision comes.
+
+    :param read_document: reads the JSON form; raises `FindingsError`.
+    :param write_document: returns the JSON form.
+    """
+
+    def __init__(
+        self,
+        *,
+        environment: str,
+        store: Store,
+        peers: PeerClient,
+        membership: MembershipController,
+        outbox: NewsOutbox,
+        read_document: ReadDocument,
+        write_document: WriteDocument,
+        clock: Clock,
+        rng: Random,
+        log: Callable[..., None] = lambda *args, **fields: None,
+    ) -> None:
+        super().__init__()
+        self._environment = environment
+        self._peers = peers
+        self._membership = membership
+        self._news = outbox
+        self._read_document = read_document
+        self._write_document = write_document
+        self._clock = clock
+        self._log = log
+        self._view = ConfigurationView()
+        self._older_reads = 0
+        self._started_seconds: float | None = None
+        self.store_watch = StoreWatch(
+            store=store,
+            key=DOCUMENT_KEY_PREFIX + environment,
+            wanted=self.should_watch,
+            deliver=lambda stored: self.post(StoreRead(stored=stored)),
+            stopped=lambda: self.post(StoreUnwatched()),
+            clock=clock,
+            rng=rng,
+            log=log,
+        )
+
+    @property
+    def view(self) -> ConfigurationView:
+        return self._view
+
+    @property
+    def store_failing(self) -> bool:
+        """Tell whether this entry watches the store and gets no answer."""
+        return self.store_watch.failing
+
+    def should_watch(self) -> bool:
+        """Tell whether this entry is to watch the store: chosen, or without peers."""
+        membership = self._membership.view
+        if membership.own.instance in membership.watchers:
+            return True
+        return self._seconds_without_peers() > ISOLATED_WATCH_SECONDS
+
+    def readiness(self) -> Readiness:
+        """Return whether this entry should take callers' requests, and why not."""
+        membership = self._membership.view
+        return decide_readiness(
+            revision=self._view.revision,
+            leaving=membership.own.state != MemberState.LIVE,
+            has_peers=bool(membership.peers),
+            seconds_without_peers=self._seconds_without_peers(),
+            seconds_without_store=self._seconds_since(
+                self.store_watch.last_answer_seconds
+            ),
+        )
+
+    async def run(self) -> None:
+        """Handle messages and watch the store, if chosen, until cancelled."""
+        self._started_seconds = self._clock.monotonic_seconds()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(super().run)
+            tasks.start_soon(self.store_watch.run)
+
+    async def handle(self, message: ConfigurationMessage) -> None:
+        """Apply one message to the state."""
+        if isinstance(message, StoreRead):
+            self._take_from_store(message.stored)
+        elif isinstance(message, StoreUnwatched):
+            self._older_reads = 0
+            self._view = evolve(self._view, store_older=False)
+        elif isinstance(message, NewsArrived):
+            await self._take_news(message)
+        else:
+            await self._follow_peer(message)
+
+    def _seconds_without_peers(self) -> float:
+        return self._seconds_since(self._membership.last_contact_seconds)
+
+    def _seconds_since(self, moment: float | None) -> float:
+        start = self._started_seconds if moment is None else moment
+        return 0.0 if start is None else self._clock.monotonic_seconds() - start
+
+    def _take_from_store(self, stored: StoredValue | None) -> None:
+        if stored is None:
+            self._note_store(0)
+            return
+        accepted = self._read(stored.value, "store")
+        if accepted is None:
+            return
+        self._note_store(accepted.revision)
+        self._note_hash(accepted.revision, accepted.content_hash, "store")
+        self._adopt(accepted, "store")
+
+    def _note_store(self, revision: int) -> None:
+        below = revision < self._view.revision
+        self._older_reads = self._older_reads + 1 if below else 0
+        older = self._older_reads >= OLDER_READS
+        if older and not self._view.store_older:
+            self._log(
+                "store_older",
+                store_revision=revision,
+                kept_revision=self._view.revision,
+            )
+        self._view = evolve(self._view, store_older=older)
+
+    def _note_hash(self, revision: int, content_hash: str, source: str) -> None:
+        if not revision or revision != self._view.revision or self._view.split:
+            return
+        if content_hash == self._view.content_hash:
+            return
+        self._log(
+            "configuration_split",
+            revision=revision,
+            kept_hash=self._view.content_hash,
+            other_hash=content_hash,
+            source=source,
+        )
+        self._view = evolve(self._view, split=True)
+
+    async def _take_news(self, message: NewsArrived) -> None:
+        news = message.news
+        self._note_hash(news.revision, news.content_hash, message.instance)
+        if news.revision <= self._view.revision:
+            return
+        accepted = self._patched(news)
+        if accepted is None:
+            accepted = await self._fetch(message.instance, message.address)
+        if accepted is not None:
+            self._adopt(accepted, message.instance, news)
+
+    async def _follow_peer(self, message: PeerRevision) -> None:
+        self._note_hash(message.revision, message.content_hash, message.instance)
+        if message.revision <= self._view.revision:
+            return
+        accepted = await self._fetch(message.instance, message.address)
+        if accepted is not None:
+            self._adopt(accepted, message.instance)
+
+    def _patched(self, news: ConfigurationNews) -> AcceptedDocument | None:
+        """Return the document in force with the changes made, if they fit."""
+        encoded = self._view.encoded
+        if encoded is None or news.base_revision != self._view.revision:
+            return None
+        base = orjson.loads(encoded)
+        if json_checksum(base) != news.base_checksum:
+            return None
+        try:
+            value = apply_changes(base, news.changes, news.checksum)
+        except FindingsError as error:
+            self._log("difference_refused", revision=news.revision, error=str(error))
+            return None
+        accepted = self._read(value, "difference")
+        if accepted is None or accepted.revision != news.revision:
+            return None
+        return accepted
+
+    async def _fetch(self, instance: str, address: str) -> AcceptedDocument | None:
+        try:
+            value = await self._peers.fetch_document(address=address)
+        except PeerUnavailable as error:
+            self._membership.post(ContactFailed(instance=instance))
+            self._log("document_fetch_failed", instance=instance, error=str(error))
+            return None
+        return None if value is None else self._read(value, instance)
+
+    def _read(self, value: Any, source: str) -> AcceptedDocument | None:
+        try:
+            accepted = self._read_document(value)
+        except FindingsError as error:
+            self._refuse(source, str(error))
+            return None
+        if accepted.document.environment != self._environment:
+            self._refuse(source, "is of another environment")
+            return None
+        return accepted
+
+    def _refuse(self, source: str, reason: str) -> None:
+        if not self._view.refused:
+            self._log("document_refused", source=source, reason=reason)
+        self._view = evolve(self._view, refused=True)
+
+    def _adopt(
+        self,
+        accepted: AcceptedDocument,
+        source: str,
+        news: ConfigurationNews | None = None,
+    ) -> None:
+        """Put `accepted` in force if it is newer, and tell the peers."""
+        before = self._view
+        if accepted.revision <= before.revision:
+            return
+        value = self._write_document(accepted)
+        if news is None or news.revision != accepted.revision:
+            news = announce(before, accepted, value)
+        self._view = ConfigurationView(
+            current=accepted, encoded=orjson.dumps(value), store_older=False
+        )
+        self._log(
+            "configuration_in_force",
+            revision=accepted.revision,
+            content_hash=accepted.content_hash,
+            source=source,
+        )
+        self._news.add_configuration(news)
--- /dev/null
+++ b/src/bronzebeam/controllers/configuration_view.py
@@ -0,0 +1,99 @@
+"""Messages that the configuration controller takes, and what it publishes."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from attrs import evolve, frozen
+
+from bronzebeam.controllers.document_difference import difference, json_checksum
+from bronzebeam.controllers.peer_messages import MOST_CHANGES, ConfigurationNews
+from bronzebeam.documents.model import AcceptedDocument
+from bronzebeam.transport.store import StoredValue
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreRead:
+    """What the store holds; None if the key is absent."""
+
+    stored: StoredValue | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class NewsArrived:
+    """A document's announcement pushed by the peer at `address`."""
+
+    news: ConfigurationNews
+    instance: str
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerRevision:
+    """Revision in force at a peer, as exchanged."""
+
+    instance: str
+    address: str
+    revision: int
+    content_hash: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreUnwatched:
+    """This entry ended to watch the store."""
+
+
+ConfigurationMessage = StoreRead | StoreUnwatched | NewsArrived | PeerRevision
+
+
+@frozen(kw_only=True)
+class ConfigurationView:
+    """
+    The configuration in force, with what is known to be wrong around it.
+
+    :ivar encoded: JSON of `current`, for peers; None without a document.
+    :ivar store_older: the store, as watched here, holds an older revision or none in
+        `OLDER_READS` reads in a row; one alone may have been overtaken by a push.
+    :ivar split: another content is about under the revision in force.
+    :ivar refused: the last document offered did not pass its check.
+    """
+
+    current: AcceptedDocument | None = None
+    encoded: bytes | None = None
+    store_older: bool = False
+    split: bool = False
+    refused: bool = False
+
+    @property
+    def revision(self) -> int:
+        return 0 if self.current is None else self.current.revision
+
+    @property
+    def content_hash(self) -> str:
+        return "" if self.current is None else self.current.content_hash
+
+
+def announce(
+    before: ConfigurationView, accepted: AcceptedDocument, value: dict[str, Any]
+) -> ConfigurationNews:
+    """
+    Announce `accepted` with its difference to what was in force, if that is small.
+
+    :param value: JSON form of `accepted`.
+    """
+    bare = ConfigurationNews(
+        revision=accepted.revision, content_hash=accepted.content_hash
+    )
+    if before.encoded is None:
+        return bare
+    base = orjson.loads(before.encoded)
+    changes = difference(base, value)
+    if len(changes) > MOST_CHANGES:
+        return bare
+    return evolve(
+        bare,
+        base_revision=before.revision,
+        base_checksum=json_checksum(base),
+        checksum=json_checksum(value),
+        changes=changes,
+    )
--- /dev/null
+++ b/src/bronzebeam/controllers/document_difference.py
@@ -0,0 +1,96 @@
+"""Differences between two JSON values, to send in place of the whole."""
+
+import hashlib
+from typing import Any, Final
+
+import orjson
+from attrs import frozen
+
+from bronzebeam.controllers.message_reader import findings_error
+from bronzebeam.findings import Finding, FindingsError
+
+CHECKSUM_BYTES: Final = 16
+
+
+@frozen(kw_only=True)
+class Change:
+    """
+    One change of a JSON value.
+
+    :ivar path: keys and indexes from the root down.
+    :ivar removed: whether the key is removed; `value` is not used then.
+    """
+
+    path: tuple[str | int, ...]
+    value: Any = None
+    removed: bool = False
+
+
+def json_checksum(value: Any) -> str:
+    """Return a checksum of a JSON value that does not depend on the order of keys."""
+    encoded = orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    return hashlib.blake2b(encoded, digest_size=CHECKSUM_BYTES).hexdigest()
+
+
+def difference(
+    old: Any, new: Any, path: tuple[str | int, ...] = ()
+) -> tuple[Change, ...]:
+    """Return the changes that turn `old` into `new`."""
+    if isinstance(old, dict) and isinstance(new, dict):
+        return _object_difference(old, new, path)
+    if isinstance(old, list) and isinstance(new, list) and len(old) == len(new):
+        parts = (
+            difference(one, two, (*path, index))
+            for index, (one, two) in enumerate(zip(old, new, strict=True))
+        )
+        return tuple(change for part in parts for change in part)
+    if type(old) is type(new) and old == new:
+        return ()
+    return (Change(path=path, value=new),)
+
+
+def _object_difference(
+    old: dict[str, Any], new: dict[str, Any], path: tuple[str | int, ...]
+) -> tuple[Change, ...]:
+    changes = [Change(path=(*path, key), removed=True) for key in old if key not in new]
+    for key, value in new.items():
+        if key in old:
+            changes.extend(difference(old[key], value, (*path, key)))
+        else:
+            changes.append(Change(path=(*path, key), value=value))
+    return tuple(changes)
+
+
+def apply_changes(old: Any, changes: tuple[Change, ...], checksum: str) -> Any:
+    """
+    Return `old` with `changes` made; `old` stays as it is.
+
+    :param checksum: checksum of the value that must come out.
+    :raises FindingsError: if a change does not fit or the checksum differs.
+    """
+    result = orjson.loads(orjson.dumps(old))
+    for change in changes:
+        try:
+            result = _apply(result, change)
+        except (KeyError, IndexError, TypeError) as error:
+            raise _refusal("a change does not fit the base") from error
+    if json_checksum(result) != checksum:
+        raise _refusal("the checksum differs after the changes")
+    return result
+
+
+def _apply(root: Any, change: Change) -> Any:
+    if not change.path:
+        return change.value
+    parent = root
+    for part in change.path[:-1]:
+        parent = parent[part]
+    if change.removed:
+        del parent[change.path[-1]]
+    else:
+        parent[change.path[-1]] = change.value
+    return root
+
+
+def _refusal(message: str) -> FindingsError:
+    return findings_error("document difference", [Finding(place="", message=message)])
--- /dev/null
+++ b/src/bronzebeam/controllers/gossip.py
@@ -0,0 +1,287 @@
+"""Exchange of revisions and pushing of news between entry instances."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Final
+
+import anyio
+
+from bronzebeam.controllers.base import Controller
+from bronzebeam.controllers.configuration import (
+    ConfigurationController,
+    NewsArrived,
+    PeerRevision,
+)
+from bronzebeam.controllers.membership import (
+    ContactFailed,
+    ContactMade,
+    MembershipController,
+    RecordsArrived,
+    StoreUnreachableFrom,
+)
+from bronzebeam.controllers.news_outbox import News, NewsOutbox
+from bronzebeam.controllers.news_topic import NewsTopic, TopicSpec
+from bronzebeam.controllers.peer_messages import Exchange, Push, PushReply, TopicNews
+from bronzebeam.controllers.topic_exchange import TopicExchange
+from bronzebeam.routing.dissemination import (
+    choose_exchange_peer,
+    exchange_interval_seconds,
+    jittered,
+    next_target,
+)
+from bronzebeam.routing.membership_state import MemberRecord, bucket_of
+from bronzebeam.transport.peer import PeerClient, PeerUnavailable
+
+__all__ = ["GossipController", "NewsTopic", "TopicSpec", "TopicsArrived"]
+
+EAGER_EXCHANGE_SECONDS: Final = 0.25
+MOST_PUSHES_IN_FLIGHT: Final = 4
+
+
+@dataclass(frozen=True, kw_only=True)
+class TopicsArrived:
+    """
+    Topic payloads from a peer.
+
+    :ivar pushed: whether they came as news, to be pushed on.
+    """
+
+    topics: tuple[TopicNews, ...]
+    pushed: bool
+
+
+class GossipController(Controller[TopicsArrived]):
+    """
+    Exchanges revisions with one peer at a time and pushes news to a few at once.
+
+    The peer protocol's server calls `answer_exchange` and `answer_push`, which read
+    published values and leave messages for the controllers.
+
+    :param topics: further news; their `merge` is called from this controller only.
+    :ivar exchanges: exchanges begun.
+    :ivar pushes: pushes sent, those without an answer included.
+    """
+
+    def __init__(
+        self,
+        *,
+        membership: MembershipController,
+        configuration: ConfigurationController,
+        peers: PeerClient,
+        outbox: NewsOutbox,
+        rng: Random,
+        topics: Sequence[TopicSpec] = (),
+        log: Callable[..., None] = lambda *args, **fields: None,
+    ) -> None:
+        super().__init__()
+        self._membership = membership
+        self._configuration = configuration
+        self._peers = peers
+        self._news = outbox
+        self._rng = rng
+        self._topics = TopicExchange(topics=topics, log=log)
+        self._turn = 0
+        self._in_flight = anyio.Semaphore(MOST_PUSHES_IN_FLIGHT)
+        self.exchanges = 0
+        self.pushes = 0
+
+    async def run(self) -> None:
+        """Exchange, push and merge until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(super().run)
+            tasks.start_soon(self._exchange_repeatedly)
+            tasks.start_soon(self._push_repeatedly)
+
+    async def handle(self, message: TopicsArrived) -> None:
+        """Merge topic payloads, and push on what was news."""
+        for arrived in message.topics:
+            spec = self._topics.spec(arrived.name)
+            new = self._topics.merge(arrived)
+            if new and message.pushed and spec is not None and spec.pushed:
+                self._news.add_topic(spec.name, arrived.payload)
+
+    def publish(self, name: str, payload: Any) -> None:
+        """
+        Push `payload`, new items of the topic `name` that this entry holds already.
+
+        Items above the topic's bound are left to the exchange.
+        """
+        spec = self._topics.spec(name)
+        if spec is not None and spec.fits(payload):
+            self._news.add_topic(name, payload)
+
+    def answer_exchange(self, message: Exchange) -> Exchange:
+        """Return this entry's side of an exchange that a peer began."""
+        self._hear(message)
+        members = self._membership.view
+        digest = members.plan.digest
+        if message.buckets:
+            return self._own_side(
+                records=self._records_of(digest.differing(message.buckets)),
+                topics=self._topics.answers(message.topics),
+            )
+        same = message.records_digest == digest.whole
+        return self._own_side(
+            buckets=() if same else digest.buckets,
+            topics=self._topics.answers(message.topics),
+        )
+
+    def answer_push(self, message: Push) -> PushReply:
+        """Take a peer's news and return the receipt."""
+        revision = self._configuration.view.revision
+        sender = message.sender
+        self._membership.post(ContactMade(instance=sender.instance))
+        self._membership.post(
+            RecordsArrived(records=(sender, *message.records), pushed=True)
+        )
+        if message.configuration is not None:
+            self._configuration.post(
+                NewsArrived(
+                    news=message.configuration,
+                    instance=sender.instance,
+                    address=sender.peer_address,
+                )
+            )
+        if message.topics:
+            self.post(TopicsArrived(topics=message.topics, pushed=True))
+        return PushReply(instance=self._membership.view.own.instance, revision=revision)
+
+    async def _exchange_repeatedly(self) -> None:
+        while True:
+            reached = await self._exchange_once()
+            members = len(self._membership.view.members)
+            pause = exchange_interval_seconds(members)
+            if not reached and self._configuration.view.current is None:
+                pause = EAGER_EXCHANGE_SECONDS
+            await anyio.sleep(jittered(pause, self._rng))
+
+    async def _exchange_once(self) -> bool:
+        view = self._membership.view
+        peer = choose_exchange_peer(
+            peers=view.peers,
+            urgent=view.checked_peers,
+            suspected=view.suspected,
+            turn=self._turn,
+            rng=self._rng,
+        )
+        self._turn += 1
+        address = None if peer is None else view.address_of(peer)
+        if peer is None or address is None:
+            return False
+        try:
+            await self._exchange_with(address)
+        except PeerUnavailable:
+            self._membership.post(ContactFailed(instance=peer))
+            return False
+        return True
+
+    async def _exchange_with(self, address: str) -> None:
+        self.exchanges += 1
+        reply = await self._peers.exchange(address=address, message=self._own_side())
+        self._hear(reply)
+        topics = self._topics.lacking(reply.topics)
+        if not reply.buckets and not topics:
+            return
+        digest = self._membership.view.plan.digest
+        differing = digest.differing(reply.buckets) if reply.buckets else frozenset()
+        rest = await self._peers.exchange(
+            address=address,
+            message=self._own_side(
+                buckets=digest.buckets if differing else (),
+                records=self._records_of(differing),
+                topics=topics,
+            ),
+        )
+        self._hear(rest)
+
+    def _own_side(
+        self,
+        *,
+        buckets: tuple[str, ...] = (),
+        records: tuple[MemberRecord, ...] = (),
+        topics: tuple[TopicNews, ...] | None = None,
+    ) -> Exchange:
+        members = self._membership.view
+        configuration = self._configuration.view
+        return Exchange(
+            sender=members.own,
+            revision=configuration.revision,
+            content_hash=configuration.content_hash,
+            store_failing=self._configuration.store_failing,
+            records_digest=members.plan.digest.whole,
+            buckets=buckets,
+            records=records,
+            topics=self._topics.digests() if topics is None else topics,
+        )
+
+    def _hear(self, message: Exchange) -> None:
+        """Hand the parts of a peer's side to the controllers that own them."""
+        sender = message.sender
+        self._membership.post(ContactMade(instance=sender.instance))
+        self._membership.post(
+            RecordsArrived(records=(sender, *message.records), pushed=False)
+        )
+        if message.store_failing:
+            self._membership.post(StoreUnreachableFrom(instance=sender.instance))
+        self._configuration.post(
+            PeerRevision(
+                instance=sender.instance,
+                address=sender.peer_address,
+                revision=message.revision,
+                content_hash=message.content_hash,
+            )
+        )
+        if any(item.payload is not None for item in message.topics):
+            self.post(TopicsArrived(topics=message.topics, pushed=False))
+
+    def _records_of(self, buckets: frozenset[int]) -> tuple[MemberRecord, ...]:
+        records = self._membership.view.records
+        if not buckets:
+            return ()
+        return tuple(
+            item for name, item in records.items() if bucket_of(name) in buckets
+        )
+
+    async def _push_repeatedly(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            while True:
+                news = await self._news.take()
+                await self._in_flight.acquire()
+                tasks.start_soon(self._push, news)
+
+    async def _push(self, news: News) -> None:
+        """Send `news` along each ring, each peer at most once."""
+        message = Push(
+            sender=self._membership.view.own,
+            configuration=news.configuration,
+            records=news.records,
+            topics=news.topics,
+        )
+        taken: set[str] = set()
+        try:
+            async with anyio.create_task_group() as tasks:
+                for candidates in self._membership.view.plan.push:
+                    tasks.start_soon(self._push_on_ring, candidates, message, taken)
+        finally:
+            self._in_flight.release()
+
+    async def _push_on_ring(
+        self, candidates: tuple[str, ...], message: Push, taken: set[str]
+    ) -> None:
+        """Push to the first follower on the ring that answers."""
+        while True:
+            view = self._membership.view
+            target = next_target(candidates, taken=taken, suspected=view.suspected)
+            address = None if target is None else view.address_of(target)
+            if target is None or address is None:
+                return
+            taken.add(target)
+            self.pushes += 1
+            try:
+                await self._peers.push(address=address, message=message)
+            except PeerUnavailable:
+                self._membership.post(ContactFailed(instance=target))
+                continue
+            self._membership.post(ContactMade(instance=target))
+            return
--- /dev/null
+++ b/src/bronzebeam/controllers/membership.py
@@ -0,0 +1,269 @@
+"""Membership between entry instances: the instance list and the peers' own word."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final, Protocol
+
+import anyio
+from attrs import evolve
+
+from bronzebeam.clock import Clock
+from bronzebeam.controllers.base import Controller
+from bronzebeam.controllers.membership_messages import (
+    ContactFailed,
+    ContactMade,
+    InstancesListed,
+    LeaveFleet,
+    MembershipMessage,
+    RecordsArrived,
+    StoreUnreachableFrom,
+)
+from bronzebeam.controllers.membership_view import (
+    FleetPlan,
+    ListedInstance,
+    MembershipView,
+    build_plan,
+)
+from bronzebeam.controllers.news_outbox import NewsOutbox
+from bronzebeam.routing.dissemination import jittered, list_poll_seconds
+from bronzebeam.routing.membership_state import (
+    ENTRY_ROLE,
+    MemberRecord,
+    MemberState,
+    bound_records,
+    merge_records,
+)
+
+__all__ = [
+    "ContactFailed",
+    "ContactMade",
+    "FleetPlan",
+    "InstanceList",
+    "InstanceListUnavailable",
+    "InstancesListed",
+    "LeaveFleet",
+    "ListedInstance",
+    "MembershipController",
+    "MembershipView",
+    "RecordsArrived",
+    "StoreUnreachableFrom",
+]
+
+SUSPECT_SECONDS: Final = 10.0
+UNFIT_SECONDS: Final = 10.0
+LIST_TIMEOUT_SECONDS: Final = 2.0
+LIST_RETRY_SECONDS: Final = 1.0
+POLLS_BEFORE_DOUBT: Final = 2
+MOST_FORWARDED_RECORDS: Final = 8
+LISTED_LIVE: Final = "live"
+
+
+class InstanceListUnavailable(Exception):
+    """The instance list did not answer."""
+
+
+class InstanceList(Protocol):
+    """The platform's list of instances, which lags."""
+
+    async def fetch(self) -> tuple[ListedInstance, ...]:
+        """
+        Read the list.
+
+        :raises InstanceListUnavailable: if no answer comes.
+        """
+
+
+class MembershipController(Controller[MembershipMessage]):
+    """
+    Owns what this entry knows of the fleet.
+
+    :param own: this entry's record; `incarnation` is greater for each later life of
+        the same name, for instance the wall time of its start in milliseconds.
+    :ivar last_contact_seconds: monotonic time of the last message from a peer; None
+        before the first.
+    :ivar last_listed_seconds: monotonic time of the last read of the instance list.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: MemberRecord,
+        instance_list: InstanceList,
+        outbox: NewsOutbox,
+        clock: Clock,
+        rng: Random,
+        log: Callable[..., None] = lambda *args, **fields: None,
+    ) -> None:
+        super().__init__()
+        self._instance_list = instance_list
+        self._news = outbox
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._listed_entries: dict[str, MemberRecord] = {}
+        self._missed_polls: dict[str, int] = {}
+        self._suspected_until: dict[str, float] = {}
+        self._unfit_until: dict[str, float] = {}
+        self.last_contact_seconds: float | None = None
+        self.last_listed_seconds: float | None = None
+        records = {own.instance: own}
+        self._view = MembershipView(
+            revision=1, own=own, records=records, plan=build_plan(own, records, {})
+        )
+
+    @property
+    def view(self) -> MembershipView:
+        return self._view
+
+    async def run(self) -> None:
+        """Handle messages and read the instance list until cancelled."""
+        self._news.add_records((self._view.own,))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(super().run)
+            tasks.start_soon(self._poll_list)
+
+    async def handle(self, message: MembershipMessage) -> None:
+        """Apply one message to the state."""
+        if isinstance(message, RecordsArrived):
+            self._merge(message.records, forward=message.pushed)
+        elif isinstance(message, InstancesListed):
+            self._take_list(message.instances)
+        elif isinstance(message, ContactMade):
+            self._contact_made(message.instance)
+        elif isinstance(message, ContactFailed):
+            self._contact_failed(message.instance)
+        elif isinstance(message, StoreUnreachableFrom):
+            until = self._clock.monotonic_seconds() + UNFIT_SECONDS
+            self._unfit_until[message.instance] = until
+            self._publish_doubts()
+        else:
+            self._leave()
+
+    async def _poll_list(self) -> None:
+        while True:
+            try:
+                with anyio.fail_after(LIST_TIMEOUT_SECONDS):
+                    instances = await self._instance_list.fetch()
+            except (InstanceListUnavailable, TimeoutError) as error:
+                self._log("instance_list_unavailable", error=str(error))
+                pause = LIST_RETRY_SECONDS
+            else:
+                self.post(InstancesListed(instances=instances))
+                pause = 0.0
+            pause = max(pause, list_poll_seconds(len(self._view.members)))
+            await anyio.sleep(jittered(pause, self._rng))
+
+    def _merge(self, arrived: Iterable[MemberRecord], *, forward: bool) -> None:
+        result = merge_records(self._view.records, arrived)
+        if not result.changed:
+            return
+        own = self._refuted(result.records.get(self._view.own.instance))
+        records = {**result.records, own.instance: own}
+        changed = [item for item in result.changed if item.instance != own.instance]
+        if own != self._view.own:
+            changed.append(own)
+        if forward or len(changed) <= MOST_FORWARDED_RECORDS:
+            self._news.add_records(tuple(changed))
+        for record in changed:
+            self._log(
+                "member_changed",
+                instance=record.instance,
+                state=record.state.value,
+                incarnation=record.incarnation,
+            )
+        self._view = evolve(self._view, own=own, records=bound_records(records))
+        self._publish_members()
+
+    def _refuted(self, heard: MemberRecord | None) -> MemberRecord:
+        """Return the own record, of a newer life than any word that contradicts it."""
+        own = self._view.own
+        if heard is None or heard.precedence <= own.precedence:
+            return own
+        return evolve(own, incarnation=heard.incarnation + 1)
+
+    def _take_list(self, instances: tuple[ListedInstance, ...]) -> None:
+        entries = [item for item in instances if item.role == ENTRY_ROLE]
+        names = {item.instance for item in entries}
+        listed = {
+            item.instance: _listed_record(item)
+            for item in entries
+            if item.state == LISTED_LIVE
+        }
+        self._missed_polls = {
+            name: self._missed_polls.get(name, 0) + 1
+            for name in self._view.members
+            if name not in names
+        }
+        self.last_listed_seconds = self._clock.monotonic_seconds()
+        moved = listed != self._listed_entries
+        self._listed_entries = listed
+        self._view = evolve(self._view, listed=instances)
+        if moved:
+            self._publish_members()
+        self._publish_doubts()
+
+    def _contact_made(self, instance: str) -> None:
+        self.last_contact_seconds = self._clock.monotonic_seconds()
+        self._missed_polls.pop(instance, None)
+        self._suspected_until.pop(instance, None)
+        known = instance in self._view.suspected or instance in self._view.doubtful
+        if known or self._doubts_expired(self.last_contact_seconds):
+            self._publish_doubts()
+
+    def _contact_failed(self, instance: str) -> None:
+        until = self._clock.monotonic_seconds() + SUSPECT_SECONDS
+        self._suspected_until[instance] = until
+        if instance not in self._view.suspected:
+            self._log("peer_unreachable", instance=instance)
+        record = self._view.records.get(instance)
+        if instance in self._view.doubtful and record is not None:
+            self._merge((record.with_state(MemberState.GONE),), forward=True)
+        self._publish_doubts()
+
+    def _leave(self) -> None:
+        own = self._view.own.with_state(MemberState.LEAVING)
+        records = {**self._view.records, own.instance: own}
+        self._view = evolve(self._view, own=own, records=records)
+        self._news.add_records((own,))
+        self._publish_members()
+
+    def _publish_members(self) -> None:
+        view = self._view
+        plan = build_plan(view.own, view.records, self._listed_entries)
+        self._view = evolve(view, plan=plan, revision=view.revision + 1)
+
+    def _doubts_expired(self, now: float) -> bool:
+        limits = (*self._suspected_until.values(), *self._unfit_until.values())
+        return min(limits, default=now) < now
+
+    def _publish_doubts(self) -> None:
+        now = self._clock.monotonic_seconds()
+        self._suspected_until = _unexpired(self._suspected_until, now)
+        self._unfit_until = _unexpired(self._unfit_until, now)
+        suspected = frozenset(self._suspected_until)
+        unfit = (suspected | set(self._unfit_until)) - {self._view.own.instance}
+        doubtful = tuple(
+            sorted(
+                name
+                for name, polls in self._missed_polls.items()
+                if polls >= POLLS_BEFORE_DOUBT and name != self._view.own.instance
+            )
+        )
+        self._view = evolve(
+            self._view, suspected=suspected, unfit=unfit, doubtful=doubtful
+        )
+
+
+def _listed_record(item: ListedInstance) -> MemberRecord:
+    return MemberRecord(
+        instance=item.instance,
+        incarnation=0,
+        state=MemberState.LIVE,
+        address=item.address,
+        peer_address=item.peer_address,
+        failure_domain=item.failure_domain,
+    )
+
+
+def _unexpired(until: dict[str, float], now: float) -> dict[str, float]:
+    return {name: limit for name, limit in until.items() if limit > now}
--- /dev/null
+++ b/src/bronzebeam/controllers/membership_messages.py
@@ -0,0 +1,61 @@
+"""Messages that the membership controller takes."""
+
+from dataclasses import dataclass
+
+from bronzebeam.controllers.membership_view import ListedInstance
+from bronzebeam.routing.membership_state import MemberRecord
+
+
+@dataclass(frozen=True, kw_only=True)
+class RecordsArrived:
+    """
+    Records from a peer.
+
+    :ivar pushed: whether they came as news, to be pushed on.
+    """
+
+    records: tuple[MemberRecord, ...]
+    pushed: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class InstancesListed:
+    """The instance list as read."""
+
+    instances: tuple[ListedInstance, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ContactMade:
+    """A message came from `instance`."""
+
+    instance: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class ContactFailed:
+    """A call to `instance` had no answer."""
+
+    instance: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreUnreachableFrom:
+    """`instance` watches the store and gets no answer."""
+
+    instance: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveFleet:
+    """This entry is to stop; the peers are told."""
+
+
+MembershipMessage = (
+    RecordsArrived
+    | InstancesListed
+    | ContactMade
+    | ContactFailed
+    | StoreUnreachableFrom
+    | LeaveFleet
+)
--- /dev/null
+++ b/src/bronzebeam/controllers/message_reader.py
@@ -0,0 +1,113 @@
+"""Reading of JSON values that come from other processes."""
+
+from typing import Any, Final
+
+from bronzebeam.findings import Finding, FindingsError, json_pointer
+
+MOST_TEXT_CHARACTERS: Final = 512
+MOST_FINDINGS: Final = 20
+MOST_INTEGER: Final = 2**63 - 1
+
+
+def findings_error(subject: str, findings: Any) -> FindingsError:
+    """
+    Build the error that carries `findings`.
+
+    :param findings: an iterable of `Finding`; mypy takes no typed one for the
+        converter of `FindingsError`.
+    """
+    return FindingsError(subject=subject, findings=findings)
+
+
+class MessageReader:
+    """
+    Reads the members of one JSON object and collects what is wrong with them.
+
+    :param value: the decoded JSON.
+    :param findings: list that findings are added to, shared with nested readers.
+    :param path: place of `value` in the whole message.
+    """
+
+    def __init__(
+        self,
+        *,
+        value: Any,
+        findings: list[Finding] | None = None,
+        path: tuple[str | int, ...] = (),
+    ) -> None:
+        self.findings: list[Finding] = [] if findings is None else findings
+        self._path = path
+        self._value: dict[str, Any] = value if isinstance(value, dict) else {}
+        if not isinstance(value, dict):
+            self.refuse("is not an object")
+
+    def refuse(self, message: str, *place: str | int) -> None:
+        """Add a finding; beyond `MOST_FINDINGS` they are dropped."""
+        if len(self.findings) < MOST_FINDINGS:
+            pointer = json_pointer((*self._path, *place))
+            self.findings.append(Finding(place=pointer, message=message))
+
+    def text(self, key: str, *, empty: bool = False) -> str:
+        """Read a string of at most `MOST_TEXT_CHARACTERS`."""
+        value = self._value.get(key)
+        if not isinstance(value, str) or len(value) > MOST_TEXT_CHARACTERS:
+            self.refuse(f"is not a text of up to {MOST_TEXT_CHARACTERS} letters", key)
+            return ""
+        if not value and not empty:
+            self.refuse("is empty", key)
+        return value
+
+    def integer(self, key: str) -> int:
+        """Read an integer from 0 to `MOST_INTEGER`."""
+        value = self._value.get(key)
+        if type(value) is not int or not 0 <= value <= MOST_INTEGER:
+            self.refuse("is not an integer from 0 up", key)
+            return 0
+        return value
+
+    def flag(self, key: str) -> bool:
+        """Read a truth value."""
+        value = self._value.get(key)
+        if not isinstance(value, bool):
+            self.refuse("is not true or false", key)
+            return False
+        return value
+
+    def any(self, key: str) -> Any:
+        """Read a value of any kind; None if absent."""
+        return self._value.get(key)
+
+    def items(self, key: str, *, most: int) -> list[Any]:
+        """Read a list of at most `most` items."""
+        value = self._value.get(key)
+        if not isinstance(value, list) or len(value) > most:
+            self.refuse(f"is not a list of up to {most} items", key)
+            return []
+        return value
+
+    def objects(self, key: str, *, most: int) -> list["MessageReader"]:
+        """Read a list of objects, each as a reader of its own."""
+        return [
+            MessageReader(
+                value=item, findings=self.findings, path=(*self._path, key, index)
+            )
+            for index, item in enumerate(self.items(key, most=most))
+        ]
+
+    def nested(self, key: str) -> "MessageReader | None":
+        """Read an object; None if it is null or absent."""
+        value = self._value.get(key)
+        if value is None:
+            return None
+        return MessageReader(
+            value=value, findings=self.findings, path=(*self._path, key)
+        )
+
+    def finish(self, subject: str) -> None:
+        """
+        End the reading.
+
+        :raises FindingsError: if there were findings.
+        """
+        if self.findings:
+            raise findings_error(subject, self.findings)
--- /dev/null
+++ b/src/bronzebeam/controllers/news_outbox.py
@@ -0,0 +1,74 @@
+"""News waiting to be pushed to peers."""
+
+from typing import Any, Final
+
+import anyio
+from attrs import frozen
+
+from bronzebeam.controllers.peer_messages import ConfigurationNews, TopicNews
+from bronzebeam.routing.membership_state import MemberRecord
+
+MOST_WAITING_RECORDS: Final = 256
+MOST_WAITING_PAYLOADS: Final = 64
+
+
+@frozen(kw_only=True)
+class News:
+    """News taken from the outbox, to go into one push."""
+
+    configuration: ConfigurationNews | None
+    records: tuple[MemberRecord, ...]
+    topics: tuple[TopicNews, ...]
+
+
+class NewsOutbox:
+    """
+    Collects news of all controllers until the next push.
+
+    What exceeds the bounds is dropped; the exchange of revisions repairs it.
+    """
+
+    def __init__(self) -> None:
+        self._configuration: ConfigurationNews | None = None
+        self._records: dict[str, MemberRecord] = {}
+        self._topics: list[TopicNews] = []
+        self._waiting = anyio.Event()
+        self.dropped = 0
+
+    def add_configuration(self, news: ConfigurationNews) -> None:
+        """Add a document's announcement; a newer one replaces it."""
+        if self._configuration is None or self._configuration.revision < news.revision:
+            self._configuration = news
+        self._waiting.set()
+
+    def add_records(self, records: tuple[MemberRecord, ...]) -> None:
+        """Add changed membership records."""
+        for record in records:
+            if len(self._records) >= MOST_WAITING_RECORDS:
+                self.dropped += 1
+                continue
+            self._records[record.instance] = record
+        if records:
+            self._waiting.set()
+
+    def add_topic(self, name: str, payload: Any) -> None:
+        """Add a topic's payload."""
+        if len(self._topics) >= MOST_WAITING_PAYLOADS:
+            self.dropped += 1
+            return
+        self._topics.append(TopicNews(name=name, payload=payload))
+        self._waiting.set()
+
+    async def take(self) -> News:
+        """Wait for news and take all there are."""
+        await self._waiting.wait()
+        news = News(
+            configuration=self._configuration,
+            records=tuple(self._records.values()),
+            topics=tuple(self._topics),
+        )
+        self._configuration = None
+        self._records = {}
+        self._topics = []
+        self._waiting = anyio.Event()
+        return news
--- /dev/null
+++ b/src/bronzebeam/controllers/peer_messages.py
@@ -0,0 +1,275 @@
+"""Messages between entry instances, with their JSON forms."""
+
+from typing import Any, Final
+
+from attrs import frozen
+
+from bronzebeam.controllers.document_difference import Change
+from bronzebeam.controllers.message_reader import MessageReader
+from bronzebeam.routing.membership_state import (
+    BUCKETS,
+    MOST_GONE_RECORDS,
+    MOST_MEMBERS,
+    MemberRecord,
+    MemberState,
+)
+
+MOST_RECORDS: Final = MOST_MEMBERS + MOST_GONE_RECORDS
+MOST_TOPICS: Final = 16
+MOST_CHANGES: Final = 4096
+MOST_PATH_PARTS: Final = 32
+MOST_MESSAGE_BYTES: Final = 1_000_000
+MOST_DOCUMENT_BYTES: Final = 1_100_000
+
+
+@frozen(kw_only=True)
+class ConfigurationNews:
+    """
+    Announcement of an accepted document, with its difference to the one before.
+
+    :ivar base_revision: revision that `changes` start from; 0 if there are none and
+        the document has to be fetched.
+    :ivar base_checksum: checksum of the JSON that `changes` start from.
+    :ivar checksum: checksum of the JSON that comes out.
+    """
+
+    revision: int
+    content_hash: str
+    base_revision: int = 0
+    base_checksum: str = ""
+    checksum: str = ""
+    changes: tuple[Change, ...] = ()
+
+
+@frozen(kw_only=True)
+class TopicNews:
+    """
+    News of one topic.
+
+    :ivar digest: what the sender holds, in the topic's own form.
+    :ivar payload: items that the receiver lacks; None if there are none.
+    """
+
+    name: str
+    digest: Any = None
+    payload: Any = None
+
+
+@frozen(kw_only=True)
+class Exchange:
+    """
+    One side of an exchange of revisions.
+
+    :ivar revision: configuration revision in force; 0 if there is none.
+    :ivar store_failing: whether the sender watches the store and gets no answer.
+    :ivar records_digest: digest of all membership records of the sender.
+    :ivar buckets: digest of each bucket, sent once the whole digests differ.
+    """
+
+    sender: MemberRecord
+    revision: int
+    content_hash: str
+    store_failing: bool
+    records_digest: str
+    buckets: tuple[str, ...] = ()
+    records: tuple[MemberRecord, ...] = ()
+    topics: tuple[TopicNews, ...] = ()
+
+
+@frozen(kw_only=True)
+class Push:
+    """News sent on at once; each part may be absent."""
+
+    sender: MemberRecord
+    configuration: ConfigurationNews | None = None
+    records: tuple[MemberRecord, ...] = ()
+    topics: tuple[TopicNews, ...] = ()
+
+
+@frozen(kw_only=True)
+class PushReply:
+    """Receipt of a push, with the revision in force before it was applied."""
+
+    instance: str
+    revision: int
+
+
+def exchange_to_json(message: Exchange) -> dict[str, Any]:
+    """Return the JSON form of an exchange."""
+    return {
+        "sender": _record_to_json(message.sender),
+        "revision": message.revision,
+        "content_hash": message.content_hash,
+        "store_failing": message.store_failing,
+        "records_digest": message.records_digest,
+        "buckets": list(message.buckets),
+        "records": [_record_to_json(item) for item in message.records],
+        "topics": [_topic_to_json(item) for item in message.topics],
+    }
+
+
+def exchange_from_json(value: Any) -> Exchange:
+    """
+    Check and read an exchange.
+
+    :raises FindingsError: with everything that is wrong with it.
+    """
+    reader = MessageReader(value=value)
+    message = Exchange(
+        sender=_sender(reader),
+        revision=reader.integer("revision"),
+        content_hash=reader.text("content_hash", empty=True),
+        store_failing=reader.flag("store_failing"),
+        records_digest=reader.text("records_digest"),
+        buckets=_buckets(reader),
+        records=_records(reader),
+        topics=_topics(reader),
+    )
+    reader.finish("exchange")
+    return message
+
+
+def push_to_json(message: Push) -> dict[str, Any]:
+    """Return the JSON form of a push."""
+    news = message.configuration
+    return {
+        "sender": _record_to_json(message.sender),
+        "configuration": None if news is None else _configuration_to_json(news),
+        "records": [_record_to_json(item) for item in message.records],
+        "topics": [_topic_to_json(item) for item in message.topics],
+    }
+
+
+def push_from_json(value: Any) -> Push:
+    """
+    Check and read a push.
+
+    :raises FindingsError: with everything that is wrong with it.
+    """
+    reader = MessageReader(value=value)
+    news = reader.nested("configuration")
+    message = Push(
+        sender=_sender(reader),
+        configuration=None if news is None else _configuration(news),
+        records=_records(reader),
+        topics=_topics(reader),
+    )
+    reader.finish("push")
+    return message
+
+
+def push_reply_to_json(message: PushReply) -> dict[str, Any]:
+    """Return the JSON form of the receipt of a push."""
+    return {"instance": message.instance, "revision": message.revision}
+
+
+def push_reply_from_json(value: Any) -> PushReply:
+    """
+    Check and read the receipt of a push.
+
+    :raises FindingsError: with everything that is wrong with it.
+    """
+    reader = MessageReader(value=value)
+    message = PushReply(
+        instance=reader.text("instance"), revision=reader.integer("revision")
+    )
+    reader.finish("push reply")
+    return message
+
+
+def _record_to_json(record: MemberRecord) -> dict[str, Any]:
+    return {
+        "instance": record.instance,
+        "incarnation": record.incarnation,
+        "state": record.state.value,
+        "address": record.address,
+        "peer_address": record.peer_address,
+        "failure_domain": record.failure_domain,
+    }
+
+
+def _record(reader: MessageReader) -> MemberRecord:
+    state = reader.text("state")
+    if state not in {item.value for item in MemberState}:
+        reader.refuse("is not a state of a member", "state")
+        state = MemberState.GONE.value
+    return MemberRecord(
+        instance=reader.text("instance"),
+        incarnation=reader.integer("incarnation"),
+        state=MemberState(state),
+        address=reader.text("address", empty=True),
+        peer_address=reader.text("peer_address"),
+        failure_domain=reader.text("failure_domain", empty=True),
+    )
+
+
+def _sender(reader: MessageReader) -> MemberRecord:
+    sender = reader.nested("sender")
+    if sender is None:
+        reader.refuse("is absent", "sender")
+        sender = MessageReader(value={})
+    return _record(sender)
+
+
+def _records(reader: MessageReader) -> tuple[MemberRecord, ...]:
+    return tuple(map(_record, reader.objects("records", most=MOST_RECORDS)))
+
+
+def _buckets(reader: MessageReader) -> tuple[str, ...]:
+    items = reader.items("buckets", most=BUCKETS)
+    if len(items) not in (0, BUCKETS) or not all(
+        isinstance(item, str) and len(item) <= 64 for item in items
+    ):
+        reader.refuse(f"is neither empty nor {BUCKETS} digests", "buckets")
+        return ()
+    return tuple(items)
+
+
+def _topic_to_json(topic: TopicNews) -> dict[str, Any]:
+    return {"name": topic.name, "digest": topic.digest, "payload": topic.payload}
+
+
+def _topics(reader: MessageReader) -> tuple[TopicNews, ...]:
+    return tuple(
+        TopicNews(
+            name=item.text("name"),
+            digest=item.any("digest"),
+            payload=item.any("payload"),
+        )
+        for item in reader.objects("topics", most=MOST_TOPICS)
+    )
+
+
+def _configuration_to_json(news: ConfigurationNews) -> dict[str, Any]:
+    return {
+        "revision": news.revision,
+        "content_hash": news.content_hash,
+        "base_revision": news.base_revision,
+        "base_checksum": news.base_checksum,
+        "checksum": news.checksum,
+        "changes": [
+            {"path": list(item.path), "value": item.value, "removed": item.removed}
+            for item in news.changes
+        ],
+    }
+
+
+def _configuration(reader: MessageReader) -> ConfigurationNews:
+    return ConfigurationNews(
+        revision=reader.integer("revision"),
+        content_hash=reader.text("content_hash"),
+        base_revision=reader.integer("base_revision"),
+        base_checksum=reader.text("base_checksum", empty=True),
+        checksum=reader.text("checksum", empty=True),
+        changes=tuple(map(_change, reader.objects("changes", most=MOST_CHANGES))),
+    )
+
+
+def _change(reader: MessageReader) -> Change:
+    path = reader.items("path", most=MOST_PATH_PARTS)
+    if not all(type(part) in (str, int) for part in path):
+        reader.refuse("is not a path of keys and indexes", "path")
+        path = []
+    return Change(
+        path=tuple(path), value=reader.any("value"), removed=reader.flag("removed")
+    )
--- /dev/null
+++ b/src/bronzebeam/controllers/topic_exchange.py
@@ -0,0 +1,88 @@
+"""The further news of an exchange, within its bounds."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from bronzebeam.controllers.news_topic import TopicSpec
+from bronzebeam.controllers.peer_messages import TopicNews
+from bronzebeam.findings import FindingsError
+
+
+class TopicExchange:
+    """
+    Reads and merges the topics of this entry.
+
+    :ivar dropped: payloads that were malformed or above their topic's bound.
+    """
+
+    def __init__(
+        self, *, topics: Sequence[TopicSpec], log: Callable[..., None]
+    ) -> None:
+        self._topics = {item.name: item for item in topics}
+        self._log = log
+        self.dropped = 0
+
+    def spec(self, name: str) -> TopicSpec | None:
+        """Return the topic called `name`, if there is one."""
+        return self._topics.get(name)
+
+    def digests(self) -> tuple[TopicNews, ...]:
+        """Return the digest of each topic."""
+        return tuple(
+            TopicNews(name=spec.name, digest=spec.topic.digest())
+            for spec in self._topics.values()
+        )
+
+    def answers(self, heard: Sequence[TopicNews]) -> tuple[TopicNews, ...]:
+        """Return the digest of each topic heard of, and what its sender lacks."""
+        return tuple(
+            TopicNews(
+                name=spec.name,
+                digest=spec.topic.digest(),
+                payload=self._delta(spec, item.digest),
+            )
+            for item in heard
+            if (spec := self._topics.get(item.name)) is not None
+        )
+
+    def lacking(self, heard: Sequence[TopicNews]) -> tuple[TopicNews, ...]:
+        """Return only what the sender of `heard` lacks."""
+        known = [(item, self._topics.get(item.name)) for item in heard]
+        deltas = (
+            TopicNews(name=item.name, payload=self._delta(spec, item.digest))
+            for item, spec in known
+            if spec is not None and item.digest is not None
+        )
+        return tuple(item for item in deltas if item.payload is not None)
+
+    def merge(self, arrived: TopicNews) -> bool:
+        """Merge a payload; tell whether it was news."""
+        spec = self._topics.get(arrived.name)
+        if spec is None or arrived.payload is None:
+            return False
+        if not spec.fits(arrived.payload):
+            self._drop(spec.name, "too large")
+            return False
+        try:
+            return spec.topic.merge(arrived.payload)
+        except FindingsError as error:
+            self._drop(spec.name, str(error))
+            return False
+
+    def _delta(self, spec: TopicSpec, digest: Any) -> Any:
+        if not spec.fits(digest):
+            self._drop(spec.name, "digest too large")
+            return None
+        try:
+            payload = spec.topic.delta(digest)
+        except FindingsError as error:
+            self._drop(spec.name, str(error))
+            return None
+        if payload is not None and not spec.fits(payload):
+            self._drop(spec.name, "too large")
+            return None
+        return payload
+
+    def _drop(self, name: str, reason: str) -> None:
+        self.dropped += 1
+        self._log("topic_dropped", topic=name, reason=reason)
--- /dev/null
+++ b/src/bronzebeam/routing/dissemination.py
@@ -0,0 +1,120 @@
+"""To whom news is pushed at once, and how often revisions are exchanged to repair."""
+
+import hashlib
+from collections.abc import Collection, Iterable, Sequence
+from functools import lru_cache
+from heapq import nsmallest
+from random import Random
+from typing import Final
+
+from bronzebeam.routing.membership_state import MOST_MEMBERS, MemberRecord
+
+PUSH_RINGS: Final = 4
+RING_CANDIDATES: Final = 4
+POSITION_BYTES: Final = 8
+POSITION_SPAN: Final = 1 << (8 * POSITION_BYTES)
+SHORTEST_EXCHANGE_SECONDS: Final = 1.0
+LONGEST_EXCHANGE_SECONDS: Final = 4.0
+MEMBERS_PER_EXCHANGE_SECOND: Final = 300
+EXCHANGE_JITTER_SHARE: Final = 0.25
+SHORTEST_LIST_POLL_SECONDS: Final = 5.0
+LIST_POLLS_PER_SECOND: Final = 5.0
+
+PushCandidates = tuple[tuple[str, ...], ...]
+
+
+@lru_cache(maxsize=2 * MOST_MEMBERS)
+def ring_positions(instance: str) -> tuple[int, ...]:
+    """Return the position of `instance` on each of the `PUSH_RINGS` rings."""
+    digest = hashlib.blake2b(
+        instance.encode(), digest_size=PUSH_RINGS * POSITION_BYTES
+    ).digest()
+    return tuple(
+        int.from_bytes(digest[start : start + POSITION_BYTES], "big")
+        for start in range(0, len(digest), POSITION_BYTES)
+    )
+
+
+def push_candidates(
+    own: MemberRecord, members: Iterable[MemberRecord]
+) -> PushCandidates:
+    """
+    Return for each ring the members that follow `own`, nearest first.
+
+    Each ring is an order of its own, so that each member is pushed to by as many
+    others as it pushes to. The first ring passes over `own`'s failure domain where
+    there is another.
+    """
+    others = [member for member in members if member.instance != own.instance]
+    abroad = [item for item in others if item.failure_domain != own.failure_domain]
+    origin = ring_positions(own.instance)
+    return tuple(
+        _followers(ring, origin[ring], abroad if ring == 0 and abroad else others)
+        for ring in range(PUSH_RINGS)
+    )
+
+
+def _followers(ring: int, origin: int, others: list[MemberRecord]) -> tuple[str, ...]:
+    distances = (
+        ((ring_positions(item.instance)[ring] - origin) % POSITION_SPAN, item.instance)
+        for item in others
+    )
+    return tuple(instance for _, instance in nsmallest(RING_CANDIDATES, distances))
+
+
+def next_target(
+    candidates: Sequence[str], *, taken: Collection[str], suspected: Collection[str]
+) -> str | None:
+    """
+    Return the next candidate of one ring to push to, None if there is none left.
+
+    :param taken: instances that this rumour was already sent to or tried at.
+    :param suspected: instances that could not be reached lately.
+    """
+    free = [item for item in candidates if item not in taken]
+    trusted = [item for item in free if item not in suspected]
+    return next(iter(trusted), None)
+
+
+def exchange_interval_seconds(members: int) -> float:
+    """Return the mean time between two exchanges begun by one of `members` nodes."""
+    wanted = members / MEMBERS_PER_EXCHANGE_SECOND
+    return min(LONGEST_EXCHANGE_SECONDS, max(SHORTEST_EXCHANGE_SECONDS, wanted))
+
+
+def list_poll_seconds(members: int) -> float:
+    """Return the mean time between two reads of the instance list by one node."""
+    return max(SHORTEST_LIST_POLL_SECONDS, members / LIST_POLLS_PER_SECOND)
+
+
+def jittered(
+    seconds: float, rng: Random, share: float = EXCHANGE_JITTER_SHARE
+) -> float:
+    """Return `seconds` spread evenly by `share` to either side."""
+    return seconds * rng.uniform(1 - share, 1 + share)
+
+
+def choose_exchange_peer(
+    *,
+    peers: Sequence[str],
+    urgent: Sequence[str],
+    suspected: Collection[str],
+    turn: int,
+    rng: Random,
+) -> str | None:
+    """
+    Choose whom to exchange revisions with; None without peers.
+
+    :param urgent: peers to check on, in turns with the others.
+    :param suspected: peers passed over while there are others; one turn in four
+        tries any, so that a healed peer is found.
+    :param turn: count of exchanges so far.
+    """
+    if urgent and turn % 2 == 0:
+        return urgent[(turn // 2) % len(urgent)]
+    if not peers:
+        return None
+    trusted = [item for item in peers if item not in suspected]
+    if not trusted or turn % 4 == 3:
+        return rng.choice(peers)
+    return rng.choice(trusted)
--- /dev/null
+++ b/src/bronzebeam/routing/rendezvous.py
@@ -0,0 +1,56 @@
+"""Rendezvous hashing: a ranking of members for a key that all nodes agree on."""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+WEIGHT_BYTES: Final = 8
+CACHED_KEYS: Final = 64
+
+
+def rank_members(key: str, members: Iterable[str]) -> tuple[str, ...]:
+    """
+    Rank `members` for `key`, highest weight first.
+
+    The rank of a member does not depend on the others, so that a change of the
+    membership moves only the members that changed.
+    """
+    base = hashlib.blake2b(key.encode() + b"\0", digest_size=WEIGHT_BYTES)
+    weighted = []
+    for member in members:
+        state = base.copy()
+        state.update(member.encode())
+        weighted.append((state.digest(), member))
+    weighted.sort(reverse=True)
+    return tuple(member for _, member in weighted)
+
+
+class RendezvousRanking:
+    """
+    Rankings over one set of members, cached until the membership changes.
+
+    :param revision: revision of the membership that `members` come from.
+    :param members: names to rank.
+    """
+
+    def __init__(self, *, revision: int, members: Iterable[str]) -> None:
+        self.revision = revision
+        self.members = tuple(members)
+        self._ranked: dict[str, tuple[str, ...]] = {}
+
+    def rank(self, key: str) -> tuple[str, ...]:
+        """Return the ranking for `key`; at most `CACHED_KEYS` are kept."""
+        ranked = self._ranked.get(key)
+        if ranked is not None:
+            return ranked
+        if len(self._ranked) >= CACHED_KEYS:
+            self._ranked.clear()
+        ranked = rank_members(key, self.members)
+        self._ranked[key] = ranked
+        return ranked
+
+    def updated(self, *, revision: int, members: Iterable[str]) -> "RendezvousRanking":
+        """Return this ranking if `revision` is the same, else a new one."""
+        if revision == self.revision:
+            return self
+        return RendezvousRanking(revision=revision, members=members)
--- /dev/null
+++ b/src/bronzebeam/routing/watchers.py
@@ -0,0 +1,49 @@
+"""Which entries watch the configuration store."""
+
+from collections.abc import Collection, Iterable, Sequence
+from typing import Final
+
+from bronzebeam.routing.membership_state import MemberRecord
+
+WATCHERS: Final = 3
+STANDBY_WATCHERS: Final = 6
+WATCH_KEY: Final = "configuration-watch"
+
+
+def choose_watchers(
+    ranked: Sequence[MemberRecord],
+    *,
+    unfit: Collection[str] = (),
+    count: int = WATCHERS,
+) -> tuple[str, ...]:
+    """
+    Choose `count` watchers, of as many failure domains as there are.
+
+    :param ranked: live entries in the order of their rendezvous weight.
+    :param unfit: entries that can't be reached or don't reach the store.
+    """
+    fit = [member for member in ranked if member.instance not in unfit]
+    chosen: list[MemberRecord] = []
+    for member in fit:
+        if len(chosen) == count:
+            break
+        if member.failure_domain not in _domains(chosen):
+            chosen.append(member)
+    for member in fit:
+        if len(chosen) >= count:
+            break
+        if member not in chosen:
+            chosen.append(member)
+    return tuple(member.instance for member in chosen)
+
+
+def choose_standby(
+    ranked: Sequence[MemberRecord], watchers: Collection[str]
+) -> tuple[str, ...]:
+    """Choose the entries that check on the `watchers` and would follow them."""
+    others = [item.instance for item in ranked if item.instance not in watchers]
+    return tuple(others[:STANDBY_WATCHERS])
+
+
+def _domains(members: Iterable[MemberRecord]) -> set[str]:
+    return {member.failure_domain for member in members}
--- /dev/null
+++ b/src/bronzebeam/transport/peer.py
@@ -0,0 +1,139 @@
+"""Calls from one entry instance to another."""
+
+from collections.abc import Callable
+from typing import Any, Final, Protocol, TypeVar
+
+import anyio
+import httpx
+import orjson
+
+from bronzebeam.controllers.peer_messages import (
+    MOST_DOCUMENT_BYTES,
+    MOST_MESSAGE_BYTES,
+    Exchange,
+    Push,
+    PushReply,
+    exchange_from_json,
+    exchange_to_json,
+    push_reply_from_json,
+    push_to_json,
+)
+from bronzebeam.findings import FindingsError
+
+EXCHANGE_PATH: Final = "/internal/exchange"
+PUSH_PATH: Final = "/internal/push"
+DOCUMENT_PATH: Final = "/internal/document"
+STATUS_PATH: Final = "/internal/status"
+PEER_TIMEOUT_SECONDS: Final = 1.0
+MOST_CONNECTIONS: Final = 32
+MOST_IDLE_CONNECTIONS: Final = 8
+IDLE_CONNECTION_SECONDS: Final = 20.0
+
+MessageT = TypeVar("MessageT")
+
+
+class PeerUnavailable(Exception):
+    """The peer gave no answer in time, or one that is refused."""
+
+
+class PeerClient(Protocol):
+    """
+    Calls to a peer, each bounded in time.
+
+    Each takes the peer's `address` as host and port, and raises `PeerUnavailable`.
+    """
+
+    async def exchange(self, *, address: str, message: Exchange) -> Exchange:
+        """Exchange revisions and digests."""
+
+    async def push(self, *, address: str, message: Push) -> PushReply:
+        """Hand over news."""
+
+    async def fetch_document(self, *, address: str) -> Any:
+        """Return the peer's accepted document as JSON; None if it has none."""
+
+
+class HttpPeerClient:
+    """
+    Peer calls over HTTP with JSON.
+
+    A call that runs out of time closes its connection, so that a connection gone
+    silent is not used again.
+
+    :param timeout_seconds: bound of a whole call.
+    """
+
+    def __init__(self, *, timeout_seconds: float = PEER_TIMEOUT_SECONDS) -> None:
+        self._timeout_seconds = timeout_seconds
+        self._client = httpx.AsyncClient(
+            timeout=httpx.Timeout(timeout_seconds),
+            limits=httpx.Limits(
+                max_connections=MOST_CONNECTIONS,
+                max_keepalive_connections=MOST_IDLE_CONNECTIONS,
+                keepalive_expiry=IDLE_CONNECTION_SECONDS,
+            ),
+            trust_env=False,
+            headers={"user-agent": "bronzebeam"},
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def exchange(self, *, address: str, message: Exchange) -> Exchange:
+        """Exchange revisions and digests."""
+        body = await self._call(
+            f"http://{address}{EXCHANGE_PATH}",
+            orjson.dumps(exchange_to_json(message)),
+            MOST_MESSAGE_BYTES,
+        )
+        return _checked(exchange_from_json, _decoded(body))
+
+    async def push(self, *, address: str, message: Push) -> PushReply:
+        """Hand over news."""
+        body = await self._call(
+            f"http://{address}{PUSH_PATH}",
+            orjson.dumps(push_to_json(message)),
+            MOST_MESSAGE_BYTES,
+        )
+        return _checked(push_reply_from_json, _decoded(body))
+
+    async def fetch_document(self, *, address: str) -> Any:
+        """Return the peer's accepted document as JSON; None if it has none."""
+        body = await self._call(
+            f"http://{address}{DOCUMENT_PATH}", None, MOST_DOCUMENT_BYTES
+        )
+        return _decoded(body)
+
+    async def _call(self, url: str, content: bytes | None, most_bytes: int) -> bytes:
+        try:
+            with anyio.fail_after(self._timeout_seconds):
+                return await self._read(url, content, most_bytes)
+        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
+            raise PeerUnavailable(f"{type(error).__name__}: {error}") from error
+
+    async def _read(self, url: str, content: bytes | None, most_bytes: int) -> bytes:
+        method = "GET" if content is None else "POST"
+        async with self._client.stream(method, url, content=content) as response:
+            if response.status_code != httpx.codes.OK:
+                raise PeerUnavailable(f"status {response.status_code}")
+            body = bytearray()
+            async for part in response.aiter_bytes():
+                body += part
+                if len(body) > most_bytes:
+                    raise PeerUnavailable(f"more than {most_bytes} bytes")
+            return bytes(body)
+
+
+def _decoded(body: bytes) -> Any:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise PeerUnavailable(f"not JSON: {error}") from error
+
+
+def _checked(read: Callable[[Any], MessageT], value: Any) -> MessageT:
+    try:
+        return read(value)
+    except FindingsError as error:
+        raise PeerUnavailable(str(error)) from error
