Add logs, metrics and traces

Cause: the request path needs one log line an event, metrics for scrapers and spans that cost little when unsampled. Ruled out: eliot's own JSON destination (not key=value), eliot's global fields (process wide, never removed), quantiles since the start of the process (an old slow state would set hedge delays), the OpenTelemetry context variables (a span must follow the request's headers, not the task). Change: an eliot destination, a registry over hdrhistogram with quantiles of the last one to two windows, a tracer that takes its decision from traceparent. Found by tests: the SDK sets the random flag, so an unsampled parent ends in -02 as well as -00; a field named timestamp broke the line.

--- /dev/null
+++ b/src/bronzebeam/telemetry/metrics.py
@@ -0,0 +1,233 @@
+"""Counters, gauges and latency histograms in the text exposition format."""
+
+import re
+from collections.abc import Callable, Iterator, Sequence
+from typing import Final, Generic, Protocol, TypeVar
+
+from bronzebeam.telemetry.histogram import LatencyHistogram
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+METRIC_NAME: Final = re.compile(r"[a-z][a-z0-9_]*")
+LABEL_NAME: Final = re.compile(r"[a-z][a-z0-9_]*")
+GAUGE_UNITS: Final = (
+    "_seconds",
+    "_bytes",
+    "_share",
+    "_count",
+    "_revision",
+    "_version",
+    "_info",
+)
+
+
+class Sampled(Protocol):
+    """A metric with fixed label values that yields its samples."""
+
+    def samples(self, *, now_seconds: float) -> Iterator[tuple[str, str, float]]:
+        """Yield name suffix, further label pair (or "") and value."""
+
+
+class Counter:
+    """A count that only grows."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def increment(self, amount: float = 1.0) -> None:
+        """
+        Add `amount`.
+
+        :raises ValueError: if the amount is negative.
+        """
+        if amount < 0:
+            raise ValueError("a counter only grows")
+        self.value += amount
+
+    def samples(self, *, now_seconds: float) -> Iterator[tuple[str, str, float]]:
+        """Yield the count."""
+        yield "", "", self.value
+
+
+class Gauge:
+    """A value that goes up and down."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def set(self, value: float) -> None:
+        """Replace the value."""
+        self.value = value
+
+    def samples(self, *, now_seconds: float) -> Iterator[tuple[str, str, float]]:
+        """Yield the value."""
+        yield "", "", self.value
+
+
+class Latency(LatencyHistogram):
+    """A latency histogram as a metric."""
+
+    def samples(self, *, now_seconds: float) -> Iterator[tuple[str, str, float]]:
+        """Yield the quantiles of the window, then sum and count."""
+        quantiles = self.quantiles_seconds(now_seconds=now_seconds)
+        for percentile, seconds in quantiles.items():
+            yield "", f'quantile="{percentile / 100:g}"', seconds
+        yield "_sum", "", self.sum_seconds
+        yield "_count", "", float(self.count)
+
+
+MetricT = TypeVar("MetricT", bound=Sampled)
+
+
+class Family(Generic[MetricT]):
+    """
+    All metrics of one name, one for each combination of label values.
+
+    Label values come from documents and fixed vocabularies only, never from
+    callers, so that their number stays bounded.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        kind: str,
+        help_text: str,
+        label_names: Sequence[str],
+        build: Callable[[], MetricT],
+    ) -> None:
+        self.name = name
+        self.kind = kind
+        self._help_text = help_text
+        self._label_names = tuple(label_names)
+        self._build = build
+        self._metrics: dict[tuple[str, ...], MetricT] = {}
+
+    def labels(self, **labels: str) -> MetricT:
+        """
+        Return the metric with these label values, made on first use.
+
+        :raises KeyError: if a label is missing.
+        :raises ValueError: if there are labels that the family does not have.
+        """
+        values = tuple([str(labels[name]) for name in self._label_names])
+        metric = self._metrics.get(values)
+        if metric is not None and len(labels) == len(values):
+            return metric
+        if len(labels) != len(values):
+            raise ValueError(f"{self.name} has the labels {self._label_names}")
+        metric = self._metrics[values] = self._build()
+        return metric
+
+    def render(self, *, now_seconds: float) -> Iterator[str]:
+        """Yield the family's lines."""
+        yield f"# HELP {self.name} {_escape_help(self._help_text)}"
+        yield f"# TYPE {self.name} {self.kind}"
+        for values, metric in self._metrics.items():
+            pairs = [
+                f'{name}="{_escape_label(value)}"'
+                for name, value in zip(self._label_names, values)
+            ]
+            for suffix, pair, value in metric.samples(now_seconds=now_seconds):
+                labels = ",".join([*pairs, pair] if pair else pairs)
+                braced = f"{{{labels}}}" if labels else ""
+                yield f"{self.name}{suffix}{braced} {_format_number(value)}"
+
+
+class MetricRegistry:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        self._families: dict[str, Family[Counter] | Family[Gauge] | Family[Latency]]
+        self._families = {}
+
+    def counter(
+        self, *, name: str, help_text: str, label_names: Sequence[str] = ()
+    ) -> Family[Counter]:
+        """
+        Register counters.
+
+        :param name: ends in `_total`.
+        :raises ValueError: if the name is taken or lacks its unit.
+        """
+        self._check(name, label_names, ("_total",))
+        family = Family(
+            name=name,
+            kind="counter",
+            help_text=help_text,
+            label_names=label_names,
+            build=Counter,
+        )
+        self._families[name] = family
+        return family
+
+    def gauge(
+        self, *, name: str, help_text: str, label_names: Sequence[str] = ()
+    ) -> Family[Gauge]:
+        """
+        Register gauges.
+
+        :param name: ends in one of `GAUGE_UNITS`.
+        :raises ValueError: if the name is taken or lacks its unit.
+        """
+        self._check(name, label_names, GAUGE_UNITS)
+        family = Family(
+            name=name,
+            kind="gauge",
+            help_text=help_text,
+            label_names=label_names,
+            build=Gauge,
+        )
+        self._families[name] = family
+        return family
+
+    def latency(
+        self, *, name: str, help_text: str, label_names: Sequence[str] = ()
+    ) -> Family[Latency]:
+        """
+        Register latency histograms, rendered as summaries.
+
+        :param name: ends in `_seconds`.
+        :raises ValueError: if the name is taken or lacks its unit.
+        """
+        self._check(name, label_names, ("_seconds",))
+        family = Family(
+            name=name,
+            kind="summary",
+            help_text=help_text,
+            label_names=label_names,
+            build=Latency,
+        )
+        self._families[name] = family
+        return family
+
+    def render(self, *, now_seconds: float) -> str:
+        """Render all metrics; serve the result as `CONTENT_TYPE`."""
+        lines = [
+            line
+            for family in self._families.values()
+            for line in family.render(now_seconds=now_seconds)
+        ]
+        return "".join(f"{line}\n" for line in lines)
+
+    def _check(
+        self, name: str, label_names: Sequence[str], units: Sequence[str]
+    ) -> None:
+        if name in self._families:
+            raise ValueError(f"metric {name} is registered twice")
+        if not METRIC_NAME.fullmatch(name) or not name.endswith(tuple(units)):
+            raise ValueError(f"metric {name} must end in one of {tuple(units)}")
+        for label in label_names:
+            if not LABEL_NAME.fullmatch(label) or label == "quantile":
+                raise ValueError(f"metric {name} cannot have the label {label}")
+
+
+def _escape_label(value: str) -> str:
+    return value.replace("\\", "\\\\").replace("\n", "\\n").replace('"', '\\"')
+
+
+def _escape_help(text: str) -> str:
+    return text.replace("\\", "\\\\").replace("\n", "\\n")
+
+
+def _format_number(value: float) -> str:
+    return str(int(value)) if value == int(value) else repr(value)
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,252 @@
+"""Tests of logs, metrics and traces."""
+
+import io
+import re
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from hypothesis import given, settings, strategies as st
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
+
+from bronzebeam.telemetry.histogram import LatencyHistogram
+from bronzebeam.telemetry.logs import (
+    RESERVED_FIELDS,
+    LogOutput,
+    format_value,
+    log_event,
+)
+from bronzebeam.telemetry.metrics import MetricRegistry
+from bronzebeam.telemetry.traces import Tracing
+
+SAMPLED = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+UNSAMPLED = SAMPLED[:-2] + "00"
+NO_TRACE = f"00-{0:032x}-b7ad6b7169203331-00"
+
+
+@contextmanager
+def captured_log() -> Iterator[io.StringIO]:
+    """Collect the log of a `with` block."""
+    stream = io.StringIO()
+    output = LogOutput(stream=stream)
+    try:
+        yield stream
+    finally:
+        output.close()
+
+
+def make_tracing(
+    sample_share: float = 0.0, log_spans: bool = False
+) -> tuple[Tracing, InMemorySpanExporter]:
+    """Build a tracer whose finished spans are kept in memory."""
+    exporter = InMemorySpanExporter()
+    tracing = Tracing(
+        instance="entry-1",
+        sample_share=sample_share,
+        log_spans=log_spans,
+        processors=(SimpleSpanProcessor(exporter),),
+    )
+    return tracing, exporter
+
+
+def refuses(name: str, label_names: tuple[str, ...] = ()) -> bool:
+    """Tell whether a registry refuses a counter."""
+    registry = MetricRegistry()
+    registry.counter(name="taken_total", help_text="taken")
+    try:
+        registry.counter(name=name, help_text="x", label_names=label_names)
+    except ValueError:
+        return True
+    return False
+
+
+def test_event_is_one_line_of_pairs() -> None:
+    with captured_log() as stream:
+        log_event("query", service="guests", took_ms=12.5, complete=False, why=None)
+        log_event("note", text='two words\nand "quotes"', name="x")
+    first, second = stream.getvalue().splitlines()
+    assert re.match(r"time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z event=query ", first)
+    assert first.endswith("service=guests took_ms=12.5 complete=false why=null")
+    assert second.endswith('text="two words\\nand \\"quotes\\"" name=x')
+
+
+def test_closed_output_gets_nothing_more() -> None:
+    with captured_log() as stream:
+        log_event("seen")
+    log_event("unseen")
+    assert "unseen" not in stream.getvalue()
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(
+    fields=st.dictionaries(
+        st.text(st.characters()),
+        st.none() | st.text(st.characters()) | st.lists(st.floats()) | st.binary(),
+    )
+)
+def test_any_field_stays_on_one_line(fields: dict[str, object]) -> None:
+    with captured_log() as stream:
+        log_event("noted", **fields)
+    (line,) = stream.getvalue().splitlines()
+    assert " event=noted" in line
+    line.encode("utf-8")
+
+
+def test_reserved_fields_are_renamed() -> None:
+    with captured_log() as stream:
+        log_event("noted", **{name: None for name in RESERVED_FIELDS}, kept=1)
+    (line,) = stream.getvalue().splitlines()
+    assert " event=noted " in line and " kept=1" in line
+    assert " field_timestamp=null" in line
+    assert line.count("=null") == len(RESERVED_FIELDS)
+
+
+def test_common_pairs_end_each_line() -> None:
+    stream = io.StringIO()
+    output = LogOutput(stream=stream, instance="entry 1")
+    log_event("noted")
+    output.close()
+    assert stream.getvalue().endswith(' event=noted instance="entry 1"\n')
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(value=st.text(st.characters()))
+def test_value_is_quoted_unless_it_is_one_word(value: str) -> None:
+    rendered = format_value(value)
+    assert rendered == value or rendered.startswith('"')
+    assert " " not in rendered or rendered.startswith('"')
+
+
+def test_metrics_render_in_the_exposition_format() -> None:
+    registry = MetricRegistry()
+    requests = registry.counter(
+        name="requests_total", help_text="Requests.", label_names=("service", "outcome")
+    )
+    open_count = registry.gauge(name="connections_count", help_text="Open\nones.")
+    latency = registry.latency(name="query_seconds", help_text="Queries.")
+    requests.labels(service="guests", outcome='a"\\\n').increment()
+    requests.labels(outcome='a"\\\n', service="guests").increment(2)
+    open_count.labels().set(1.5)
+    latency.labels().record(seconds=0.25)
+    lines = registry.render(now_seconds=0.0).splitlines()
+    assert lines[:5] == [
+        "# HELP requests_total Requests.",
+        "# TYPE requests_total counter",
+        'requests_total{service="guests",outcome="a\\"\\\\\\n"} 3',
+        "# HELP connections_count Open\\nones.",
+        "# TYPE connections_count gauge",
+    ]
+    assert "connections_count 1.5" in lines
+    assert "# TYPE query_seconds summary" in lines
+    assert "query_seconds_sum 0.25" in lines
+    assert "query_seconds_count 1" in lines
+    assert sum('quantile="0.5"' in line for line in lines) == 1
+
+
+def test_metric_names_need_their_unit_and_come_once() -> None:
+    assert refuses("taken_total")
+    assert refuses("requests")
+    assert refuses("Requests_total")
+    assert refuses("requests_total", ("quantile",))
+    assert not refuses("requests_total", ("service",))
+
+
+def test_unknown_labels_are_refused() -> None:
+    family = MetricRegistry().counter(
+        name="requests_total", help_text="x", label_names=("service",)
+    )
+    family.labels(service="a")
+    try:
+        family.labels(service="a", caller="eve")
+    except ValueError:
+        return
+    raise AssertionError("a label that the family lacks was accepted")
+
+
+def test_quantiles_are_recomputed_once_a_second() -> None:
+    histogram = LatencyHistogram(percentiles=(50.0,))
+    assert histogram.percentile_ms(50.0, now_seconds=0.0) is None
+    histogram.record(seconds=0.1)
+    assert histogram.percentile_ms(50.0, now_seconds=0.9) is None
+    median_ms = histogram.percentile_ms(50.0, now_seconds=1.0)
+    assert median_ms is not None and 99.0 <= median_ms <= 101.0
+
+
+def test_quantiles_forget_what_is_older_than_two_windows() -> None:
+    histogram = LatencyHistogram(percentiles=(99.0,), window_seconds=10.0)
+    histogram.record(seconds=5.0)
+    for second in range(25):
+        histogram.record(seconds=0.01)
+        latest_ms = histogram.percentile_ms(99.0, now_seconds=float(second))
+        if second == 9:
+            assert latest_ms is not None and latest_ms > 4_900
+    assert latest_ms is not None and latest_ms < 11
+    assert histogram.count == 26
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(seconds=st.floats(min_value=-1.0, max_value=1e6))
+def test_any_latency_is_recorded(seconds: float) -> None:
+    histogram = LatencyHistogram(percentiles=(50.0,))
+    histogram.record(seconds=seconds)
+    median_ms = histogram.percentile_ms(50.0, now_seconds=0.0)
+    assert median_ms is not None and 0 < median_ms <= 121_000
+
+
+def test_spans_of_sampled_query_link_up() -> None:
+    tracing, exporter = make_tracing()
+    with tracing.span("caller_request", parent={"traceparent": SAMPLED}) as outer:
+        with tracing.span("shard_attempt", parent=outer.headers, shard=3) as inner:
+            inner.annotate(replica="r2")
+    attempt, request = exporter.get_finished_spans()
+    assert attempt.parent is not None and request.parent is not None
+    assert f"{request.parent.span_id:016x}" == SAMPLED.split("-")[2]
+    assert (
+        f"{attempt.parent.span_id:016x}" == outer.headers["traceparent"].split("-")[2]
+    )
+    assert attempt.attributes == {"shard": 3, "replica": "r2"}
+    assert inner.headers["traceparent"].split("-")[1] == SAMPLED.split("-")[1]
+
+
+def test_unsampled_decision_is_passed_on_and_records_nothing() -> None:
+    tracing, exporter = make_tracing(sample_share=1.0)
+    with tracing.span("a", parent={"traceparent": UNSAMPLED}) as scope:
+        scope.annotate(shard=1)
+        scope.fail("timeout")
+    assert scope.headers == {"traceparent": UNSAMPLED}
+    assert exporter.get_finished_spans() == ()
+
+
+def test_query_without_parent_is_decided_once_by_the_share() -> None:
+    for share, sampled_flag in ((0.0, 0), (1.0, 1)):
+        tracing, exporter = make_tracing(sample_share=share)
+        for parent in ({}, {"traceparent": "junk"}, {"traceparent": NO_TRACE}):
+            with tracing.span("a", parent=parent) as scope:
+                pass
+            flags = int(scope.headers["traceparent"].split("-")[3], 16)
+            assert flags & 1 == sampled_flag
+            with tracing.span("b", parent=scope.headers) as inner:
+                pass
+            assert (inner.headers == scope.headers) is (sampled_flag == 0)
+        assert len(exporter.get_finished_spans()) == 6 * sampled_flag
+
+
+def test_finished_span_is_one_log_line() -> None:
+    tracing, _ = make_tracing(sample_share=1.0, log_spans=True)
+    with captured_log() as stream:
+        try:
+            with tracing.span("shard_attempt", parent={}, shard=3):
+                raise TimeoutError
+        except TimeoutError:
+            pass
+    (line,) = stream.getvalue().splitlines()
+    assert " event=span shard=3 span=shard_attempt trace_id=" in line
+    assert " failed=true " in line and line.endswith("failure=TimeoutError")
+
+
+def test_span_log_can_be_switched_off() -> None:
+    tracing, _ = make_tracing(sample_share=1.0, log_spans=False)
+    with captured_log() as stream:
+        with tracing.span("a", parent={}):
+            pass
+    assert stream.getvalue() == ""
