Add the entry settings and their check

Cause: an entry learns its addresses and failure domain from a file, and its operator needs all faults of that file at once. An unreadable file and bad JSON are findings too. Ruled out: format checks of the schema library, which skip silently where its extras are not installed.

--- /dev/null
+++ b/src/bronzebeam/settings.py
@@ -0,0 +1,250 @@
+"""Settings of an entry instance, read from a JSON file."""
+
+import ipaddress
+from collections.abc import Iterable, Iterator
+from enum import Enum
+from functools import cache
+from importlib.resources import files
+from pathlib import Path
+from typing import Any, Final, cast
+from urllib.parse import urlsplit
+
+import orjson
+from attrs import frozen
+from jsonschema import Draft202012Validator
+from jsonschema.exceptions import ValidationError
+
+from bronzebeam.findings import Finding, FindingsError, json_pointer
+
+SCHEMA_FILE: Final = "settings_schema.json"
+URL_FIELDS: Final = ("store_url", "instance_list_url")
+LISTEN_FIELDS: Final = ("caller_listen", "peer_listen")
+
+
+class InvariantMode(Enum):
+    """What a broken invariant does: counted and logged, or raised as well."""
+
+    COUNT = "count"
+    RAISE = "raise"
+
+
+@frozen(kw_only=True)
+class ListenSettings:
+    """An IP address and port to listen on."""
+
+    address: str
+    port: int
+
+    @property
+    def bind(self) -> str:
+        """Return `address:port`, with brackets around an IPv6 address."""
+        if ":" in self.address:
+            return f"[{self.address}]:{self.port}"
+        return f"{self.address}:{self.port}"
+
+
+@frozen(kw_only=True)
+class DrainSettings:
+    """
+    Bounds of a planned stop.
+
+    :ivar lag_ms: time to go on serving, not ready, while the balancer notices.
+    :ivar bound_ms: time from the signal to the exit at the latest.
+    """
+
+    lag_ms: int = 5_000
+    bound_ms: int = 30_000
+
+
+@frozen(kw_only=True)
+class EntrySettings:
+    """
+    Settings of one entry instance.
+
+    :ivar instance: name of this instance, unique within the environment.
+    :ivar environment: environment whose document is in force here.
+    :ivar caller_listen: where callers connect.
+    :ivar peer_listen: where other entry instances and scrapers connect.
+    :ivar store_url: base URL of the configuration store.
+    :ivar instance_list_url: URL of the list of live and leaving instances.
+    :ivar store_timeout_ms: bound of one store call, a waiting watch apart.
+    :ivar trace_sample_share: share (0 to 1) of queries that are traced.
+    :ivar log_spans: write the spans of traced queries to the log.
+    :ivar request_body_max_bytes: largest request body taken in.
+    """
+
+    instance: str
+    environment: str
+    region: str
+    failure_domain: str
+    caller_listen: ListenSettings
+    peer_listen: ListenSettings
+    store_url: str
+    instance_list_url: str
+    store_timeout_ms: int = 1_000
+    trace_sample_share: float = 0.01
+    log_spans: bool = True
+    invariants: InvariantMode = InvariantMode.COUNT
+    request_body_max_bytes: int = 1_048_576
+    drain: DrainSettings = DrainSettings()
+
+
+def load_settings(path: Path) -> EntrySettings:
+    """
+    Read and check a settings file.
+
+    :raises FindingsError: with all findings, an unreadable file included.
+    """
+    subject = str(path)
+    try:
+        raw = path.read_bytes()
+    except (OSError, ValueError) as error:
+        cause = getattr(error, "strerror", None) or str(error)
+        finding = Finding(place="", message=f"The file cannot be read: {cause}.")
+        raise _error(subject, (finding,)) from error
+    return parse_settings(raw, subject=subject)
+
+
+def parse_settings(raw: bytes, *, subject: str) -> EntrySettings:
+    """
+    Check settings given as JSON text.
+
+    :param subject: what is checked, for the error.
+    :raises FindingsError: with all findings.
+    """
+    try:
+        value = orjson.loads(raw)
+    except orjson.JSONDecodeError as error:
+        finding = Finding(
+            place="",
+            message=f"This is not JSON: {error.msg}, line {error.lineno}, "
+            f"column {error.colno}.",
+        )
+        raise _error(subject, (finding,)) from error
+    findings = check_settings(value)
+    if findings:
+        raise _error(subject, findings)
+    return _build(value)
+
+
+def check_settings(value: Any) -> tuple[Finding, ...]:
+    """Return all findings of decoded settings, ordered by place."""
+    findings = list(_schema_findings(value))
+    if isinstance(value, dict):
+        findings.extend(_url_findings(value))
+        findings.extend(_listen_findings(value))
+        findings.extend(_drain_findings(value))
+    return tuple(sorted(findings, key=lambda item: (item.place, item.message)))
+
+
+def _error(subject: str, findings: tuple[Finding, ...]) -> FindingsError:
+    # mypy cannot infer the argument type of the field's converter.
+    return FindingsError(subject=subject, findings=cast(Any, findings))
+
+
+@cache
+def _validator() -> Draft202012Validator:
+    schema = orjson.loads(files("bronzebeam").joinpath(SCHEMA_FILE).read_bytes())
+    Draft202012Validator.check_schema(schema)
+    return Draft202012Validator(schema)
+
+
+def _schema_findings(value: Any) -> Iterator[Finding]:
+    for error in _validator().iter_errors(value):
+        yield from _findings_of(error)
+
+
+def _findings_of(error: ValidationError) -> Iterator[Finding]:
+    path = list(error.absolute_path)
+    # The library types these as possibly unset; errors of a validator have them.
+    instance: Any = error.instance
+    expected: Any = error.validator_value
+    schema: Any = error.schema
+    if error.validator == "required":
+        for name in expected:
+            if name not in instance:
+                place = json_pointer([*path, name])
+                yield Finding(place=place, message="This setting is missing.")
+        return
+    if error.validator == "additionalProperties":
+        for name in instance.keys() - schema["properties"].keys():
+            place = json_pointer([*path, name])
+            yield Finding(place=place, message="There is no such setting.")
+        return
+    yield Finding(place=json_pointer(path), message=f"{error.message}.")
+
+
+def _url_findings(value: dict[str, Any]) -> Iterator[Finding]:
+    for name in URL_FIELDS:
+        url = value.get(name)
+        if isinstance(url, str) and not _is_numeric_url(url):
+            yield Finding(
+                place=json_pointer([name]),
+                message="An http URL with an IP number and a port is needed.",
+            )
+
+
+def _listen_findings(value: dict[str, Any]) -> Iterator[Finding]:
+    listens = [value.get(name) for name in LISTEN_FIELDS]
+    for name, listen in zip(LISTEN_FIELDS, listens):
+        address = listen.get("address") if isinstance(listen, dict) else None
+        if isinstance(address, str) and not _is_address(address):
+            yield Finding(
+                place=json_pointer([name, "address"]),
+                message="An IP number is needed.",
+            )
+    if isinstance(listens[0], dict) and listens[0] == listens[1]:
+        yield Finding(
+            place=json_pointer(["peer_listen"]),
+            message="This must differ from caller_listen.",
+        )
+
+
+def _drain_findings(value: dict[str, Any]) -> Iterator[Finding]:
+    drain = value.get("drain", {})
+    if not isinstance(drain, dict):
+        return
+    default = DrainSettings()
+    lag_ms = drain.get("lag_ms", default.lag_ms)
+    bound_ms = drain.get("bound_ms", default.bound_ms)
+    if _all_numbers((lag_ms, bound_ms)) and bound_ms <= lag_ms:
+        yield Finding(
+            place=json_pointer(["drain", "bound_ms"]),
+            message=f"The bound must be above lag_ms, which is {lag_ms}.",
+        )
+
+
+def _all_numbers(values: Iterable[Any]) -> bool:
+    return all(isinstance(item, (int, float)) for item in values)
+
+
+def _is_numeric_url(url: str) -> bool:
+    try:
+        parts = urlsplit(url)
+        return (
+            parts.scheme == "http"
+            and parts.port is not None
+            and _is_address(parts.hostname or "")
+            and parts.username is None
+        )
+    except ValueError:
+        return False
+
+
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _build(value: dict[str, Any]) -> EntrySettings:
+    fields = dict(value)
+    fields["caller_listen"] = ListenSettings(**value["caller_listen"])
+    fields["peer_listen"] = ListenSettings(**value["peer_listen"])
+    if "drain" in value:
+        fields["drain"] = DrainSettings(**value["drain"])
+    if "invariants" in value:
+        fields["invariants"] = InvariantMode(value["invariants"])
+    return EntrySettings(**fields)
