Add the intake of callers' requests and the rendering of answers

Cause: what callers send has to be checked, and what they are told has to be true, before any filter runs. Change: pure functions for both, a fixed vocabulary of reasons and one table from reason to status code. All faults of headers and body come back together. The caller's request identifier is echoed only; the fleet uses its own, since nothing makes the caller's unique. A result that cannot be encoded becomes outcome_unknown, a rejection stays not_run. Seen red first, each with the fault planted in a scratch copy: 31 faults, among them a repeated key header taken, the caller's identifier relied on, fingerprint without the service, Retry-After rounded down, findings overwriting `ran`. Conclusion: fuzzed intake never raised in 300 examples.

--- /dev/null
+++ b/src/bronzebeam/entry/answers.py
@@ -0,0 +1,175 @@
+"""Answers: an outcome rendered as an HTTP response."""
+
+import math
+from dataclasses import replace
+from http import HTTPStatus
+from typing import Any, Final
+
+import orjson
+from attrs import frozen
+
+from bronzebeam.outcomes import (
+    Answered,
+    Coverage,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    Partial,
+    Refused,
+)
+from bronzebeam.reasons import Reason
+
+MS_PER_SECOND: Final = 1_000
+CONTENT_TYPE: Final = "application/json"
+
+STATUS_OF_REASON: Final[dict[str, HTTPStatus]] = {
+    Reason.UNKNOWN_PATH: HTTPStatus.NOT_FOUND,
+    Reason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+    Reason.UNKNOWN_OPERATION: HTTPStatus.NOT_FOUND,
+    Reason.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
+    Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.BODY_MALFORMED: HTTPStatus.BAD_REQUEST,
+    Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    Reason.DEADLINE_MALFORMED: HTTPStatus.BAD_REQUEST,
+    Reason.DEADLINE_TOO_SHORT: HTTPStatus.BAD_REQUEST,
+    Reason.DEADLINE_TOO_LONG: HTTPStatus.BAD_REQUEST,
+    Reason.CLASS_UNKNOWN: HTTPStatus.BAD_REQUEST,
+    Reason.CALLER_MALFORMED: HTTPStatus.BAD_REQUEST,
+    Reason.REQUEST_ID_MALFORMED: HTTPStatus.BAD_REQUEST,
+    Reason.KEY_MISSING: HTTPStatus.BAD_REQUEST,
+    Reason.KEY_MALFORMED: HTTPStatus.BAD_REQUEST,
+    Reason.KEY_EXPIRED: HTTPStatus.GONE,
+    Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.CLAIM_IN_PROGRESS: HTTPStatus.CONFLICT,
+    Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.QUARANTINED: HTTPStatus.FORBIDDEN,
+    Reason.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.DEADLINE_UNREACHABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.DRAINING: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.NO_REPLICA: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.NO_CONNECTION: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.VERSION_GONE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.BELOW_MINIMUM_COVERAGE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
+    Reason.WRONG_REPLY: HTTPStatus.BAD_GATEWAY,
+    Reason.TRUNCATED_REPLY: HTTPStatus.BAD_GATEWAY,
+    Reason.BACKEND_ERROR: HTTPStatus.BAD_GATEWAY,
+    Reason.INTERNAL_ERROR: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+"""The one table from reason to status code; docs/callers.md repeats it."""
+
+
+@frozen(kw_only=True)
+class RenderedAnswer:
+    """
+    An HTTP response.
+
+    :ivar headers: names in lower case, without those the server itself adds.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def render(outcome: Outcome, *, request_id: str) -> RenderedAnswer:
+    """
+    Render `outcome`; never raises.
+
+    A result that cannot be encoded becomes `outcome_unknown`, since it ran.
+
+    :param request_id: identifier to echo, see `headers.answer_request_id`.
+    """
+    try:
+        body = orjson.dumps(_body_of(outcome, request_id))
+    except TypeError:
+        outcome = _encodable(outcome)
+        body = orjson.dumps(_body_of(outcome, request_id))
+    return RenderedAnswer(
+        status=status_of(outcome),
+        headers=tuple(_headers_of(outcome, request_id)),
+        body=body,
+    )
+
+
+def status_of(outcome: Outcome) -> int:
+    """Return the HTTP status code of `outcome`."""
+    if isinstance(outcome, (Answered, Partial)):
+        return HTTPStatus.OK.value
+    fallback = HTTPStatus.INTERNAL_SERVER_ERROR
+    return STATUS_OF_REASON.get(outcome.reason, fallback).value
+
+
+def retry_after_seconds(retry_after_ms: int) -> int:
+    """Return whole seconds, rounded up, so that nobody comes back too early."""
+    return max(0, math.ceil(retry_after_ms / MS_PER_SECOND))
+
+
+def _encodable(outcome: Outcome) -> Outcome:
+    if isinstance(outcome, (Answered, Partial)):
+        return OutcomeUnknown(
+            reason=Reason.WRONG_REPLY, detail="The reply cannot be encoded as JSON."
+        )
+    detail = outcome.detail.encode(errors="backslashreplace").decode()
+    if isinstance(outcome, NotRun):
+        return replace(outcome, detail=detail, extra={})
+    return replace(outcome, detail=detail)
+
+
+def _headers_of(outcome: Outcome, request_id: str) -> list[tuple[str, str]]:
+    headers = [
+        ("content-type", CONTENT_TYPE),
+        ("bronzebeam-request-id", request_id),
+        ("bronzebeam-outcome", outcome.tag),
+    ]
+    if isinstance(outcome, (Answered, Partial)):
+        return headers
+    if outcome.retry_after_ms is not None:
+        headers.append(
+            ("retry-after", str(retry_after_seconds(outcome.retry_after_ms)))
+        )
+    if outcome.reason == Reason.METHOD_NOT_ALLOWED:
+        headers.append(("allow", "POST"))
+    return headers
+
+
+def _body_of(outcome: Outcome, request_id: str) -> dict[str, Any]:
+    body: dict[str, Any] = {
+        "outcome": outcome.tag,
+        "request_id": request_id,
+        "ran": _ran(outcome),
+    }
+    if isinstance(outcome, (Answered, Partial)):
+        body["result"] = outcome.result
+        if outcome.coverage is not None:
+            body["coverage"] = _coverage_of(outcome.coverage)
+        return body
+    if isinstance(outcome, NotRun):
+        body = {**outcome.extra, **body}
+    body["reason"] = outcome.reason
+    body["retry_after_ms"] = outcome.retry_after_ms
+    body["detail"] = outcome.detail
+    return body
+
+
+def _ran(outcome: Outcome) -> bool | None:
+    if isinstance(outcome, OutcomeUnknown):
+        return None
+    if isinstance(outcome, Refused):
+        return outcome.ran
+    return not isinstance(outcome, NotRun)
+
+
+def _coverage_of(coverage: Coverage) -> dict[str, Any]:
+    return {
+        "index_version": coverage.index_version,
+        "shard_count": coverage.shard_count,
+        "included": coverage.included,
+        "missing": [
+            {"shard": item.shard, "reason": item.reason} for item in coverage.missing
+        ],
+        "complete": coverage.complete,
+    }
--- /dev/null
+++ b/src/bronzebeam/entry/headers.py
@@ -0,0 +1,159 @@
+"""The headers of a caller's request."""
+
+import re
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from attrs import frozen
+
+from bronzebeam.documents.model import EnvironmentDocument, OperationSpec, ServiceSpec
+from bronzebeam.reasons import Reason
+
+DEADLINE_HEADER: Final = "bronzebeam-deadline-ms"
+CLASS_HEADER: Final = "bronzebeam-class"
+CALLER_HEADER: Final = "bronzebeam-caller"
+REQUEST_ID_HEADER: Final = "bronzebeam-request-id"
+KEY_HEADER: Final = "idempotency-key"
+
+ANONYMOUS_CALLER: Final = "anonymous"
+DEFAULT_CLASS: Final = "default"
+
+DEADLINE_SYNTAX: Final = re.compile(r"[0-9]{1,9}", re.ASCII)
+CALLER_SYNTAX: Final = re.compile(r"[A-Za-z0-9._:@-]{1,128}", re.ASCII)
+REQUEST_ID_SYNTAX: Final = re.compile(r"[A-Za-z0-9._:-]{1,128}", re.ASCII)
+KEY_SYNTAX: Final = re.compile(r"[A-Za-z0-9._:~+/=-]{1,255}", re.ASCII)
+
+
+@frozen(kw_only=True)
+class RequestFault:
+    """
+    One fault of a caller's request.
+
+    :ivar place: name of the header, or `body`.
+    :ivar message: what is wrong, as one sentence.
+    """
+
+    place: str
+    reason: Reason
+    message: str
+
+
+def header_map(pairs: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """
+    Build a mapping of headers with names in lower case.
+
+    Values of a name that occurs more than once are joined by a comma, as HTTP has
+    it, so that two different keys or deadlines fail their syntax check.
+    """
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in pairs:
+        name = raw_name.decode("latin-1").lower()
+        value = raw_value.decode("latin-1").strip()
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return headers
+
+
+def answer_request_id(*, headers: Mapping[str, str], new_request_id: str) -> str:
+    """Return the identifier to echo: the caller's if well formed, else the new one."""
+    given = headers.get(REQUEST_ID_HEADER)
+    if given is None or not REQUEST_ID_SYNTAX.fullmatch(given):
+        return new_request_id
+    return given
+
+
+def read_deadline_ms(
+    headers: Mapping[str, str], service: ServiceSpec, faults: list[RequestFault]
+) -> int:
+    """
+    Read the deadline, or add a fault.
+
+    :returns: milliseconds from the arrival; the service's default if not given.
+    """
+    text = headers.get(DEADLINE_HEADER)
+    limits = service.deadline
+    if text is None:
+        return limits.default_ms
+    deadline_ms = int(text) if DEADLINE_SYNTAX.fullmatch(text) else 0
+    if deadline_ms <= 0:
+        reason = Reason.DEADLINE_MALFORMED
+        message = "The deadline must be a whole number of milliseconds above 0."
+    elif deadline_ms < limits.minimum_ms:
+        reason = Reason.DEADLINE_TOO_SHORT
+        message = f"The least deadline of this service is {limits.minimum_ms} ms."
+    elif deadline_ms > limits.maximum_ms:
+        reason = Reason.DEADLINE_TOO_LONG
+        message = f"The largest deadline of this service is {limits.maximum_ms} ms."
+    else:
+        return deadline_ms
+    faults.append(RequestFault(place=DEADLINE_HEADER, reason=reason, message=message))
+    return limits.default_ms
+
+
+def read_class(
+    headers: Mapping[str, str],
+    document: EnvironmentDocument,
+    faults: list[RequestFault],
+) -> str:
+    """Read the class of work, or add a fault; the lowest priority by default."""
+    name = headers.get(CLASS_HEADER)
+    if name is None:
+        lowest = max(document.classes, key=lambda item: item.priority, default=None)
+        return DEFAULT_CLASS if lowest is None else lowest.name
+    known = [item.name for item in document.classes]
+    if name not in known:
+        message = "The classes of work are " + ", ".join(known) + "."
+        faults.append(
+            RequestFault(
+                place=CLASS_HEADER, reason=Reason.CLASS_UNKNOWN, message=message
+            )
+        )
+    return name
+
+
+def read_caller(headers: Mapping[str, str], faults: list[RequestFault]) -> str:
+    """Read the caller's name, or add a fault."""
+    caller = headers.get(CALLER_HEADER, ANONYMOUS_CALLER)
+    if not CALLER_SYNTAX.fullmatch(caller):
+        faults.append(
+            RequestFault(
+                place=CALLER_HEADER,
+                reason=Reason.CALLER_MALFORMED,
+                message="A caller is 1 to 128 letters, digits or any of . _ : @ -",
+            )
+        )
+    return caller
+
+
+def check_request_id(headers: Mapping[str, str], faults: list[RequestFault]) -> None:
+    """Add a fault if the caller's request identifier is malformed."""
+    request_id = headers.get(REQUEST_ID_HEADER)
+    if request_id is None or REQUEST_ID_SYNTAX.fullmatch(request_id):
+        return
+    faults.append(
+        RequestFault(
+            place=REQUEST_ID_HEADER,
+            reason=Reason.REQUEST_ID_MALFORMED,
+            message="A request identifier is 1 to 128 letters, digits or . _ : -",
+        )
+    )
+
+
+def read_key(
+    headers: Mapping[str, str],
+    operation: OperationSpec | None,
+    faults: list[RequestFault],
+) -> str | None:
+    """Read the idempotency key, or add a fault; None if none is needed or given."""
+    key = headers.get(KEY_HEADER)
+    if key is None and (operation is None or operation.idempotent):
+        return None
+    if key is None:
+        reason = Reason.KEY_MISSING
+        message = "An operation that is not idempotent needs an idempotency key."
+    elif not KEY_SYNTAX.fullmatch(key):
+        reason = Reason.KEY_MALFORMED
+        message = "A key is 1 to 255 letters, digits or any of . _ : ~ + / = -"
+    else:
+        return key
+    faults.append(RequestFault(place=KEY_HEADER, reason=reason, message=message))
+    return None
--- /dev/null
+++ b/src/bronzebeam/entry/intake.py
@@ -0,0 +1,180 @@
+"""Intake: a caller's HTTP request checked and turned into a `CallerRequest`."""
+
+import hashlib
+from collections.abc import Mapping
+from typing import Any, Final
+
+import orjson
+from attrs import frozen
+
+from bronzebeam.documents.model import (
+    AcceptedDocument,
+    EnvironmentDocument,
+    OperationSpec,
+    ServiceKind,
+    ServiceSpec,
+)
+from bronzebeam.entry.headers import (
+    RequestFault,
+    check_request_id,
+    read_caller,
+    read_class,
+    read_deadline_ms,
+    read_key,
+)
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.outcomes import NotRun
+from bronzebeam.reasons import Reason
+from bronzebeam.telemetry.traces import trace_context_of
+
+METHOD: Final = "POST"
+BODY_PLACE: Final = "body"
+MS_PER_SECOND: Final = 1_000.0
+QUOTE_MAX_CHARACTERS: Final = 100
+
+
+@frozen(kw_only=True)
+class Target:
+    """The service, and the operation unless it is a search, that a path names."""
+
+    service: ServiceSpec
+    operation: OperationSpec | None
+
+
+def parse_request(
+    *,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    document: AcceptedDocument,
+    now_seconds: float,
+    new_request_id: str,
+    body_max_bytes: int,
+    trace_headers: Mapping[str, str] | None = None,
+) -> CallerRequest | NotRun:
+    """
+    Check a caller's request against the document in force; never raises.
+
+    :param headers: names in lower case; see `headers.header_map`.
+    :param now_seconds: monotonic time of arrival.
+    :param new_request_id: identifier of this attempt, unique within the fleet; the
+        caller's own one is only echoed, since nothing makes it unique.
+    :param trace_headers: trace context to pass on; the caller's own by default.
+    """
+    target = find_target(path=path, document=document.document)
+    if isinstance(target, NotRun):
+        return target
+    if method != METHOD:
+        return _not_run(
+            Reason.METHOD_NOT_ALLOWED, f"Use {METHOD}, not {_quote(method)}."
+        )
+    if len(body) > body_max_bytes:
+        return _not_run(
+            Reason.BODY_TOO_LARGE,
+            f"The body has {len(body)} bytes, more than {body_max_bytes}.",
+        )
+    faults: list[RequestFault] = []
+    deadline_ms = read_deadline_ms(headers, target.service, faults)
+    class_name = read_class(headers, document.document, faults)
+    caller = read_caller(headers, faults)
+    check_request_id(headers, faults)
+    key = read_key(headers, target.operation, faults)
+    payload, fingerprint = _read_body(body, target, faults)
+    if faults:
+        return _reject(faults)
+    return CallerRequest(
+        request_id=new_request_id,
+        caller=caller,
+        document=document.document,
+        document_revision=document.revision,
+        service=target.service,
+        operation=target.operation,
+        class_name=class_name,
+        arrived_at_seconds=now_seconds,
+        deadline_at_seconds=now_seconds + deadline_ms / MS_PER_SECOND,
+        payload=payload,
+        fingerprint=fingerprint,
+        idempotency_key=key,
+        trace_headers=trace_context_of(
+            headers if trace_headers is None else trace_headers
+        ),
+    )
+
+
+def find_target(*, path: str, document: EnvironmentDocument) -> Target | NotRun:
+    """Find the service and operation that `path` names."""
+    match path.split("/"):
+        case ["", "v1", "services", name, "search"]:
+            operation_name = None
+        case ["", "v1", "services", name, "calls", operation_name]:
+            pass
+        case _:
+            return _not_run(Reason.UNKNOWN_PATH, f"There is nothing at {_quote(path)}.")
+    service = document.service(name)
+    if service is None:
+        return _not_run(Reason.UNKNOWN_SERVICE, f"There is no service {_quote(name)}.")
+    if operation_name is None:
+        if service.kind is ServiceKind.SEARCH:
+            return Target(service=service, operation=None)
+        return _not_run(
+            Reason.UNKNOWN_OPERATION, f"Service {name} takes calls, not searches."
+        )
+    operation = service.operation(operation_name)
+    if operation is None:
+        return _not_run(
+            Reason.UNKNOWN_OPERATION,
+            f"Service {name} has no operation {_quote(operation_name)}.",
+        )
+    return Target(service=service, operation=operation)
+
+
+def fingerprint_of(*, service: str, operation: str | None, payload: Any) -> str:
+    """
+    Hash what is asked; equal for the same request sent again.
+
+    :raises TypeError: if the payload cannot be encoded as JSON.
+    """
+    canonical = orjson.dumps([service, operation, payload], option=orjson.OPT_SORT_KEYS)
+    return hashlib.sha256(canonical).hexdigest()
+
+
+def _read_body(
+    body: bytes, target: Target, faults: list[RequestFault]
+) -> tuple[Any, str]:
+    try:
+        payload = orjson.loads(body)
+        fingerprint = fingerprint_of(
+            service=target.service.name,
+            operation=target.operation.name if target.operation else None,
+            payload=payload,
+        )
+    except (ValueError, TypeError) as error:
+        faults.append(
+            RequestFault(
+                place=BODY_PLACE,
+                reason=Reason.BODY_MALFORMED,
+                message=f"The body is not usable JSON: {error}.",
+            )
+        )
+        return None, ""
+    return payload, fingerprint
+
+
+def _reject(faults: list[RequestFault]) -> NotRun:
+    reasons = {fault.reason for fault in faults}
+    reason = reasons.pop() if len(reasons) == 1 else Reason.BAD_REQUEST
+    findings = [
+        {"place": fault.place, "reason": fault.reason, "message": fault.message}
+        for fault in faults
+    ]
+    detail = " ".join(f"{fault.place}: {fault.message}" for fault in faults)
+    return NotRun(reason=reason, detail=detail, extra={"findings": findings})
+
+
+def _not_run(reason: Reason, detail: str) -> NotRun:
+    return NotRun(reason=reason, detail=detail)
+
+
+def _quote(text: str) -> str:
+    return ascii(text[:QUOTE_MAX_CHARACTERS])
