--- /dev/null
+++ b/src/bronzebeam/bench/documents.py
@@ -0,0 +1,55 @@
+"""Environment documents for rigs."""
+
+from typing import Any, Final
+
+SEARCH: Final = "guest-search"
+CALLS: Final = "attendee"
+SEARCH_PATH: Final = f"/v1/services/{SEARCH}/search"
+FIND_PATH: Final = f"/v1/services/{CALLS}/calls/find"
+BOOK_PATH: Final = f"/v1/services/{CALLS}/calls/register"
+
+
+def rig_document(
+    *,
+    shards: int,
+    entries: int = 8,
+    overlapping: int = 0,
+    slots: int = 2,
+    soft_deadline_ms: int | None = None,
+) -> dict[str, Any]:
+    """Build a document of one search service and one call service."""
+    coverage: dict[str, Any] = {}
+    if soft_deadline_ms is not None:
+        coverage["soft_deadline_ms"] = soft_deadline_ms
+    deadline = {"default_ms": 500, "maximum_ms": 10_000}
+    return {
+        "environment": "rig",
+        "fleet": {"entry_instances": entries, "overlapping_instances": overlapping},
+        "classes": [
+            {"name": "check-in", "priority": 0},
+            {"name": "planner", "priority": 1},
+        ],
+        "caller_limit": {"rate_per_second": 100_000, "burst": 100_000},
+        "services": [
+            {
+                "name": SEARCH,
+                "kind": "search",
+                "shards": shards,
+                "replicas": 2,
+                "backend": {"slots": slots, "connections": 25, "connect_ms": 6},
+                "deadline": deadline,
+                "coverage": coverage,
+            },
+            {
+                "name": CALLS,
+                "kind": "call",
+                "replicas": 3,
+                "backend": {"slots": slots, "connections": 100, "connect_ms": 1},
+                "deadline": deadline,
+                "operations": [
+                    {"name": "find", "idempotent": True},
+                    {"name": "register", "idempotent": False},
+                ],
+            },
+        ],
+    }
--- /dev/null
+++ b/src/bronzebeam/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, each with its own rig, that bring figures."""
--- /dev/null
+++ b/src/bronzebeam/bench/experiments/fanout.py
@@ -0,0 +1,99 @@
+"""Processor time of a fan-out, against a plain pooled client."""
+
+import time
+from typing import Final
+
+import anyio
+import httpx
+
+from bronzebeam.bench.documents import SEARCH, SEARCH_PATH, rig_document
+from bronzebeam.bench.figures import Figure
+from bronzebeam.bench.load import Caller
+from bronzebeam.bench.rig import Rig, RigSpec, running_rig
+from bronzebeam.transport.backend_protocol import encode_search
+
+SHARDS: Final = 30
+QUERIES: Final = 150
+BASELINE_QUERIES: Final = 15
+WARM_QUERIES: Final = 10
+DEADLINE_MS: Final = 2_000
+BOUND: Final = 0.25
+
+
+async def run() -> list[Figure]:
+    """Measure processor time for each sub-request of a 30-way fan-out."""
+    spec = RigSpec(
+        document=rig_document(shards=SHARDS),
+        entries=1,
+        backend_parts=4,
+        backend_arguments=("--service-ms", "2"),
+        entry_arguments=("--no-hedging",),
+    )
+    async with running_rig(spec) as rig:
+        await anyio.sleep(0.5)
+        entry_ms = await _entry_ms(rig)
+        pooled_ms = await _pooled_client_ms(rig)
+    return [
+        Figure(name="fanout_cpu_entry", value=entry_ms, unit="ms/sub-request"),
+        Figure(name="fanout_cpu_pooled_client", value=pooled_ms, unit="ms/sub-request"),
+        Figure(
+            name="fanout_cpu_ratio",
+            value=entry_ms / pooled_ms,
+            unit="ratio",
+            bound=BOUND,
+        ),
+    ]
+
+
+async def _entry_ms(rig: Rig) -> float:
+    entry = rig.entries[0]
+    caller = Caller(addresses=lambda: [entry.caller_address])
+    for _ in range(WARM_QUERIES):
+        await caller.post(SEARCH_PATH, {"q": "warm"}, deadline_ms=DEADLINE_MS)
+    before = entry.process.cpu_seconds()
+    included = 0
+    for number in range(QUERIES):
+        answer = await caller.post(SEARCH_PATH, {"q": number}, deadline_ms=DEADLINE_MS)
+        included += len(answer.body["coverage"]["included"])
+    return (entry.process.cpu_seconds() - before) * 1000 / included
+
+
+async def _pooled_client_ms(rig: Rig) -> float:
+    addresses = await _first_replicas(rig)
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=None)
+    async with httpx.AsyncClient(limits=limits, trust_env=False) as client:
+        await _pooled_query(client, addresses, 0)
+        before = time.process_time()
+        for number in range(BASELINE_QUERIES):
+            await _pooled_query(client, addresses, number)
+        elapsed = time.process_time() - before
+    return elapsed * 1000 / (BASELINE_QUERIES * len(addresses))
+
+
+async def _pooled_query(
+    client: httpx.AsyncClient, addresses: list[str], number: int
+) -> None:
+    async with anyio.create_task_group() as group:
+        for shard, address in enumerate(addresses):
+            group.start_soon(_pooled_request, client, address, shard, number)
+
+
+async def _pooled_request(
+    client: httpx.AsyncClient, address: str, shard: int, number: int
+) -> None:
+    request_id = f"{number}-{shard}"
+    body = encode_search(
+        request_id=request_id, index_version=1, shard=shard, query={"q": number}
+    )
+    response = await client.post(
+        f"http://{address}/search",
+        content=body,
+        headers={"x-request-id": request_id, "x-deadline-ms": str(DEADLINE_MS)},
+    )
+    assert response.json()["request_id"] == request_id
+
+
+async def _first_replicas(rig: Rig) -> list[str]:
+    listed = (await rig.client.get(f"{rig.instances_url}/instances")).json()
+    by_name = {item["instance"]: item["address"] for item in listed["instances"]}
+    return [by_name[f"{SEARCH}-{shard:02d}-r0"] for shard in range(SHARDS)]
--- /dev/null
+++ b/src/bronzebeam/bench/experiments/hedging.py
@@ -0,0 +1,88 @@
+"""Tail latency with and without hedging, and the load that hedging adds."""
+
+from typing import Final
+
+import anyio
+from attrs import frozen
+
+from bronzebeam.bench.documents import SEARCH, SEARCH_PATH, rig_document
+from bronzebeam.bench.figures import Figure
+from bronzebeam.bench.load import Caller, CallerAnswer, OpenLoop, percentile
+from bronzebeam.bench.rig import RigSpec, running_rig
+
+SHARDS: Final = 20
+RATE_PER_SECOND: Final = 50.0
+WARM_SECONDS: Final = 1.5
+SECONDS: Final = 5.0
+DEADLINE_MS: Final = 2_000
+RATIO_BOUND: Final = 0.35
+EXTRA_BOUND: Final = 0.05
+
+
+@frozen(kw_only=True)
+class _Run:
+    p50_ms: float
+    p99_ms: float
+    extra_share: float
+
+
+async def run() -> list[Figure]:
+    """Compare p99 with 3% of replies 20 times slower."""
+    plain = await _measure(("--no-hedging",))
+    hedged = await _measure(())
+    return [
+        Figure(name="hedge_p50_plain", value=plain.p50_ms, unit="ms"),
+        Figure(name="hedge_p50", value=hedged.p50_ms, unit="ms"),
+        Figure(name="hedge_p99_plain", value=plain.p99_ms, unit="ms"),
+        Figure(name="hedge_p99", value=hedged.p99_ms, unit="ms"),
+        Figure(
+            name="hedge_p99_ratio",
+            value=hedged.p99_ms / plain.p99_ms,
+            unit="ratio",
+            bound=RATIO_BOUND,
+        ),
+        Figure(
+            name="hedge_extra_load",
+            value=hedged.extra_share,
+            unit="share",
+            bound=EXTRA_BOUND,
+        ),
+    ]
+
+
+async def _measure(entry_arguments: tuple[str, ...]) -> _Run:
+    spec = RigSpec(
+        document=rig_document(shards=SHARDS),
+        entries=2,
+        backend_parts=4,
+        backend_arguments=("--service-ms", "5", "--slow-share", "0.03"),
+        entry_arguments=entry_arguments,
+    )
+    async with running_rig(spec) as rig:
+        caller = Caller(
+            addresses=lambda: [entry.caller_address for entry in rig.entries]
+        )
+
+        async def send(number: int, due: float) -> CallerAnswer:
+            return await caller.post(
+                SEARCH_PATH, {"q": number}, deadline_ms=DEADLINE_MS, due_seconds=due
+            )
+
+        await anyio.sleep(0.5)
+        warm = OpenLoop(
+            rate_per_second=RATE_PER_SECOND, seconds=WARM_SECONDS, send=send
+        )
+        answered = len(await warm.run())
+        load = OpenLoop(rate_per_second=RATE_PER_SECOND, seconds=SECONDS, send=send)
+        answers = await load.run()
+        answered += len(answers)
+        reports = await rig.history()
+    runs = sum(
+        len(report["runs"]) for name, report in reports.items() if SEARCH in name
+    )
+    latencies = [answer.latency_ms for answer in answers]
+    return _Run(
+        p50_ms=percentile(latencies, 0.5),
+        p99_ms=percentile(latencies, 0.99),
+        extra_share=runs / (answered * SHARDS) - 1,
+    )
--- /dev/null
+++ b/src/bronzebeam/bench/figures.py
@@ -0,0 +1,49 @@
+"""Figures that experiments bring, each against its bound."""
+
+from enum import Enum
+
+import orjson
+from attrs import frozen
+
+
+class Bound(Enum):
+    """On which side of its bound a figure is to be."""
+
+    AT_MOST = "at_most"
+    AT_LEAST = "at_least"
+
+
+@frozen(kw_only=True)
+class Figure:
+    """
+    One measured figure.
+
+    :ivar bound: None for a figure that is only reported.
+    """
+
+    name: str
+    value: float
+    unit: str
+    bound: float | None = None
+    side: Bound = Bound.AT_MOST
+
+    @property
+    def within(self) -> bool:
+        """Tell whether the figure keeps its bound."""
+        if self.bound is None:
+            return True
+        if self.side is Bound.AT_MOST:
+            return self.value <= self.bound
+        return self.value >= self.bound
+
+    def to_line(self) -> str:
+        """Return the figure as one line of JSON."""
+        value: dict[str, object] = {
+            "figure": self.name,
+            "value": round(self.value, 4),
+            "unit": self.unit,
+        }
+        if self.bound is not None:
+            value[self.side.value] = self.bound
+            value["within"] = self.within
+        return orjson.dumps(value).decode()
--- /dev/null
+++ b/src/bronzebeam/bench/load.py
@@ -0,0 +1,148 @@
+"""Callers that put load on entries."""
+
+import random
+import uuid
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import anyio
+import orjson
+from attrs import define, field, frozen
+
+from bronzebeam.transport.channel import Channel, ChannelClosed, HttpcoreChannel
+
+GRACE_SECONDS: Final = 1.0
+JSON_HEADER: Final = (b"content-type", b"application/json")
+
+
+@frozen(kw_only=True)
+class CallerAnswer:
+    """
+    What a caller saw.
+
+    :ivar status: 0 if no answer came.
+    :ivar started_seconds: monotonic time at which the request was due.
+    """
+
+    status: int
+    body: dict[str, Any]
+    started_seconds: float
+    latency_ms: float
+    path: str = ""
+    key: str | None = None
+
+    @property
+    def outcome(self) -> str:
+        return str(self.body.get("outcome", "no_answer"))
+
+    @property
+    def complete(self) -> bool:
+        coverage = self.body.get("coverage")
+        return self.outcome == "answered" and (
+            coverage is None or bool(coverage["complete"])
+        )
+
+
+@define(kw_only=True, eq=False)
+class Caller:
+    """
+    Sends requests to one of several entries over kept connections.
+
+    :ivar addresses: callers' addresses of the entries, looked up for each request.
+    """
+
+    addresses: Callable[[], Sequence[str]]
+    rng: random.Random = field(factory=lambda: random.Random(1))
+    _idle: dict[str, list[Channel]] = field(factory=dict, init=False)
+
+    async def post(
+        self,
+        path: str,
+        payload: Any,
+        *,
+        deadline_ms: int,
+        key: str | None = None,
+        class_name: str | None = None,
+        due_seconds: float | None = None,
+    ) -> CallerAnswer:
+        """Send one request and wait for its answer, in bounded time."""
+        started = anyio.current_time() if due_seconds is None else due_seconds
+        address = self.rng.choice(list(self.addresses()))
+        headers = [
+            JSON_HEADER,
+            (b"bronzebeam-deadline-ms", str(deadline_ms).encode()),
+        ]
+        if key is not None:
+            headers.append((b"idempotency-key", key.encode()))
+        if class_name is not None:
+            headers.append((b"bronzebeam-class", class_name.encode()))
+        status = 0
+        body: dict[str, Any] = {}
+        with anyio.move_on_after(deadline_ms / 1000 + GRACE_SECONDS):
+            status, body = await self._exchange(address, path, headers, payload)
+        return CallerAnswer(
+            status=status,
+            body=body,
+            started_seconds=started,
+            latency_ms=(anyio.current_time() - started) * 1000,
+            path=path,
+            key=key,
+        )
+
+    async def _exchange(
+        self, address: str, path: str, headers: list[tuple[bytes, bytes]], payload: Any
+    ) -> tuple[int, dict[str, Any]]:
+        idle = self._idle.setdefault(address, [])
+        channel = idle.pop() if idle else HttpcoreChannel(address=address)
+        try:
+            response = await channel.exchange(
+                method="POST", path=path, headers=headers, body=orjson.dumps(payload)
+            )
+        except ChannelClosed:
+            return 0, {}
+        idle.append(channel)
+        return response.status, orjson.loads(response.body)
+
+
+def new_key(*, now_ms: int, rng: random.Random) -> str:
+    """Return a UUID of version 7."""
+    value = (now_ms & ((1 << 48) - 1)) << 80 | rng.getrandbits(80)
+    value = value & ~(0xF << 76) | 0x7 << 76
+    value = value & ~(0x3 << 62) | 0x2 << 62
+    return str(uuid.UUID(int=value))
+
+
+@define(kw_only=True, eq=False)
+class OpenLoop:
+    """
+    Sends requests at a fixed rate, whether or not earlier ones are answered.
+
+    :ivar send: sends the request with the given number, due at the given time.
+    """
+
+    rate_per_second: float
+    seconds: float
+    send: Callable[[int, float], Any]
+    answers: list[CallerAnswer] = field(factory=list, init=False)
+
+    async def run(self) -> list[CallerAnswer]:
+        """Send all requests and return the answers."""
+        started = anyio.current_time()
+        count = round(self.rate_per_second * self.seconds)
+        async with anyio.create_task_group() as group:
+            for number in range(count):
+                due = started + number / self.rate_per_second
+                await anyio.sleep(max(0.0, due - anyio.current_time()))
+                group.start_soon(self._one, number, due)
+        return self.answers
+
+    async def _one(self, number: int, due: float) -> None:
+        self.answers.append(await self.send(number, due))
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the value below which `share` (0 to 1) of `values` lie; 0 if none."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- /dev/null
+++ b/src/bronzebeam/bench/processes.py
@@ -0,0 +1,96 @@
+"""Child processes of a rig. Only rigs start processes; the product never does."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+from attrs import define, field
+
+STOP_SECONDS: Final = 5.0
+LOOPBACK: Final = "127.0.0.1"
+
+
+def free_port() -> int:
+    """Return a loopback port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+@define(kw_only=True, eq=False)
+class ChildProcess:
+    """
+    One `bronzebeam` process.
+
+    :ivar log_path: file that takes its output.
+    """
+
+    name: str
+    arguments: Sequence[str]
+    log_path: Path
+    environment: dict[str, str] = field(factory=dict)
+    _process: subprocess.Popen[bytes] | None = field(default=None, init=False)
+
+    @property
+    def pid(self) -> int:
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        return self._process.poll() if self._process is not None else None
+
+    def start(self) -> None:
+        """Start the process with its output in `log_path`."""
+        with self.log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "bronzebeam", *self.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, **self.environment},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.running:
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def stop(self) -> None:
+        """Ask the process to end, and end it after a bound."""
+        if self._process is None:
+            return
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            self._process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time that the process has used."""
+        stat = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks = int(stat[11]) + int(stat[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def memory_mb(self) -> float:
+        """Return the resident memory of the process."""
+        for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
--- /dev/null
+++ b/src/bronzebeam/bench/suite.py
@@ -0,0 +1,16 @@
+"""The experiments of a bench run, in order."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from bronzebeam.bench.experiments import departures, fanout, hedging
+from bronzebeam.bench.figures import Figure
+
+Experiment = Callable[[], Awaitable[list[Figure]]]
+
+EXPERIMENTS: Final[dict[str, Experiment]] = {
+    "fanout": fanout.run,
+    "hedging": hedging.run,
+    "leaving": departures.run_leaving,
+    "killed": departures.run_killed,
+}
--- a/src/bronzebeam/cli.py
+++ b/src/bronzebeam/cli.py
@@ -3,9 +3,19 @@
 import click
 
 from bronzebeam import __version__
+from bronzebeam.cli_bench import bench
+from bronzebeam.cli_entry import entry
+from bronzebeam.cli_settings import settings
+from bronzebeam.cli_standin import standin
+from bronzebeam.cli_standin_backends import run_backends
 
 
 @click.group()
 @click.version_option(__version__)
 def main() -> None:
     """Run and operate a query tier in front of many shards."""
+
+
+standin.add_command(run_backends)
+for command in (bench, entry, settings, standin):
+    main.add_command(command)
--- /dev/null
+++ b/src/bronzebeam/cli_entry.py
@@ -0,0 +1,52 @@
+"""The command that runs the entry daemon."""
+
+import os
+import sys
+from pathlib import Path
+
+import anyio
+import click
+
+from bronzebeam.entry.daemon import Entry
+from bronzebeam.findings import FindingsError
+from bronzebeam.settings import EntrySettings, load_settings
+from bronzebeam.telemetry.logs import LogOutput
+
+EXIT_FINDINGS = 2
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="Settings file of this instance.",
+)
+@click.option("--no-hedging", is_flag=True, help="Baseline without hedges.")
+def entry(path: Path, no_hedging: bool) -> None:
+    """
+    Run the entry daemon until a planned stop.
+
+    Exit codes: 0 after a planned stop, 1 if requests were cut off at its bound,
+    2 if the settings have findings.
+    """
+    try:
+        settings = load_settings(path)
+    except FindingsError as error:
+        for finding in error.findings:
+            click.echo(str(finding), err=True)
+        sys.exit(EXIT_FINDINGS)
+    sys.exit(run_entry(settings, hedging=not no_hedging))
+
+
+def run_entry(settings: EntrySettings, *, hedging: bool) -> int:
+    """Run one entry on its own event loop and return the exit code."""
+    # The event loop's library must not use io_uring, which some instances forbid.
+    os.environ["UV_USE_IO_URING"] = "0"
+    output = LogOutput(entry=settings.instance)
+    daemon = Entry(settings=settings, hedging=hedging)
+    try:
+        return anyio.run(daemon.run, backend_options={"use_uvloop": True})
+    finally:
+        output.close()
--- /dev/null
+++ b/src/bronzebeam/controllers/extra_work.py
@@ -0,0 +1,87 @@
+"""Budgets and hedge delays of each service on this entry."""
+
+from attrs import define, field, frozen
+
+from bronzebeam.documents.model import HedgingSpec, ServiceSpec
+from bronzebeam.routing.budget import ExtraLoadBudget
+from bronzebeam.routing.hedging import (
+    FailureKind,
+    HedgeDelay,
+    SubRequestState,
+    Verdict,
+    allow_hedge,
+    allow_retry,
+    hedge_percentile,
+)
+
+
+@frozen(kw_only=True)
+class _ServiceState:
+    spec: HedgingSpec
+    budget: ExtraLoadBudget
+    delay: HedgeDelay
+
+
+@define(kw_only=True)
+class ServiceBudgets:
+    """
+    Implements `ExtraWork`; a changed hedging policy starts a fresh budget.
+
+    :ivar hedging: False switches hedges off, as the baseline of an experiment.
+    """
+
+    hedging: bool = True
+    _states: dict[str, _ServiceState] = field(factory=dict, init=False)
+
+    def hedge_delay_seconds(
+        self, service: ServiceSpec, now_seconds: float
+    ) -> float | None:
+        """Return how long a sub-request runs before a hedge; None for never."""
+        if not self.hedging:
+            return None
+        delay_ms = self._state(service).delay.delay_ms(now_seconds=now_seconds)
+        return delay_ms / 1000 if delay_ms is not None else None
+
+    def note_first(self, service: ServiceSpec, count: int, now_seconds: float) -> None:
+        """Count `count` first sub-requests."""
+        self._state(service).budget.count_firsts(count, now_seconds=now_seconds)
+
+    def note_latency(
+        self, service: ServiceSpec, latency_ms: float, now_seconds: float
+    ) -> None:
+        """Record the time that a first sub-request took or was waited for."""
+        delay = self._state(service).delay
+        delay.record(latency_ms=latency_ms, now_seconds=now_seconds)
+
+    def allow_hedge(
+        self, service: ServiceSpec, state: SubRequestState, now_seconds: float
+    ) -> bool:
+        """Decide on a hedge and take it from the budget."""
+        budget = self._state(service).budget
+        verdict = allow_hedge(state, budget=budget, now_seconds=now_seconds)
+        return verdict is Verdict.ALLOWED
+
+    def allow_retry(
+        self,
+        service: ServiceSpec,
+        state: SubRequestState,
+        failure: FailureKind,
+        now_seconds: float,
+    ) -> bool:
+        """Decide on a retry and take it from the budget."""
+        budget = self._state(service).budget
+        verdict = allow_retry(
+            state, failure=failure, budget=budget, now_seconds=now_seconds
+        )
+        return verdict is Verdict.ALLOWED
+
+    def _state(self, service: ServiceSpec) -> _ServiceState:
+        state = self._states.get(service.name)
+        if state is None or state.spec != service.hedging:
+            spec = service.hedging
+            state = self._states[service.name] = _ServiceState(
+                spec=spec,
+                budget=ExtraLoadBudget(extra_load_share=spec.extra_load_share),
+                delay=HedgeDelay(percentile=hedge_percentile(spec)),
+            )
+        return state
--- a/src/bronzebeam/controllers/membership.py
+++ b/src/bronzebeam/controllers/membership.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Final, Protocol
+from typing import Final
 
 import anyio
 from attrs import evolve
@@ -20,29 +20,31 @@
 )
 from bronzebeam.controllers.membership_view import (
     FleetPlan,
-    ListedInstance,
     MembershipView,
     build_plan,
 )
 from bronzebeam.controllers.news_outbox import NewsOutbox
 from bronzebeam.routing.dissemination import jittered, list_poll_seconds
 from bronzebeam.routing.membership_state import (
-    ENTRY_ROLE,
     MemberRecord,
     MemberState,
     bound_records,
     merge_records,
 )
+from bronzebeam.transport.instance_list import (
+    InstanceList,
+    InstanceListUnavailable,
+    InstanceRole,
+    InstanceState,
+    ListedInstance,
+)
 
 __all__ = [
     "ContactFailed",
     "ContactMade",
     "FleetPlan",
-    "InstanceList",
-    "InstanceListUnavailable",
     "InstancesListed",
     "LeaveFleet",
-    "ListedInstance",
     "MembershipController",
     "MembershipView",
     "RecordsArrived",
@@ -55,22 +57,6 @@
 LIST_RETRY_SECONDS: Final = 1.0
 POLLS_BEFORE_DOUBT: Final = 2
 MOST_FORWARDED_RECORDS: Final = 8
-LISTED_LIVE: Final = "live"
-
-
-class InstanceListUnavailable(Exception):
-    """The instance list did not answer."""
-
-
-class InstanceList(Protocol):
-    """The platform's list of instances, which lags."""
-
-    async def fetch(self) -> tuple[ListedInstance, ...]:
-        """
-        Read the list.
-
-        :raises InstanceListUnavailable: if no answer comes.
-        """
 
 
 class MembershipController(Controller[MembershipMessage]):
@@ -182,12 +168,12 @@
         return evolve(own, incarnation=heard.incarnation + 1)
 
     def _take_list(self, instances: tuple[ListedInstance, ...]) -> None:
-        entries = [item for item in instances if item.role == ENTRY_ROLE]
+        entries = [item for item in instances if item.role is InstanceRole.ENTRY]
         names = {item.instance for item in entries}
         listed = {
             item.instance: _listed_record(item)
             for item in entries
-            if item.state == LISTED_LIVE
+            if item.state is InstanceState.LIVE
         }
         self._missed_polls = {
             name: self._missed_polls.get(name, 0) + 1
@@ -260,7 +246,7 @@
         incarnation=0,
         state=MemberState.LIVE,
         address=item.address,
-        peer_address=item.peer_address,
+        peer_address=item.peer_address or "",
         failure_domain=item.failure_domain,
     )
 
--- a/src/bronzebeam/controllers/membership_messages.py
+++ b/src/bronzebeam/controllers/membership_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from bronzebeam.controllers.membership_view import ListedInstance
 from bronzebeam.routing.membership_state import MemberRecord
+from bronzebeam.transport.instance_list import ListedInstance
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/bronzebeam/controllers/membership_view.py
+++ b/src/bronzebeam/controllers/membership_view.py
@@ -15,31 +15,11 @@
 )
 from bronzebeam.routing.rendezvous import rank_members
 from bronzebeam.routing.watchers import WATCH_KEY, choose_standby, choose_watchers
+from bronzebeam.transport.instance_list import ListedInstance
 
 RANKED_MEMBERS: Final = 64
 
 
-@frozen(kw_only=True)
-class ListedInstance:
-    """
-    One line of the platform's instance list.
-
-    :ivar role: `entry`, or what a backend server is.
-    :ivar service: service of a backend server; empty for an entry.
-    :ivar address: host and port that requests go to.
-    :ivar peer_address: host and port of the peer protocol; empty for others.
-    :ivar state: `live` or `leaving`.
-    """
-
-    instance: str
-    role: str
-    service: str
-    address: str
-    peer_address: str
-    failure_domain: str
-    state: str
-
-
 @frozen(kw_only=True)
 class FleetPlan:
     """
--- /dev/null
+++ b/src/bronzebeam/entry/asgi.py
@@ -0,0 +1,59 @@
+"""Small helpers for the ASGI interface of the HTTP server."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class BodyTooLarge(Exception):
+    """The request body exceeds its bound."""
+
+
+class CallerLeft(Exception):
+    """The caller closed the connection before its request was whole."""
+
+
+async def read_body(receive: Receive, *, most_bytes: int) -> bytes:
+    """
+    Read the whole request body.
+
+    :raises BodyTooLarge: once more than `most_bytes` have come.
+    :raises CallerLeft: if the connection ended first.
+    """
+    parts: list[bytes] = []
+    size_bytes = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerLeft
+        part = message.get("body", b"")
+        size_bytes += len(part)
+        if size_bytes > most_bytes:
+            raise BodyTooLarge
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def send_response(
+    send: Send, *, status: int, headers: Iterable[tuple[str, str]], body: bytes
+) -> None:
+    """Send a whole response."""
+    encoded = [(name.encode(), value.encode()) for name, value in headers]
+    encoded.append((b"content-length", str(len(body)).encode()))
+    await send({"type": "http.response.start", "status": status, "headers": encoded})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def answer_lifespan(receive: Receive, send: Send) -> None:
+    """Acknowledge the server's start and stop messages."""
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        else:
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- /dev/null
+++ b/src/bronzebeam/entry/lifecycle.py
@@ -0,0 +1,66 @@
+"""The life of an entry process: starting, ready, draining, ended."""
+
+from enum import Enum
+from typing import Final
+
+import anyio
+from attrs import define, field
+
+from bronzebeam.clock import Clock
+from bronzebeam.settings import DrainSettings
+from bronzebeam.telemetry.logs import log_event
+
+POLL_SECONDS: Final = 0.05
+
+
+class Phase(Enum):
+    """Phases in the order they are passed."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    ENDED = "ended"
+
+
+@define(kw_only=True, eq=False)
+class Lifecycle:
+    """
+    Counts requests in flight and carries out the planned stop.
+
+    :ivar in_flight: callers' requests taken in and not yet answered.
+    :ivar cut_off: requests still in flight when the bound of the stop passed.
+    """
+
+    drain_settings: DrainSettings
+    clock: Clock
+    phase: Phase = Phase.SERVING
+    in_flight: int = 0
+    cut_off: int = 0
+    _ended: anyio.Event = field(factory=anyio.Event, init=False)
+
+    @property
+    def draining(self) -> bool:
+        return self.phase is not Phase.SERVING
+
+    async def wait_ended(self) -> None:
+        """Wait until the servers are to stop."""
+        await self._ended.wait()
+
+    async def drain(self) -> None:
+        """
+        Carry out the planned stop.
+
+        The process is not ready at once, goes on serving while the balancer
+        notices, then waits for requests in flight up to the bound.
+        """
+        started = self.clock.monotonic_seconds()
+        self.phase = Phase.DRAINING
+        log_event("drain_started", in_flight=self.in_flight)
+        bound_at = started + self.drain_settings.bound_ms / 1000
+        await anyio.sleep(self.drain_settings.lag_ms / 1000)
+        while self.in_flight and self.clock.monotonic_seconds() < bound_at:
+            await anyio.sleep(POLL_SECONDS)
+        self.cut_off = self.in_flight
+        self.phase = Phase.ENDED
+        elapsed_ms = round((self.clock.monotonic_seconds() - started) * 1000)
+        log_event("drain_ended", cut_off=self.cut_off, elapsed_ms=elapsed_ms)
+        self._ended.set()
--- /dev/null
+++ b/src/bronzebeam/entry/relay.py
@@ -0,0 +1,46 @@
+"""Passes what the fleet's controllers publish on to the controllers that route."""
+
+from typing import Final
+
+import anyio
+from attrs import define, field
+
+from bronzebeam.controllers.backends import (
+    Backends,
+    DocumentInForce,
+    InstancesListed,
+)
+from bronzebeam.documents.model import AcceptedDocument
+from bronzebeam.entry.fleet import Fleet
+from bronzebeam.transport.instance_list import InstanceRole, ListedInstance
+
+CHECK_SECONDS: Final = 0.05
+
+
+@define(kw_only=True, eq=False)
+class Relay:
+    """Looks for a new document or instance list at short intervals."""
+
+    fleet: Fleet
+    backends: Backends
+    _document: AcceptedDocument | None = field(default=None, init=False)
+    _listed: tuple[ListedInstance, ...] = field(default=(), init=False)
+
+    async def run(self) -> None:
+        """Relay until cancelled."""
+        while True:
+            self._relay()
+            await anyio.sleep(CHECK_SECONDS)
+
+    def _relay(self) -> None:
+        document = self.fleet.document()
+        if document is not None and document is not self._document:
+            self._document = document
+            self.backends.post(DocumentInForce(document=document.document))
+        listed = self.fleet.membership.view.listed
+        if listed is not self._listed:
+            self._listed = listed
+            servers = tuple(
+                item for item in listed if item.role is InstanceRole.BACKEND
+            )
+            self.backends.post(InstancesListed(instances=servers))
--- /dev/null
+++ b/src/bronzebeam/entry/server.py
@@ -0,0 +1,36 @@
+"""HTTP servers of a process, by hypercorn."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, cast
+
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+KEEP_ALIVE_SECONDS: Final = 75.0
+BACKLOG: Final = 512
+
+Application = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+async def serve_http(
+    app: Application,
+    *,
+    bind: str,
+    stop: Callable[[], Awaitable[None]],
+    graceful_seconds: float,
+) -> None:
+    """
+    Serve `app` until `stop` returns, then let running requests finish.
+
+    :param bind: IP number and port.
+    :param graceful_seconds: bound of the time that running requests get.
+    """
+    config = Config()
+    config.bind = [bind]
+    config.accesslog = None
+    config.errorlog = None
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.graceful_timeout = graceful_seconds
+    config.shutdown_timeout = graceful_seconds
+    await serve(cast(Any, app), config, shutdown_trigger=cast(Any, stop))
--- /dev/null
+++ b/src/bronzebeam/filters/dispatch.py
@@ -0,0 +1,126 @@
+"""Sending attempts: choice of the replica, hedges, retries, cancellation."""
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from attrs import frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.filters.attempt_outcomes import surely_not_run
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.filters.policy import ExtraWork, KillerWatch
+from bronzebeam.filters.reach import Reach
+from bronzebeam.routing.choice import choose_replica
+from bronzebeam.routing.hedging import (
+    FailureKind,
+    SubRequestState,
+    replicas_to_exclude,
+)
+from bronzebeam.transport.attempt import Attempt, AttemptLost, AttemptOutcome
+from bronzebeam.transport.link import Link
+
+EXPECTED_LEAST_MS: Final = 1.0
+MS_PER_SECOND: Final = 1_000.0
+
+
+@frozen(kw_only=True)
+class Chosen:
+    """A replica chosen for an attempt, and the way to it."""
+
+    replica: str
+    link: Link
+
+
+@frozen(kw_only=True)
+class Dispatcher:
+    """
+    What the runs of searches and calls share.
+
+    :ivar failure_domain: failure domain of this entry, preferred for replicas.
+    """
+
+    reach: Reach
+    extra: ExtraWork
+    killers: KillerWatch
+    clock: Clock
+    rng: random.Random
+    failure_domain: str
+
+    def choose(self, *, replicas: Iterable[str], tried: Sequence[str]) -> Chosen | None:
+        """Choose a replica for the next attempt; None if none may take it."""
+        views = [view for view in map(self.reach.view, replicas) if view is not None]
+        usable = sum(not view.leaving for view in views)
+        choice = choose_replica(
+            candidates=views,
+            own_failure_domain=self.failure_domain,
+            excluded=replicas_to_exclude(tried=tried, replicas=usable),
+            rng=self.rng,
+        )
+        if choice is None:
+            return None
+        link = self.reach.link(choice.replica)
+        return Chosen(replica=choice.replica, link=link) if link is not None else None
+
+    def may_hedge(
+        self, request: CallerRequest, *, replicas: Sequence[str], tried: Sequence[str]
+    ) -> bool:
+        """Decide on a hedge, and take it from the service's budget."""
+        now = self.clock.monotonic_seconds()
+        state = self._state(request, replicas, tried, now)
+        return self.extra.allow_hedge(request.service, state, now)
+
+    def may_retry(
+        self,
+        request: CallerRequest,
+        outcome: AttemptOutcome,
+        *,
+        replicas: Sequence[str],
+        tried: Sequence[str],
+    ) -> bool:
+        """Decide on a retry, and take it from the service's budget."""
+        now = self.clock.monotonic_seconds()
+        if self.killers.release_ms(request.fingerprint, now) is not None:
+            return False
+        state = self._state(request, replicas, tried, now)
+        failure = _failure_kind(outcome)
+        return self.extra.allow_retry(request.service, state, failure, now)
+
+    def note_waited(self, request: CallerRequest, attempt: Attempt) -> None:
+        """Record how long a first attempt took or was waited for."""
+        if attempt.hedge or attempt.sent_at_seconds is None:
+            return
+        now = self.clock.monotonic_seconds()
+        waited_ms = (now - attempt.sent_at_seconds) * MS_PER_SECOND
+        self.extra.note_latency(request.service, waited_ms, now)
+
+    def cancel(self, attempts: Iterable[Attempt]) -> None:
+        """Give up attempts that are still running."""
+        for attempt in attempts:
+            link = self.reach.link(attempt.replica)
+            if link is not None:
+                link.cancel(attempt)
+            attempt.abandoned = True
+
+    def _state(
+        self,
+        request: CallerRequest,
+        replicas: Sequence[str],
+        tried: Sequence[str],
+        now: float,
+    ) -> SubRequestState:
+        remaining_ms = (request.deadline_at_seconds - now) * MS_PER_SECOND
+        return SubRequestState(
+            idempotent=request.idempotent,
+            solo=request.solo,
+            attempts=len(tried),
+            other_replicas=sum(name != tried[-1] for name in replicas),
+            remaining_ms=remaining_ms,
+            expected_ms=EXPECTED_LEAST_MS,
+        )
+
+
+def _failure_kind(outcome: AttemptOutcome) -> FailureKind:
+    if isinstance(outcome, AttemptLost) and not outcome.sent:
+        return FailureKind.NOT_SENT
+    return FailureKind.NOT_RUN if surely_not_run(outcome) else FailureKind.UNKNOWN
--- /dev/null
+++ b/src/bronzebeam/filters/search.py
@@ -0,0 +1,122 @@
+"""The end of the chain for searches: one run over one snapshot, restarted whole."""
+
+from typing import Any, Final
+
+from attrs import define
+
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.filters.dispatch import Dispatcher
+from bronzebeam.filters.search_run import SearchResult, SearchRun
+from bronzebeam.outcomes import Answered, Coverage, NotRun, Outcome, Partial, Refused
+from bronzebeam.reasons import Reason
+from bronzebeam.routing.coverage import required_shards
+from bronzebeam.routing.snapshots import Snapshot
+
+RESTART_LEAST_SECONDS: Final = 0.02
+RESTARTS_MOST: Final = 3
+RETRY_AFTER_MS: Final = 1_000
+
+
+@define(kw_only=True)
+class SearchHandler:
+    """Answers a search from one snapshot."""
+
+    dispatcher: Dispatcher
+
+    async def handle(self, request: CallerRequest) -> Outcome:
+        """
+        Answer `request`, restarting at a newer snapshot if its own vanishes.
+
+        A restart drops every reply of the earlier run, so that no answer mixes
+        index versions.
+        """
+        snapshot = self.dispatcher.reach.snapshot(request.service.name)
+        if snapshot is None:
+            return _no_replica()
+        result = await self._run(request, snapshot)
+        for _ in range(RESTARTS_MOST):
+            newer = self.dispatcher.reach.snapshot(request.service.name)
+            if not self._restart_pays(request, result, newer):
+                break
+            assert newer is not None
+            result = await self._run(request, newer)
+        return self._outcome(request, result)
+
+    async def _run(self, request: CallerRequest, snapshot: Snapshot) -> SearchResult:
+        run = SearchRun(request=request, snapshot=snapshot, dispatcher=self.dispatcher)
+        return await run.run()
+
+    def _restart_pays(
+        self, request: CallerRequest, result: SearchResult, newer: Snapshot | None
+    ) -> bool:
+        remaining = (
+            request.deadline_at_seconds - self.dispatcher.clock.monotonic_seconds()
+        )
+        return (
+            result.version_gone
+            and newer is not None
+            and newer.index_version != result.coverage.index_version
+            and remaining > RESTART_LEAST_SECONDS
+        )
+
+    def _outcome(self, request: CallerRequest, result: SearchResult) -> Outcome:
+        coverage = result.coverage
+        now = self.dispatcher.clock.monotonic_seconds()
+        release_ms = self.dispatcher.killers.release_ms(request.fingerprint, now)
+        if release_ms is not None and not coverage.complete:
+            return Refused(
+                reason=Reason.QUARANTINED,
+                retry_after_ms=release_ms,
+                detail="backend servers were lost while they ran this request",
+                ran=True,
+                coverage=coverage,
+            )
+        if coverage.complete:
+            return Answered(result=_merge(request, result), coverage=coverage)
+        if not result.sent:
+            return _not_sent(coverage)
+        return _below_or_partial(request, result)
+
+
+def _below_or_partial(request: CallerRequest, result: SearchResult) -> Outcome:
+    coverage = result.coverage
+    required = required_shards(request.service.coverage, coverage.shard_count)
+    if len(coverage.included) < required:
+        return Refused(
+            reason=Reason.BELOW_MINIMUM_COVERAGE,
+            retry_after_ms=RETRY_AFTER_MS,
+            detail=f"{len(coverage.included)} of {coverage.shard_count} shards came",
+            ran=True,
+            coverage=coverage,
+        )
+    return Partial(result=_merge(request, result), coverage=coverage)
+
+
+def _merge(request: CallerRequest, result: SearchResult) -> list[Any]:
+    """Merge the shards' hits, the highest score first, cut to the query's limit."""
+    hits = [hit for shard_hits in result.hits for hit in shard_hits]
+    hits.sort(key=_score, reverse=True)
+    limit = request.payload.get("limit") if isinstance(request.payload, dict) else None
+    return hits[:limit] if isinstance(limit, int) and limit >= 0 else hits
+
+
+def _score(hit: Any) -> float:
+    score = hit.get("score", 0.0) if isinstance(hit, dict) else 0.0
+    return float(score) if isinstance(score, (int, float)) else 0.0
+
+
+def _no_replica() -> Outcome:
+    return NotRun(
+        reason=Reason.NO_REPLICA,
+        retry_after_ms=RETRY_AFTER_MS,
+        detail="no replica of the service holds an index version",
+    )
+
+
+def _not_sent(coverage: Coverage) -> Outcome:
+    reasons = sorted({missing.reason for missing in coverage.missing})
+    return NotRun(
+        reason=Reason(reasons[0]),
+        retry_after_ms=RETRY_AFTER_MS,
+        detail="no backend server was sent the request",
+    )
--- a/src/bronzebeam/findings.py
+++ b/src/bronzebeam/findings.py
@@ -21,6 +21,10 @@
         return f"{self.place or '/'}: {self.message}"
 
 
+def _as_tuple(findings: Iterable[Finding]) -> tuple[Finding, ...]:
+    return tuple(findings)
+
+
 @frozen(kw_only=True)
 class FindingsError(Exception):
     """
@@ -31,7 +35,7 @@
     """
 
     subject: str
-    findings: tuple[Finding, ...] = field(converter=tuple)
+    findings: tuple[Finding, ...] = field(converter=_as_tuple)
 
     def __str__(self) -> str:
         return f"{self.subject}: " + "; ".join(map(str, self.findings))
--- a/src/bronzebeam/outcomes.py
+++ b/src/bronzebeam/outcomes.py
@@ -94,6 +94,7 @@
     The request is held off by policy, for instance while it is quarantined.
 
     :ivar ran: whether parts of it may have run before the refusal.
+    :ivar coverage: what a search had reached, if it got so far.
     """
 
     tag: ClassVar[str] = "refused"
@@ -101,6 +102,7 @@
     retry_after_ms: int | None = None
     detail: str = ""
     ran: bool = False
+    coverage: Coverage | None = None
 
 
 Outcome = Answered | Partial | NotRun | OutcomeUnknown | Refused
--- a/src/bronzebeam/routing/membership_state.py
+++ b/src/bronzebeam/routing/membership_state.py
@@ -11,7 +11,6 @@
 MOST_GONE_RECORDS: Final = 512
 BUCKETS: Final = 64
 BUCKET_DIGEST_BYTES: Final = 4
-ENTRY_ROLE: Final = "entry"
 
 
 class MemberState(Enum):
--- a/src/bronzebeam/settings.py
+++ b/src/bronzebeam/settings.py
@@ -6,7 +6,7 @@
 from functools import cache
 from importlib.resources import files
 from pathlib import Path
-from typing import Any, Final, cast
+from typing import Any, Final
 from urllib.parse import urlsplit
 
 import orjson
@@ -138,8 +138,7 @@
 
 
 def _error(subject: str, findings: tuple[Finding, ...]) -> FindingsError:
-    # mypy cannot infer the argument type of the field's converter.
-    return FindingsError(subject=subject, findings=cast(Any, findings))
+    return FindingsError(subject=subject, findings=findings)
 
 
 @cache
--- /dev/null
+++ b/src/bronzebeam/standins/backend.py
@@ -0,0 +1,325 @@
+"""A stand-in of a backend server, with fault switches and a history of its runs."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+import anyio
+import h11
+import orjson
+from anyio.abc import SocketStream
+from attrs import define, field
+
+READ_BYTES: Final = 65_536
+STATUS_OK: Final = 200
+STATUS_CONFLICT: Final = 409
+STATUS_UNAVAILABLE: Final = 503
+
+
+@define(kw_only=True)
+class BackendFaults:
+    """
+    Behaviour of the stand-in; each field can be set by `POST /faults`.
+
+    :ivar service_ms: mean service time of a request.
+    :ivar slow_share: share of requests that take `slow_factor` times as long.
+    :ivar cold_ms: time after the start during which requests take `cold_factor`
+        times as long.
+    :ivar queue: requests that may wait for a slot; more are shed.
+    :ivar silent: open connections answer nothing while new ones work.
+    :ivar frozen: nothing answers.
+    :ivar lie_healthy: the status reply denies draining and load.
+    :ivar truncate_share: share of replies that end early as valid HTTP.
+    :ivar swap_share: share of replies that carry another request's identifier.
+    """
+
+    service_ms: float = 5.0
+    slow_share: float = 0.0
+    slow_factor: float = 20.0
+    cold_ms: float = 0.0
+    cold_factor: float = 5.0
+    connect_ms: float = 6.0
+    queue: int = 50
+    draining: bool = False
+    silent: bool = False
+    frozen: bool = False
+    lie_healthy: bool = False
+    truncate_share: float = 0.0
+    swap_share: float = 0.0
+
+
+@define(kw_only=True, eq=False)
+class BackendStandin:
+    """
+    One backend server.
+
+    :ivar holdings: rows of index version, shard and shard count; empty for a call
+        service.
+    """
+
+    name: str
+    slots: int = 2
+    connections: int = 25
+    holdings: list[list[int]] = field(factory=list)
+    faults: BackendFaults = field(factory=BackendFaults)
+    rng: random.Random = field(factory=lambda: random.Random(1))
+    exit_on_crash: Callable[[], None] | None = None
+    history: list[dict[str, Any]] = field(factory=list, init=False)
+    crashed: bool = field(default=False, init=False)
+    open_connections: int = field(default=0, init=False)
+    most_connections: int = field(default=0, init=False)
+    in_flight: int = field(default=0, init=False)
+    shed: int = field(default=0, init=False)
+    _running: dict[str, anyio.CancelScope] = field(factory=dict, init=False)
+    _silenced: set[int] = field(factory=set, init=False)
+    _scope: anyio.CancelScope | None = field(default=None, init=False)
+
+    async def serve(
+        self, address: str, port: int, *, started: Callable[[int], None] | None = None
+    ) -> None:
+        """Serve until cancelled or crashed; `started` gets the bound port."""
+        self._slots = anyio.CapacityLimiter(self.slots)
+        self._started_at = anyio.current_time()
+        listener = await anyio.create_tcp_listener(local_host=address, local_port=port)
+        if started is not None:
+            started(int(listener.extra(anyio.abc.SocketAttribute.local_port)))
+        with anyio.CancelScope() as self._scope:
+            async with listener:
+                await listener.serve(self._serve_connection)
+
+    _slots: anyio.CapacityLimiter = field(init=False)
+    _started_at: float = field(default=0.0, init=False)
+
+    def crash(self) -> None:
+        """Drop the listener and every connection without a word."""
+        self.crashed = True
+        if self.exit_on_crash is not None:
+            self.exit_on_crash()
+        if self._scope is not None:
+            self._scope.cancel()
+
+    async def _serve_connection(self, stream: SocketStream) -> None:
+        async with stream:
+            if self.open_connections >= self.connections:
+                return
+            self.open_connections += 1
+            self.most_connections = max(self.most_connections, self.open_connections)
+            try:
+                await anyio.sleep(self.faults.connect_ms / 1000)
+                await self._serve_requests(stream)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                pass
+            except h11.RemoteProtocolError:
+                pass
+            finally:
+                self.open_connections -= 1
+
+    async def _serve_requests(self, stream: SocketStream) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            request, body = await _read_request(connection, stream)
+            if request is None:
+                return
+            if self.faults.silent:
+                self._silenced.add(id(stream))
+            if self.faults.frozen or id(stream) in self._silenced:
+                await anyio.sleep_forever()
+            status, value = await self._answer(request, body)
+            await stream.send(_encode(connection, status, self._damage(value)))
+            if connection.our_state is h11.MUST_CLOSE:
+                return
+            connection.start_next_cycle()
+
+    def _damage(self, value: dict[str, Any]) -> bytes:
+        if "request_id" in value and self.rng.random() < self.faults.swap_share:
+            value = value | {"request_id": "another-request"}
+        content = orjson.dumps(value)
+        if self.rng.random() < self.faults.truncate_share:
+            content = content[: len(content) // 2]
+        return content
+
+    async def _answer(
+        self, request: h11.Request, body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        target = request.target.decode()
+        value = orjson.loads(body) if body else {}
+        headers = {key: text.decode() for key, text in request.headers}
+        request_id = headers.get(b"x-request-id", "")
+        if target == "/status":
+            return STATUS_OK, self._reply(request_id, result=None, honest=False)
+        if target == "/cancel":
+            return STATUS_OK, self._cancel(request_id, value)
+        if target == "/faults":
+            return STATUS_OK, self._set_faults(value)
+        if target == "/history":
+            return STATUS_OK, self._report()
+        return await self._admit(target, request_id, value, headers)
+
+    async def _admit(
+        self,
+        target: str,
+        request_id: str,
+        value: dict[str, Any],
+        headers: dict[bytes, str],
+    ) -> tuple[int, dict[str, Any]]:
+        if self.faults.draining:
+            return self._not_run(request_id, "draining")
+        if self.in_flight >= self.slots + self.faults.queue:
+            self.shed += 1
+            return self._not_run(request_id, "overloaded")
+        held = target != "/search" or any(
+            row[:2] == [value["index_version"], value["shard"]] for row in self.holdings
+        )
+        if not held:
+            return self._not_run(request_id, "version_gone", STATUS_CONFLICT)
+        deadline_ms = float(headers.get(b"x-deadline-ms", "60000"))
+        return await self._run(target, request_id, value, deadline_ms)
+
+    async def _run(
+        self, target: str, request_id: str, value: dict[str, Any], deadline_ms: float
+    ) -> tuple[int, dict[str, Any]]:
+        self.in_flight += 1
+        row: dict[str, Any] = {"request_id": request_id, "ran": False}
+        try:
+            with anyio.move_on_after(deadline_ms / 1000) as scope:
+                self._running[request_id] = scope
+                async with self._slots:
+                    self._note_run(row, target, value)
+                    await anyio.sleep(self._service_seconds())
+                    row["done"] = True
+        finally:
+            self._running.pop(request_id, None)
+            self.in_flight -= 1
+        if scope.cancelled_caught:
+            return self._not_run(request_id, "cancelled", ran=row["ran"])
+        return STATUS_OK, self._reply(request_id, **self._result(target, value))
+
+    def _note_run(
+        self, row: dict[str, Any], target: str, value: dict[str, Any]
+    ) -> None:
+        row |= {
+            "ran": True,
+            "done": False,
+            "at_seconds": anyio.current_time(),
+            "target": target,
+            "key": value.get("idempotency_key"),
+            "index_version": value.get("index_version"),
+            "shard": value.get("shard"),
+        }
+        self.history.append(row)
+        payload = value.get("query", value.get("payload"))
+        if isinstance(payload, dict) and payload.get("crash"):
+            self.crash()
+
+    def _service_seconds(self) -> float:
+        faults = self.faults
+        service_ms = faults.service_ms * self.rng.uniform(0.8, 1.2)
+        if self.rng.random() < faults.slow_share:
+            service_ms *= faults.slow_factor
+        if (anyio.current_time() - self._started_at) * 1000 < faults.cold_ms:
+            service_ms *= faults.cold_factor
+        return service_ms / 1000
+
+    def _result(self, target: str, value: dict[str, Any]) -> dict[str, Any]:
+        if target != "/search":
+            return {"result": {"ran_by": self.name, "operation": value["operation"]}}
+        version, shard = value["index_version"], value["shard"]
+        shard_count = next(
+            (row[2] for row in self.holdings if row[:2] == [version, shard]), 0
+        )
+        hits = [
+            {"id": f"{version}-{shard}-{number}", "score": 1 / (number + 1)}
+            for number in range(3)
+        ]
+        return {
+            "result": hits,
+            "index_version": version,
+            "shard": shard,
+            "shard_count": shard_count,
+        }
+
+    def _reply(
+        self, request_id: str, *, honest: bool = True, **fields: Any
+    ) -> dict[str, Any]:
+        lie = self.faults.lie_healthy and not honest
+        return {
+            "request_id": request_id,
+            "load": {
+                "in_flight": 0 if lie else self.in_flight,
+                "draining": self.faults.draining and not lie,
+            },
+            "holdings": self.holdings,
+            **fields,
+        }
+
+    def _not_run(
+        self,
+        request_id: str,
+        error: str,
+        status: int = STATUS_UNAVAILABLE,
+        ran: bool = False,
+    ) -> tuple[int, dict[str, Any]]:
+        return status, self._reply(request_id, error=error, ran=ran)
+
+    def _cancel(self, request_id: str, value: dict[str, Any]) -> dict[str, Any]:
+        scope = self._running.get(value["request_id"])
+        if scope is not None:
+            scope.cancel()
+        return self._reply(request_id, result={"cancelled": scope is not None})
+
+    def _set_faults(self, value: dict[str, Any]) -> dict[str, Any]:
+        if "holdings" in value:
+            self.holdings = value.pop("holdings")
+        if value.pop("crash", False):
+            self.crash()
+        for name, setting in value.items():
+            setattr(self.faults, name, setting)
+        if not self.faults.silent:
+            self._silenced.clear()
+        return {"ok": True}
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "name": self.name,
+            "runs": self.history,
+            "shed": self.shed,
+            "most_connections": self.most_connections,
+        }
+
+
+async def _read_request(
+    connection: h11.Connection, stream: SocketStream
+) -> tuple[h11.Request | None, bytes]:
+    request: h11.Request | None = None
+    body = b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                connection.receive_data(await stream.receive(READ_BYTES))
+            except anyio.EndOfStream:
+                connection.receive_data(b"")
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return request, body
+        else:
+            return None, b""
+
+
+def _encode(connection: h11.Connection, status: int, content: bytes) -> bytes:
+    head = h11.Response(
+        status_code=status,
+        headers=[
+            ("content-type", "application/json"),
+            ("content-length", str(len(content))),
+        ],
+    )
+    parts = [
+        connection.send(head),
+        connection.send(h11.Data(data=content)),
+        connection.send(h11.EndOfMessage()),
+    ]
+    return b"".join(part for part in parts if part)
--- /dev/null
+++ b/src/bronzebeam/transport/attempt.py
@@ -0,0 +1,63 @@
+"""An attempt: one sub-request handed to a connection, and what came of it."""
+
+from collections.abc import Callable
+from typing import Any, Literal
+
+from attrs import define, field, frozen
+
+from bronzebeam.transport.backend_protocol import ParsedReply
+from bronzebeam.transport.channel import Headers
+
+LostReason = Literal["connection_lost", "no_connection", "timeout"]
+
+
+@frozen(kw_only=True)
+class AttemptLost:
+    """
+    No reply came.
+
+    :ivar sent: whether a byte of the request may have left.
+    """
+
+    reason: LostReason
+    sent: bool
+
+
+AttemptOutcome = ParsedReply | AttemptLost
+
+
+@define(kw_only=True, eq=False)
+class Attempt:
+    """
+    One sub-request to one replica.
+
+    :ivar shard: shard asked, or 0 for a call.
+    :ivar deadline_at_seconds: monotonic time at which the asker gives up.
+    :ivar fingerprint: fingerprint of the caller's request; empty for a probe.
+    :ivar on_result: called once in the event loop, never after `abandoned`.
+    :ivar sent_at_seconds: set when the first byte may leave.
+    """
+
+    request_id: str
+    replica: str
+    path: str
+    body: bytes
+    headers: Headers = ()
+    shard: int = 0
+    deadline_at_seconds: float
+    fingerprint: str = ""
+    idempotent: bool = True
+    hedge: bool = False
+    on_result: Callable[["Attempt", AttemptOutcome], None] | None = None
+    sent_at_seconds: float | None = None
+    finished: bool = False
+    abandoned: bool = False
+    context: Any = field(default=None)
+
+    def finish(self, outcome: AttemptOutcome) -> None:
+        """Report `outcome` to the asker unless it has left."""
+        if self.finished:
+            return
+        self.finished = True
+        if self.on_result is not None and not self.abandoned:
+            self.on_result(self, outcome)
--- /dev/null
+++ b/src/bronzebeam/transport/backend_protocol.py
@@ -0,0 +1,171 @@
+"""The backend servers' HTTP interface as typed messages."""
+
+from typing import Any, Final, Literal, cast
+
+import orjson
+from attrs import frozen
+
+from bronzebeam.routing.snapshots import ReplicaHolding
+
+SEARCH_PATH: Final = "/search"
+CALL_PATH: Final = "/call"
+CANCEL_PATH: Final = "/cancel"
+STATUS_PATH: Final = "/status"
+REQUEST_ID_HEADER: Final = b"x-request-id"
+DEADLINE_HEADER: Final = b"x-deadline-ms"
+STATUS_OK: Final = 200
+STATUS_CONFLICT: Final = 409
+STATUS_UNAVAILABLE: Final = 503
+
+NotRunReason = Literal["overloaded", "draining", "version_gone", "cancelled"]
+
+
+@frozen(kw_only=True)
+class BackendLoad:
+    """
+    A backend server's own word on its load.
+
+    :ivar in_flight: requests running or queued there, from all entries.
+    :ivar draining: it is leaving and takes no new work.
+    """
+
+    in_flight: int = 0
+    draining: bool = False
+
+
+@frozen(kw_only=True)
+class BackendReply:
+    """
+    A whole reply that echoes the request identifier.
+
+    :ivar result: hits of a search or result of a call; None for a status reply.
+    :ivar holdings: index versions and shards that the backend server holds.
+    """
+
+    result: Any
+    load: BackendLoad
+    holdings: tuple[ReplicaHolding, ...] = ()
+    index_version: int | None = None
+    shard: int | None = None
+    shard_count: int | None = None
+
+
+@frozen(kw_only=True)
+class BackendDidNotRun:
+    """The backend server's own word that it did not run the request."""
+
+    reason: NotRunReason
+    load: BackendLoad
+    holdings: tuple[ReplicaHolding, ...] = ()
+    retry_after_ms: int | None = None
+
+
+@frozen(kw_only=True)
+class BackendFailed:
+    """The backend server ran the request and reports an error of its own."""
+
+    status: int
+
+
+@frozen(kw_only=True)
+class BadReply:
+    """
+    A reply that must not be used.
+
+    :ivar reason: `truncated_reply` if it is no whole JSON object, `wrong_reply` if
+        it belongs to another request.
+    """
+
+    reason: Literal["truncated_reply", "wrong_reply"]
+
+
+ParsedReply = BackendReply | BackendDidNotRun | BackendFailed | BadReply
+
+
+def encode_search(
+    *, request_id: str, index_version: int, shard: int, query: Any
+) -> Any:
+    """Build the body of a search sub-request."""
+    return orjson.dumps(
+        {
+            "request_id": request_id,
+            "index_version": index_version,
+            "shard": shard,
+            "query": query,
+        }
+    )
+
+
+def encode_call(
+    *, request_id: str, operation: str, payload: Any, idempotency_key: str | None
+) -> bytes:
+    """Build the body of a call."""
+    return orjson.dumps(
+        {
+            "request_id": request_id,
+            "operation": operation,
+            "payload": payload,
+            "idempotency_key": idempotency_key,
+        }
+    )
+
+
+def encode_cancel(*, request_id: str) -> bytes:
+    """Build the body that cancels a running request."""
+    return orjson.dumps({"request_id": request_id})
+
+
+def parse_reply(
+    *, replica: str, request_id: str, status: int, body: bytes
+) -> ParsedReply:
+    """
+    Check a reply and turn it into a typed message.
+
+    :param request_id: what the reply must echo.
+    """
+    try:
+        value = orjson.loads(body)
+        return _parse_object(replica, request_id, status, value)
+    except (ValueError, KeyError, TypeError):
+        return BadReply(reason="truncated_reply")
+
+
+def _parse_object(
+    replica: str, request_id: str, status: int, value: Any
+) -> ParsedReply:
+    if value["request_id"] != request_id:
+        return BadReply(reason="wrong_reply")
+    load = BackendLoad(
+        in_flight=int(value["load"]["in_flight"]),
+        draining=bool(value["load"]["draining"]),
+    )
+    holdings = _parse_holdings(replica, value.get("holdings", ()))
+    if status in (STATUS_UNAVAILABLE, STATUS_CONFLICT) and value.get("ran") is False:
+        return BackendDidNotRun(
+            reason=cast(NotRunReason, str(value["error"])),
+            load=load,
+            holdings=holdings,
+            retry_after_ms=value.get("retry_after_ms"),
+        )
+    if status != STATUS_OK:
+        return BackendFailed(status=status)
+    return BackendReply(
+        result=value["result"],
+        load=load,
+        holdings=holdings,
+        index_version=value.get("index_version"),
+        shard=value.get("shard"),
+        shard_count=value.get("shard_count"),
+    )
+
+
+def _parse_holdings(replica: str, rows: Any) -> tuple[ReplicaHolding, ...]:
+    return tuple(
+        ReplicaHolding(
+            replica=replica,
+            index_version=int(version),
+            shard=int(shard),
+            shard_count=int(shard_count),
+        )
+        for version, shard, shard_count in rows
+    )
--- /dev/null
+++ b/src/bronzebeam/transport/channel.py
@@ -0,0 +1,121 @@
+"""One connection to a backend server."""
+
+import socket
+from collections.abc import Sequence
+from typing import Final, Protocol
+
+import httpcore
+from attrs import frozen
+
+KEEPALIVE_IDLE_SECONDS: Final = 5
+KEEPALIVE_INTERVAL_SECONDS: Final = 2
+KEEPALIVE_PROBES: Final = 3
+UNACKNOWLEDGED_MS: Final = 5_000
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+class ChannelClosed(Exception):
+    """The connection could not be opened, broke, or answered no valid HTTP."""
+
+
+@frozen(kw_only=True)
+class ChannelResponse:
+    """A whole HTTP response."""
+
+    status: int
+    body: bytes
+
+
+class Channel(Protocol):
+    """
+    A connection that carries one request at a time.
+
+    Its calls raise `ChannelClosed`; after that it is of no further use.
+    """
+
+    async def exchange(
+        self, *, method: str, path: str, headers: Headers, body: bytes
+    ) -> ChannelResponse:
+        """Send a request and read the whole response."""
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+
+
+class ChannelFactory(Protocol):
+    """Makes channels; the connection is opened by the first exchange."""
+
+    def new_channel(self, address: str) -> Channel:
+        """Return a channel to `address`, an IP number and port."""
+
+
+class HttpcoreChannel:
+    """A channel over a single `httpcore.AsyncHTTPConnection`."""
+
+    def __init__(self, *, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._host_header = (b"host", address.encode())
+        self._urls: dict[str, httpcore.URL] = {}
+        self._connection = httpcore.AsyncHTTPConnection(
+            origin=self._origin, socket_options=_socket_options()
+        )
+
+    async def exchange(
+        self, *, method: str, path: str, headers: Headers, body: bytes
+    ) -> ChannelResponse:
+        request = httpcore.Request(
+            method,
+            self._url(path),
+            headers=[
+                self._host_header,
+                (b"content-length", str(len(body)).encode()),
+                *headers,
+            ],
+            content=body,
+        )
+        try:
+            response = await self._connection.handle_async_request(request)
+            content = await response.aread()
+            await response.aclose()
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            httpcore.ConnectionNotAvailable,
+        ) as error:
+            raise ChannelClosed(str(error)) from error
+        return ChannelResponse(status=response.status, body=content)
+
+    async def aclose(self) -> None:
+        await self._connection.aclose()
+
+    def _url(self, path: str) -> httpcore.URL:
+        url = self._urls.get(path)
+        if url is None:
+            url = self._urls[path] = httpcore.URL(
+                scheme=self._origin.scheme,
+                host=self._origin.host,
+                port=self._origin.port,
+                target=path.encode(),
+            )
+        return url
+
+
+class HttpcoreChannelFactory:
+    """Makes `HttpcoreChannel` objects."""
+
+    def new_channel(self, address: str) -> Channel:
+        return HttpcoreChannel(address=address)
+
+
+def _socket_options() -> list[tuple[int, int, int]]:
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ]
--- a/src/bronzebeam/transport/instance_list.py
+++ b/src/bronzebeam/transport/instance_list.py
@@ -1,6 +1,6 @@
 """The platform's list of live and leaving instances."""
 
-from enum import Enum
+from enum import StrEnum
 from typing import Any, Final, Protocol
 
 import httpx
@@ -11,14 +11,14 @@
 LIST_SECONDS: Final = 2.0
 
 
-class InstanceRole(Enum):
+class InstanceRole(StrEnum):
     """What runs on an instance."""
 
     ENTRY = "entry"
     BACKEND = "backend"
 
 
-class InstanceState(Enum):
+class InstanceState(StrEnum):
     """Whether an instance is to receive new work."""
 
     LIVE = "live"
--- a/tests/fixtures_fleet.py
+++ b/tests/fixtures_fleet.py
@@ -14,8 +14,6 @@
 from bronzebeam.controllers.configuration import ConfigurationController
 from bronzebeam.controllers.gossip import GossipController, TopicSpec
 from bronzebeam.controllers.membership import (
-    InstanceListUnavailable,
-    ListedInstance,
     MembershipController,
 )
 from bronzebeam.controllers.news_outbox import NewsOutbox
@@ -37,6 +35,12 @@
     FleetSpec,
 )
 from bronzebeam.routing.membership_state import MemberRecord, MemberState
+from bronzebeam.transport.instance_list import (
+    InstanceListUnavailable,
+    InstanceRole,
+    InstanceState,
+    ListedInstance,
+)
 from bronzebeam.transport.peer import PeerUnavailable
 from bronzebeam.transport.store import (
     Conflict,
@@ -227,12 +231,12 @@
         self.nodes[name] = node
         self.listed[name] = ListedInstance(
             instance=name,
-            role="entry",
-            service="",
+            role=InstanceRole.ENTRY,
+            service=None,
             address=own.address,
             peer_address=name,
             failure_domain=domain,
-            state="live",
+            state=InstanceState.LIVE,
         )
         self.tasks.start_soon(node.run)
         return node
