Find every replica before the load, and aim hedges at stragglers

Cause: p99 with hedges equalled p99 without. Traces of slow queries showed no second attempt: half of the backend servers were missing from the first instance list, the next read came 5 s later, and queued attempts never came due. Ruled out: the budget (it denied none).

--- a/src/bronzebeam/bench/rig.py
+++ b/src/bronzebeam/bench/rig.py
@@ -15,6 +15,7 @@
 from bronzebeam.bench.seeding import accept_document
 from bronzebeam.documents.loading import document_from_json
 from bronzebeam.documents.model import EnvironmentDocument
+from bronzebeam.standins.backend_fleet import places
 
 READY_SECONDS: Final = 20.0
 POLL_SECONDS: Final = 0.05
@@ -69,6 +70,7 @@
         await self.wait_status(f"{self.instances_url}/instances")
         await self._accept_document()
         self._start_backends()
+        await self._wait_backends()
         for _ in range(self.spec.entries):
             await self.start_entry()
         for entry in self.entries:
@@ -121,6 +123,17 @@
             self.backends.append(process)
             process.start()
 
+    async def _wait_backends(self) -> None:
+        wanted = {place.name for place in places(self.document)}
+        with anyio.fail_after(READY_SECONDS):
+            while not wanted <= set(await self.addresses()):
+                await anyio.sleep(POLL_SECONDS)
+
+    async def addresses(self) -> dict[str, str]:
+        """Return the listed address of each instance by its name."""
+        reply = await self.client.get(f"{self.instances_url}/instances")
+        return {item["instance"]: item["address"] for item in reply.json()["instances"]}
+
     async def start_entry(self) -> EntryProcess:
         """Start one more entry and list it as live."""
         self._entry_count += 1
@@ -184,6 +197,21 @@
         """Wait until an entry says that it is ready."""
         await self.wait_status(f"http://{entry.peer_address}/health/ready")
 
+    async def status(self, entry: EntryProcess) -> dict[str, Any]:
+        """Return an entry's own status; empty if it does not answer."""
+        try:
+            reply = await self.client.get(
+                f"http://{entry.peer_address}/internal/status"
+            )
+        except httpx.HTTPError:
+            return {}
+        return dict(reply.json())
+
+    async def wait_revision(self, entry: EntryProcess, revision: int) -> None:
+        """Wait until `revision` or a later one is in force on an entry."""
+        while (await self.status(entry)).get("revision", 0) < revision:
+            await anyio.sleep(POLL_SECONDS / 5)
+
     async def wait_status(self, url: str) -> None:
         """
         Wait until `url` answers 200.
@@ -202,12 +230,7 @@
 
     async def set_faults(self, replica: str, **faults: Any) -> None:
         """Set fault switches of a backend server."""
-        listed = (await self.client.get(f"{self.instances_url}/instances")).json()
-        address = next(
-            item["address"]
-            for item in listed["instances"]
-            if item["instance"] == replica
-        )
+        address = (await self.addresses())[replica]
         try:
             await self.client.post(f"http://{address}/faults", json=faults)
         except httpx.HTTPError:
@@ -216,16 +239,14 @@
 
     async def history(self) -> dict[str, Any]:
         """Return the reports of all backend servers that still run, by name."""
-        listed = (await self.client.get(f"{self.instances_url}/instances")).json()
+        addresses = await self.addresses()
         reports: dict[str, Any] = {}
-        for item in listed["instances"]:
-            if item["role"] != "backend":
-                continue
+        for place in places(self.document):
             try:
-                reply = await self.client.get(f"http://{item['address']}/history")
-                reports[item["instance"]] = reply.json()
+                reply = await self.client.get(f"http://{addresses[place.name]}/history")
+                reports[place.name] = reply.json()
             except httpx.HTTPError:
-                reports[item["instance"]] = None
+                reports[place.name] = None
         return reports
 
 
--- a/src/bronzebeam/controllers/backends.py
+++ b/src/bronzebeam/controllers/backends.py
@@ -53,6 +53,7 @@
 
     :ivar group: replicas that stand in for each other, for ejection.
     :ivar refused_drain: it said by its own reply that it is leaving.
+    :ivar usable: whether the snapshots count it in.
     :ivar available_since_seconds: monotonic time since which it takes work.
     """
 
@@ -66,6 +67,7 @@
     reported_in_flight: int = 0
     refused_drain: bool = False
     honest_probes: int = 0
+    usable: bool = False
 
     @property
     def leaving(self) -> bool:
@@ -191,6 +193,7 @@
             same = known.link.address == item.address and known.link.share == share
             if same:
                 known.listed = item
+                self._note_usable(known)
                 return
             self._retire(item.instance)
         link = ReplicaLink(
@@ -231,8 +234,7 @@
             replica.reported_in_flight = outcome.load.in_flight
             self._note_drain(replica, draining=outcome.load.draining, probe=probe)
             self._note_holdings(replica, outcome.holdings)
-        if isinstance(outcome, AttemptLost) and not replica.link.open_connections:
-            self._choose_snapshots()
+        self._note_usable(replica)
         if not probe:
             self._note_evidence(replica, outcome)
         if event.latency_ms is not None and not probe:
@@ -241,6 +243,12 @@
                 now_seconds=self._clock.monotonic_seconds(),
             )
 
+    def _note_usable(self, replica: _Replica) -> None:
+        usable = not replica.leaving and replica.link.open_connections > 0
+        if usable != replica.usable:
+            replica.usable = usable
+            self._choose_snapshots()
+
     def _note_evidence(self, replica: _Replica, outcome: AttemptOutcome) -> None:
         evidence = _evidence(outcome)
         if evidence is None:
@@ -282,11 +290,7 @@
         self._snapshots = {
             service: pick_snapshot(
                 tuple(row for item in replicas for row in item.holdings),
-                frozenset(
-                    item.listed.instance
-                    for item in replicas
-                    if not item.leaving and item.link.open_connections
-                ),
+                frozenset(item.listed.instance for item in replicas if item.usable),
             )
             for service, replicas in by_service.items()
         }
--- a/src/bronzebeam/filters/search_run.py
+++ b/src/bronzebeam/filters/search_run.py
@@ -23,7 +23,8 @@
 )
 
 MERGE_MARGIN_SECONDS: Final = 0.005
-HEDGE_AGAIN_SECONDS: Final = 0.01
+HEDGE_AGAIN_SECONDS: Final = 0.005
+STRAGGLER_SHARE: Final = 0.25
 
 _Event = tuple[Attempt, AttemptOutcome]
 
@@ -227,12 +228,25 @@
     def _hedge(self, now: float) -> None:
         """Send a further attempt for each shard that waits past the hedge delay."""
         self._hedge_at_seconds = math.inf
+        if self._unsettled > self._most_stragglers:
+            self._hedge_at_seconds = now + HEDGE_AGAIN_SECONDS
+            return
         for shard in self._shards:
             if not shard.settled and shard.running:
                 self._hedge_shard(shard, now)
 
+    @property
+    def _most_stragglers(self) -> int:
+        """
+        Return how many shards may be late for hedges to help.
+
+        Where more are late, the cause is common to all of them, and hedges would
+        only add to it.
+        """
+        return max(1, int(len(self._shards) * STRAGGLER_SHARE))
+
     def _hedge_shard(self, shard: _Shard, now: float) -> None:
-        due_at = self._hedge_due_seconds(shard, now)
+        due_at = self._hedge_due_seconds(shard)
         if due_at > now:
             self._hedge_at_seconds = min(self._hedge_at_seconds, due_at)
             return
@@ -240,16 +254,15 @@
             self.request, replicas=shard.replicas, tried=shard.tried
         )
         if allowed and self._send(shard, hedge=True):
-            due_at = self._hedge_due_seconds(shard, now)
+            due_at = self._hedge_due_seconds(shard)
         else:
             due_at = now + HEDGE_AGAIN_SECONDS
         if len(shard.tried) < MOST_ATTEMPTS:
             self._hedge_at_seconds = min(self._hedge_at_seconds, due_at)
 
-    def _hedge_due_seconds(self, shard: _Shard, now: float) -> float:
+    def _hedge_due_seconds(self, shard: _Shard) -> float:
         """Return when the shard's newest attempt will have run past the delay."""
-        sent_at = shard.running[-1].sent_at_seconds
-        return (now if sent_at is None else sent_at) + self._hedge_delay_seconds
+        return shard.running[-1].handed_over_seconds + self._hedge_delay_seconds
 
     def _give_up(self, shard: _Shard, reason: Reason | None = None) -> None:
         if shard.settled:
--- a/src/bronzebeam/transport/attempt.py
+++ b/src/bronzebeam/transport/attempt.py
@@ -35,6 +35,7 @@
     :ivar deadline_at_seconds: monotonic time at which the asker gives up.
     :ivar fingerprint: fingerprint of the caller's request; empty for a probe.
     :ivar on_result: called once in the event loop, never after `abandoned`.
+    :ivar handed_over_seconds: when the attempt was handed to a connection's queue.
     :ivar sent_at_seconds: set when the first byte may leave.
     """
 
@@ -49,6 +50,7 @@
     idempotent: bool = True
     hedge: bool = False
     on_result: Callable[["Attempt", AttemptOutcome], None] | None = None
+    handed_over_seconds: float = 0.0
     sent_at_seconds: float | None = None
     finished: bool = False
     abandoned: bool = False
--- a/src/bronzebeam/transport/link.py
+++ b/src/bronzebeam/transport/link.py
@@ -85,6 +85,7 @@
     give_up_at_seconds: float = math.inf
     scope: anyio.CancelScope | None = None
     waiting: bool = False
+    open: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -126,11 +127,12 @@
 
     @property
     def open_connections(self) -> int:
-        """Connections that wait for work or carry an attempt."""
-        return sum(owner.waiting or owner.attempt is not None for owner in self._owners)
+        """Connections that have answered and have not broken since."""
+        return sum(owner.open for owner in self._owners)
 
     def send(self, attempt: Attempt) -> None:
         self.in_flight += 1
+        attempt.handed_over_seconds = self.clock.monotonic_seconds()
         try:
             self._queue_in.send_nowait(attempt)
         except (anyio.ClosedResourceError, anyio.BrokenResourceError):
@@ -264,11 +266,13 @@
         owner.last_used_seconds = self.clock.monotonic_seconds()
         owner.give_up_at_seconds = math.inf
         owner.attempt = None
+        owner.open = not isinstance(parsed, BadReply)
         self._finish(attempt, parsed)
-        return not isinstance(parsed, BadReply)
+        return owner.open
 
     def _connection_ended(self, owner: _Owner, opened: bool) -> None:
         attempt, owner.attempt = owner.attempt, None
+        owner.open = False
         timed_out = (
             owner.scope is not None and owner.scope.cancelled_caught
         ) or self.clock.monotonic_seconds() > owner.give_up_at_seconds
