Let spans end in another task; widen the vocabulary of reasons

Cause: an attempt's span is opened where it is sent and ended where its result arrives, which a with block cannot span; the bookings answer with further reasons; a setting for invariants was read by nothing. Change: open_span and SpanScope.end, reasons of keys and their owners with a status code each, the coverage shown for every outcome that carries one, the unused setting removed.

--- a/src/bronzebeam/entry/answers.py
+++ b/src/bronzebeam/entry/answers.py
@@ -40,6 +40,8 @@
     Reason.KEY_MALFORMED: HTTPStatus.BAD_REQUEST,
     Reason.KEY_EXPIRED: HTTPStatus.GONE,
     Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.KEY_AHEAD: HTTPStatus.CONFLICT,
+    Reason.KEY_UNKNOWN: HTTPStatus.GONE,
     Reason.CLAIM_IN_PROGRESS: HTTPStatus.CONFLICT,
     Reason.RATE_LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.QUARANTINED: HTTPStatus.FORBIDDEN,
@@ -48,11 +50,16 @@
     Reason.DRAINING: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.OWNER_LEAVING: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.OWNER_OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.OWNER_UNREACHABLE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NO_REPLICA: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NO_CONNECTION: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.VERSION_GONE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.BELOW_MINIMUM_COVERAGE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.DEADLINE_EXCEEDED: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.ATTEMPT_INTERRUPTED: HTTPStatus.BAD_GATEWAY,
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
     Reason.WRONG_REPLY: HTTPStatus.BAD_GATEWAY,
     Reason.TRUNCATED_REPLY: HTTPStatus.BAD_GATEWAY,
@@ -137,21 +144,19 @@
 
 
 def _body_of(outcome: Outcome, request_id: str) -> dict[str, Any]:
-    body: dict[str, Any] = {
-        "outcome": outcome.tag,
-        "request_id": request_id,
-        "ran": _ran(outcome),
-    }
+    body: dict[str, Any] = dict(outcome.extra) if isinstance(outcome, NotRun) else {}
+    body["outcome"] = outcome.tag
+    body["request_id"] = request_id
+    body["ran"] = _ran(outcome)
     if isinstance(outcome, (Answered, Partial)):
         body["result"] = outcome.result
-        if outcome.coverage is not None:
-            body["coverage"] = _coverage_of(outcome.coverage)
-        return body
-    if isinstance(outcome, NotRun):
-        body = {**outcome.extra, **body}
-    body["reason"] = outcome.reason
-    body["retry_after_ms"] = outcome.retry_after_ms
-    body["detail"] = outcome.detail
+    else:
+        body["reason"] = outcome.reason
+        body["retry_after_ms"] = outcome.retry_after_ms
+        body["detail"] = outcome.detail
+    coverage = getattr(outcome, "coverage", None)
+    if coverage is not None:
+        body["coverage"] = _coverage_of(coverage)
     return body
 
 
--- a/src/bronzebeam/reasons.py
+++ b/src/bronzebeam/reasons.py
@@ -24,6 +24,8 @@
     KEY_MALFORMED = "key_malformed"
     KEY_EXPIRED = "key_expired"
     KEY_REUSED = "key_reused"
+    KEY_AHEAD = "key_ahead"
+    KEY_UNKNOWN = "key_unknown"
     CLAIM_IN_PROGRESS = "claim_in_progress"
 
     # What the tier holds off for a while.
@@ -34,6 +36,9 @@
     DRAINING = "draining"
     NOT_READY = "not_ready"
     STORE_UNAVAILABLE = "store_unavailable"
+    OWNER_LEAVING = "owner_leaving"
+    OWNER_OVERLOADED = "owner_overloaded"
+    OWNER_UNREACHABLE = "owner_unreachable"
 
     # What went wrong on the way to the backend servers.
     NO_REPLICA = "no_replica"
@@ -41,6 +46,8 @@
     VERSION_GONE = "version_gone"
     BELOW_MINIMUM_COVERAGE = "below_minimum_coverage"
     TIMEOUT = "timeout"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    ATTEMPT_INTERRUPTED = "attempt_interrupted"
     CONNECTION_LOST = "connection_lost"
     WRONG_REPLY = "wrong_reply"
     TRUNCATED_REPLY = "truncated_reply"
--- a/src/bronzebeam/settings.py
+++ b/src/bronzebeam/settings.py
@@ -2,7 +2,6 @@
 
 import ipaddress
 from collections.abc import Iterable, Iterator
-from enum import Enum
 from functools import cache
 from importlib.resources import files
 from pathlib import Path
@@ -21,13 +20,6 @@
 LISTEN_FIELDS: Final = ("caller_listen", "peer_listen")
 
 
-class InvariantMode(Enum):
-    """What a broken invariant does: counted and logged, or raised as well."""
-
-    COUNT = "count"
-    RAISE = "raise"
-
-
 @frozen(kw_only=True)
 class ListenSettings:
     """An IP address and port to listen on."""
@@ -66,7 +58,7 @@
     :ivar caller_listen: where callers connect.
     :ivar peer_listen: where other entry instances and scrapers connect.
     :ivar store_url: base URL of the configuration store.
-    :ivar instance_list_url: URL of the list of live and leaving instances.
+    :ivar instance_list_url: base URL of the list of live and leaving instances.
     :ivar store_timeout_ms: bound of one store call, a waiting watch apart.
     :ivar trace_sample_share: share (0 to 1) of queries that are traced.
     :ivar log_spans: write the spans of traced queries to the log.
@@ -84,7 +76,6 @@
     store_timeout_ms: int = 1_000
     trace_sample_share: float = 0.01
     log_spans: bool = True
-    invariants: InvariantMode = InvariantMode.COUNT
     request_body_max_bytes: int = 1_048_576
     drain: DrainSettings = DrainSettings()
 
@@ -245,6 +236,4 @@
     fields["peer_listen"] = ListenSettings(**value["peer_listen"])
     if "drain" in value:
         fields["drain"] = DrainSettings(**value["drain"])
-    if "invariants" in value:
-        fields["invariants"] = InvariantMode(value["invariants"])
     return EntrySettings(**fields)
--- a/src/bronzebeam/telemetry/traces.py
+++ b/src/bronzebeam/telemetry/traces.py
@@ -34,7 +34,7 @@
 @frozen(kw_only=True)
 class SpanScope:
     """
-    An open span as its code sees it.
+    An open span as its code sees it; without effect if it is not sampled.
 
     :ivar headers: trace context for the next hop.
     """
@@ -43,7 +43,7 @@
     _span: Span | None = field(default=None, alias="span")
 
     def annotate(self, **attributes: str | int | float | bool) -> None:
-        """Set attributes of the span; does nothing if it is not sampled."""
+        """Set attributes of the span."""
         if self._span is not None:
             self._span.set_attributes(attributes)
 
@@ -52,6 +52,11 @@
         if self._span is not None:
             self._span.set_status(StatusCode.ERROR, reason)
 
+    def end(self) -> None:
+        """End the span; needed only after `Tracing.open_span`."""
+        if self._span is not None:
+            self._span.end()
+
 
 class LogSpanProcessor(SpanProcessor):
     """Writes each finished span as one log line."""
@@ -110,6 +115,26 @@
             self._provider.add_span_processor(processor)
         self._tracer = self._provider.get_tracer("bronzebeam")
 
+    def open_span(
+        self,
+        name: str,
+        *,
+        parent: Mapping[str, str],
+        **attributes: str | int | float | bool,
+    ) -> SpanScope:
+        """
+        Open a span that the caller ends, for work that ends in another task.
+
+        :param parent: headers of the hop before, of the caller or of a scope.
+        """
+        if UNSAMPLED_PARENT.fullmatch(parent.get(TRACE_PARENT, "")):
+            return SpanScope(headers=trace_context_of(parent))
+        span = self._tracer.start_span(
+            name, context=_extract(parent), attributes=attributes
+        )
+        headers = _inject(span)
+        return SpanScope(headers=headers, span=span if span.is_recording() else None)
+
     @contextmanager
     def span(
         self,
@@ -123,21 +148,16 @@
 
         An exception that leaves the block marks the span as failed.
 
-        :param parent: headers of the hop before, of the caller or of a scope.
+        :param parent: as for `open_span`.
         """
-        if UNSAMPLED_PARENT.fullmatch(parent.get(TRACE_PARENT, "")):
-            yield SpanScope(headers=trace_context_of(parent))
-            return
-        span = self._tracer.start_span(
-            name, context=_extract(parent), attributes=attributes
-        )
+        scope = self.open_span(name, parent=parent, **attributes)
         try:
-            yield SpanScope(headers=_inject(span), span=span)
+            yield scope
         except BaseException as error:
-            span.set_status(StatusCode.ERROR, type(error).__name__)
+            scope.fail(type(error).__name__)
             raise
         finally:
-            span.end()
+            scope.end()
 
     def close(self) -> None:
         """Hand over what processors still hold."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -13,7 +13,6 @@
 from bronzebeam.settings import (
     DrainSettings,
     EntrySettings,
-    InvariantMode,
     ListenSettings,
     check_settings,
     parse_settings,
@@ -37,7 +36,7 @@
         "caller_listen": {"address": "127.0.0.1", "port": 8101},
         "peer_listen": {"address": "127.0.0.1", "port": 8201},
         "store_url": "http://127.0.0.1:8001",
-        "instance_list_url": "http://127.0.0.1:8002/instances",
+        "instance_list_url": "http://127.0.0.1:8002",
     }
     return value | changes
 
@@ -61,14 +60,12 @@
     assert checked.caller_listen == ListenSettings(address="127.0.0.1", port=8101)
     assert checked.caller_listen.bind == "127.0.0.1:8101"
     assert checked.drain == DrainSettings()
-    assert checked.invariants is InvariantMode.COUNT
 
 
 def test_all_settings_are_read() -> None:
     value = make_settings(
         caller_listen={"address": "::1", "port": 1},
         drain={"lag_ms": 1, "bound_ms": 2},
-        invariants="raise",
         log_spans=False,
         request_body_max_bytes=9,
         store_timeout_ms=10,
@@ -77,7 +74,6 @@
     checked = parse_settings(orjson.dumps(value), subject="test")
     assert checked.caller_listen.bind == "[::1]:1"
     assert checked.drain == DrainSettings(lag_ms=1, bound_ms=2)
-    assert checked.invariants is InvariantMode.RAISE
     assert checked.trace_sample_share == 1
     assert set(value) == {item.name for item in EntrySettings.__attrs_attrs__}
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -231,6 +231,16 @@
         assert len(exporter.get_finished_spans()) == 6 * sampled_flag
 
 
+def test_span_may_end_outside_the_block_that_opened_it() -> None:
+    tracing, exporter = make_tracing()
+    scope = tracing.open_span("shard_attempt", parent={"traceparent": SAMPLED})
+    assert exporter.get_finished_spans() == ()
+    scope.fail("connection_lost")
+    scope.end()
+    (span,) = exporter.get_finished_spans()
+    assert span.status.description == "connection_lost"
+
+
 def test_finished_span_is_one_log_line() -> None:
     tracing, _ = make_tracing(sample_share=1.0, log_spans=True)
     with captured_log() as stream:
