--- a/src/bronzebeam/entry/intake.py
+++ b/src/bronzebeam/entry/intake.py
@@ -1,7 +1,7 @@
 """Intake: a caller's HTTP request checked and turned into a `CallerRequest`."""
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
 import orjson
@@ -31,6 +31,7 @@
 BODY_PLACE: Final = "body"
 MS_PER_SECOND: Final = 1_000.0
 QUOTE_MAX_CHARACTERS: Final = 100
+BODY_MAX_LEVELS: Final = 250
 
 
 @frozen(kw_only=True)
@@ -133,7 +134,7 @@
     """
     Hash what is asked; equal for the same request sent again.
 
-    :raises TypeError: if the payload cannot be encoded as JSON.
+    :raises TypeError: if the payload cannot be encoded, as one of 254 levels.
     """
     canonical = orjson.dumps([service, operation, payload], option=orjson.OPT_SORT_KEYS)
     return hashlib.sha256(canonical).hexdigest()
@@ -144,23 +145,41 @@
 ) -> tuple[Any, str]:
     try:
         payload = orjson.loads(body)
-        fingerprint = fingerprint_of(
-            service=target.service.name,
-            operation=target.operation.name if target.operation else None,
-            payload=payload,
-        )
-    except (ValueError, TypeError) as error:
-        faults.append(
-            RequestFault(
-                place=BODY_PLACE,
-                reason=Reason.BODY_MALFORMED,
-                message=f"The body is not usable JSON: {error}.",
-            )
-        )
-        return None, ""
+    except ValueError as error:
+        return _bad_body(faults, f"The body is not JSON: {error}.")
+    if _is_too_deep(body, payload):
+        return _bad_body(faults, f"The body has more than {BODY_MAX_LEVELS} levels.")
+    fingerprint = fingerprint_of(
+        service=target.service.name,
+        operation=target.operation.name if target.operation else None,
+        payload=payload,
+    )
     return payload, fingerprint
 
 
+def _bad_body(faults: list[RequestFault], message: str) -> tuple[None, str]:
+    faults.append(
+        RequestFault(place=BODY_PLACE, reason=Reason.BODY_MALFORMED, message=message)
+    )
+    return None, ""
+
+
+def _is_too_deep(body: bytes, payload: Any) -> bool:
+    # The encoder takes 254 levels; backend servers and peers get the body wrapped.
+    if body.count(b"[") + body.count(b"{") <= BODY_MAX_LEVELS:
+        return False
+    level = [payload]
+    for _ in range(BODY_MAX_LEVELS):
+        level = [inner for value in level for inner in _children(value)]
+    return any(isinstance(value, (dict, list)) for value in level)
+
+
+def _children(value: Any) -> Iterable[Any]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
 def _reject(faults: list[RequestFault]) -> NotRun:
     reasons = {fault.reason for fault in faults}
     reason = reasons.pop() if len(reasons) == 1 else Reason.BAD_REQUEST
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,5 +1,7 @@
 """Tests of outcomes rendered as HTTP responses."""
 
+import re
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -127,3 +129,11 @@
 def test_retry_after_is_never_too_early(retry_after_ms: int) -> None:
     seconds = retry_after_seconds(retry_after_ms)
     assert 0 <= seconds * 1_000 - retry_after_ms < 1_000
+
+
+def test_page_repeats_the_table_of_reasons() -> None:
+    page = (Path(__file__).parent.parent / "docs" / "callers.md").read_text()
+    rows = re.findall(r"^\| `([a-z_]+)` \| (\d{3}) \|", page, re.MULTILINE)
+    listed = {reason: int(status) for reason, status in rows}
+    assert len(rows) == len(listed)
+    assert listed == {str(key): int(code) for key, code in STATUS_OF_REASON.items()}
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -132,6 +132,15 @@
         assert rejected(headers={name: value}).reason == reason, (name, value)
 
 
+def test_levels_of_the_body_are_bounded() -> None:
+    whole = b"[" * 249 + b'{"a":1}' + b"]" * 249
+    assert isinstance(accepted(body=whole).payload, list)
+    for deeper in (b"[" + whole + b"]", b'{"a":' + whole + b"}"):
+        assert rejected(body=deeper).reason == Reason.BODY_MALFORMED
+    accepted(body=b"[" + b'{"a":[]},' * 300 + b"1]")
+    accepted(body=b'"' + b"[" * 300 + b'"')
+
+
 def test_deadline_limits_are_included() -> None:
     for text in ("5", "2000"):
         request = accepted(headers={"bronzebeam-deadline-ms": text})
