Measure the fan-out under four concurrent queries

Cause: a single query at a time flatters a pooled client, whose cost grows with the connections it scans. Change: both sides run four queries at a time.

--- a/src/bronzebeam/bench/experiments/fanout.py
+++ b/src/bronzebeam/bench/experiments/fanout.py
@@ -1,6 +1,7 @@
 """Processor time of a fan-out, against a plain pooled client."""
 
 import time
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import anyio
@@ -14,7 +15,8 @@
 
 SHARDS: Final = 30
 QUERIES: Final = 150
-BASELINE_QUERIES: Final = 15
+BASELINE_QUERIES: Final = 20
+CONCURRENCY: Final = 4
 WARM_QUERIES: Final = 10
 DEADLINE_MS: Final = 2_000
 BOUND: Final = 0.25
@@ -50,22 +52,42 @@
     caller = Caller(addresses=lambda: [entry.caller_address])
     for _ in range(WARM_QUERIES):
         await caller.post(SEARCH_PATH, {"q": "warm"}, deadline_ms=DEADLINE_MS)
-    before = entry.process.cpu_seconds()
     included = 0
-    for number in range(QUERIES):
+
+    async def ask(number: int) -> None:
+        nonlocal included
         answer = await caller.post(SEARCH_PATH, {"q": number}, deadline_ms=DEADLINE_MS)
         included += len(answer.body["coverage"]["included"])
+
+    before = entry.process.cpu_seconds()
+    await _run_concurrently(QUERIES, ask)
     return (entry.process.cpu_seconds() - before) * 1000 / included
 
 
+async def _run_concurrently(count: int, ask: Callable[[int], Awaitable[None]]) -> None:
+    """Call `ask` for each number below `count`, `CONCURRENCY` at a time."""
+    limiter = anyio.CapacityLimiter(CONCURRENCY)
+
+    async def one(number: int) -> None:
+        async with limiter:
+            await ask(number)
+
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            group.start_soon(one, number)
+
+
 async def _pooled_client_ms(rig: Rig) -> float:
     addresses = await _first_replicas(rig)
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=None)
     async with httpx.AsyncClient(limits=limits, trust_env=False) as client:
-        await _pooled_query(client, addresses, 0)
-        before = time.process_time()
-        for number in range(BASELINE_QUERIES):
+
+        async def ask(number: int) -> None:
             await _pooled_query(client, addresses, number)
+
+        await _run_concurrently(CONCURRENCY, ask)
+        before = time.process_time()
+        await _run_concurrently(BASELINE_QUERIES, ask)
         elapsed = time.process_time() - before
     return elapsed * 1000 / (BASELINE_QUERIES * len(addresses))
 
