Edit, review, promote, roll back and restore documents

Cause: operators drive the tier by documents only; an accepted one must not be lost, doubled or overwritten by a race, a lost reply or a crash. In short: a random write identifier (a repeated command after a crash could not settle its first attempt), history written after the acceptance (a crash would lose a revision), approvals bound to the content alone (a promotion would replace what nobody compared). Change: drafts with their base, approvals bound to content, base and author, acceptance by one compare-and-swap, a history of 32 slots, rollback, restore, the revision of each entry, and the commands. document_to_json gives lists, since tuples do not pass the schema when a store hands back what it was given.

--- /dev/null
+++ b/src/bronzebeam/cli_access.py
@@ -0,0 +1,84 @@
+"""What the operators' commands reach: the store, the instance list and entries."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+
+from bronzebeam.cli_output import warn
+from bronzebeam.documents.entry_status import (
+    EntryStatus,
+    HttpEntryReader,
+    highest_revision,
+    of_environment,
+    read_entries,
+)
+from bronzebeam.transport.instance_list import (
+    HttpInstanceList,
+    InstanceListUnavailable,
+)
+from bronzebeam.transport.store_http import HttpStore
+
+ResultT = TypeVar("ResultT")
+
+
+def call_store(
+    url: str, operation: Callable[[HttpStore], Awaitable[ResultT]]
+) -> ResultT:
+    """Run one operation against the store at `url`."""
+
+    async def main() -> ResultT:
+        async with HttpStore(base_url=url) as store:
+            return await operation(store)
+
+    return anyio.run(main)
+
+
+def read_statuses(instances_url: str, environment: str) -> tuple[EntryStatus, ...]:
+    """
+    Ask each listed entry of `environment` what it holds.
+
+    :raises InstanceListUnavailable: if the list gave no usable answer.
+    """
+
+    async def main() -> tuple[EntryStatus, ...]:
+        async with HttpInstanceList(base_url=instances_url) as instances:
+            listed = await instances.fetch()
+        reader = HttpEntryReader()
+        statuses = await read_entries(listed, reader)
+        await reader.close()
+        return statuses
+
+    return of_environment(anyio.run(main), environment)
+
+
+def read_held_revision(instances_url: str | None, environment: str) -> int:
+    """Return the highest revision held by entries, as far as they can be asked."""
+    if instances_url is None:
+        warn("no instance list given: the entries' revisions are not known")
+        return 0
+    try:
+        entries = read_statuses(instances_url, environment)
+    except InstanceListUnavailable as error:
+        warn(f"the entries' revisions are not known: {error}")
+        return 0
+    for entry in entries:
+        if entry.problem:
+            warn(f"{entry.listed.instance} is unreachable: {entry.problem}")
+    return highest_revision(entries)
+
+
+def read_entry_document(peer_address: str) -> Any:
+    """
+    Return the accepted document that an entry holds, as JSON.
+
+    :raises EntryUnreachable: if it gave no usable answer.
+    """
+
+    async def main() -> Any:
+        reader = HttpEntryReader()
+        value = await reader.read_document(peer_address)
+        await reader.close()
+        return value
+
+    return anyio.run(main)
--- /dev/null
+++ b/src/bronzebeam/cli_output.py
@@ -0,0 +1,124 @@
+"""Lines of key=value pairs and exit codes of the operators' commands."""
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from typing import Any, Final
+
+import click
+
+from bronzebeam.documents.accepting import Acceptance
+from bronzebeam.documents.diff import Change
+from bronzebeam.documents.entry_status import EntryStatus, EntryUnreachable
+from bronzebeam.documents.errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    RefusedError,
+    StoreBehindError,
+)
+from bronzebeam.documents.model import AcceptedDocument
+from bronzebeam.findings import FindingsError
+from bronzebeam.transport.instance_list import InstanceListUnavailable
+from bronzebeam.transport.store import StoreUnavailable
+
+EXIT_UNAVAILABLE: Final = 1
+EXIT_FINDINGS: Final = 2
+EXIT_CONFLICT: Final = 3
+
+
+def format_line(**fields: Any) -> str:
+    """Format one line of key=value pairs; values with blanks are quoted."""
+    return " ".join(f"{name}={_format_value(value)}" for name, value in fields.items())
+
+
+def print_line(**fields: Any) -> None:
+    """Print one line of key=value pairs."""
+    click.echo(format_line(**fields))
+
+
+def print_accepted(accepted: AcceptedDocument) -> None:
+    """Print which document is, or was, in force."""
+    print_line(
+        environment=accepted.document.environment,
+        revision=accepted.revision,
+        author=accepted.author,
+        approved_by=accepted.approved_by,
+        write_id=accepted.write_id,
+        content_hash=accepted.content_hash,
+    )
+
+
+def print_acceptance(acceptance: Acceptance) -> None:
+    """Print what has been put in force, and whether that is so no longer."""
+    print_accepted(acceptance.accepted)
+    if acceptance.superseded_by is not None:
+        warn(f"revision {acceptance.superseded_by} has replaced it since")
+
+
+def print_changes(changes: Iterable[Change]) -> None:
+    """Print each change on a line of its own."""
+    lines = [str(change) for change in changes]
+    click.echo("\n".join(lines) if lines else "no change of content")
+
+
+def print_entry(status: EntryStatus) -> None:
+    """Print what one entry holds, or why it is not known."""
+    listed = status.listed
+    place = {
+        "instance": listed.instance,
+        "failure_domain": listed.failure_domain,
+        "state": listed.state.value,
+    }
+    if status.problem:
+        print_line(**place, unreachable=status.problem)
+        return
+    print_line(**place, revision=status.revision, ready=status.ready)
+
+
+def warn(message: str) -> None:
+    """Print a warning on standard error."""
+    click.echo(f"warning: {message}", err=True)
+
+
+@contextmanager
+def exit_on_failure() -> Iterator[None]:
+    """
+    Print the reason of a failure on standard error and exit with its code.
+
+    1: the store, the instance list or an entry did not answer, or the outcome is
+    unknown. 2: findings, or a rule forbids it. 3: a conflict; nothing was written.
+    """
+    try:
+        yield
+    except FindingsError as error:
+        lines = [f"{error.subject}: {item}" for item in error.findings]
+        _fail(EXIT_FINDINGS, *lines)
+    except RefusedError as error:
+        _fail(EXIT_FINDINGS, str(error))
+    except ConflictError as error:
+        changes = [str(item) for item in error.changes] or ["no change of content"]
+        _fail(EXIT_CONFLICT, str(error), "from what is in force to yours:", *changes)
+    except StoreBehindError as error:
+        _fail(EXIT_CONFLICT, str(error))
+    except OutcomeUnknownError as error:
+        _fail(EXIT_UNAVAILABLE, str(error))
+    except StoreUnavailable as error:
+        _fail(EXIT_UNAVAILABLE, f"the store did not answer: {error}")
+    except InstanceListUnavailable as error:
+        _fail(EXIT_UNAVAILABLE, f"the instance list did not answer: {error}")
+    except EntryUnreachable as error:
+        _fail(EXIT_UNAVAILABLE, f"the entry did not answer: {error}")
+
+
+def _fail(code: int, *lines: str) -> None:
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(code)
+
+
+def _format_value(value: Any) -> str:
+    if isinstance(value, bool) or value is None:
+        return json.dumps(value)
+    text = str(value)
+    return json.dumps(text) if not text or set(text) & set(' "=') else text
--- /dev/null
+++ b/src/bronzebeam/documents/diff.py
@@ -0,0 +1,117 @@
+"""Difference of two documents, by JSON pointer."""
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import Any
+
+from attrs import frozen
+
+from bronzebeam.documents.loading import canonical_json, document_to_json
+from bronzebeam.documents.model import EnvironmentDocument
+from bronzebeam.findings import json_pointer
+
+Path = tuple[str | int, ...]
+
+
+class ChangeKind(Enum):
+    """What happened to a value."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+    REORDERED = "reordered"
+
+
+@frozen(kw_only=True)
+class Change:
+    """
+    One difference.
+
+    :ivar place: JSON pointer into the new document, of a removed value into the old.
+    :ivar before: None if added; names in order if reordered.
+    :ivar after: None if removed; names in order if reordered.
+    """
+
+    kind: ChangeKind
+    place: str
+    before: Any = None
+    after: Any = None
+
+    def __str__(self) -> str:
+        match self.kind:
+            case ChangeKind.ADDED:
+                return f"{self.place or '/'}: added {_text(self.after)}"
+            case ChangeKind.REMOVED:
+                return f"{self.place or '/'}: removed {_text(self.before)}"
+        values = f"{_text(self.before)} -> {_text(self.after)}"
+        return f"{self.place or '/'}: {self.kind.value} {values}"
+
+
+def diff_documents(
+    before: EnvironmentDocument | None, after: EnvironmentDocument
+) -> tuple[Change, ...]:
+    """
+    Return the changes that lead from `before` to `after`.
+
+    Services, classes and operations are matched by name, so that an inserted one
+    does not show as a change of all that follow.
+    """
+    new = document_to_json(after)
+    if before is None:
+        return (Change(kind=ChangeKind.ADDED, place="", after=new),)
+    return tuple(_diff_objects(document_to_json(before), new, (), ()))
+
+
+def _diff(before: Any, after: Any, old: Path, new: Path) -> Iterator[Change]:
+    if isinstance(before, dict) and isinstance(after, dict):
+        yield from _diff_objects(before, after, old, new)
+    elif _is_named(before) and _is_named(after):
+        yield from _diff_named(before, after, old, new)
+    elif before != after:
+        yield Change(
+            kind=ChangeKind.CHANGED, place=json_pointer(new), before=before, after=after
+        )
+
+
+def _diff_objects(
+    before: dict[str, Any], after: dict[str, Any], old: Path, new: Path
+) -> Iterator[Change]:
+    for name, value in after.items():
+        yield from _diff(before[name], value, (*old, name), (*new, name))
+
+
+def _diff_named(
+    before: list[Any], after: list[Any], old: Path, new: Path
+) -> Iterator[Change]:
+    held = {item["name"]: index for index, item in enumerate(before)}
+    wanted = {item["name"]: index for index, item in enumerate(after)}
+    for name, index in held.items():
+        if name not in wanted:
+            place = json_pointer((*old, index))
+            yield Change(kind=ChangeKind.REMOVED, place=place, before=before[index])
+    for name, index in wanted.items():
+        if name not in held:
+            place = json_pointer((*new, index))
+            yield Change(kind=ChangeKind.ADDED, place=place, after=after[index])
+            continue
+        item = before[held[name]]
+        yield from _diff(item, after[index], (*old, held[name]), (*new, index))
+    kept_before = [name for name in held if name in wanted]
+    kept_after = [name for name in wanted if name in held]
+    if kept_before != kept_after:
+        yield Change(
+            kind=ChangeKind.REORDERED,
+            place=json_pointer(new),
+            before=kept_before,
+            after=kept_after,
+        )
+
+
+def _is_named(value: Any) -> bool:
+    return isinstance(value, list | tuple) and all(
+        isinstance(item, dict) and "name" in item for item in value
+    )
+
+
+def _text(value: Any) -> str:
+    return canonical_json(value).decode()
--- a/src/bronzebeam/documents/loading.py
+++ b/src/bronzebeam/documents/loading.py
@@ -50,10 +50,10 @@
     :raises FindingsError: with every finding of the first stage that has any: the
         JSON text, the schema, the checks across fields.
     """
-    document = document_from_json(_parse(data, subject), subject=subject)
+    document = document_from_json(parse_json(data, subject), subject=subject)
     findings = check_document(document)
     if findings:
-        raise _findings_error(subject, findings)
+        raise findings_error(subject, findings)
     return document
 
 
@@ -75,12 +75,7 @@
 
 def document_to_json(document: EnvironmentDocument) -> dict[str, Any]:
     """Return the document as plain JSON values, defaults filled in."""
-    return attrs.asdict(
-        document,
-        value_serializer=lambda _, __, value: (
-            value.value if isinstance(value, Enum) else value
-        ),
-    )
+    return attrs.asdict(document, value_serializer=_serialize)
 
 
 def canonical_json(value: Any) -> bytes:
@@ -108,7 +103,7 @@
         finding = Finding(
             place="/content_hash", message="the hash does not match the document"
         )
-        raise _findings_error(subject, (finding,))
+        raise findings_error(subject, (finding,))
     return AcceptedDocument(
         revision=int(value["revision"]),
         write_id=value["write_id"],
@@ -126,16 +121,28 @@
     return value
 
 
-def _findings_error(subject: str, findings: Any) -> FindingsError:
+def findings_error(subject: str, findings: Any) -> FindingsError:
+    """Build the error that carries all `findings`."""
     # Any, since mypy cannot infer the type that the field's converter takes.
     return FindingsError(subject=subject, findings=findings)
 
 
+def _serialize(_instance: Any, _attribute: Any, value: Any) -> Any:
+    if isinstance(value, Enum):
+        return value.value
+    return list(value) if isinstance(value, tuple) else value
+
+
 def _hash_json(value: Any) -> str:
     return hashlib.sha256(canonical_json(value)).hexdigest()
 
 
-def _parse(data: bytes, subject: str) -> Any:
+def parse_json(data: bytes, subject: str) -> Any:
+    """
+    Decode JSON text.
+
+    :raises FindingsError: if it is broken, or a key stands twice in one object.
+    """
     repeated: list[str] = []
 
     def collect(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
@@ -153,7 +160,7 @@
             for name in sorted(repeated)
         ]
     if findings:
-        raise _findings_error(subject, findings)
+        raise findings_error(subject, findings)
     return value
 
 
@@ -164,7 +171,7 @@
 def _validate(validator: Draft202012Validator, value: Any, subject: str) -> None:
     findings = _schema_findings(validator, value)
     if findings:
-        raise _findings_error(subject, findings)
+        raise findings_error(subject, findings)
 
 
 def _schema_findings(validator: Draft202012Validator, value: Any) -> list[Finding]:
--- /dev/null
+++ b/src/bronzebeam/documents/operations.py
@@ -0,0 +1,285 @@
+"""What operators do with documents: edit, review, promote, roll back, restore."""
+
+from attrs import evolve, frozen
+
+from bronzebeam.documents.accepting import Acceptance, Proposal, accept
+from bronzebeam.documents.checks import check_document
+from bronzebeam.documents.diff import Change, diff_documents
+from bronzebeam.documents.drafts import Draft
+from bronzebeam.documents.errors import ConflictError, RefusedError
+from bronzebeam.documents.loading import content_hash, findings_error
+from bronzebeam.documents.model import AcceptedDocument, EnvironmentDocument
+from bronzebeam.documents.review import Approval, Base, approve, base_of
+from bronzebeam.documents.storage import (
+    HISTORY_SLOTS,
+    CurrentDocument,
+    read_approval,
+    read_current,
+    read_revision,
+    write_approval,
+)
+from bronzebeam.transport.store import Store
+
+
+@frozen(kw_only=True)
+class Review:
+    """An approval that has been kept, with the changes that it covers."""
+
+    approval: Approval
+    changes: tuple[Change, ...]
+
+
+async def start_draft(
+    store: Store, *, environment: str, document: EnvironmentDocument, author: str
+) -> Draft:
+    """
+    Make the first draft of an environment.
+
+    :raises RefusedError: if the environment already has a document.
+    """
+    current = await read_current(store, environment)
+    if current.accepted is not None:
+        raise RefusedError(
+            reason=f"{environment} has revision {current.base.revision}; edit it"
+        )
+    document = evolve(document, environment=environment)
+    return Draft(author=author, base=current.base, document=document)
+
+
+async def edit_draft(
+    store: Store,
+    *,
+    environment: str,
+    author: str,
+    document: EnvironmentDocument | None = None,
+) -> Draft:
+    """
+    Make a draft from what is in force.
+
+    :param document: content to start from instead of the one in force.
+    :raises RefusedError: if the environment has no document.
+    """
+    accepted = _require(await read_current(store, environment), environment)
+    content = evolve(document or accepted.document, environment=environment)
+    return Draft(author=author, base=base_of(accepted), document=content)
+
+
+async def diff_draft(store: Store, draft: Draft) -> tuple[Change, ...]:
+    """
+    Return the changes that a draft would make.
+
+    :raises ConflictError: if its base is not in force any more.
+    """
+    current = await read_current(store, draft.document.environment)
+    return _changes_from_base(current, draft.base, draft.document)
+
+
+async def approve_draft(store: Store, draft: Draft, *, approver: str) -> Review:
+    """
+    Keep the approval of a draft's content.
+
+    :raises RefusedError: if the approver is the author.
+    :raises ConflictError: if its base is not in force any more.
+    """
+    approval = approve(
+        environment=draft.document.environment,
+        content_hash=content_hash(draft.document),
+        base=draft.base,
+        author=draft.author,
+        approver=approver,
+    )
+    changes = await diff_draft(store, draft)
+    await write_approval(store, approval)
+    return Review(approval=approval, changes=changes)
+
+
+async def approve_promotion(
+    store: Store, *, source: str, target: str, approver: str
+) -> Review:
+    """
+    Keep the approval of what is in force in `source`, to be in force in `target`.
+
+    :raises RefusedError: if the approver is the author, or `source` has nothing.
+    """
+    accepted = _require(await read_current(store, source), source)
+    current = await read_current(store, target)
+    document = evolve(accepted.document, environment=target)
+    draft = Draft(author=accepted.author, base=current.base, document=document)
+    return await approve_draft(store, draft, approver=approver)
+
+
+async def promote_draft(
+    store: Store, draft: Draft, *, held_revision: int = 0
+) -> Acceptance:
+    """
+    Put an approved draft in force.
+
+    :param held_revision: highest revision that entries are known to hold.
+    :raises RefusedError: if this content on this base is not approved.
+    :raises ConflictError: if its base is not in force any more.
+    """
+    approval = await _require_approval(store, draft.document)
+    if (approval.base, approval.author) != (draft.base, draft.author):
+        raise RefusedError(
+            reason=f"the approval is for {approval.author}'s draft on revision "
+            f"{approval.base.revision}; have this draft approved"
+        )
+    return await accept(store, _proposal(draft.document, approval, held_revision))
+
+
+async def promote_environment(
+    store: Store, *, source: str, target: str, held_revision: int = 0
+) -> Acceptance:
+    """
+    Put what is in force in `source` in force in `target`, as it was approved.
+
+    :param held_revision: highest revision that entries of `target` hold.
+    :raises RefusedError: if `source` has changed since it was approved.
+    :raises ConflictError: if `target` has changed since it was approved.
+    """
+    accepted = _require(await read_current(store, source), source)
+    document = evolve(accepted.document, environment=target)
+    approval = await _require_approval(store, document)
+    return await accept(store, _proposal(document, approval, held_revision))
+
+
+async def roll_back(
+    store: Store,
+    *,
+    environment: str,
+    to_revision: int,
+    replaces: int,
+    author: str,
+    held_revision: int = 0,
+) -> Acceptance:
+    """
+    Put an earlier content in force again, as a new revision.
+
+    Its approval goes with it: it has been approved and in force before.
+
+    :param replaces: revision that the operator has seen in force.
+    :raises RefusedError: if the history does not hold `to_revision`.
+    :raises ConflictError: if `replaces` is not in force any more.
+    """
+    past = None
+    if replaces - HISTORY_SLOTS < to_revision < replaces:
+        past = await read_revision(store, environment, to_revision)
+    if past is None:
+        raise RefusedError(
+            reason=f"the history of {environment} before revision {replaces} has no "
+            f"revision {to_revision}"
+        )
+    _require_checked(past.document)
+    base = await _find_base(store, past.document, replaces)
+    proposal = Proposal(
+        document=past.document,
+        base=base,
+        author=author,
+        approved_by=past.approved_by,
+        held_revision=held_revision,
+    )
+    return await accept(store, proposal)
+
+
+async def restore(
+    store: Store, newer: AcceptedDocument, *, replaces: int, held_revision: int = 0
+) -> Acceptance:
+    """
+    Accept a document again that the store has lost by coming back older.
+
+    Its new revision is above the store's and above those that entries hold.
+
+    :param replaces: revision that the store holds, 0 if none.
+    :raises RefusedError: if the store is not behind `newer`.
+    :raises ConflictError: if `replaces` is not in the store any more.
+    """
+    if replaces > newer.revision:
+        raise RefusedError(
+            reason=f"revision {newer.revision} is not newer than {replaces}; "
+            "roll back or edit instead"
+        )
+    _require_checked(newer.document)
+    current = (await read_current(store, newer.document.environment)).accepted
+    if current is not None and _is_restored(current, newer):
+        return Acceptance(accepted=current)
+    base = await _find_base(store, newer.document, replaces)
+    if base.write_id == newer.write_id:
+        raise RefusedError(reason=f"revision {newer.revision} is in the store")
+    proposal = Proposal(
+        document=newer.document,
+        base=base,
+        author=newer.author,
+        approved_by=newer.approved_by,
+        revision=max(replaces, newer.revision, held_revision) + 1,
+    )
+    return await accept(store, proposal)
+
+
+def _proposal(
+    document: EnvironmentDocument, approval: Approval, held_revision: int
+) -> Proposal:
+    return Proposal(
+        document=document,
+        base=approval.base,
+        author=approval.author,
+        approved_by=approval.approved_by,
+        held_revision=held_revision,
+    )
+
+
+def _changes_from_base(
+    current: CurrentDocument, base: Base, document: EnvironmentDocument
+) -> tuple[Change, ...]:
+    held = current.accepted.document if current.accepted else None
+    changes = diff_documents(held, document)
+    if current.base == base:
+        return changes
+    raise ConflictError(
+        environment=document.environment,
+        base_revision=base.revision,
+        current=current.accepted,
+        changes=changes,
+    )
+
+
+async def _find_base(
+    store: Store, document: EnvironmentDocument, revision: int
+) -> Base:
+    """Return the base of `revision`, replaced or not: a repeated command asks again."""
+    current = await read_current(store, document.environment)
+    if current.base.revision == revision:
+        return current.base
+    if revision == 0:
+        return Base()
+    past = await read_revision(store, document.environment, revision)
+    if past is None:
+        _changes_from_base(current, Base(revision=revision), document)
+    return base_of(past)
+
+
+def _is_restored(current: AcceptedDocument, newer: AcceptedDocument) -> bool:
+    return (
+        current.revision > newer.revision and current.content_hash == newer.content_hash
+    )
+
+
+def _require(current: CurrentDocument, environment: str) -> AcceptedDocument:
+    if current.accepted is None:
+        raise RefusedError(reason=f"{environment} has no document")
+    return current.accepted
+
+
+async def _require_approval(store: Store, document: EnvironmentDocument) -> Approval:
+    digest = content_hash(document)
+    approval = await read_approval(store, document.environment, digest)
+    if approval is None:
+        raise RefusedError(
+            reason=f"content {digest} is not approved for {document.environment}"
+        )
+    return approval
+
+
+def _require_checked(document: EnvironmentDocument) -> None:
+    findings = check_document(document)
+    if findings:
+        raise findings_error(document.environment, findings)
--- /dev/null
+++ b/src/bronzebeam/documents/review.py
@@ -0,0 +1,86 @@
+"""Approvals: what was reviewed, by whom, and what it may replace."""
+
+from typing import Any
+
+from attrs import asdict, field, frozen, validators
+
+from bronzebeam.documents.errors import RefusedError
+from bronzebeam.documents.model import AcceptedDocument
+
+_TEXT = validators.and_(validators.instance_of(str), validators.min_len(1))
+
+
+@frozen(kw_only=True)
+class Base:
+    """
+    The accepted document that an operation replaces.
+
+    The write identifier tells two documents apart that got the same revision, one
+    before and one after the store came back older.
+
+    :ivar revision: 0 if the environment has no document.
+    :ivar write_id: empty if the environment has no document.
+    """
+
+    revision: int = field(default=0, validator=validators.instance_of(int))
+    write_id: str = field(default="", validator=validators.instance_of(str))
+
+
+@frozen(kw_only=True)
+class Approval:
+    """
+    One operator's consent to put one content in the place of one base.
+
+    :ivar content_hash: hash of the document as it is to be in force.
+    """
+
+    environment: str = field(validator=_TEXT)
+    content_hash: str = field(validator=_TEXT)
+    base: Base = field(validator=validators.instance_of(Base))
+    author: str = field(validator=_TEXT)
+    approved_by: str = field(validator=_TEXT)
+
+
+def base_of(accepted: AcceptedDocument | None) -> Base:
+    """Return what an operation that replaces `accepted` is based on."""
+    if accepted is None:
+        return Base()
+    return Base(revision=accepted.revision, write_id=accepted.write_id)
+
+
+def approve(
+    *, environment: str, content_hash: str, base: Base, author: str, approver: str
+) -> Approval:
+    """
+    Build an approval.
+
+    :raises RefusedError: if the approver is the author.
+    """
+    if approver == author:
+        raise RefusedError(reason=f"{author} cannot approve their own document")
+    return Approval(
+        environment=environment,
+        content_hash=content_hash,
+        base=base,
+        author=author,
+        approved_by=approver,
+    )
+
+
+def approval_to_json(approval: Approval) -> dict[str, Any]:
+    """Return the approval as plain JSON values."""
+    return asdict(approval)
+
+
+def approval_from_json(value: Any) -> Approval:
+    """
+    Build an approval from the store's value.
+
+    :raises RefusedError: if it is malformed.
+    """
+    try:
+        return Approval(**{**value, "base": Base(**value["base"])})
+    except (TypeError, ValueError, KeyError) as error:
+        raise RefusedError(
+            reason=f"the stored approval is malformed: {error}"
+        ) from None
--- /dev/null
+++ b/src/bronzebeam/documents/storage.py
@@ -0,0 +1,165 @@
+"""Documents, their history and approvals in the configuration store."""
+
+from typing import Any, Final
+
+from attrs import frozen
+
+from bronzebeam.documents.loading import accepted_from_json, accepted_to_json
+from bronzebeam.documents.model import DOCUMENT_KEY_PREFIX, AcceptedDocument
+from bronzebeam.documents.review import (
+    Approval,
+    Base,
+    approval_from_json,
+    approval_to_json,
+    base_of,
+)
+from bronzebeam.transport.store import Store, StoredValue, StoreUnavailable, Written
+
+HISTORY_KEY_PREFIX: Final = "bronzebeam/history/"
+APPROVAL_KEY_PREFIX: Final = "bronzebeam/approvals/"
+HISTORY_SLOTS: Final = 32
+APPROVAL_SECONDS: Final = 14 * 24 * 3600.0
+WRITE_ATTEMPTS: Final = 4
+
+
+@frozen(kw_only=True)
+class CurrentDocument:
+    """
+    What is in force in an environment.
+
+    :ivar accepted: None if the environment has no document.
+    :ivar mod_revision: the store's revision of the key, 0 if absent.
+    """
+
+    accepted: AcceptedDocument | None
+    mod_revision: int
+
+    @property
+    def base(self) -> Base:
+        return base_of(self.accepted)
+
+
+async def read_current(store: Store, environment: str) -> CurrentDocument:
+    """
+    Read what is in force.
+
+    :raises StoreUnavailable: if the store did not answer.
+    :raises FindingsError: if the stored value is malformed.
+    """
+    stored = await store.get(DOCUMENT_KEY_PREFIX + environment)
+    if stored is None:
+        return CurrentDocument(accepted=None, mod_revision=0)
+    return CurrentDocument(
+        accepted=accepted_from_json(stored.value), mod_revision=stored.mod_revision
+    )
+
+
+async def write_current(
+    store: Store, accepted: AcceptedDocument, *, expected: int
+) -> bool:
+    """
+    Put a whole document in force by one compare-and-swap.
+
+    :param expected: the store's revision of the key that is replaced.
+    :returns: False if another revision was found.
+    :raises StoreUnavailable: if the write may or may not have taken effect.
+    """
+    result = await store.compare_and_swap(
+        key=DOCUMENT_KEY_PREFIX + accepted.document.environment,
+        value=accepted_to_json(accepted),
+        expected=expected,
+    )
+    return isinstance(result, Written)
+
+
+async def archive(store: Store, accepted: AcceptedDocument) -> None:
+    """
+    Copy a document that is in force to its slot of the history.
+
+    It is called before the document is replaced. What the history holds has thus
+    been in force, and a crash between the two writes only leaves a copy of what
+    still is. A slot is taken over from the revision `HISTORY_SLOTS` below.
+    """
+    key = _history_key(accepted.document.environment, accepted.revision)
+    for _ in range(WRITE_ATTEMPTS):
+        held = await store.get(key)
+        if held is not None and _is_settled(held, accepted):
+            return
+        result = await store.compare_and_swap(
+            key=key,
+            value=accepted_to_json(accepted),
+            expected=held.mod_revision if held else 0,
+        )
+        if isinstance(result, Written):
+            return
+    raise StoreUnavailable(f"{key} was written by others at each attempt")
+
+
+async def read_revision(
+    store: Store, environment: str, revision: int
+) -> AcceptedDocument | None:
+    """Read a replaced revision; None if the history does not hold it any more."""
+    stored = await store.get(_history_key(environment, revision))
+    if stored is None:
+        return None
+    accepted = accepted_from_json(stored.value)
+    return accepted if accepted.revision == revision else None
+
+
+async def read_history(store: Store, environment: str) -> tuple[AcceptedDocument, ...]:
+    """Read what is and was in force, newest first, as far as it is kept."""
+    current = (await read_current(store, environment)).accepted
+    if current is None:
+        return ()
+    oldest = max(current.revision - HISTORY_SLOTS, 0)
+    found = [
+        await read_revision(store, environment, revision)
+        for revision in range(current.revision - 1, oldest, -1)
+    ]
+    return (current, *(item for item in found if item is not None))
+
+
+async def read_approval(
+    store: Store, environment: str, content_hash: str
+) -> Approval | None:
+    """Read the approval of a content; None if there is none or it has lapsed."""
+    stored = await store.get(_approval_key(environment, content_hash))
+    return approval_from_json(stored.value) if stored else None
+
+
+async def write_approval(store: Store, approval: Approval) -> None:
+    """
+    Keep an approval for `APPROVAL_SECONDS`, in place of one of the same content.
+
+    :raises StoreUnavailable: if it may or may not have been kept; repeat it.
+    """
+    key = _approval_key(approval.environment, approval.content_hash)
+    value = approval_to_json(approval)
+    lease_id = await store.grant_lease(ttl_seconds=APPROVAL_SECONDS)
+    for _ in range(WRITE_ATTEMPTS):
+        held = await store.get(key)
+        result = await store.compare_and_swap(
+            key=key,
+            value=value,
+            expected=held.mod_revision if held else 0,
+            lease_id=lease_id,
+        )
+        if isinstance(result, Written):
+            return
+    raise StoreUnavailable(f"{key} was written by others at each attempt")
+
+
+def _is_settled(held: StoredValue, accepted: AcceptedDocument) -> bool:
+    """Return whether a slot holds `accepted`, or a later revision of a later writer."""
+    value: Any = held.value if isinstance(held.value, dict) else {}
+    if value.get("write_id") == accepted.write_id:
+        return True
+    return int(value.get("revision", 0)) > accepted.revision
+
+
+def _history_key(environment: str, revision: int) -> str:
+    return f"{HISTORY_KEY_PREFIX}{environment}/{revision % HISTORY_SLOTS}"
+
+
+def _approval_key(environment: str, content_hash: str) -> str:
+    return f"{APPROVAL_KEY_PREFIX}{environment}/{content_hash}"
--- a/src/bronzebeam/transport/http_json.py
+++ b/src/bronzebeam/transport/http_json.py
@@ -27,11 +27,12 @@
     """
     An HTTP client whose calls each end within a bound.
 
-    :ivar base_url: scheme, IP address and port of the server.
+    :ivar base_url: scheme, IP address and port of the server; empty if the calls
+        name whole URLs.
     :ivar transport: replaces the network, for tests.
     """
 
-    base_url: str
+    base_url: str = ""
     transport: httpx.AsyncBaseTransport | None = None
     _client: httpx.AsyncClient = field(init=False)
 
--- /dev/null
+++ b/tests/fixtures_documents.py
@@ -0,0 +1,61 @@
+"""Documents, drafts and failures for the tests of operations."""
+
+import json
+from collections.abc import Awaitable
+from pathlib import Path
+from typing import Any, TypeVar
+
+from attrs import evolve
+
+from bronzebeam.documents import operations
+from bronzebeam.documents.accepting import Acceptance
+from bronzebeam.documents.drafts import Draft
+from bronzebeam.documents.loading import document_from_json
+from bronzebeam.documents.model import CallerLimitSpec, EnvironmentDocument
+from bronzebeam.documents.storage import read_current
+from bronzebeam.transport.store import Store
+
+ErrorT = TypeVar("ErrorT", bound=Exception)
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+def example_json(name: str = "small") -> Any:
+    return json.loads((EXAMPLES / name / "production.json").read_text())
+
+
+def example_document(
+    *, burst: int = 1, environment: str = "production"
+) -> EnvironmentDocument:
+    """Return the small example; documents of different `burst` differ."""
+    limit = CallerLimitSpec(rate_per_second=10.0, burst=burst)
+    return evolve(
+        document_from_json(example_json()), environment=environment, caller_limit=limit
+    )
+
+
+async def make_draft(
+    store: Store, *, burst: int, author: str = "ada", environment: str = "production"
+) -> Draft:
+    """Return a draft on what is in force."""
+    current = await read_current(store, environment)
+    document = example_document(burst=burst, environment=environment)
+    return Draft(author=author, base=current.base, document=document)
+
+
+async def put_in_force(
+    store: Store, *, burst: int, author: str = "ada", environment: str = "production"
+) -> Acceptance:
+    """Draft, approve and promote."""
+    draft = await make_draft(store, burst=burst, author=author, environment=environment)
+    await operations.approve_draft(store, draft, approver="grace")
+    return await operations.promote_draft(store, draft)
+
+
+async def failure_of(call: Awaitable[object], kind: type[ErrorT]) -> ErrorT:
+    """Return the failure that `call` is to end with."""
+    try:
+        await call
+    except kind as error:
+        return error
+    raise AssertionError(f"no {kind.__name__} was raised")
--- a/tests/test_documents_loading.py
+++ b/tests/test_documents_loading.py
@@ -3,7 +3,6 @@
 import copy
 import json
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from hypothesis import given, settings, strategies as st
@@ -19,12 +18,7 @@
 )
 from bronzebeam.documents.model import AcceptedDocument, EnvironmentDocument
 from bronzebeam.findings import FindingsError
-
-EXAMPLES = Path(__file__).parent.parent / "examples"
-
-
-def example_json(name: str = "small") -> Any:
-    return json.loads((EXAMPLES / name / "production.json").read_text())
+from tests.fixtures_documents import EXAMPLES, example_json
 
 
 def places_found(change: Callable[[Any], None]) -> list[str]:
