--- /dev/null
+++ b/tests/test_routing_admission.py
@@ -0,0 +1,240 @@
+"""Tests of admission and the concurrency limit."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from bronzebeam.routing.admission import (
+    LEAST_RETRY_AFTER_MS,
+    LONGEST_RETRY_AFTER_MS,
+    AdmissionQueue,
+    AdmissionStep,
+    Arrival,
+    Capacity,
+    GiveUpReason,
+    retry_after,
+)
+from bronzebeam.routing.limits import ConcurrencyLimit, LimitBounds, QuerySample
+
+COMMON = settings(derandomize=True, database=None, deadline=None)
+
+
+class QueueRun:
+    """An admission queue with a service that the test starts and finishes."""
+
+    def __init__(self, *, limit: int, most_waiting: int = 3) -> None:
+        self.queue = AdmissionQueue(most_waiting=most_waiting, rng=random.Random(1))
+        self.limit = limit
+        self.now = 0.0
+        self.running: list[str] = []
+        self.given_up: dict[str, GiveUpReason] = {}
+
+    @property
+    def capacity(self) -> Capacity:
+        return Capacity(limit=self.limit, running=len(self.running), service_ms=100.0)
+
+    def arrive(self, name: str, priority: int = 0, within: float = 9.0) -> None:
+        arrival = Arrival(
+            query_id=name, priority=priority, deadline_at_seconds=self.now + within
+        )
+        self.take_in(
+            self.queue.arrive(arrival, capacity=self.capacity, now_seconds=self.now)
+        )
+
+    def finish(self, name: str) -> None:
+        self.running.remove(name)
+        self.advance()
+
+    def advance(self, seconds: float = 0.0) -> None:
+        self.now += seconds
+        step = self.queue.advance(capacity=self.capacity, now_seconds=self.now)
+        self.take_in(step)
+
+    def take_in(self, step: AdmissionStep) -> None:
+        self.running += step.started
+        for item in step.given_up:
+            assert item.query_id not in self.given_up
+            assert LEAST_RETRY_AFTER_MS <= item.retry_after_ms <= LONGEST_RETRY_AFTER_MS
+            self.given_up[item.query_id] = item.reason
+
+
+@COMMON
+@given(
+    st.integers(1, 4),
+    st.lists(
+        st.tuples(st.floats(0, 0.2), st.integers(0, 3), st.floats(0, 1), st.booleans()),
+        max_size=50,
+    ),
+)
+def test_each_query_is_started_or_given_up_once(
+    limit: int, events: list[tuple[float, int, float, bool]]
+) -> None:
+    run = QueueRun(limit=limit)
+    waiting: dict[str, tuple[int, int, float]] = {}
+    finished: list[str] = []
+
+    def check_step() -> None:
+        keys = [waiting.pop(name) for name in run.running if name in waiting]
+        for name in run.given_up:
+            waiting.pop(name, None)
+        assert all(run.now <= deadline for _, _, deadline in keys)
+        assert not keys or not waiting or max(keys) < min(waiting.values())
+        assert run.queue.waiting == len(waiting) <= 3
+        assert len(run.running) <= limit
+        assert run.queue.next_expiry_seconds > run.now or not waiting
+
+    for number, (pause, priority, within, finishes) in enumerate(events):
+        run.advance(pause)
+        check_step()
+        if finishes and run.running:
+            finished.append(run.running[0])
+            run.finish(run.running[0])
+            check_step()
+        waiting[str(number)] = (priority, number, run.now + within)
+        run.arrive(str(number), priority, within)
+        check_step()
+    for name in list(run.running):
+        run.finish(name)
+    run.advance(9.0)
+    settled = [*finished, *run.running, *run.given_up]
+    assert run.queue.waiting == 0
+    assert len(set(settled)) == len(settled)
+
+
+def test_higher_class_displaces_the_newest_of_the_lowest() -> None:
+    run = QueueRun(limit=1, most_waiting=2)
+    run.arrive("running")
+    run.arrive("older", 2)
+    run.arrive("newer", 2)
+    run.arrive("late", 2)
+    assert run.given_up == {"late": GiveUpReason.OVERLOADED}
+    run.arrive("urgent", 0)
+    assert run.given_up["newer"] is GiveUpReason.DISPLACED
+    run.finish("running")
+    run.finish("urgent")
+    assert run.running == ["older"]
+
+
+def test_query_that_cannot_be_met_is_given_up_at_once() -> None:
+    run = QueueRun(limit=1)
+    run.arrive("trial", within=0.05)
+    run.arrive("waits", within=0.3)
+    run.arrive("hopeless", within=0.29)
+    assert run.running == ["trial"]
+    assert run.given_up == {"hopeless": GiveUpReason.DEADLINE_UNREACHABLE}
+    run = QueueRun(limit=1)
+    run.arrive("over", within=0.0)
+    assert "over" in run.given_up
+
+
+def test_waiting_queries_are_given_up_when_their_time_is_over() -> None:
+    run = QueueRun(limit=1)
+    run.arrive("running")
+    for name, within in (("a", 0.5), ("b", 0.5), ("c", 0.7)):
+        run.arrive(name, within=within)
+    run.advance(run.queue.next_expiry_seconds)
+    assert set(run.given_up) == {"a", "b"}
+    assert 0.59 < run.queue.next_expiry_seconds < 0.61
+    run.advance(run.queue.next_expiry_seconds - run.now)
+    assert set(run.given_up) == {"a", "b", "c"}
+
+
+def test_lower_classes_do_not_count_as_ahead() -> None:
+    run = QueueRun(limit=1)
+    for name in ("running", "low", "lower"):
+        run.arrive(name, 2)
+    run.arrive("urgent", 0, within=0.25)
+    assert not run.given_up
+
+
+def test_raised_limit_makes_room() -> None:
+    run = QueueRun(limit=1)
+    for number in range(4):
+        run.arrive(str(number))
+    run.limit = 2
+    run.arrive("4")
+    assert run.running == ["0", "1"] and not run.given_up
+
+
+def test_withdrawn_query_is_not_started() -> None:
+    run = QueueRun(limit=1)
+    run.arrive("a")
+    run.arrive("b")
+    assert run.queue.withdraw("b") and not run.queue.withdraw("b")
+    run.finish("a")
+    assert not run.running and not run.given_up
+
+
+def test_retry_after_follows_the_drain_rate() -> None:
+    capacity = Capacity(limit=2, running=2, service_ms=100.0)
+    times = [
+        retry_after(capacity, ahead=9, rng=random.Random(seed)) for seed in range(50)
+    ]
+    assert 500 <= min(times) < 550 and 700 < max(times) <= 750
+
+
+def observe(
+    limit: ConcurrencyLimit,
+    *,
+    latency_ms: float = 10.0,
+    shed: int = 0,
+    running: int = 9,
+    windows: int = 1,
+    start: float = 0.0,
+) -> ConcurrencyLimit:
+    sample = QuerySample(
+        latency_ms=latency_ms, sub_requests=30, shed=shed, running=running
+    )
+    for number in range(20 * windows):
+        limit = limit.observe(sample, now_seconds=start + number * 0.006)
+    return limit
+
+
+def fresh_limit(value: float = 10.0) -> ConcurrencyLimit:
+    return ConcurrencyLimit(bounds=LimitBounds(lowest=2, highest=100), value=value)
+
+
+def test_limit_rises_only_if_used_and_falls_on_load() -> None:
+    warm = observe(fresh_limit())
+    assert warm.limit == 11
+    assert observe(warm, running=5).limit == 11
+    assert observe(warm, shed=1).limit == 8
+    assert observe(warm, latency_ms=21.0).limit == 8
+    assert observe(warm, latency_ms=19.0).limit == 12
+    assert observe(warm, latency_ms=1.0).baseline_ms == 1.0
+    slower = observe(warm, latency_ms=15.0, windows=50).baseline_ms
+    assert slower is not None and 10.4 < slower < 10.6
+    assert observe(fresh_limit(99.5), running=99, windows=3).value == 100.0
+
+
+def test_limit_moves_once_a_window() -> None:
+    limit = fresh_limit()
+    sample = QuerySample(latency_ms=10.0, sub_requests=30, shed=30, running=10)
+    for _ in range(100):
+        limit = limit.observe(sample, now_seconds=0.0)
+    assert limit.value == 10.0
+    assert limit.observe(sample, now_seconds=0.1).value == 8.0
+
+
+def test_limit_settles_near_the_capacity() -> None:
+    for value in (2.0, 100.0):
+        limit = observe(fresh_limit(value), running=1)
+        for number in range(200):
+            running = limit.limit
+            latency_ms = 10.0 * max(1.0, running / 16)
+            limit = observe(limit, latency_ms=latency_ms, running=running)
+        assert 16 <= limit.limit <= 40
+
+
+@COMMON
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 1e4), st.integers(0, 30), st.integers(1, 200)),
+        max_size=60,
+    )
+)
+def test_limit_keeps_its_bounds(samples: list[tuple[float, int, int]]) -> None:
+    limit = fresh_limit()
+    for latency_ms, shed, running in samples:
+        limit = observe(limit, latency_ms=latency_ms, shed=shed, running=running)
+        assert 2 <= limit.limit <= 100
