--- a/src/bronzebeam/controllers/document_difference.py
+++ b/src/bronzebeam/controllers/document_difference.py
@@ -74,7 +74,11 @@
             result = _apply(result, change)
         except (KeyError, IndexError, TypeError) as error:
             raise _refusal("a change does not fit the base") from error
-    if json_checksum(result) != checksum:
+    try:
+        found = json_checksum(result)
+    except orjson.JSONEncodeError as error:
+        raise _refusal("the result can't be encoded") from error
+    if found != checksum:
         raise _refusal("the checksum differs after the changes")
     return result
 
--- a/src/bronzebeam/controllers/news_topic.py
+++ b/src/bronzebeam/controllers/news_topic.py
@@ -42,5 +42,8 @@
     most_bytes: int
 
     def fits(self, value: Any) -> bool:
-        """Tell whether `value` is within `most_bytes`."""
-        return len(orjson.dumps(value)) <= self.most_bytes
+        """Tell whether `value` is within `most_bytes` and not nested too deep."""
+        try:
+            return len(orjson.dumps(value)) <= self.most_bytes
+        except orjson.JSONEncodeError:
+            return False
--- a/src/bronzebeam/transport/peer.py
+++ b/src/bronzebeam/transport/peer.py
@@ -29,6 +29,14 @@
 MOST_IDLE_CONNECTIONS: Final = 8
 IDLE_CONNECTION_SECONDS: Final = 20.0
 
+CALL_ERRORS: Final = (
+    httpx.HTTPError,
+    httpx.InvalidURL,
+    OSError,
+    TimeoutError,
+    ValueError,
+)
+
 MessageT = TypeVar("MessageT")
 
 
@@ -109,7 +117,7 @@
         try:
             with anyio.fail_after(self._timeout_seconds):
                 return await self._read(url, content, most_bytes)
-        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
+        except CALL_ERRORS as error:
             raise PeerUnavailable(f"{type(error).__name__}: {error}") from error
 
     async def _read(self, url: str, content: bytes | None, most_bytes: int) -> bytes:
--- a/tests/fixtures_fleet.py
+++ b/tests/fixtures_fleet.py
@@ -86,6 +86,34 @@
     )
 
 
+class VersionTopic:
+    """News of names with versions; the higher version is kept."""
+
+    def __init__(self) -> None:
+        self.versions: dict[str, int] = {}
+
+    def digest(self) -> Any:
+        return dict(self.versions)
+
+    def delta(self, since: Any) -> Any:
+        known = since or {}
+        newer = {
+            name: version
+            for name, version in self.versions.items()
+            if version > known.get(name, 0)
+        }
+        return newer or None
+
+    def merge(self, payload: Any) -> bool:
+        newer = {
+            name: version
+            for name, version in payload.items()
+            if version > self.versions.get(name, 0)
+        }
+        self.versions.update(newer)
+        return bool(newer)
+
+
 class FakeStore:
     """The store's one key, with its faults and a count of calls."""
 
@@ -164,6 +192,7 @@
 
     :ivar held: entries whose calls and answers stand still, as when paused.
     :ivar cut: entries that reach nothing and are reached by nothing.
+    :ivar storeless: entries that do not reach the store.
     :ivar loss: share of calls between peers that is lost.
     """
 
@@ -175,6 +204,7 @@
         self.listed: dict[str, ListedInstance] = {}
         self.held: set[str] = set()
         self.cut: set[str] = set()
+        self.storeless: set[str] = set()
         self.loss = 0.0
         self.duplicate_pushes = False
         self.list_up = True
@@ -341,7 +371,7 @@
 
     async def _check(self) -> None:
         await self._fleet.pass_through(self._name)
-        if self._name in self._fleet.cut:
+        if self._name in self._fleet.cut | self._fleet.storeless:
             raise StoreUnavailable
 
 
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -46,6 +46,27 @@
     run_fleet(scenario)
 
 
+def test_standby_entries_follow_all_watchers_of_a_larger_fleet() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await _settled(fleet, count=64)
+        for name in fleet.watchers():
+            fleet.kill(name)
+        fleet.store.put(accepted_value(2))
+        await fleet.in_force(2, within=8.0)
+
+    run_fleet(scenario)
+
+
+def test_other_entries_watch_after_the_watchers_lose_the_store() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await _settled(fleet)
+        fleet.storeless = set(fleet.watchers())
+        fleet.store.put(accepted_value(2))
+        await fleet.in_force(2, within=8.0)
+
+    run_fleet(scenario)
+
+
 def test_entries_keep_their_revision_and_serve_while_the_store_is_down() -> None:
     async def scenario(fleet: Fleet) -> None:
         await _settled(fleet, revision=3)
--- /dev/null
+++ b/tests/test_fleet_messages.py
@@ -0,0 +1,157 @@
+"""Tests of the messages between entries and of document differences."""
+
+from typing import Any
+
+import orjson
+from hypothesis import given, settings, strategies as st
+
+from bronzebeam.controllers.document_difference import (
+    apply_changes,
+    difference,
+    json_checksum,
+)
+from bronzebeam.controllers.peer_messages import (
+    MOST_RECORDS,
+    ConfigurationNews,
+    Exchange,
+    Push,
+    PushReply,
+    TopicNews,
+    exchange_from_json,
+    exchange_to_json,
+    push_from_json,
+    push_reply_from_json,
+    push_reply_to_json,
+    push_to_json,
+)
+from bronzebeam.findings import FindingsError
+from tests.fixtures_fleet import member
+
+REPEATABLE = settings(derandomize=True, database=None, deadline=None)
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-5, 5)
+    | st.sampled_from([0.5, 1.0])
+    | st.text("ab/~", max_size=3),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text("ab", max_size=2), inner, max_size=3),
+    max_leaves=12,
+)
+
+
+def _exchange() -> Exchange:
+    return Exchange(
+        sender=member("e0"),
+        revision=3,
+        content_hash="h",
+        store_failing=False,
+        records_digest="00",
+        records=(member("e1"),),
+        topics=(TopicNews(name="quarantine", digest=[1], payload={"a": 1}),),
+    )
+
+
+def _push() -> Push:
+    news = ConfigurationNews(
+        revision=3,
+        content_hash="h",
+        base_revision=2,
+        base_checksum="b",
+        checksum="c",
+        changes=difference({"a": [1, 2], "b": 1}, {"a": [1, 3]}),
+    )
+    return Push(sender=member("e0"), configuration=news, records=(member("e1"),))
+
+
+def _through_json(value: Any) -> Any:
+    return orjson.loads(orjson.dumps(value))
+
+
+def test_messages_come_back_as_they_were_sent() -> None:
+    exchange, push = _exchange(), _push()
+    assert exchange_from_json(_through_json(exchange_to_json(exchange))) == exchange
+    assert push_from_json(_through_json(push_to_json(push))) == push
+    receipt = PushReply(instance="e0", revision=2)
+    assert push_reply_from_json(push_reply_to_json(receipt)) == receipt
+
+
+@REPEATABLE
+@given(st.sampled_from(["exchange", "push", "reply"]), st.data())
+def test_malformed_messages_are_refused_with_findings_only(
+    kind: str, data: st.DataObject
+) -> None:
+    forms = {
+        "exchange": (exchange_from_json, exchange_to_json(_exchange())),
+        "push": (push_from_json, push_to_json(_push())),
+        "reply": (push_reply_from_json, {"instance": "e0", "revision": 2}),
+    }
+    read, value = forms[kind]
+    spoilt = _through_json(value)
+    place = spoilt
+    while isinstance(place, dict | list) and place:
+        keys = list(place) if isinstance(place, dict) else list(range(len(place)))
+        key = data.draw(st.sampled_from(keys))
+        if data.draw(st.booleans()) or not isinstance(place[key], dict | list):
+            place[key] = data.draw(JSON)
+            break
+        place = place[key]
+    try:
+        read(spoilt)
+    except FindingsError as error:
+        assert error.findings
+
+
+def test_each_fault_of_a_message_is_found_with_its_place() -> None:
+    value = exchange_to_json(_exchange())
+    value["revision"] = -1
+    value["sender"]["state"] = "asleep"
+    value["records"][0]["instance"] = 7
+    value["buckets"] = ["00"]
+    try:
+        exchange_from_json(value)
+    except FindingsError as error:
+        places = {item.place for item in error.findings}
+        assert places == {
+            "/revision",
+            "/sender/state",
+            "/records/0/instance",
+            "/buckets",
+        }
+    else:
+        raise AssertionError("the message was taken")
+
+
+def test_lists_above_their_bound_are_refused() -> None:
+    value = push_to_json(_push())
+    value["records"] = value["records"] * (MOST_RECORDS + 1)
+    try:
+        push_from_json(value)
+    except FindingsError as error:
+        assert [item.place for item in error.findings] == ["/records"]
+    else:
+        raise AssertionError("the message was taken")
+
+
+@REPEATABLE
+@given(JSON, JSON)
+def test_difference_turns_one_value_into_the_other(old: Any, new: Any) -> None:
+    before = orjson.dumps(old)
+    changes = difference(old, new)
+    assert json_checksum(apply_changes(old, changes, json_checksum(new))) == (
+        json_checksum(new)
+    )
+    assert orjson.dumps(old) == before
+    assert difference(old, old) == ()
+
+
+def test_difference_on_another_base_is_refused() -> None:
+    changes = difference({"a": {"b": 1}}, {"a": {"b": 2}})
+    wanted = json_checksum({"a": {"b": 2}})
+    bases: list[Any] = [{"a": {"b": 1, "c": 1}}, {"a": 1}, [], {}, {"a": []}]
+    for base in bases:
+        try:
+            apply_changes(base, changes, wanted)
+        except FindingsError:
+            continue
+        raise AssertionError(base)
