Wire admission, quarantine, claims, caller rates and forwarding into the path

Cause: the decisions stood without their controllers. Change: filters for rates, admission, idempotency and quarantine in this order; controllers that feed the pure decisions; quarantines and callers' usage as topics of the peer exchange; owner-bound keys forwarded to their owner; readiness waits for connections; demo. Ruled out: admission inside the claim, which would hold claims while queueing.

--- a/src/bronzebeam/bench/demo.py
+++ b/src/bronzebeam/bench/demo.py
@@ -83,7 +83,12 @@
     second = await caller.post(BOOK_PATH, payload, deadline_ms=DEADLINE_MS, key=key)
     echo(f"booking: {_describe(first)}")
     echo(f"the same booking sent again: {_describe(second)}")
+    if second.outcome == "outcome_unknown":
+        await anyio.sleep(second.body["retry_after_ms"] / 1000)
+        second = await caller.post(BOOK_PATH, payload, deadline_ms=DEADLINE_MS, key=key)
+        echo(f"and again, when told to come back: {_describe(second)}")
     _expect(first.outcome == "answered", "the booking was not answered")
+    _expect(second.outcome == "answered", "the resend was not answered")
     _expect(second.body["result"] == first.body["result"], "the resend differs")
 
 
--- /dev/null
+++ b/src/bronzebeam/bench/experiments/overload.py
@@ -0,0 +1,97 @@
+"""Answers in time at twice the capacity, with and without admission."""
+
+import random
+from typing import Final
+
+import anyio
+from attrs import frozen
+
+from bronzebeam.bench.documents import SEARCH_PATH, rig_document
+from bronzebeam.bench.figures import Bound, Figure
+from bronzebeam.bench.load import Caller, CallerAnswer, OpenLoop
+from bronzebeam.bench.rig import Rig, RigSpec, running_rig
+
+SHARDS: Final = 4
+SLOTS: Final = 2
+REPLICAS: Final = 2
+SERVICE_MS: Final = 40.0
+CAPACITY_PER_SECOND: Final = SLOTS * REPLICAS * 1000 / SERVICE_MS
+SECONDS: Final = 4.0
+DEADLINE_MS: Final = 300
+CHECK_IN_SHARE: Final = 0.3
+BOUND: Final = 0.90
+
+
+@frozen(kw_only=True)
+class _Goodput:
+    """
+    Answers in time of one run.
+
+    :ivar per_second: whole answers within the deadline.
+    :ivar check_in_share: share of check-in requests answered so.
+    """
+
+    per_second: float
+    check_in_share: float
+
+
+async def run() -> list[Figure]:
+    """Measure goodput at capacity and at twice the capacity."""
+    async with running_rig(_spec(())) as rig:
+        at_capacity = await _measure(rig, CAPACITY_PER_SECOND)
+        doubled = await _measure(rig, 2 * CAPACITY_PER_SECOND)
+    async with running_rig(_spec(("--no-admission",))) as rig:
+        plain = await _measure(rig, 2 * CAPACITY_PER_SECOND)
+    return [
+        Figure(name="goodput_at_capacity", value=at_capacity.per_second, unit="1/s"),
+        Figure(name="goodput_at_double", value=doubled.per_second, unit="1/s"),
+        Figure(name="goodput_at_double_plain", value=plain.per_second, unit="1/s"),
+        Figure(name="check_in_share", value=doubled.check_in_share, unit="share"),
+        Figure(name="check_in_share_plain", value=plain.check_in_share, unit="share"),
+        Figure(
+            name="overload_goodput_ratio",
+            value=doubled.per_second / at_capacity.per_second,
+            unit="ratio",
+            bound=BOUND,
+            side=Bound.AT_LEAST,
+        ),
+    ]
+
+
+def _spec(entry_arguments: tuple[str, ...]) -> RigSpec:
+    return RigSpec(
+        document=rig_document(shards=SHARDS, slots=SLOTS),
+        entries=2,
+        backend_parts=2,
+        backend_arguments=("--service-ms", str(SERVICE_MS)),
+        entry_arguments=entry_arguments,
+    )
+
+
+async def _measure(rig: Rig, rate_per_second: float) -> _Goodput:
+    caller = Caller(addresses=lambda: [entry.caller_address for entry in rig.entries])
+    rng = random.Random(1)
+    check_ins: set[int] = set()
+
+    async def send(number: int, due: float) -> CallerAnswer:
+        is_check_in = rng.random() < CHECK_IN_SHARE
+        answer = await caller.post(
+            SEARCH_PATH,
+            {"q": number},
+            deadline_ms=DEADLINE_MS,
+            class_name="check-in" if is_check_in else "planner",
+            due_seconds=due,
+        )
+        if is_check_in:
+            check_ins.add(id(answer))
+        return answer
+
+    await anyio.sleep(1.0)
+    load = OpenLoop(rate_per_second=rate_per_second, seconds=SECONDS, send=send)
+    answers = await load.run()
+    good = [item for item in answers if item.complete and item.latency_ms < DEADLINE_MS]
+    good_check_ins = sum(id(item) in check_ins for item in good)
+    return _Goodput(
+        per_second=len(good) / SECONDS,
+        check_in_share=good_check_ins / max(1, len(check_ins)),
+    )
--- a/src/bronzebeam/bench/suite.py
+++ b/src/bronzebeam/bench/suite.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from bronzebeam.bench.experiments import departures, fanout, hedging
+from bronzebeam.bench.experiments import departures, fanout, hedging, overload
 from bronzebeam.bench.figures import Figure
 
 Experiment = Callable[[], Awaitable[list[Figure]]]
@@ -11,6 +11,7 @@
 EXPERIMENTS: Final[dict[str, Experiment]] = {
     "fanout": fanout.run,
     "hedging": hedging.run,
+    "overload": overload.run,
     "leaving": departures.run_leaving,
     "killed": departures.run_killed,
 }
--- a/src/bronzebeam/cli.py
+++ b/src/bronzebeam/cli.py
@@ -4,6 +4,8 @@
 
 from bronzebeam import __version__
 from bronzebeam.cli_bench import bench
+from bronzebeam.cli_demo import demo
+from bronzebeam.cli_document import document
 from bronzebeam.cli_entry import entry
 from bronzebeam.cli_settings import settings
 from bronzebeam.cli_standin import standin
@@ -17,5 +19,5 @@
 
 
 standin.add_command(run_backends)
-for command in (bench, entry, settings, standin):
+for command in (bench, demo, document, entry, settings, standin):
     main.add_command(command)
--- a/src/bronzebeam/cli_entry.py
+++ b/src/bronzebeam/cli_entry.py
@@ -8,6 +8,7 @@
 import click
 
 from bronzebeam.entry.daemon import Entry
+from bronzebeam.entry.request_path import Baseline
 from bronzebeam.findings import FindingsError
 from bronzebeam.settings import EntrySettings, load_settings
 from bronzebeam.telemetry.logs import LogOutput
@@ -24,7 +25,8 @@
     help="Settings file of this instance.",
 )
 @click.option("--no-hedging", is_flag=True, help="Baseline without hedges.")
-def entry(path: Path, no_hedging: bool) -> None:
+@click.option("--no-admission", is_flag=True, help="Baseline without admission.")
+def entry(path: Path, no_hedging: bool, no_admission: bool) -> None:
     """
     Run the entry daemon until a planned stop.
 
@@ -37,15 +39,16 @@
         for finding in error.findings:
             click.echo(str(finding), err=True)
         sys.exit(EXIT_FINDINGS)
-    sys.exit(run_entry(settings, hedging=not no_hedging))
+    baseline = Baseline(hedging=not no_hedging, admission=not no_admission)
+    sys.exit(run_entry(settings, baseline))
 
 
-def run_entry(settings: EntrySettings, *, hedging: bool) -> int:
+def run_entry(settings: EntrySettings, baseline: Baseline) -> int:
     """Run one entry on its own event loop and return the exit code."""
     # The event loop's library must not use io_uring, which some instances forbid.
     os.environ["UV_USE_IO_URING"] = "0"
     output = LogOutput(entry=settings.instance)
-    daemon = Entry(settings=settings, hedging=hedging)
+    daemon = Entry(settings=settings, baseline=baseline)
     try:
         return anyio.run(daemon.run, backend_options={"use_uvloop": True})
     finally:
--- a/src/bronzebeam/controllers/backends.py
+++ b/src/bronzebeam/controllers/backends.py
@@ -1,6 +1,7 @@
 """The controller of backend servers: links, load, health and held snapshots."""
 
 import math
+from collections.abc import Sequence
 from typing import Final
 
 import anyio
@@ -23,10 +24,11 @@
 )
 from bronzebeam.transport.channel import ChannelFactory
 from bronzebeam.transport.instance_list import InstanceState, ListedInstance
-from bronzebeam.transport.link import LinkEvent, ReplicaLink
+from bronzebeam.transport.link import LinkEvent, LinkObserver, ReplicaLink
 
 TICK_SECONDS: Final = 0.1
 HONEST_PROBES: Final = 3
+WARM_BOUND_SECONDS: Final = 3.0
 
 
 @frozen(kw_only=True)
@@ -75,25 +77,46 @@
 
 
 class Backends(Controller[BackendsMessage]):
-    """Owns the links to backend servers and what their replies tell."""
+    """
+    Owns the links to backend servers and what their replies tell.
+
+    :param observers: told of the end of each attempt, besides this controller.
+    """
 
     def __init__(
         self,
         *,
         clock: Clock,
         channels: ChannelFactory,
+        observers: Sequence[LinkObserver] = (),
     ) -> None:
         super().__init__()
         self._document: EnvironmentDocument | None = None
         self._clock = clock
         self._channels = channels
+        self._observers = observers
         self._replicas: dict[str, _Replica] = {}
         self._snapshots: dict[str, Snapshot | None] = {}
         self._ejections: dict[str, ShardEjections] = {}
         self._group: TaskGroup | None = None
-        self._settled = False
+        self._listed_at_seconds: float | None = None
         self._listed: tuple[ListedInstance, ...] = ()
 
+    def is_warm(self) -> bool:
+        """
+        Tell whether this entry has connections enough to take requests.
+
+        That is so once each listed backend server has answered, or some time after
+        the first list, since a lost one must not keep an entry from serving.
+        """
+        if self._listed_at_seconds is None:
+            return False
+        now = self._clock.monotonic_seconds()
+        if now - self._listed_at_seconds > WARM_BOUND_SECONDS:
+            return True
+        replicas = self._replicas.values()
+        return bool(replicas) and all(item.usable or item.leaving for item in replicas)
+
     def snapshot(self, service: str) -> Snapshot | None:
         """Return the newest snapshot that `service` can answer from."""
         return self._snapshots.get(service)
@@ -182,7 +205,8 @@
             service = document.service(item.service or "")
             if service is not None:
                 self._apply_listed(item, service, document.connection_share(service))
-        self._settled = self._settled or bool(listed)
+        if listed and self._listed_at_seconds is None:
+            self._listed_at_seconds = self._clock.monotonic_seconds()
         self._choose_snapshots()
 
     def _apply_listed(
@@ -202,7 +226,7 @@
             share=share,
             clock=self._clock,
             channels=self._channels,
-            observer=self.post,
+            observer=self._observe,
         )
         replica = _Replica(
             listed=item,
@@ -215,11 +239,16 @@
         assert self._group is not None
         self._group.start_soon(link.run)
 
+    def _observe(self, event: LinkEvent) -> None:
+        self.post(event)
+        for observer in self._observers:
+            observer(event)
+
     def _first_available_seconds(self) -> float:
         """Return when a replica listed now counts as available, for slow start."""
         now = self._clock.monotonic_seconds()
         # What the first list holds was running before this entry started.
-        return now if self._settled else -math.inf
+        return now if self._listed_at_seconds is not None else -math.inf
 
     def _retire(self, name: str) -> None:
         self._replicas.pop(name).link.retire()
--- /dev/null
+++ b/src/bronzebeam/controllers/caller_usage.py
@@ -0,0 +1,149 @@
+"""Callers' rates over the fleet: this entry's share and its peers' reports."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+from attrs import define, field, frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.routing.caller_rates import CallerRates, RateDecision
+
+TOPIC: Final = "caller_usage"
+TOPIC_MOST_BYTES: Final = 32_768
+MOST_REPORTED: Final = 50
+REPORT_SECONDS: Final = 1.0
+REPORT_LIFE_SECONDS: Final = 15.0
+MOST_REPORTS: Final = 64
+
+
+@frozen(kw_only=True)
+class UsageReport:
+    """
+    What one entry's callers ask of it.
+
+    :ivar at_seconds: wall time of the report at its entry.
+    :ivar demand: requests a second by caller.
+    """
+
+    at_seconds: float
+    demand: Mapping[str, float]
+
+
+@define(kw_only=True)
+class CallerUsage:
+    """
+    Token buckets of callers, and the topic that keeps them fair over the fleet.
+
+    Implements `RateKeeper` and `NewsTopic`; no method waits.
+
+    :ivar instance: name of this entry.
+    :ivar live_entries: returns how many entries are live, this one included.
+    """
+
+    instance: str
+    clock: Clock
+    live_entries: Callable[[], int] = lambda: 1
+    _rates: CallerRates | None = field(default=None, init=False)
+    _reports: dict[str, UsageReport] = field(factory=dict, init=False)
+    _reported_at_seconds: float = field(default=-REPORT_SECONDS, init=False)
+
+    def take(self, request: CallerRequest) -> RateDecision:
+        """Take one request of the caller, if its rate allows it."""
+        spec = request.document.caller_limit
+        if self._rates is None or self._rates.spec != spec:
+            self._rates = CallerRates(spec=spec)
+            self._apply_peers()
+        now = self.clock.monotonic_seconds()
+        return self._rates.take(request.caller, now_seconds=now)
+
+    def digest(self) -> Any:
+        """Return the time of each entry's last report."""
+        self._refresh()
+        return {name: report.at_seconds for name, report in self._reports.items()}
+
+    def delta(self, since: Any) -> Any:
+        """Return the reports that are newer than `since`; None if none is."""
+        if not isinstance(since, dict):
+            raise _malformed("the digest is no object")
+        self._refresh()
+        newer = {
+            name: {"at_seconds": report.at_seconds, "demand": dict(report.demand)}
+            for name, report in self._reports.items()
+            if not _at_least(since.get(name), report.at_seconds)
+        }
+        return newer or None
+
+    def merge(self, payload: Any) -> bool:
+        """Take in peers' reports; tell whether any was news."""
+        news = {
+            name: report
+            for name, report in _read(payload).items()
+            if name != self.instance and self._is_news(name, report)
+        }
+        self._reports.update(news)
+        self._forget_old()
+        self._apply_peers()
+        return bool(news)
+
+    def _is_news(self, name: str, report: UsageReport) -> bool:
+        known = self._reports.get(name)
+        return known is None or known.at_seconds < report.at_seconds
+
+    def _refresh(self) -> None:
+        """Renew this entry's own report, at most once a second."""
+        now = self.clock.monotonic_seconds()
+        if self._rates is None or now - self._reported_at_seconds < REPORT_SECONDS:
+            return
+        self._reported_at_seconds = now
+        self._reports[self.instance] = UsageReport(
+            at_seconds=self.clock.wall_seconds(),
+            demand=self._rates.report(now_seconds=now, most=MOST_REPORTED),
+        )
+        self._forget_old()
+        self._apply_peers()
+
+    def _forget_old(self) -> None:
+        oldest = self.clock.wall_seconds() - REPORT_LIFE_SECONDS
+        fresh = [
+            (name, report)
+            for name, report in self._reports.items()
+            if report.at_seconds >= oldest
+        ]
+        fresh.sort(key=lambda item: item[1].at_seconds, reverse=True)
+        self._reports = dict(fresh[:MOST_REPORTS])
+
+    def _apply_peers(self) -> None:
+        if self._rates is None:
+            return
+        reports = [
+            report.demand
+            for name, report in self._reports.items()
+            if name != self.instance
+        ]
+        self._rates.apply_peers(reports, live_entries=self.live_entries())
+
+
+def _at_least(known: Any, at_seconds: float) -> bool:
+    return isinstance(known, (int, float)) and known >= at_seconds
+
+
+def _read(payload: Any) -> dict[str, UsageReport]:
+    if not isinstance(payload, dict):
+        raise _malformed("the payload is no object")
+    try:
+        return {
+            str(name): UsageReport(
+                at_seconds=float(item["at_seconds"]),
+                demand={str(k): float(v) for k, v in item["demand"].items()},
+            )
+            for name, item in payload.items()
+        }
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise _malformed(f"a report is malformed: {error!r}") from error
+
+
+def _malformed(message: str) -> FindingsError:
+    finding = Finding(place="", message=message)
+    return FindingsError(subject=TOPIC, findings=(finding,))
--- /dev/null
+++ b/src/bronzebeam/controllers/quarantine.py
@@ -0,0 +1,183 @@
+"""The controller of requests that make backend servers crash."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from attrs import asdict, define, frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.controllers.base import Controller
+from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.routing.quarantine import LostReplica, Quarantine, Record, Standing
+from bronzebeam.telemetry.logs import log_event
+from bronzebeam.transport.attempt import AttemptLost
+from bronzebeam.transport.backend_protocol import BackendReply
+from bronzebeam.transport.link import LinkEvent
+
+TOPIC: Final = "quarantine"
+TOPIC_MOST_BYTES: Final = 16_384
+ONE_LOSS_SECONDS: Final = 1.0
+MOST_LOSSES_HELD: Final = 1024
+
+
+@frozen(kw_only=True)
+class RecordsHeard:
+    """Records of a peer."""
+
+    records: tuple[Record, ...]
+
+
+QuarantineMessage = LinkEvent | RecordsHeard
+Publish = Callable[[str, Any], None]
+
+
+@define(kw_only=True)
+class _Loss:
+    at_seconds: float
+    in_flight: frozenset[str]
+
+
+class QuarantineController(Controller[QuarantineMessage]):
+    """
+    Learns from the ends of attempts which fingerprints to hold off.
+
+    Implements `KillerWatch`.
+
+    :param publish: pushes new records to peers, by topic and payload.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        publish: Publish = lambda name, payload: None,
+    ) -> None:
+        super().__init__()
+        self._clock = clock
+        self.publish = publish
+        self._quarantine = Quarantine()
+        self._losses: dict[str, _Loss] = {}
+
+    @property
+    def records(self) -> tuple[Record, ...]:
+        return self._quarantine.records
+
+    def release_ms(self, fingerprint: str, now_seconds: float) -> int | None:
+        """Return how long `fingerprint` stays quarantined, None if it is not."""
+        wall = self._clock.wall_seconds()
+        return self._quarantine.release_after_ms(fingerprint, wall_seconds=wall) or None
+
+    def is_suspect(self, fingerprint: str, now_seconds: float) -> bool:
+        """Tell whether `fingerprint` is to run on one replica at a time."""
+        wall = self._clock.wall_seconds()
+        standing = self._quarantine.standing(fingerprint, wall_seconds=wall)
+        return standing is Standing.SUSPECT
+
+    async def handle(self, message: QuarantineMessage) -> None:
+        """Apply one message to the state."""
+        if isinstance(message, RecordsHeard):
+            wall = self._clock.wall_seconds()
+            self._quarantine.merge(message.records, wall_seconds=wall)
+        elif message.attempt.fingerprint:
+            self._take_event(message)
+
+    def _take_event(self, event: LinkEvent) -> None:
+        now = self._clock.monotonic_seconds()
+        match event.outcome:
+            case BackendReply():
+                self._quarantine.observe_success(
+                    event.attempt.fingerprint, now_seconds=now
+                )
+            case AttemptLost(reason="connection_lost", sent=True):
+                self._take_loss(event, now)
+
+    def _take_loss(self, event: LinkEvent, now: float) -> None:
+        """Take in a lost replica once, though each of its connections breaks."""
+        known = self._losses.get(event.replica)
+        if known is not None and now - known.at_seconds < ONE_LOSS_SECONDS:
+            if event.in_flight <= known.in_flight:
+                return
+            event_in_flight = event.in_flight - known.in_flight
+        else:
+            event_in_flight = event.in_flight
+        if len(self._losses) >= MOST_LOSSES_HELD:
+            self._losses.pop(next(iter(self._losses)))
+        self._losses[event.replica] = _Loss(at_seconds=now, in_flight=event.in_flight)
+        lost = LostReplica(
+            replica=event.replica,
+            in_flight=event_in_flight,
+            solo=event.solo & event_in_flight,
+            at_seconds=now,
+        )
+        culprit = self._quarantine.observe_loss(
+            lost, wall_seconds=self._clock.wall_seconds()
+        )
+        log_event("replica_lost", replica=event.replica, in_flight=len(event_in_flight))
+        if culprit is not None:
+            log_event("request_quarantined", fingerprint=culprit, replica=event.replica)
+        self.publish(TOPIC, _to_json(self._involved(event_in_flight)))
+
+    def _involved(self, fingerprints: frozenset[str]) -> list[Record]:
+        return [item for item in self.records if item.fingerprint in fingerprints]
+
+
+@define(kw_only=True)
+class QuarantineTopic:
+    """Exchanges the records with peers."""
+
+    controller: QuarantineController
+
+    def digest(self) -> Any:
+        """Return the offences and release time of each record."""
+        return {
+            record.fingerprint: [record.offences, record.released_at_seconds]
+            for record in self.controller.records
+        }
+
+    def delta(self, since: Any) -> Any:
+        """Return the records that differ from `since`; None if none does."""
+        if not isinstance(since, dict):
+            raise _malformed("the digest is no object")
+        differing = [
+            record
+            for record in self.controller.records
+            if since.get(record.fingerprint)
+            != [record.offences, record.released_at_seconds]
+        ]
+        return _to_json(differing) if differing else None
+
+    def merge(self, payload: Any) -> bool:
+        """Take in a peer's records; tell whether any was news."""
+        records = _from_json(payload)
+        known = set(self.controller.records)
+        news = tuple(record for record in records if record not in known)
+        if news:
+            self.controller.post(RecordsHeard(records=news))
+        return bool(news)
+
+
+def _to_json(records: list[Record]) -> list[dict[str, Any]]:
+    return [asdict(record) for record in records]
+
+
+def _from_json(payload: Any) -> list[Record]:
+    if not isinstance(payload, list):
+        raise _malformed("the payload is no list")
+    try:
+        return [
+            Record(
+                fingerprint=str(item["fingerprint"]),
+                offences=int(item["offences"]),
+                released_at_seconds=float(item["released_at_seconds"]),
+                lifted=bool(item["lifted"]),
+                convicted_on=str(item["convicted_on"]),
+            )
+            for item in payload
+        ]
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        raise _malformed(f"a record is malformed: {error!r}") from error
+
+
+def _malformed(message: str) -> FindingsError:
+    finding = Finding(place="", message=message)
+    return FindingsError(subject=TOPIC, findings=(finding,))
--- a/src/bronzebeam/entry/caller_app.py
+++ b/src/bronzebeam/entry/caller_app.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface as an ASGI application."""
 
+import traceback
 import uuid
 from collections.abc import Callable
 from typing import Any, Final
@@ -20,16 +21,17 @@
     send_response,
 )
 from bronzebeam.entry.headers import answer_request_id, header_map
-from bronzebeam.entry.intake import parse_request
+from bronzebeam.entry.intake import METHOD, parse_request
 from bronzebeam.entry.lifecycle import Lifecycle
-from bronzebeam.filters.chain import Handler
-from bronzebeam.outcomes import NotRun, Outcome
+from bronzebeam.filters.chain import CallerRequest, Handler
+from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown
 from bronzebeam.reasons import Reason
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.telemetry.query_metrics import QueryMetrics
 from bronzebeam.telemetry.traces import SPAN_CALLER_REQUEST, SpanScope, Tracing
 
 NOT_READY_RETRY_MS: Final = 1_000
+KEYS_PATH: Final = "/v1/idempotency-keys"
 
 
 @define(kw_only=True, eq=False)
@@ -38,11 +40,13 @@
     Takes in callers' requests.
 
     :ivar chain: the filter chain.
+    :ivar mint_key: mints a key that only this process runs; None if it has no room.
     :ivar document: returns the document in force, None before the first.
     """
 
     chain: Handler
     document: Callable[[], AcceptedDocument | None]
+    mint_key: Callable[[], str | None]
     lifecycle: Lifecycle
     tracing: Tracing
     metrics: QueryMetrics
@@ -94,6 +98,8 @@
         arrived: float,
         span: SpanScope,
     ) -> Outcome:
+        if scope["path"] == KEYS_PATH:
+            return self._new_key(scope["method"])
         document = self.document()
         if document is None:
             return NotRun(
@@ -121,7 +127,32 @@
         )
         if isinstance(request, NotRun):
             return request
-        return await self.chain(request)
+        return await self._run(request, request_id)
+
+    async def _run(self, request: CallerRequest, request_id: str) -> Outcome:
+        try:
+            return await self.chain(request)
+        except Exception:
+            # A fault of the program must not leave the caller without an answer.
+            log_event(
+                "internal_error", request_id=request_id, error=traceback.format_exc()
+            )
+            return OutcomeUnknown(
+                reason=Reason.INTERNAL_ERROR,
+                detail="The request may have run before this entry failed.",
+            )
+
+    def _new_key(self, method: str) -> Outcome:
+        if method != METHOD:
+            return NotRun(reason=Reason.METHOD_NOT_ALLOWED, detail=f"Use {METHOD}.")
+        key = self.mint_key()
+        if key is None:
+            return NotRun(
+                reason=Reason.OVERLOADED,
+                retry_after_ms=NOT_READY_RETRY_MS,
+                detail="too many keys of this entry are unspent",
+            )
+        return Answered(result={"idempotency_key": key})
 
     def _record(
         self,
--- a/src/bronzebeam/entry/daemon.py
+++ b/src/bronzebeam/entry/daemon.py
@@ -10,49 +10,48 @@
 from attrs import define, field
 
 from bronzebeam.clock import SystemClock
-from bronzebeam.controllers.backends import Backends
-from bronzebeam.controllers.extra_work import ServiceBudgets
+from bronzebeam.controllers import caller_usage, quarantine
+from bronzebeam.controllers.caller_usage import CallerUsage
+from bronzebeam.controllers.gossip import TopicSpec
+from bronzebeam.controllers.quarantine import QuarantineTopic
 from bronzebeam.entry.admin_app import AdminApp
 from bronzebeam.entry.caller_app import CallerApp
 from bronzebeam.entry.fleet import Fleet, build_fleet
+from bronzebeam.entry.forwarding import ForwardRoute
 from bronzebeam.entry.lifecycle import Lifecycle
 from bronzebeam.entry.relay import Relay
+from bronzebeam.entry.request_path import Baseline, RequestPath, new_peer_client
 from bronzebeam.entry.server import Application, serve_http
-from bronzebeam.filters.call import CallHandler
-from bronzebeam.filters.chain import CallerRequest, Handler, build_chain
-from bronzebeam.filters.dispatch import Dispatcher
-from bronzebeam.filters.policy import NoKillerWatch
-from bronzebeam.filters.search import SearchHandler
-from bronzebeam.outcomes import Outcome
 from bronzebeam.settings import EntrySettings
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.telemetry.query_metrics import QueryMetrics
 from bronzebeam.telemetry.traces import Tracing
-from bronzebeam.transport.channel import HttpcoreChannelFactory
 from bronzebeam.transport.instance_list import HttpInstanceList
+from bronzebeam.transport.owner_route import FORWARD_PATH, PeerOwnerRoute, life_id
 from bronzebeam.transport.peer import HttpPeerClient
 from bronzebeam.transport.store_http import HttpStore
 
 GRACE_AFTER_DRAIN_SECONDS: Final = 1.0
+FLUSH_CLAIMS_SECONDS: Final = 2.0
+CONNECTING: Final = "connecting_to_backend_servers"
 MS_PER_SECOND: Final = 1_000
+NS_PER_MS: Final = 1_000_000
 
 
 @define(kw_only=True, eq=False)
 class Entry:
-    """
-    One entry: its controllers, request path and servers.
-
-    :ivar hedging: False switches hedges off, as the baseline of an experiment.
-    """
+    """One entry: its controllers, request path and servers."""
 
     settings: EntrySettings
-    hedging: bool = True
+    baseline: Baseline = field(factory=Baseline)
     clock: SystemClock = field(factory=SystemClock, init=False)
     rng: random.Random = field(factory=random.Random, init=False)
     lifecycle: Lifecycle = field(init=False)
     metrics: QueryMetrics = field(factory=QueryMetrics, init=False)
-    backends: Backends = field(init=False)
+    path: RequestPath = field(init=False)
     fleet: Fleet = field(init=False)
+    _store: HttpStore = field(init=False)
+    _route: PeerOwnerRoute = field(init=False)
 
     async def run(self) -> int:
         """
@@ -62,41 +61,88 @@
         """
         settings = self.settings
         self.lifecycle = Lifecycle(drain_settings=settings.drain, clock=self.clock)
-        self.backends = Backends(clock=self.clock, channels=HttpcoreChannelFactory())
         peers = HttpPeerClient()
         async with (
             HttpStore(
                 base_url=settings.store_url,
                 call_seconds=settings.store_timeout_ms / MS_PER_SECOND,
-            ) as store,
+            ) as self._store,
             HttpInstanceList(base_url=settings.instance_list_url) as instance_list,
+            new_peer_client() as client,
         ):
-            self.fleet = build_fleet(
-                settings=settings,
-                incarnation=time.time_ns() // 1_000_000,
-                store=store,
-                instance_list=instance_list,
-                peers=peers,
-                topics=(),
+            self._build(peers, instance_list)
+            self._route = PeerOwnerRoute(
+                members=lambda: self.fleet.membership.view.records,
+                client=client,
                 clock=self.clock,
-                rng=self.rng,
             )
             await self._serve()
         await peers.aclose()
         return 1 if self.lifecycle.cut_off else 0
 
+    def _build(self, peers: HttpPeerClient, instance_list: HttpInstanceList) -> None:
+        settings = self.settings
+        incarnation = time.time_ns() // NS_PER_MS
+        usage = CallerUsage(instance=settings.instance, clock=self.clock)
+        self.path = RequestPath(
+            settings=settings,
+            life=life_id(instance=settings.instance, incarnation=incarnation),
+            store=self._store,
+            usage=usage,
+            clock=self.clock,
+            rng=self.rng,
+            baseline=self.baseline,
+        )
+        self.fleet = build_fleet(
+            settings=settings,
+            incarnation=incarnation,
+            store=self._store,
+            instance_list=instance_list,
+            peers=peers,
+            topics=self._topics(usage),
+            clock=self.clock,
+            rng=self.rng,
+        )
+        usage.live_entries = lambda: len(self.fleet.membership.view.members)
+        self.path.quarantine.publish = self.fleet.gossip.publish
+
+    def _topics(self, usage: CallerUsage) -> tuple[TopicSpec, ...]:
+        return (
+            TopicSpec(
+                name=quarantine.TOPIC,
+                topic=QuarantineTopic(controller=self.path.quarantine),
+                pushed=True,
+                most_bytes=quarantine.TOPIC_MOST_BYTES,
+            ),
+            TopicSpec(
+                name=caller_usage.TOPIC,
+                topic=usage,
+                pushed=False,
+                most_bytes=caller_usage.TOPIC_MOST_BYTES,
+            ),
+        )
+
     async def _serve(self) -> None:
         async with anyio.create_task_group() as group:
             self.fleet.start(group)
-            group.start_soon(self.backends.run)
-            group.start_soon(Relay(fleet=self.fleet, backends=self.backends).run)
+            self.path.start(group)
+            group.start_soon(Relay(fleet=self.fleet, backends=self.path.backends).run)
             group.start_soon(self._watch_signals)
             log_event("entry_started", instance=self.settings.instance)
-            await self._serve_ports(group)
+            await self._serve_ports()
+            self.path.owned_keys.close()
+            with anyio.move_on_after(FLUSH_CLAIMS_SECONDS):
+                await self.path.claims.flush()
             group.cancel_scope.cancel()
         log_event("entry_ended", instance=self.settings.instance)
 
-    async def _serve_ports(self, outer: TaskGroup) -> None:
+    async def _serve_ports(self) -> None:
+        forwarding = ForwardRoute(
+            chain=self.path.chain(None),
+            document=self.fleet.document,
+            clock=self.clock,
+        )
+        self.fleet.peer_app.routes[("POST", FORWARD_PATH)] = forwarding.answer
         caller_app = self._admin(self._caller_app(), metrics=None)
         peer_app = self._admin(self.fleet.peer_app, metrics=self.metrics)
         async with anyio.create_task_group() as group:
@@ -117,17 +163,24 @@
     def _admin(self, inner: Application, *, metrics: QueryMetrics | None) -> AdminApp:
         return AdminApp(
             inner=inner,
-            readiness=self.fleet.not_ready_reason,
+            readiness=self._not_ready_reason,
             lifecycle=self.lifecycle,
             clock=self.clock,
             metrics=metrics,
         )
 
+    def _not_ready_reason(self) -> str | None:
+        reason = self.fleet.not_ready_reason()
+        if reason is None and not self.path.backends.is_warm():
+            return CONNECTING
+        return reason
+
     def _caller_app(self) -> CallerApp:
         settings = self.settings
         return CallerApp(
-            chain=self._chain(),
+            chain=self.path.chain(self._route),
             document=self.fleet.document,
+            mint_key=self.path.owned_keys.mint,
             lifecycle=self.lifecycle,
             tracing=Tracing(
                 instance=settings.instance,
@@ -139,30 +192,15 @@
             body_max_bytes=settings.request_body_max_bytes,
         )
 
-    def _chain(self) -> Handler:
-        dispatcher = Dispatcher(
-            reach=self.backends,
-            extra=ServiceBudgets(hedging=self.hedging),
-            killers=NoKillerWatch(),
-            clock=self.clock,
-            rng=self.rng,
-            failure_domain=self.settings.failure_domain,
-        )
-        search = SearchHandler(dispatcher=dispatcher)
-        call = CallHandler(dispatcher=dispatcher)
-
-        async def answer(request: CallerRequest) -> Outcome:
-            handler = search if request.operation is None else call
-            return await handler.handle(request)
-
-        return build_chain((), answer)
-
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with anyio.create_task_group() as group:
                 async for number in signals:
                     log_event("signal_received", signal=number.name)
                     if not self.lifecycle.draining:
-                        self.fleet.leave()
-                        group.start_soon(self.lifecycle.drain)
-                        await anyio.lowlevel.checkpoint()
+                        self._start_drain(group)
+
+    def _start_drain(self, group: TaskGroup) -> None:
+        self.fleet.leave()
+        self.lifecycle.begin_drain()
+        group.start_soon(self.lifecycle.drain)
--- /dev/null
+++ b/src/bronzebeam/entry/forwarding.py
@@ -0,0 +1,78 @@
+"""The route on which an owner takes requests that other entries forward."""
+
+from collections.abc import Callable
+
+import orjson
+from attrs import frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.documents.model import AcceptedDocument
+from bronzebeam.entry.intake import fingerprint_of
+from bronzebeam.entry.peer_app import PeerResponse
+from bronzebeam.filters.chain import CallerRequest, Handler
+from bronzebeam.outcomes import NotRun, Outcome
+from bronzebeam.reasons import Reason
+from bronzebeam.transport.outcome_codec import outcome_to_json
+from bronzebeam.transport.owner_route import ForwardedRequest, read_forwarded
+
+NOT_READY_RETRY_MS = 1_000
+
+
+@frozen(kw_only=True)
+class ForwardRoute:
+    """
+    Answers forwarded requests.
+
+    :ivar chain: the chain of forwarded requests, which never forwards again.
+    """
+
+    chain: Handler
+    document: Callable[[], AcceptedDocument | None]
+    clock: Clock
+
+    async def answer(self, body: bytes) -> PeerResponse:
+        """Answer one forwarded request with its outcome as JSON."""
+        try:
+            forwarded = read_forwarded(body)
+        except ValueError as error:
+            return PeerResponse(status=400, body=orjson.dumps({"error": str(error)}))
+        request = self._request(forwarded)
+        outcome: Outcome
+        if request is None:
+            outcome = NotRun(
+                reason=Reason.NOT_READY,
+                retry_after_ms=NOT_READY_RETRY_MS,
+                detail="the owner's document does not have this operation",
+            )
+        else:
+            outcome = await self.chain(request)
+        return PeerResponse(body=orjson.dumps(outcome_to_json(outcome)))
+
+    def _request(self, forwarded: ForwardedRequest) -> CallerRequest | None:
+        accepted = self.document()
+        if accepted is None:
+            return None
+        service = accepted.document.service(forwarded.service)
+        operation = service.operation(forwarded.operation) if service else None
+        if service is None or operation is None:
+            return None
+        now = self.clock.monotonic_seconds()
+        return CallerRequest(
+            request_id=forwarded.request_id,
+            caller=forwarded.caller,
+            document=accepted.document,
+            document_revision=accepted.revision,
+            service=service,
+            operation=operation,
+            class_name=forwarded.class_name,
+            arrived_at_seconds=now,
+            deadline_at_seconds=now + forwarded.remaining_ms / 1_000,
+            payload=forwarded.payload,
+            fingerprint=fingerprint_of(
+                service=service.name,
+                operation=operation.name,
+                payload=forwarded.payload,
+            ),
+            idempotency_key=forwarded.key,
+            trace_headers=forwarded.trace_headers,
+        )
--- a/src/bronzebeam/entry/lifecycle.py
+++ b/src/bronzebeam/entry/lifecycle.py
@@ -45,15 +45,18 @@
         """Wait until the servers are to stop."""
         await self._ended.wait()
 
+    def begin_drain(self) -> None:
+        """Be not ready from now on."""
+        self.phase = Phase.DRAINING
+
     async def drain(self) -> None:
         """
         Carry out the planned stop.
 
-        The process is not ready at once, goes on serving while the balancer
-        notices, then waits for requests in flight up to the bound.
+        The process goes on serving while the balancer notices that it is not
+        ready, then waits for requests in flight up to the bound.
         """
         started = self.clock.monotonic_seconds()
-        self.phase = Phase.DRAINING
         log_event("drain_started", in_flight=self.in_flight)
         bound_at = started + self.drain_settings.bound_ms / 1000
         await anyio.sleep(self.drain_settings.lag_ms / 1000)
--- /dev/null
+++ b/src/bronzebeam/entry/request_path.py
@@ -0,0 +1,131 @@
+"""The request path of an entry: its filters, in order, and their controllers."""
+
+import random
+
+import httpx
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from bronzebeam.clock import Clock
+from bronzebeam.controllers.admission import AdmissionController
+from bronzebeam.controllers.backends import Backends
+from bronzebeam.controllers.caller_usage import CallerUsage
+from bronzebeam.controllers.claims import ClaimsController
+from bronzebeam.controllers.extra_work import ServiceBudgets
+from bronzebeam.controllers.owned_keys import OwnedKeys
+from bronzebeam.controllers.quarantine import QuarantineController
+from bronzebeam.filters.admission import AdmissionFilter, RateFilter
+from bronzebeam.filters.call import CallHandler
+from bronzebeam.filters.chain import CallerRequest, Filter, Handler, build_chain
+from bronzebeam.filters.dispatch import Dispatcher
+from bronzebeam.filters.idempotency import IdempotencyFilter
+from bronzebeam.filters.quarantine import QuarantineFilter
+from bronzebeam.filters.search import SearchHandler
+from bronzebeam.outcomes import Outcome
+from bronzebeam.settings import EntrySettings
+from bronzebeam.telemetry.logs import log_event
+from bronzebeam.transport.channel import HttpcoreChannelFactory
+from bronzebeam.transport.owner_route import PeerOwnerRoute
+from bronzebeam.transport.store import Store
+
+
+@define(kw_only=True)
+class Baseline:
+    """
+    Parts switched off, as the baseline of an experiment.
+
+    :ivar hedging: send hedges.
+    :ivar admission: hold queries off by class, deadline and load.
+    """
+
+    hedging: bool = True
+    admission: bool = True
+
+
+@define(kw_only=True, eq=False)
+class RequestPath:
+    """Builds and runs what a caller's request goes through."""
+
+    settings: EntrySettings
+    life: str
+    store: Store
+    usage: CallerUsage
+    clock: Clock
+    rng: random.Random
+    baseline: Baseline = field(factory=Baseline)
+    quarantine: QuarantineController = field(init=False)
+    backends: Backends = field(init=False)
+    admission: AdmissionController = field(init=False)
+    claims: ClaimsController = field(init=False)
+    owned_keys: OwnedKeys = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.quarantine = QuarantineController(clock=self.clock)
+        self.backends = Backends(
+            clock=self.clock,
+            channels=HttpcoreChannelFactory(),
+            observers=(self.quarantine.post,),
+        )
+        self.admission = AdmissionController(clock=self.clock, rng=self.rng)
+        self.claims = ClaimsController(
+            store=self.store,
+            clock=self.clock,
+            environment=self.settings.environment,
+            incarnation=self.life,
+            log=log_event,
+        )
+        self.owned_keys = OwnedKeys(incarnation=self.life, clock=self.clock)
+
+    def start(self, group: TaskGroup) -> None:
+        """Run the controllers in `group`."""
+        for controller in (self.quarantine, self.admission, self.claims):
+            group.start_soon(controller.run)
+        group.start_soon(self.backends.run)
+
+    def chain(self, owner_route: PeerOwnerRoute | None) -> Handler:
+        """
+        Return the filter chain.
+
+        :param owner_route: way to other owners of keys; None for requests that
+            were forwarded here, which are never forwarded again.
+        """
+        admission: tuple[Filter, ...] = ()
+        if self.baseline.admission:
+            admission = (AdmissionFilter(admission=self.admission),)
+        rates: tuple[Filter, ...] = ()
+        if owner_route is not None:
+            rates = (RateFilter(rates=self.usage),)
+        idempotency = IdempotencyFilter(
+            claims=self.claims,
+            owned_keys=self.owned_keys,
+            clock=self.clock,
+            owner_route=owner_route,
+            log=log_event,
+        )
+        quarantine = QuarantineFilter(killers=self.quarantine, clock=self.clock)
+        filters: tuple[Filter, ...] = (*rates, *admission, idempotency, quarantine)
+        return build_chain(filters, self._last())
+
+    def _last(self) -> Handler:
+        dispatcher = Dispatcher(
+            reach=self.backends,
+            extra=ServiceBudgets(hedging=self.baseline.hedging),
+            killers=self.quarantine,
+            clock=self.clock,
+            rng=self.rng,
+            failure_domain=self.settings.failure_domain,
+        )
+        search = SearchHandler(dispatcher=dispatcher)
+        call = CallHandler(dispatcher=dispatcher)
+
+        async def answer(request: CallerRequest) -> Outcome:
+            if request.operation is None:
+                return await search.handle(request)
+            return await call.handle(request)
+
+        return answer
+
+
+def new_peer_client() -> httpx.AsyncClient:
+    """Return the client that forwards requests to owners of keys."""
+    return httpx.AsyncClient(trust_env=False, headers={"user-agent": "bronzebeam"})
--- /dev/null
+++ b/src/bronzebeam/filters/admission.py
@@ -0,0 +1,82 @@
+"""Admits queries: callers' rates, then the service's queue."""
+
+from typing import Final, Protocol
+
+from attrs import frozen
+
+from bronzebeam.controllers.admission import (
+    AdmissionMessage,
+    QueryArrived,
+    QueryLeft,
+    Ticket,
+)
+from bronzebeam.controllers.base import Poster
+from bronzebeam.filters.chain import CallerRequest, Handler
+from bronzebeam.outcomes import NotRun, Outcome
+from bronzebeam.reasons import Reason
+from bronzebeam.routing.admission import GivenUp, GiveUpReason
+from bronzebeam.routing.caller_rates import RateDecision
+
+REASONS: Final = {
+    GiveUpReason.OVERLOADED: Reason.OVERLOADED,
+    GiveUpReason.DISPLACED: Reason.OVERLOADED,
+    GiveUpReason.DEADLINE_UNREACHABLE: Reason.DEADLINE_UNREACHABLE,
+}
+
+
+class RateKeeper(Protocol):
+    """Keeps callers within their rates."""
+
+    def take(self, request: CallerRequest) -> RateDecision:
+        """Take one request of the caller, if its rate allows it."""
+
+
+@frozen(kw_only=True)
+class RateFilter:
+    """Refuses a caller that asks for more than its rate over the fleet."""
+
+    rates: RateKeeper
+
+    async def apply(self, request: CallerRequest, proceed: Handler) -> Outcome:
+        """Answer `request`, through `proceed` if its caller's rate allows it."""
+        decision = self.rates.take(request)
+        if decision.allowed:
+            return await proceed(request)
+        return NotRun(
+            reason=Reason.RATE_LIMITED,
+            retry_after_ms=decision.retry_after_ms,
+            detail=f"caller {request.caller} is above its rate",
+        )
+
+
+@frozen(kw_only=True)
+class AdmissionFilter:
+    """Lets a query run when the service's limit allows it, or answers at once."""
+
+    admission: Poster[AdmissionMessage]
+
+    async def apply(self, request: CallerRequest, proceed: Handler) -> Outcome:
+        """Answer `request`, through `proceed` once it is admitted."""
+        ticket = Ticket(request=request, priority=_priority(request))
+        self.admission.post(QueryArrived(ticket=ticket))
+        try:
+            await ticket.decided.wait()
+            if ticket.given_up is not None:
+                return _answer(ticket.given_up)
+            return await proceed(request)
+        finally:
+            self.admission.post(QueryLeft(ticket=ticket))
+
+
+def _priority(request: CallerRequest) -> int:
+    classes = request.document.classes
+    priorities = [item.priority for item in classes if item.name == request.class_name]
+    return priorities[0] if priorities else max(item.priority for item in classes)
+
+
+def _answer(given_up: GivenUp) -> Outcome:
+    return NotRun(
+        reason=REASONS[given_up.reason],
+        retry_after_ms=given_up.retry_after_ms,
+        detail=f"given up before it ran: {given_up.reason.value}",
+    )
--- a/src/bronzebeam/filters/call.py
+++ b/src/bronzebeam/filters/call.py
@@ -104,6 +104,7 @@
 
     def _handle(self, attempt: Attempt, outcome: AttemptOutcome) -> Outcome | None:
         self._running.remove(attempt)
+        self.dispatcher.note_outcome(self.request, outcome)
         if isinstance(outcome, BackendReply):
             self.dispatcher.note_waited(self.request, attempt)
             return Answered(result=outcome.result)
--- a/src/bronzebeam/filters/chain.py
+++ b/src/bronzebeam/filters/chain.py
@@ -3,12 +3,27 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Protocol
 
-from attrs import field, frozen
+from attrs import define, field, frozen
 
 from bronzebeam.documents.model import EnvironmentDocument, OperationSpec, ServiceSpec
 from bronzebeam.outcomes import Outcome
 
 
+@define(kw_only=True)
+class QueryStats:
+    """
+    What the sub-requests of one query saw, for the concurrency limit.
+
+    :ivar latencies_ms: times of the whole replies.
+    :ivar sent: sub-requests handed to connections.
+    :ivar shed: sub-requests that backend servers refused for load.
+    """
+
+    latencies_ms: list[float] = field(factory=list)
+    sent: int = 0
+    shed: int = 0
+
+
 @frozen(kw_only=True)
 class CallerRequest:
     """
@@ -25,6 +40,7 @@
     :ivar idempotency_key: the caller's key, None if none was given.
     :ivar trace_headers: W3C trace context to pass on.
     :ivar solo: run on one backend server at a time, without hedges.
+    :ivar stats: filled in while the query runs.
     """
 
     request_id: str
@@ -41,6 +57,7 @@
     idempotency_key: str | None = None
     trace_headers: dict[str, str] = field(factory=dict)
     solo: bool = False
+    stats: QueryStats = field(factory=QueryStats, eq=False)
 
     @property
     def idempotent(self) -> bool:
--- a/src/bronzebeam/filters/dispatch.py
+++ b/src/bronzebeam/filters/dispatch.py
@@ -18,6 +18,7 @@
     replicas_to_exclude,
 )
 from bronzebeam.transport.attempt import Attempt, AttemptLost, AttemptOutcome
+from bronzebeam.transport.backend_protocol import BackendDidNotRun
 from bronzebeam.transport.link import Link
 
 EXPECTED_LEAST_MS: Final = 1.0
@@ -93,6 +94,13 @@
         now = self.clock.monotonic_seconds()
         waited_ms = (now - attempt.sent_at_seconds) * MS_PER_SECOND
         self.extra.note_latency(request.service, waited_ms, now)
+        request.stats.latencies_ms.append(waited_ms)
+
+    def note_outcome(self, request: CallerRequest, outcome: AttemptOutcome) -> None:
+        """Count an attempt's outcome for the concurrency limit."""
+        request.stats.sent += 1
+        if isinstance(outcome, BackendDidNotRun) and outcome.reason == "overloaded":
+            request.stats.shed += 1
 
     def cancel(self, attempts: Iterable[Attempt]) -> None:
         """Give up attempts that are still running."""
--- a/src/bronzebeam/filters/search_run.py
+++ b/src/bronzebeam/filters/search_run.py
@@ -184,6 +184,7 @@
         if attempt in shard.running:
             shard.running.remove(attempt)
         self._sent = self._sent or not surely_not_run(outcome)
+        self.dispatcher.note_outcome(self.request, outcome)
         if shard.settled:
             return
         if isinstance(outcome, BackendReply) and self._matches(shard, outcome):
--- a/src/bronzebeam/transport/link.py
+++ b/src/bronzebeam/transport/link.py
@@ -45,6 +45,7 @@
     :ivar latency_ms: from the first byte sent to the whole reply, or to the end of
         an attempt given up; None without either.
     :ivar in_flight: fingerprints that were running at this replica at that moment.
+    :ivar solo: those of them that were sent as suspects.
     """
 
     replica: str
@@ -52,6 +53,7 @@
     outcome: AttemptOutcome
     latency_ms: float | None
     in_flight: frozenset[str] = frozenset()
+    solo: frozenset[str] = frozenset()
 
 
 LinkObserver = Callable[[LinkEvent], None]
@@ -301,20 +303,16 @@
         if attempt.sent_at_seconds is not None and measured:
             elapsed = self.clock.monotonic_seconds() - attempt.sent_at_seconds
             latency_ms = elapsed * 1000
-        beside = frozenset(
-            owner.attempt.fingerprint
-            for owner in self._owners
-            if owner.attempt is not None and owner.attempt.fingerprint
-        )
-        if attempt.fingerprint:
-            beside |= {attempt.fingerprint}
+        running = [item.attempt for item in self._owners if item.attempt is not None]
+        running = [item for item in (attempt, *running) if item.fingerprint]
         self.observer(
             LinkEvent(
                 replica=self.replica,
                 attempt=attempt,
                 outcome=outcome,
                 latency_ms=latency_ms,
-                in_flight=beside,
+                in_flight=frozenset(item.fingerprint for item in running),
+                solo=frozenset(item.fingerprint for item in running if item.solo),
             )
         )
         attempt.finish(outcome)
--- /dev/null
+++ b/src/bronzebeam/transport/owner_route.py
@@ -0,0 +1,126 @@
+"""Forwarding of a request to the entry that minted its idempotency key."""
+
+import hashlib
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+import anyio
+import httpx
+import orjson
+from attrs import field, frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.outcomes import Outcome
+from bronzebeam.routing.membership_state import MemberRecord
+from bronzebeam.telemetry.logs import log_event
+from bronzebeam.transport.outcome_codec import outcome_from_json
+
+FORWARD_PATH: Final = "/internal/forward"
+LIFE_DIGEST_BYTES: Final = 8
+MS_PER_SECOND: Final = 1_000
+
+
+def life_id(*, instance: str, incarnation: int) -> str:
+    """Return an identifier of one process life that fits into a key."""
+    digest = hashlib.blake2b(instance.encode(), digest_size=LIFE_DIGEST_BYTES)
+    return f"{digest.hexdigest()}-{incarnation}"
+
+
+@frozen(kw_only=True)
+class ForwardedRequest:
+    """
+    A caller's request as one entry hands it to another.
+
+    :ivar remaining_ms: time left to its deadline when it was handed over.
+    """
+
+    service: str
+    operation: str
+    caller: str
+    class_name: str
+    request_id: str
+    key: str
+    remaining_ms: int
+    payload: Any
+    trace_headers: dict[str, str] = field(factory=dict)
+
+
+@frozen(kw_only=True)
+class PeerOwnerRoute:
+    """
+    Reaches the owner over its peer port; sends each request at most once.
+
+    :ivar members: returns the known members by name.
+    """
+
+    members: Callable[[], Mapping[str, MemberRecord]]
+    client: httpx.AsyncClient
+    clock: Clock
+
+    async def forward(
+        self, *, incarnation: str, request: CallerRequest
+    ) -> Outcome | None:
+        """Send `request` to the entry of `incarnation` and return its answer."""
+        address = self._address(incarnation)
+        remaining = request.deadline_at_seconds - self.clock.monotonic_seconds()
+        if address is None or remaining <= 0:
+            return None
+        message = _to_json(request, round(remaining * MS_PER_SECOND))
+        try:
+            with anyio.fail_after(remaining):
+                reply = await self.client.post(
+                    f"http://{address}{FORWARD_PATH}",
+                    content=orjson.dumps(message),
+                )
+            if reply.status_code != httpx.codes.OK:
+                return None
+            return outcome_from_json(orjson.loads(reply.content))
+        except (httpx.HTTPError, TimeoutError, ValueError) as error:
+            log_event("forward_failed", address=address, error=repr(error))
+            return None
+
+    def _address(self, incarnation: str) -> str | None:
+        for member in self.members().values():
+            life = life_id(instance=member.instance, incarnation=member.incarnation)
+            if life == incarnation:
+                return member.peer_address
+        return None
+
+
+def _to_json(request: CallerRequest, remaining_ms: int) -> dict[str, Any]:
+    assert request.operation is not None
+    return {
+        "service": request.service.name,
+        "operation": request.operation.name,
+        "caller": request.caller,
+        "class_name": request.class_name,
+        "request_id": request.request_id,
+        "key": request.idempotency_key,
+        "remaining_ms": remaining_ms,
+        "payload": request.payload,
+        "trace_headers": request.trace_headers,
+    }
+
+
+def read_forwarded(body: bytes) -> ForwardedRequest:
+    """
+    Read a forwarded request.
+
+    :raises ValueError: if it is malformed.
+    """
+    try:
+        value = orjson.loads(body)
+        return ForwardedRequest(
+            service=str(value["service"]),
+            operation=str(value["operation"]),
+            caller=str(value["caller"]),
+            class_name=str(value["class_name"]),
+            request_id=str(value["request_id"]),
+            key=str(value["key"]),
+            remaining_ms=int(value["remaining_ms"]),
+            payload=value["payload"],
+            trace_headers={str(k): str(v) for k, v in value["trace_headers"].items()},
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"malformed forwarded request: {error!r}") from error
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -14,10 +14,11 @@
 from bronzebeam.clock import SystemClock
 from bronzebeam.controllers.configuration import ConfigurationController
 from bronzebeam.controllers.gossip import GossipController
-from bronzebeam.controllers.membership import ListedInstance, MembershipController
+from bronzebeam.controllers.membership import MembershipController
 from bronzebeam.controllers.news_outbox import NewsOutbox
 from bronzebeam.controllers.peer_messages import MOST_MESSAGE_BYTES, Push
 from bronzebeam.entry.peer_app import PeerApp, PeerResponse
+from bronzebeam.transport.instance_list import ListedInstance
 from bronzebeam.transport.peer import HttpPeerClient, PeerUnavailable
 from tests.fixtures_fleet import (
     ENVIRONMENT,
