--- /dev/null
+++ b/src/bronzebeam/bench/experiments/fleet.py
@@ -0,0 +1,108 @@
+"""Documents in force over eight entries, and what control costs an idle entry."""
+
+from pathlib import Path
+from typing import Final
+
+import anyio
+from attrs import frozen
+
+from bronzebeam.bench.documents import rig_document
+from bronzebeam.bench.figures import Figure
+from bronzebeam.bench.processes import ChildProcess
+from bronzebeam.bench.rig import EntryProcess, Rig, RigSpec, running_rig
+from bronzebeam.bench.seeding import accept_document
+from bronzebeam.documents.loading import document_from_json
+
+ENTRIES: Final = 8
+SHARDS: Final = 4
+ACCEPTANCES: Final = 3
+SETTLE_SECONDS: Final = 3.0
+IDLE_SECONDS: Final = 5.0
+IN_FORCE_BOUND_SECONDS: Final = 2.0
+CPU_BOUND_SHARE: Final = 0.016
+BYTES_BOUND_PER_SECOND: Final = 3_000
+MEMORY_BOUND_MB: Final = 32
+
+
+async def run() -> list[Figure]:
+    """Measure with eight entries that serve no callers."""
+    document = rig_document(shards=SHARDS, entries=ENTRIES)
+    spec = RigSpec(document=document, entries=ENTRIES, backend_parts=1)
+    async with running_rig(spec) as rig:
+        await anyio.sleep(SETTLE_SECONDS)
+        idle = await _idle_figures(rig)
+        worst = 0.0
+        for number in range(ACCEPTANCES):
+            worst = max(worst, await _accept(rig, number))
+    return [
+        Figure(
+            name="document_in_force_seconds",
+            value=worst,
+            unit="s",
+            bound=IN_FORCE_BOUND_SECONDS,
+        ),
+        *idle,
+    ]
+
+
+async def _accept(rig: Rig, number: int) -> float:
+    """Accept a changed document; return the seconds until the last entry has it."""
+    limit = {"rate_per_second": 1000 + number, "burst": 1000}
+    changed = document_from_json({**rig.spec.document, "caller_limit": limit})
+    revision = await accept_document(store_url=rig.store_url, document=changed)
+    accepted_at = anyio.current_time()
+    async with anyio.create_task_group() as group:
+        for entry in rig.entries:
+            group.start_soon(rig.wait_revision, entry, revision)
+    return anyio.current_time() - accepted_at
+
+
+@frozen(kw_only=True)
+class _Usage:
+    cpu_seconds: float
+    traffic_bytes: int
+
+    @classmethod
+    def of(cls, process: ChildProcess) -> "_Usage":
+        return cls(
+            cpu_seconds=process.cpu_seconds(), traffic_bytes=_traffic_bytes(process)
+        )
+
+
+async def _idle_figures(rig: Rig) -> list[Figure]:
+    before = [_Usage.of(entry.process) for entry in rig.entries]
+    started = anyio.current_time()
+    await anyio.sleep(IDLE_SECONDS)
+    elapsed = anyio.current_time() - started
+    after = [_Usage.of(entry.process) for entry in rig.entries]
+    cpu = max(b.cpu_seconds - a.cpu_seconds for a, b in zip(before, after)) / elapsed
+    traffic = max(b.traffic_bytes - a.traffic_bytes for a, b in zip(before, after))
+    return [
+        Figure(
+            name="control_cpu_share", value=cpu, unit="share", bound=CPU_BOUND_SHARE
+        ),
+        Figure(
+            name="control_bytes_per_second",
+            value=traffic / elapsed,
+            unit="B/s",
+            bound=BYTES_BOUND_PER_SECOND,
+        ),
+        Figure(
+            name="control_memory_mb",
+            value=max(map(_memory_mb, rig.entries)) - rig.platform[1].memory_mb(),
+            unit="MB",
+            bound=MEMORY_BOUND_MB,
+        ),
+    ]
+
+
+def _memory_mb(entry: EntryProcess) -> float:
+    return entry.process.memory_mb()
+
+
+def _traffic_bytes(process: ChildProcess) -> int:
+    """Return the bytes that the process read and wrote, its log left out."""
+    text = Path(f"/proc/{process.pid}/io").read_text()
+    counters = dict(line.split(": ") for line in text.splitlines())
+    log_bytes = process.log_path.stat().st_size
+    return int(counters["rchar"]) + int(counters["wchar"]) - log_bytes
--- a/src/bronzebeam/bench/suite.py
+++ b/src/bronzebeam/bench/suite.py
@@ -3,7 +3,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from bronzebeam.bench.experiments import departures, fanout, hedging, overload
+from bronzebeam.bench.experiments import (
+    bookings,
+    departures,
+    fanout,
+    fleet,
+    hedging,
+    overload,
+)
 from bronzebeam.bench.figures import Figure
 
 Experiment = Callable[[], Awaitable[list[Figure]]]
@@ -14,4 +21,6 @@
     "overload": overload.run,
     "leaving": departures.run_leaving,
     "killed": departures.run_killed,
+    "bookings": bookings.run,
+    "fleet": fleet.run,
 }
