Measure what an idle entry costs over loopback connections

Change: a rig of eight entries in one process with their HTTP servers and clients; it shares the peer tests' entry.

--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -1,94 +1,30 @@
 """Tests of the peer protocol over loopback connections."""
 
-import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
-from random import Random
 from typing import Any
 
 import anyio
 import httpx
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
-
-from bronzebeam.clock import SystemClock
-from bronzebeam.controllers.configuration import ConfigurationController
-from bronzebeam.controllers.gossip import GossipController
-from bronzebeam.controllers.membership import ListedInstance, MembershipController
-from bronzebeam.controllers.news_outbox import NewsOutbox
+
 from bronzebeam.controllers.peer_messages import MOST_MESSAGE_BYTES, Push
 from bronzebeam.entry.peer_app import PeerApp, PeerResponse
 from bronzebeam.transport.peer import HttpPeerClient, PeerUnavailable
-from tests.fixtures_fleet import (
-    ENVIRONMENT,
-    FakeStore,
-    accepted_value,
-    member,
-    read_accepted,
-    write_accepted,
-)
-
-
-class EmptyList:
-    async def fetch(self) -> tuple[ListedInstance, ...]:
-        return ()
+from tests.fixtures_fleet import FakeStore, accepted_value, member
+from tests.fixtures_fleet_sockets import SharedList, running_entry
 
 
 async def _with_peer(
     use: Callable[[PeerApp, str], Awaitable[None]], revision: int | None = 3
 ) -> None:
-    """Serve one entry's peer port and run `use` with its address."""
+    """Run `use` with the peer port of one entry."""
     store = FakeStore()
     if revision is not None:
         store.put(accepted_value(revision))
-    outbox, clock, client = NewsOutbox(), SystemClock(), HttpPeerClient()
-    membership = MembershipController(
-        own=member("e0"),
-        instance_list=EmptyList(),
-        outbox=outbox,
-        clock=clock,
-        rng=Random(1),
-    )
-    configuration = ConfigurationController(
-        environment=ENVIRONMENT,
-        store=store,
-        peers=client,
-        membership=membership,
-        outbox=outbox,
-        read_document=read_accepted,
-        write_document=write_accepted,
-        clock=clock,
-        rng=Random(1),
-    )
-    gossip = GossipController(
-        membership=membership,
-        configuration=configuration,
-        peers=client,
-        outbox=outbox,
-        rng=Random(1),
-    )
-    app = PeerApp(membership=membership, configuration=configuration, gossip=gossip)
-    listener = socket.create_server(("127.0.0.1", 0))
-    address = f"127.0.0.1:{listener.getsockname()[1]}"
-    config = Config()
-    config.bind = [f"fd://{listener.detach()}"]
-    config.graceful_timeout = 0.1
-    config.accesslog = config.errorlog = None
-    stop = anyio.Event()
-    served: Any = app
-    serving = partial(serve, served, config, shutdown_trigger=stop.wait)
-    # Hypercorn ends by its trigger only; it fails when it is cancelled.
-    async with anyio.create_task_group() as server:
-        server.start_soon(serving)
-        async with anyio.create_task_group() as tasks:
-            for run in (membership.run, configuration.run, gossip.run):
-                tasks.start_soon(run)
-            while revision is not None and configuration.view.current is None:
-                await anyio.sleep(0.01)
-            await use(app, address)
-            tasks.cancel_scope.cancel()
-        stop.set()
-    await client.aclose()
+    async with running_entry("e0", store, SharedList()) as (node, app, _):
+        while revision is not None and not node.revision:
+            await anyio.sleep(0.01)
+        await use(app, node.record.peer_address)
 
 
 def test_peer_calls_over_http() -> None:
