Pass accepted documents on to peers as they were received

Cause: a peer's copy was written anew from the typed document. A release that fills in defaults the accepting release did not know then hands out JSON that its content hash does not match, and every peer refuses it during a rolling upgrade.

Ruled out: hashing the typed document, which ties the hash to the release.

Change: the JSON as received is kept beside the typed document and handed on. The constructor of ConfigurationController no longer takes `write_document`.

--- a/src/bronzebeam/controllers/configuration.py
+++ b/src/bronzebeam/controllers/configuration.py
@@ -13,6 +13,7 @@
 from bronzebeam.controllers.configuration_view import (
     ConfigurationMessage,
     ConfigurationView,
+    DocumentOffer,
     NewsArrived,
     PeerRevision,
     StoreRead,
@@ -35,7 +36,6 @@
 OLDER_READS: Final = 2
 
 ReadDocument = Callable[[Any], AcceptedDocument]
-WriteDocument = Callable[[AcceptedDocument], dict[str, Any]]
 
 
 __all__ = [
@@ -55,7 +55,6 @@
     one that is in force stays, and `split` is set until a higher revision comes.
 
     :param read_document: reads the JSON form; raises `FindingsError`.
-    :param write_document: returns the JSON form.
     """
 
     def __init__(
@@ -67,7 +66,6 @@
         membership: MembershipController,
         outbox: NewsOutbox,
         read_document: ReadDocument,
-        write_document: WriteDocument,
         clock: Clock,
         rng: Random,
         log: Callable[..., None] = lambda *args, **fields: None,
@@ -78,7 +76,6 @@
         self._membership = membership
         self._news = outbox
         self._read_document = read_document
-        self._write_document = write_document
         self._clock = clock
         self._log = log
         self._view = ConfigurationView()
@@ -154,12 +151,12 @@
         if stored is None:
             self._note_store(0)
             return
-        accepted = self._read(stored.value, "store")
-        if accepted is None:
+        offer = self._read(stored.value, "store")
+        if offer is None:
             return
-        self._note_store(accepted.revision)
-        self._note_hash(accepted.revision, accepted.content_hash, "store")
-        self._adopt(accepted, "store")
+        self._note_store(offer.revision)
+        self._note_hash(offer.revision, offer.accepted.content_hash, "store")
+        self._adopt(offer, "store")
 
     def _note_store(self, revision: int) -> None:
         below = revision < self._view.revision
@@ -192,21 +189,21 @@
         self._note_hash(news.revision, news.content_hash, message.instance)
         if news.revision <= self._view.revision:
             return
-        accepted = self._patched(news)
-        if accepted is None:
-            accepted = await self._fetch(message.instance, message.address)
-        if accepted is not None:
-            self._adopt(accepted, message.instance, news)
+        offer = self._patched(news)
+        if offer is None:
+            offer = await self._fetch(message.instance, message.address)
+        if offer is not None:
+            self._adopt(offer, message.instance, news)
 
     async def _follow_peer(self, message: PeerRevision) -> None:
         self._note_hash(message.revision, message.content_hash, message.instance)
         if message.revision <= self._view.revision:
             return
-        accepted = await self._fetch(message.instance, message.address)
-        if accepted is not None:
-            self._adopt(accepted, message.instance)
+        offer = await self._fetch(message.instance, message.address)
+        if offer is not None:
+            self._adopt(offer, message.instance)
 
-    def _patched(self, news: ConfigurationNews) -> AcceptedDocument | None:
+    def _patched(self, news: ConfigurationNews) -> DocumentOffer | None:
         """Return the document in force with the changes made, if they fit."""
         encoded = self._view.encoded
         if encoded is None or news.base_revision != self._view.revision:
@@ -219,12 +216,10 @@
         except FindingsError as error:
             self._log("difference_refused", revision=news.revision, error=str(error))
             return None
-        accepted = self._read(value, "difference")
-        if accepted is None or accepted.revision != news.revision:
-            return None
-        return accepted
+        offer = self._read(value, "difference")
+        return offer if offer and offer.revision == news.revision else None
 
-    async def _fetch(self, instance: str, address: str) -> AcceptedDocument | None:
+    async def _fetch(self, instance: str, address: str) -> DocumentOffer | None:
         try:
             value = await self._peers.fetch_document(address=address)
         except PeerUnavailable as error:
@@ -233,7 +228,7 @@
             return None
         return None if value is None else self._read(value, instance)
 
-    def _read(self, value: Any, source: str) -> AcceptedDocument | None:
+    def _read(self, value: Any, source: str) -> DocumentOffer | None:
         try:
             accepted = self._read_document(value)
         except FindingsError as error:
@@ -242,7 +237,7 @@
         if accepted.document.environment != self._environment:
             self._refuse(source, "is of another environment")
             return None
-        return accepted
+        return DocumentOffer(accepted=accepted, value=value)
 
     def _refuse(self, source: str, reason: str) -> None:
         if not self._view.refused:
@@ -251,24 +246,23 @@
 
     def _adopt(
         self,
-        accepted: AcceptedDocument,
+        offer: DocumentOffer,
         source: str,
         news: ConfigurationNews | None = None,
     ) -> None:
-        """Put `accepted` in force if it is newer, and tell the peers."""
+        """Put the document in force if it is newer, and tell the peers."""
         before = self._view
-        if accepted.revision <= before.revision:
+        if offer.revision <= before.revision:
             return
-        value = self._write_document(accepted)
-        if news is None or news.revision != accepted.revision:
-            news = announce(before, accepted, value)
+        if news is None or news.revision != offer.revision:
+            news = announce(before, offer)
         self._view = ConfigurationView(
-            current=accepted, encoded=orjson.dumps(value), store_older=False
+            current=offer.accepted, encoded=orjson.dumps(offer.value)
         )
         self._log(
             "configuration_in_force",
-            revision=accepted.revision,
-            content_hash=accepted.content_hash,
+            revision=offer.revision,
+            content_hash=offer.accepted.content_hash,
             source=source,
         )
         self._news.add_configuration(news)
--- a/src/bronzebeam/controllers/configuration_view.py
+++ b/src/bronzebeam/controllers/configuration_view.py
@@ -46,12 +46,29 @@
 ConfigurationMessage = StoreRead | StoreUnwatched | NewsArrived | PeerRevision
 
 
+@frozen(kw_only=True)
+class DocumentOffer:
+    """
+    A document as read, with its JSON as received.
+
+    Peers get the JSON as received: this release may know fewer or more members than
+    the one that accepted the document, and the content hash is over what that wrote.
+    """
+
+    accepted: AcceptedDocument
+    value: Any
+
+    @property
+    def revision(self) -> int:
+        return self.accepted.revision
+
+
 @frozen(kw_only=True)
 class ConfigurationView:
     """
     The configuration in force, with what is known to be wrong around it.
 
-    :ivar encoded: JSON of `current`, for peers; None without a document.
+    :ivar encoded: JSON of `current` as received, for peers; None without a document.
     :ivar store_older: the store, as watched here, holds an older revision or none in
         `OLDER_READS` reads in a row; one alone may have been overtaken by a push.
     :ivar split: another content is about under the revision in force.
@@ -73,27 +90,21 @@
         return "" if self.current is None else self.current.content_hash
 
 
-def announce(
-    before: ConfigurationView, accepted: AcceptedDocument, value: dict[str, Any]
-) -> ConfigurationNews:
-    """
-    Announce `accepted` with its difference to what was in force, if that is small.
-
-    :param value: JSON form of `accepted`.
-    """
+def announce(before: ConfigurationView, offer: DocumentOffer) -> ConfigurationNews:
+    """Announce a document with its difference to the one in force, if it is small."""
     bare = ConfigurationNews(
-        revision=accepted.revision, content_hash=accepted.content_hash
+        revision=offer.revision, content_hash=offer.accepted.content_hash
     )
     if before.encoded is None:
         return bare
     base = orjson.loads(before.encoded)
-    changes = difference(base, value)
+    changes = difference(base, offer.value)
     if len(changes) > MOST_CHANGES:
         return bare
     return evolve(
         bare,
         base_revision=before.revision,
         base_checksum=json_checksum(base),
-        checksum=json_checksum(value),
+        checksum=json_checksum(offer.value),
         changes=changes,
     )
--- a/tests/fixtures_fleet.py
+++ b/tests/fixtures_fleet.py
@@ -71,10 +71,6 @@
     )
 
 
-def write_accepted(accepted: AcceptedDocument) -> dict[str, Any]:
-    return accepted_value(accepted.revision, accepted.content_hash[0])
-
-
 def member(instance: str, domain: str = "a", incarnation: int = 1) -> MemberRecord:
     return MemberRecord(
         instance=instance,
@@ -236,7 +232,6 @@
             membership=membership,
             outbox=outbox,
             read_document=read_accepted,
-            write_document=write_accepted,
             **seeded,
         )
         gossip = GossipController(
--- a/tests/fixtures_fleet_sockets.py
+++ b/tests/fixtures_fleet_sockets.py
@@ -32,7 +32,6 @@
     accepted_value,
     member,
     read_accepted,
-    write_accepted,
 )
 
 ENTRIES = 8
@@ -103,7 +102,6 @@
         peers=client,
         membership=membership,
         read_document=read_accepted,
-        write_document=write_accepted,
         clock=SystemClock(),
         **shared,
     )
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -1,6 +1,7 @@
 """Tests of the configuration in force over a fleet, in virtual time."""
 
 import anyio
+import orjson
 
 from tests.fixtures_fleet import Fleet, accepted_value, run_fleet
 
@@ -211,6 +212,21 @@
     run_fleet(scenario)
 
 
+def test_peers_get_the_document_as_it_was_accepted() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await _settled(fleet)
+        accepted = {"of_a_later_release": 1, **accepted_value(2)}
+        fleet.store.put(accepted)
+        await fleet.in_force(2, within=2.0)
+        fleet.store.up = False
+        fleet.start("late")
+        await fleet.in_force(2, within=2.0)
+        for node in fleet.nodes.values():
+            assert orjson.loads(node.configuration.view.encoded or b"") == accepted
+
+    run_fleet(scenario)
+
+
 def test_same_revision_with_other_content_is_kept_out_and_flagged() -> None:
     async def scenario(fleet: Fleet) -> None:
         await _settled(fleet, revision=5)
