--- a/src/bronzebeam/entry/fleet.py
+++ b/src/bronzebeam/entry/fleet.py
@@ -10,7 +10,7 @@
 from bronzebeam.controllers.gossip import GossipController, TopicSpec
 from bronzebeam.controllers.membership import LeaveFleet, MembershipController
 from bronzebeam.controllers.news_outbox import NewsOutbox
-from bronzebeam.documents.loading import accepted_from_json, accepted_to_json
+from bronzebeam.documents.loading import accepted_from_json
 from bronzebeam.documents.model import AcceptedDocument
 from bronzebeam.entry.peer_app import PeerApp
 from bronzebeam.routing.membership_state import MemberRecord, MemberState
@@ -95,7 +95,6 @@
         membership=membership,
         outbox=outbox,
         read_document=accepted_from_json,
-        write_document=accepted_to_json,
         clock=clock,
         rng=rng,
         log=log_event,
