Treat an unknown refusal word as a backend error

A backend server may refuse with a word outside the fixed vocabulary; reason_of raised ValueError, the caller got an internal error for a request that was not run. Seen failing: test_unknown_refusal_word_is_a_backend_error before the change (ValueError: 'out-of-paper' is not a valid Reason); passes after it.

--- a/src/bronzebeam/filters/attempt_outcomes.py
+++ b/src/bronzebeam/filters/attempt_outcomes.py
@@ -1,5 +1,7 @@
 """What an attempt's outcome means to the caller's request."""
 
+from typing import Final, get_args
+
 from bronzebeam.reasons import Reason
 from bronzebeam.transport.attempt import AttemptLost, AttemptOutcome
 from bronzebeam.transport.backend_protocol import (
@@ -7,8 +9,11 @@
     BackendFailed,
     BackendReply,
     BadReply,
+    NotRunReason,
 )
 
+_REFUSALS: Final = frozenset(get_args(NotRunReason))
+
 
 def surely_not_run(outcome: AttemptOutcome) -> bool:
     """Tell whether the attempt certainly ran nothing."""
@@ -22,6 +27,8 @@
     match outcome:
         case BackendDidNotRun(reason="cancelled"):
             return Reason.TIMEOUT
+        case BackendDidNotRun() if outcome.reason not in _REFUSALS:
+            return Reason.BACKEND_ERROR
         case BackendDidNotRun() | AttemptLost() | BadReply():
             return Reason(outcome.reason)
         case BackendFailed():
