--- a/src/bronzebeam/filters/call.py
+++ b/src/bronzebeam/filters/call.py
@@ -9,7 +9,7 @@
 
 from bronzebeam.filters.attempt_outcomes import reason_of, surely_not_run
 from bronzebeam.filters.chain import CallerRequest
-from bronzebeam.filters.dispatch import Dispatcher
+from bronzebeam.filters.dispatch import Dispatcher, trace_headers
 from bronzebeam.invariants import check
 from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown, Refused
 from bronzebeam.reasons import Reason
@@ -156,10 +156,7 @@
                 payload=self.request.payload,
                 idempotency_key=self.request.idempotency_key,
             ),
-            headers=tuple(
-                (name.encode(), value.encode())
-                for name, value in self.request.trace_headers.items()
-            ),
+            headers=trace_headers(self.request),
             deadline_at_seconds=self.request.deadline_at_seconds,
             fingerprint=self.request.fingerprint,
             idempotent=self.request.idempotent,
--- a/src/bronzebeam/filters/dispatch.py
+++ b/src/bronzebeam/filters/dispatch.py
@@ -18,10 +18,13 @@
     replicas_to_exclude,
 )
 from bronzebeam.transport.attempt import Attempt, AttemptLost, AttemptOutcome
+from bronzebeam.transport.backend_protocol import BackendDidNotRun
+from bronzebeam.transport.channel import Headers
 from bronzebeam.transport.link import Link
 
 EXPECTED_LEAST_MS: Final = 1.0
 MS_PER_SECOND: Final = 1_000.0
+MOVED_REASONS: Final = frozenset({"draining", "version_gone"})
 
 
 @frozen(kw_only=True)
@@ -67,6 +70,8 @@
     ) -> bool:
         """Decide on a hedge, and take it from the service's budget."""
         now = self.clock.monotonic_seconds()
+        if self.killers.is_suspect(request.fingerprint, now):
+            return False
         state = self._state(request, replicas, tried, now)
         return self.extra.allow_hedge(request.service, state, now)
 
@@ -120,7 +125,17 @@
         )
 
 
+def trace_headers(request: CallerRequest) -> Headers:
+    """Return the trace context of `request` as headers of its attempts."""
+    return tuple(
+        (name.encode(), value.encode()) for name, value in request.trace_headers.items()
+    )
+
+
 def _failure_kind(outcome: AttemptOutcome) -> FailureKind:
     if isinstance(outcome, AttemptLost) and not outcome.sent:
         return FailureKind.NOT_SENT
+    # The other replica gets the work in place of this one, which did none of it.
+    if isinstance(outcome, BackendDidNotRun) and outcome.reason in MOVED_REASONS:
+        return FailureKind.NOT_SENT
     return FailureKind.NOT_RUN if surely_not_run(outcome) else FailureKind.UNKNOWN
--- a/src/bronzebeam/filters/search.py
+++ b/src/bronzebeam/filters/search.py
@@ -2,11 +2,13 @@
 
 from typing import Any, Final
 
-from attrs import define
+import anyio
+from attrs import define, evolve
 
 from bronzebeam.filters.chain import CallerRequest
 from bronzebeam.filters.dispatch import Dispatcher
-from bronzebeam.filters.search_run import SearchResult, SearchRun
+from bronzebeam.filters.search_run import SearchRun
+from bronzebeam.filters.search_shards import SearchResult
 from bronzebeam.outcomes import Answered, Coverage, NotRun, Outcome, Partial, Refused
 from bronzebeam.reasons import Reason
 from bronzebeam.routing.coverage import required_shards
@@ -14,6 +16,8 @@
 
 RESTART_LEAST_SECONDS: Final = 0.02
 RESTARTS_MOST: Final = 3
+NEWS_SECONDS: Final = 0.05
+NEWS_STEP_SECONDS: Final = 0.002
 RETRY_AFTER_MS: Final = 1_000
 
 
@@ -33,31 +37,39 @@
         snapshot = self.dispatcher.reach.snapshot(request.service.name)
         if snapshot is None:
             return _no_replica()
-        result = await self._run(request, snapshot)
+        best = result = await self._run(request, snapshot)
         for _ in range(RESTARTS_MOST):
-            newer = self.dispatcher.reach.snapshot(request.service.name)
-            if not self._restart_pays(request, result, newer):
+            newer = await self._newer(request, result)
+            if newer is None:
                 break
-            assert newer is not None
             result = await self._run(request, newer)
-        return self._outcome(request, result)
+            best = _better(result, best)
+        return self._outcome(request, best)
 
     async def _run(self, request: CallerRequest, snapshot: Snapshot) -> SearchResult:
         run = SearchRun(request=request, snapshot=snapshot, dispatcher=self.dispatcher)
         return await run.run()
 
-    def _restart_pays(
-        self, request: CallerRequest, result: SearchResult, newer: Snapshot | None
-    ) -> bool:
-        remaining = (
-            request.deadline_at_seconds - self.dispatcher.clock.monotonic_seconds()
-        )
-        return (
-            result.version_gone
-            and newer is not None
-            and newer.index_version != result.coverage.index_version
-            and remaining > RESTART_LEAST_SECONDS
-        )
+    async def _newer(
+        self, request: CallerRequest, result: SearchResult
+    ) -> Snapshot | None:
+        """Wait a little for a snapshot that covers more than `result` does."""
+        if not result.version_gone or result.coverage.complete:
+            return None
+        now = self.dispatcher.clock.monotonic_seconds()
+        latest = request.deadline_at_seconds - RESTART_LEAST_SECONDS
+        wait_until = min(now + NEWS_SECONDS, latest)
+        while True:
+            newer = self.dispatcher.reach.snapshot(request.service.name)
+            now = self.dispatcher.clock.monotonic_seconds()
+            if newer is None or now > latest:
+                return None
+            pays = _pays(newer, result)
+            if pays and (newer.complete or now >= wait_until):
+                return newer
+            if now >= wait_until:
+                return None
+            await anyio.sleep(NEWS_STEP_SECONDS)
 
     def _outcome(self, request: CallerRequest, result: SearchResult) -> Outcome:
         coverage = result.coverage
@@ -73,23 +85,43 @@
             )
         if coverage.complete:
             return Answered(result=_merge(request, result), coverage=coverage)
-        if not result.sent:
-            return _not_sent(coverage)
-        return _below_or_partial(request, result)
+        required = required_shards(request.service.coverage, coverage.shard_count)
+        if len(coverage.included) >= required:
+            return Partial(result=_merge(request, result), coverage=coverage)
+        reasons = {missing.reason for missing in coverage.missing}
+        if result.sent or Reason.BELOW_MINIMUM_COVERAGE in reasons:
+            return _below_minimum(result)
+        return _not_sent(coverage)
+
+
+def _pays(newer: Snapshot, result: SearchResult) -> bool:
+    coverage = result.coverage
+    if newer.index_version == coverage.index_version:
+        return False
+    included = len(coverage.included)
+    return newer.covered * coverage.shard_count > included * newer.shard_count
 
 
-def _below_or_partial(request: CallerRequest, result: SearchResult) -> Outcome:
+def _better(later: SearchResult, earlier: SearchResult) -> SearchResult:
+    """Return the run of larger coverage, the later of equals."""
+    sent = later.sent or earlier.sent
+    best = later if _share(later) >= _share(earlier) else earlier
+    return evolve(best, sent=sent)
+
+
+def _share(result: SearchResult) -> float:
+    return len(result.coverage.included) / result.coverage.shard_count
+
+
+def _below_minimum(result: SearchResult) -> Outcome:
     coverage = result.coverage
-    required = required_shards(request.service.coverage, coverage.shard_count)
-    if len(coverage.included) < required:
-        return Refused(
-            reason=Reason.BELOW_MINIMUM_COVERAGE,
-            retry_after_ms=RETRY_AFTER_MS,
-            detail=f"{len(coverage.included)} of {coverage.shard_count} shards came",
-            ran=True,
-            coverage=coverage,
-        )
-    return Partial(result=_merge(request, result), coverage=coverage)
+    return Refused(
+        reason=Reason.BELOW_MINIMUM_COVERAGE,
+        retry_after_ms=RETRY_AFTER_MS,
+        detail=f"{len(coverage.included)} of {coverage.shard_count} shards came",
+        ran=result.sent,
+        coverage=coverage,
+    )
 
 
 def _merge(request: CallerRequest, result: SearchResult) -> list[Any]:
--- a/src/bronzebeam/filters/search_run.py
+++ b/src/bronzebeam/filters/search_run.py
@@ -1,18 +1,24 @@
 """One fan-out of a search over the shards of one snapshot."""
 
 import math
-from typing import Any, Final
+from typing import Final
 
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
-from attrs import define, field, frozen
+from attrs import define, field
 
 from bronzebeam.filters.attempt_outcomes import reason_of, surely_not_run
 from bronzebeam.filters.chain import CallerRequest
-from bronzebeam.filters.dispatch import Dispatcher
+from bronzebeam.filters.dispatch import Dispatcher, trace_headers
+from bronzebeam.filters.search_shards import SearchResult, ShardAttempts, build_coverage
+from bronzebeam.filters.search_timing import SearchTiming
 from bronzebeam.invariants import check
-from bronzebeam.outcomes import Coverage, MissingShard
 from bronzebeam.reasons import Reason
+from bronzebeam.routing.coverage import (
+    CoverageDecision,
+    ShardProgress,
+    required_shards,
+)
 from bronzebeam.routing.hedging import MOST_ATTEMPTS
 from bronzebeam.routing.snapshots import Snapshot
 from bronzebeam.transport.attempt import Attempt, AttemptOutcome
@@ -22,51 +28,13 @@
     encode_search,
 )
 
-MERGE_MARGIN_SECONDS: Final = 0.005
+NEWER_SNAPSHOT_SECONDS: Final = 0.01
 HEDGE_AGAIN_SECONDS: Final = 0.005
 STRAGGLER_SHARE: Final = 0.25
 
 _Event = tuple[Attempt, AttemptOutcome]
 
 
-@frozen(kw_only=True)
-class SearchResult:
-    """
-    What one run brought.
-
-    :ivar hits: hits of each included shard, in the order of `coverage.included`.
-    :ivar version_gone: some replica no longer holds the run's index version.
-    :ivar sent: some backend server may have run a part.
-    """
-
-    coverage: Coverage
-    hits: tuple[list[Any], ...]
-    version_gone: bool
-    sent: bool
-
-
-@define(kw_only=True, eq=False)
-class _Shard:
-    """
-    Progress of one shard.
-
-    :ivar reason: why the last attempt brought no reply.
-    :ivar given_up: no further attempt will be made.
-    """
-
-    number: int
-    replicas: tuple[str, ...]
-    tried: list[str] = field(factory=list)
-    running: list[Attempt] = field(factory=list)
-    reply: BackendReply | None = None
-    reason: Reason = Reason.TIMEOUT
-    given_up: bool = False
-
-    @property
-    def settled(self) -> bool:
-        return self.reply is not None or self.given_up
-
-
 @define(kw_only=True, eq=False)
 class SearchRun:
     """Sends the sub-requests of one search and gathers the replies."""
@@ -74,20 +42,23 @@
     request: CallerRequest
     snapshot: Snapshot
     dispatcher: Dispatcher
-    _shards: list[_Shard] = field(init=False)
+    _timing: SearchTiming = field(init=False)
+    _shards: list[ShardAttempts] = field(init=False)
     _unsettled: int = field(init=False)
+    _included: int = field(default=0, init=False)
     _attempts: int = field(default=0, init=False)
     _version_gone: bool = field(default=False, init=False)
-    _outdated: bool = field(default=False, init=False)
     _sent: bool = field(default=False, init=False)
+    _cut_reason: Reason = field(default=Reason.TIMEOUT, init=False)
     _hedge_at_seconds: float = field(default=math.inf, init=False)
     _hedge_delay_seconds: float = field(default=math.inf, init=False)
     _results_in: MemoryObjectSendStream[_Event] = field(init=False)
     _results_out: MemoryObjectReceiveStream[_Event] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._timing = SearchTiming(request=self.request, clock=self.dispatcher.clock)
         self._shards = [
-            _Shard(number=number, replicas=replicas)
+            ShardAttempts(number=number, replicas=replicas)
             for number, replicas in enumerate(self.snapshot.replicas_by_shard)
         ]
         self._unsettled = len(self._shards)
@@ -96,7 +67,7 @@
         )
 
     async def run(self) -> SearchResult:
-        """Run to full coverage, the service's soft deadline or the deadline."""
+        """Run to full coverage, or as far as the service's policy asks."""
         now = self.dispatcher.clock.monotonic_seconds()
         try:
             self._send_first(now)
@@ -108,9 +79,15 @@
         return self._result()
 
     def _send_first(self, now: float) -> None:
-        shards = self._shards[:1] if self.request.solo else self._shards
-        for shard in shards:
-            self._send(shard)
+        coverage = self.request.service.coverage
+        if self.snapshot.covered < required_shards(coverage, len(self._shards)):
+            self._give_up_uncovered()
+            return
+        if self.request.solo:
+            self._send_next_solo()
+        else:
+            for shard in self._shards:
+                self._send(shard)
         extra = self.dispatcher.extra
         extra.note_first(self.request.service, len(self._shards), now)
         delay_seconds = extra.hedge_delay_seconds(self.request.service, now)
@@ -118,29 +95,58 @@
             self._hedge_delay_seconds = delay_seconds
             self._hedge_at_seconds = now + delay_seconds
 
+    def _give_up_uncovered(self) -> None:
+        for shard in self._shards:
+            if not shard.replicas:
+                self._give_up(shard, Reason.NO_REPLICA)
+
     async def _gather(self) -> None:
-        answer_by = self._answer_by_seconds()
-        while self._unsettled and not self._outdated:
-            wake_at = min(answer_by, self._hedge_at_seconds)
-            with anyio.CancelScope(deadline=wake_at):
+        while not self._is_over():
+            with anyio.CancelScope(deadline=self._wake_at_seconds()):
                 async for attempt, outcome in self._results_out:
                     self._handle(attempt, outcome)
-                    if not self._unsettled or self._outdated:
+                    if self._is_over():
                         return
             now = self.dispatcher.clock.monotonic_seconds()
-            if now >= answer_by:
-                return
             if now >= self._hedge_at_seconds:
                 self._hedge(now)
 
-    def _answer_by_seconds(self) -> float:
-        deadline = self.request.deadline_at_seconds - MERGE_MARGIN_SECONDS
-        soft_ms = self.request.service.coverage.soft_deadline_ms
-        if soft_ms is None:
-            return deadline
-        return min(deadline, self.request.arrived_at_seconds + soft_ms / 1000)
+    def _is_over(self) -> bool:
+        """Tell whether the service's policy asks for no further waiting."""
+        decision = self._timing.decide(
+            ShardProgress(
+                shard_count=len(self._shards),
+                included=self._included,
+                missing=len(self._shards) - self._included - self._unsettled,
+            )
+        )
+        if decision is CoverageDecision.WAIT and self._newer_pays():
+            self._cut_reason = Reason.VERSION_GONE
+            return True
+        if decision is CoverageDecision.BELOW_MINIMUM and self._timing.in_time:
+            self._cut_reason = Reason.BELOW_MINIMUM_COVERAGE
+        return decision is not CoverageDecision.WAIT
+
+    def _newer_pays(self) -> bool:
+        """Tell whether a newer snapshot covers more than this run still can."""
+        if not self._version_gone or not any(s.outdated for s in self._shards):
+            return False
+        newest = self.dispatcher.reach.snapshot(self.request.service.name)
+        if newest is None or newest.index_version == self.snapshot.index_version:
+            return False
+        reachable = self._included + self._unsettled
+        return newest.covered * len(self._shards) > reachable * newest.shard_count
+
+    def _wake_at_seconds(self) -> float:
+        """Return the next time at which there is something to do without a reply."""
+        decide_at = self._timing.next_decision_at_seconds()
+        wake_at = min(decide_at, self._hedge_at_seconds)
+        if not self._version_gone:
+            return wake_at
+        now = self.dispatcher.clock.monotonic_seconds()
+        return min(wake_at, now + NEWER_SNAPSHOT_SECONDS)
 
-    def _send(self, shard: _Shard, *, hedge: bool = False) -> bool:
+    def _send(self, shard: ShardAttempts, *, hedge: bool = False) -> bool:
         chosen = self.dispatcher.choose(replicas=shard.replicas, tried=shard.tried)
         if chosen is None:
             if not shard.running:
@@ -152,7 +158,7 @@
         chosen.link.send(attempt)
         return True
 
-    def _new_attempt(self, shard: _Shard, replica: str, hedge: bool) -> Attempt:
+    def _new_attempt(self, shard: ShardAttempts, replica: str, hedge: bool) -> Attempt:
         self._attempts += 1
         request_id = f"{self.request.request_id}.{self._attempts}"
         return Attempt(
@@ -165,10 +171,7 @@
                 shard=shard.number,
                 query=self.request.payload,
             ),
-            headers=tuple(
-                (name.encode(), value.encode())
-                for name, value in self.request.trace_headers.items()
-            ),
+            headers=trace_headers(self.request),
             shard=shard.number,
             deadline_at_seconds=self.request.deadline_at_seconds,
             fingerprint=self.request.fingerprint,
@@ -186,7 +189,7 @@
         self._sent = self._sent or not surely_not_run(outcome)
         if shard.settled:
             return
-        if isinstance(outcome, BackendReply) and self._matches(shard, outcome):
+        if isinstance(outcome, BackendReply) and shard.matches(outcome, self.snapshot):
             self._accept(shard, attempt, outcome)
         else:
             shard.reason = reason_of(outcome)
@@ -195,17 +198,12 @@
         if self.request.solo and shard.settled:
             self._send_next_solo()
 
-    def _matches(self, shard: _Shard, reply: BackendReply) -> bool:
-        return (
-            reply.index_version == self.snapshot.index_version
-            and reply.shard == shard.number
-            and reply.shard_count == self.snapshot.shard_count
-            and isinstance(reply.result, list)
-        )
-
-    def _accept(self, shard: _Shard, attempt: Attempt, reply: BackendReply) -> None:
+    def _accept(
+        self, shard: ShardAttempts, attempt: Attempt, reply: BackendReply
+    ) -> None:
         shard.reply = reply
         self._unsettled -= 1
+        self._included += 1
         self.dispatcher.note_waited(self.request, attempt)
         for loser in shard.running:
             self.dispatcher.note_waited(self.request, loser)
@@ -216,7 +214,7 @@
             if not shard.settled and not shard.tried and self._send(shard):
                 return
 
-    def _retry(self, shard: _Shard, outcome: AttemptOutcome) -> None:
+    def _retry(self, shard: ShardAttempts, outcome: AttemptOutcome) -> None:
         if shard.running:
             return
         allowed = self.dispatcher.may_retry(
@@ -245,8 +243,8 @@
         """
         return max(1, int(len(self._shards) * STRAGGLER_SHARE))
 
-    def _hedge_shard(self, shard: _Shard, now: float) -> None:
-        due_at = self._hedge_due_seconds(shard)
+    def _hedge_shard(self, shard: ShardAttempts, now: float) -> None:
+        due_at = shard.hedge_due_seconds(self._hedge_delay_seconds)
         if due_at > now:
             self._hedge_at_seconds = min(self._hedge_at_seconds, due_at)
             return
@@ -254,30 +252,20 @@
             self.request, replicas=shard.replicas, tried=shard.tried
         )
         if allowed and self._send(shard, hedge=True):
-            due_at = self._hedge_due_seconds(shard)
+            due_at = shard.hedge_due_seconds(self._hedge_delay_seconds)
         else:
             due_at = now + HEDGE_AGAIN_SECONDS
         if len(shard.tried) < MOST_ATTEMPTS:
             self._hedge_at_seconds = min(self._hedge_at_seconds, due_at)
 
-    def _hedge_due_seconds(self, shard: _Shard) -> float:
-        """Return when the shard's newest attempt will have run past the delay."""
-        return shard.running[-1].handed_over_seconds + self._hedge_delay_seconds
-
-    def _give_up(self, shard: _Shard, reason: Reason | None = None) -> None:
+    def _give_up(self, shard: ShardAttempts, reason: Reason | None = None) -> None:
         if shard.settled:
             return
         shard.given_up = True
         shard.reason = reason or shard.reason
         self._unsettled -= 1
-        if shard.reason is Reason.VERSION_GONE:
-            newest = self.dispatcher.reach.snapshot(self.request.service.name)
-            self._outdated = (
-                newest is not None
-                and newest.index_version != self.snapshot.index_version
-            )
 
-    def _cancel(self, shard: _Shard) -> None:
+    def _cancel(self, shard: ShardAttempts) -> None:
         self.dispatcher.cancel(shard.running)
         shard.running.clear()
 
@@ -292,19 +280,14 @@
         included = [shard for shard in self._shards if shard.reply is not None]
         for shard in included:
             check(
-                shard.reply is not None and self._matches(shard, shard.reply),
+                shard.reply is not None and shard.matches(shard.reply, self.snapshot),
                 "a search answer mixes index versions",
             )
         return SearchResult(
-            coverage=Coverage(
-                index_version=self.snapshot.index_version,
-                shard_count=self.snapshot.shard_count,
-                included=tuple(shard.number for shard in included),
-                missing=tuple(
-                    MissingShard(shard=shard.number, reason=shard.reason)
-                    for shard in self._shards
-                    if shard.reply is None
-                ),
+            coverage=build_coverage(
+                snapshot=self.snapshot,
+                shards=self._shards,
+                cut_reason=self._cut_reason,
             ),
             hits=tuple(shard.reply.result for shard in included if shard.reply),
             version_gone=self._version_gone,
--- a/tests/fixtures_path.py
+++ b/tests/fixtures_path.py
@@ -273,7 +273,11 @@
         try:
             return await self.server.answer(self, path, request_id, value)
         except trio.Cancelled:
-            late = {"request_id": request_id, "load": {}, "result": None}
+            late: dict[str, Any] = {
+                "request_id": request_id,
+                "load": {},
+                "result": None,
+            }
             self._late.append(ChannelResponse(status=200, body=orjson.dumps(late)))
             raise
 
@@ -380,7 +384,9 @@
         """Add two replicas for each shard, named `s0a`, `s0b` and so on."""
         for shard in range(count):
             for letter in "ab":
-                self.add(f"s{shard}{letter}", GUESTS, holdings=[[version, shard, count]])
+                self.add(
+                    f"s{shard}{letter}", GUESTS, holdings=[[version, shard, count]]
+                )
 
     def add_depots(self) -> None:
         for letter in "abc":
--- /dev/null
+++ b/tests/test_path_hedges.py
@@ -0,0 +1,172 @@
+"""Tests of hedges, solo requests, deadlines and early answers."""
+
+import anyio
+from hypothesis import given, settings, strategies as st
+
+from bronzebeam.documents.model import CoverageSpec
+from bronzebeam.outcomes import Answered, Outcome, Partial, Refused
+from tests.fixtures_path import RequestPath, make_document, run_path
+
+COMMON = settings(derandomize=True, database=None, deadline=None, max_examples=10)
+
+
+@COMMON
+@given(st.integers(0, 2**32))
+def test_extra_load_stays_within_the_budget(seed: int) -> None:
+    async def scenario(path: RequestPath) -> tuple[int, int, int]:
+        path.add_shards()
+        await path.start()
+
+        def service_seconds() -> float:
+            return 0.2 if path.rng.random() < 0.03 else path.rng.uniform(0.004, 0.006)
+
+        async def vary() -> None:
+            while True:
+                for server in path.servers.values():
+                    server.service_seconds = service_seconds()
+                await anyio.sleep(0.005)
+
+        path.group.start_soon(vary)
+        for _ in range(400):
+            await path.search()
+        arrivals = [row for item in path.servers.values() for row in item.arrivals]
+        await anyio.sleep(1)
+        path.assert_idle()
+        firsts = 4 * 400
+        extras = sum(int(name.split(".")[1]) > 4 for _, name in arrivals)
+        return firsts, len(arrivals) - firsts, extras
+
+    firsts, extra, hedges = run_path(scenario, seed=seed)
+    assert extra <= 0.05 * firsts
+    assert hedges > 0, "no hedge was sent at all"
+
+
+def test_hedge_saves_a_search_from_a_slow_replica() -> None:
+    async def scenario(path: RequestPath) -> float:
+        path.add_shards()
+        await path.start()
+        await path.warm_up()
+        path.servers["s0a"].service_seconds = 5.0
+        began = anyio.current_time()
+        for _ in range(5):
+            assert isinstance(await path.search(deadline_ms=1_000), Answered)
+        return anyio.current_time() - began
+
+    assert run_path(scenario) < 0.25
+
+
+def test_solo_search_runs_on_one_replica_at_a_time() -> None:
+    async def scenario(path: RequestPath) -> Outcome:
+        path.add_shards()
+        await path.start()
+        await path.warm_up()
+        before = {name: len(item.runs) for name, item in path.servers.items()}
+        running = 0
+
+        async def watch() -> None:
+            nonlocal running
+            while True:
+                busy = sum(item.running for item in path.servers.values())
+                running = max(running, busy)
+                await anyio.sleep(0.0005)
+
+        path.group.start_soon(watch)
+        for server in path.servers.values():
+            server.service_seconds = 0.1
+        outcome = await path.search({"q": 1}, solo=True, deadline_ms=2_000)
+        ran = sum(len(item.runs) - before[name] for name, item in path.servers.items())
+        assert ran == 4
+        assert running == 1
+        return outcome
+
+    assert isinstance(run_path(scenario), Answered)
+
+
+def test_solo_search_goes_on_past_a_shard_without_replicas() -> None:
+    async def scenario(path: RequestPath) -> Outcome:
+        path.add_shards()
+        await path.start()
+        for name in ("s0a", "s0b"):
+            path.servers[name].kill()
+            path.mark_leaving(name)
+        await anyio.sleep(0.5)
+        began = anyio.current_time()
+        outcome = await path.search(solo=True, deadline_ms=2_000)
+        assert anyio.current_time() - began < 0.1
+        return outcome
+
+    outcome = run_path(scenario)
+    assert isinstance(outcome, Partial)
+    assert outcome.coverage.included == (1, 2, 3)
+
+
+def test_request_that_turns_suspect_is_hedged_no_more() -> None:
+    async def scenario(path: RequestPath) -> int:
+        path.add_shards()
+        await path.start()
+        await path.warm_up()
+        for server in path.servers.values():
+            server.service_seconds = 0.004 if server.name[1] != "0" else 0.2
+        query = {"q": "killer"}
+        path.killers.suspects.add(path.request(query).fingerprint)
+        await path.search(query, deadline_ms=1_000)
+        return sum(
+            run[1] == query for item in path.servers.values() for run in item.runs
+        )
+
+    assert run_path(scenario) == 4
+
+
+def test_final_answer_comes_at_the_deadline() -> None:
+    async def scenario(path: RequestPath) -> Outcome:
+        path.add_shards()
+        path.add_depots()
+        await path.start()
+        path.servers["s3a"].service_seconds = 60
+        path.servers["s3b"].service_seconds = 60
+        began = anyio.current_time()
+        outcome = await path.search(deadline_ms=100)
+        assert anyio.current_time() - began <= 0.1
+        return outcome
+
+    outcome = run_path(scenario)
+    assert isinstance(outcome, Partial)
+    assert [item.reason for item in outcome.coverage.missing] == ["timeout"]
+
+
+def run_soft(minimum_share: float, slow_seconds: float) -> tuple[Outcome, float]:
+    """Search with a soft deadline of 50 ms while two of four shards are slow."""
+    coverage = CoverageSpec(soft_deadline_ms=50, minimum_share=minimum_share)
+
+    async def scenario(path: RequestPath) -> tuple[Outcome, float]:
+        path.add_shards()
+        await path.start()
+        for name in ("s2a", "s2b", "s3a", "s3b"):
+            path.servers[name].service_seconds = slow_seconds
+        began = anyio.current_time()
+        outcome = await path.search(deadline_ms=300)
+        return outcome, anyio.current_time() - began
+
+    return run_path(scenario, document=make_document(coverage=coverage))
+
+
+def test_soft_deadline_answers_early_with_enough_shards() -> None:
+    outcome, seconds = run_soft(0.5, 0.2)
+    assert isinstance(outcome, Partial)
+    assert outcome.coverage.included == (0, 1)
+    assert 0.05 <= seconds < 0.06
+
+
+def test_soft_deadline_waits_on_below_the_required_share() -> None:
+    outcome, seconds = run_soft(0.75, 0.2)
+    assert isinstance(outcome, (Answered, Partial)), outcome
+    assert outcome.coverage is not None
+    assert len(outcome.coverage.included) >= 3
+    assert 0.2 < seconds < 0.22
+
+
+def test_deadline_below_the_required_share_is_refused() -> None:
+    outcome, seconds = run_soft(0.75, 5.0)
+    assert isinstance(outcome, Refused)
+    assert outcome.reason == "below_minimum_coverage" and outcome.ran
+    assert 0.29 < seconds <= 0.3
