--- a/src/bronzebeam/bench/load.py
+++ b/src/bronzebeam/bench/load.py
@@ -3,15 +3,17 @@
 import random
 import uuid
 from collections.abc import Callable, Sequence
-from typing import Any, Final
+from typing import Any, Final, Literal
 
 import anyio
+import httpcore
 import orjson
 from attrs import define, field, frozen
 
 from bronzebeam.transport.channel import Channel, ChannelClosed, HttpcoreChannel
 
 GRACE_SECONDS: Final = 1.0
+End = Literal["whole", "refused", "broken", "timeout"]
 JSON_HEADER: Final = (b"content-type", b"application/json")
 
 
@@ -22,6 +24,9 @@
 
     :ivar status: 0 if no answer came.
     :ivar started_seconds: monotonic time at which the request was due.
+    :ivar address: the entry that was asked.
+    :ivar end: `whole` for an answer, `refused` if no connection could be opened,
+        `broken` if it ended before the answer, `timeout` if nothing came.
     """
 
     status: int
@@ -30,6 +35,8 @@
     latency_ms: float
     path: str = ""
     key: str | None = None
+    address: str = ""
+    end: End = "whole"
 
     @property
     def outcome(self) -> str:
@@ -64,10 +71,16 @@
         key: str | None = None,
         class_name: str | None = None,
         due_seconds: float | None = None,
+        address: str | None = None,
     ) -> CallerAnswer:
-        """Send one request and wait for its answer, in bounded time."""
+        """
+        Send one request and wait for its answer, in bounded time.
+
+        :param address: the entry to ask; one at random if not given.
+        """
         started = anyio.current_time() if due_seconds is None else due_seconds
-        address = self.rng.choice(list(self.addresses()))
+        if address is None:
+            address = self.rng.choice(list(self.addresses()))
         headers = [
             JSON_HEADER,
             (b"bronzebeam-deadline-ms", str(deadline_ms).encode()),
@@ -78,8 +91,9 @@
             headers.append((b"bronzebeam-class", class_name.encode()))
         status = 0
         body: dict[str, Any] = {}
+        end: End = "timeout"
         with anyio.move_on_after(deadline_ms / 1000 + GRACE_SECONDS):
-            status, body = await self._exchange(address, path, headers, payload)
+            end, status, body = await self._exchange(address, path, headers, payload)
         return CallerAnswer(
             status=status,
             body=body,
@@ -87,21 +101,24 @@
             latency_ms=(anyio.current_time() - started) * 1000,
             path=path,
             key=key,
+            address=address,
+            end=end,
         )
 
     async def _exchange(
         self, address: str, path: str, headers: list[tuple[bytes, bytes]], payload: Any
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> tuple[End, int, dict[str, Any]]:
         idle = self._idle.setdefault(address, [])
         channel = idle.pop() if idle else HttpcoreChannel(address=address)
         try:
             response = await channel.exchange(
                 method="POST", path=path, headers=headers, body=orjson.dumps(payload)
             )
-        except ChannelClosed:
-            return 0, {}
+        except ChannelClosed as error:
+            refused = isinstance(error.__cause__, httpcore.ConnectError)
+            return "refused" if refused else "broken", 0, {}
         idle.append(channel)
-        return response.status, orjson.loads(response.body)
+        return "whole", response.status, orjson.loads(response.body)
 
 
 def new_key(*, now_ms: int, rng: random.Random) -> str:
--- a/src/bronzebeam/cli_standin_backends.py
+++ b/src/bronzebeam/cli_standin_backends.py
@@ -6,7 +6,7 @@
 import click
 
 from bronzebeam.documents.loading import load_document
-from bronzebeam.standins.backend import BackendFaults
+from bronzebeam.standins.backend_faults import BackendFaults
 from bronzebeam.standins.backend_fleet import BackendFleet
 
 
@@ -21,6 +21,7 @@
 @click.option("--slow-factor", type=float, default=20.0, show_default=True)
 @click.option("--queue", type=int, default=50, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--control-port", type=int, default=0, help="0 for none.")
 def run_backends(
     document: Path,
     instances_url: str,
@@ -32,6 +33,7 @@
     slow_factor: float,
     queue: int,
     seed: int,
+    control_port: int,
 ) -> None:
     """Run the backend servers of a document, or one part of them."""
     fleet = BackendFleet(
@@ -47,5 +49,6 @@
         part=part,
         parts=parts,
         seed=seed,
+        control_port=control_port,
     )
     anyio.run(fleet.run, backend_options={"use_uvloop": True})
--- a/src/bronzebeam/standins/backend.py
+++ b/src/bronzebeam/standins/backend.py
@@ -10,42 +10,13 @@
 from anyio.abc import SocketStream
 from attrs import define, field
 
-READ_BYTES: Final = 65_536
+from bronzebeam.standins.backend_faults import BackendFaults
+from bronzebeam.standins.backend_http import encode_response, read_request
+
 STATUS_OK: Final = 200
 STATUS_CONFLICT: Final = 409
 STATUS_UNAVAILABLE: Final = 503
-
-
-@define(kw_only=True)
-class BackendFaults:
-    """
-    Behaviour of the stand-in; each field can be set by `POST /faults`.
-
-    :ivar service_ms: mean service time of a request.
-    :ivar slow_share: share of requests that take `slow_factor` times as long.
-    :ivar cold_ms: time after the start during which requests take `cold_factor`
-        times as long.
-    :ivar queue: requests that may wait for a slot; more are shed.
-    :ivar silent: open connections answer nothing while new ones work.
-    :ivar frozen: nothing answers.
-    :ivar lie_healthy: the status reply denies draining and load.
-    :ivar truncate_share: share of replies that end early as valid HTTP.
-    :ivar swap_share: share of replies that carry another request's identifier.
-    """
-
-    service_ms: float = 5.0
-    slow_share: float = 0.0
-    slow_factor: float = 20.0
-    cold_ms: float = 0.0
-    cold_factor: float = 5.0
-    connect_ms: float = 6.0
-    queue: int = 50
-    draining: bool = False
-    silent: bool = False
-    frozen: bool = False
-    lie_healthy: bool = False
-    truncate_share: float = 0.0
-    swap_share: float = 0.0
+HITS_OF_SHARD: Final = 3
 
 
 @define(kw_only=True, eq=False)
@@ -71,6 +42,7 @@
     in_flight: int = field(default=0, init=False)
     shed: int = field(default=0, init=False)
     _running: dict[str, anyio.CancelScope] = field(factory=dict, init=False)
+    _open: set[int] = field(factory=set, init=False)
     _silenced: set[int] = field(factory=set, init=False)
     _scope: anyio.CancelScope | None = field(default=None, init=False)
 
@@ -98,11 +70,20 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    def revive(self) -> None:
+        """Forget what a new process would not know; `serve` may be called again."""
+        self.crashed = False
+        self.open_connections = 0
+        self.in_flight = 0
+        for names in (self._open, self._silenced, self._running):
+            names.clear()
+
     async def _serve_connection(self, stream: SocketStream) -> None:
         async with stream:
             if self.open_connections >= self.connections:
                 return
             self.open_connections += 1
+            self._open.add(id(stream))
             self.most_connections = max(self.most_connections, self.open_connections)
             try:
                 await anyio.sleep(self.faults.connect_ms / 1000)
@@ -113,19 +94,19 @@
                 pass
             finally:
                 self.open_connections -= 1
+                self._open.discard(id(stream))
+                self._silenced.discard(id(stream))
 
     async def _serve_requests(self, stream: SocketStream) -> None:
         connection = h11.Connection(h11.SERVER)
         while True:
-            request, body = await _read_request(connection, stream)
+            request, body = await read_request(connection, stream)
             if request is None:
                 return
-            if self.faults.silent:
-                self._silenced.add(id(stream))
             if self.faults.frozen or id(stream) in self._silenced:
                 await anyio.sleep_forever()
             status, value = await self._answer(request, body)
-            await stream.send(_encode(connection, status, self._damage(value)))
+            await stream.send(encode_response(connection, status, self._damage(value)))
             if connection.our_state is h11.MUST_CLOSE:
                 return
             connection.start_next_cycle()
@@ -150,9 +131,9 @@
         if target == "/cancel":
             return STATUS_OK, self._cancel(request_id, value)
         if target == "/faults":
-            return STATUS_OK, self._set_faults(value)
+            return STATUS_OK, self.set_faults(value)
         if target == "/history":
-            return STATUS_OK, self._report()
+            return STATUS_OK, self.report()
         return await self._admit(target, request_id, value, headers)
 
     async def _admit(
@@ -205,10 +186,11 @@
             "key": value.get("idempotency_key"),
             "index_version": value.get("index_version"),
             "shard": value.get("shard"),
+            "operation": value.get("operation"),
+            "token": _member(value, "token", ""),
         }
         self.history.append(row)
-        payload = value.get("query", value.get("payload"))
-        if isinstance(payload, dict) and payload.get("crash"):
+        if _member(value, "crash", False):
             self.crash()
 
     def _service_seconds(self) -> float:
@@ -222,14 +204,25 @@
 
     def _result(self, target: str, value: dict[str, Any]) -> dict[str, Any]:
         if target != "/search":
-            return {"result": {"ran_by": self.name, "operation": value["operation"]}}
+            return {
+                "result": {
+                    "ran_by": self.name,
+                    "operation": value["operation"],
+                    "token": _member(value, "token", ""),
+                }
+            }
         version, shard = value["index_version"], value["shard"]
         shard_count = next(
             (row[2] for row in self.holdings if row[:2] == [version, shard]), 0
         )
+        count = 0 if shard in _member(value, "empty_shards", ()) else HITS_OF_SHARD
         hits = [
-            {"id": f"{version}-{shard}-{number}", "score": 1 / (number + 1)}
-            for number in range(3)
+            {
+                "id": f"{version}-{shard}-{number}",
+                "score": 1 / (number + 1),
+                "token": _member(value, "token", ""),
+            }
+            for number in range(count)
         ]
         return {
             "result": hits,
@@ -267,7 +260,8 @@
             scope.cancel()
         return self._reply(request_id, result={"cancelled": scope is not None})
 
-    def _set_faults(self, value: dict[str, Any]) -> dict[str, Any]:
+    def set_faults(self, value: dict[str, Any]) -> dict[str, Any]:
+        """Set fault switches, holdings, or crash."""
         if "holdings" in value:
             self.holdings = value.pop("holdings")
         if value.pop("crash", False):
@@ -276,9 +270,12 @@
             setattr(self.faults, name, setting)
         if not self.faults.silent:
             self._silenced.clear()
+        elif value.get("silent"):
+            self._silenced |= self._open
         return {"ok": True}
 
-    def _report(self) -> dict[str, Any]:
+    def report(self) -> dict[str, Any]:
+        """Return the history of runs and the counters."""
         return {
             "name": self.name,
             "runs": self.history,
@@ -287,39 +284,7 @@
         }
 
 
-async def _read_request(
-    connection: h11.Connection, stream: SocketStream
-) -> tuple[h11.Request | None, bytes]:
-    request: h11.Request | None = None
-    body = b""
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            try:
-                connection.receive_data(await stream.receive(READ_BYTES))
-            except anyio.EndOfStream:
-                connection.receive_data(b"")
-        elif isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return request, body
-        else:
-            return None, b""
-
-
-def _encode(connection: h11.Connection, status: int, content: bytes) -> bytes:
-    head = h11.Response(
-        status_code=status,
-        headers=[
-            ("content-type", "application/json"),
-            ("content-length", str(len(content))),
-        ],
-    )
-    parts = [
-        connection.send(head),
-        connection.send(h11.Data(data=content)),
-        connection.send(h11.EndOfMessage()),
-    ]
-    return b"".join(part for part in parts if part)
+def _member(value: dict[str, Any], name: str, default: Any) -> Any:
+    """Return a member of the caller's own payload."""
+    payload = value.get("query", value.get("payload"))
+    return payload.get(name, default) if isinstance(payload, dict) else default
--- a/src/bronzebeam/standins/backend_fleet.py
+++ b/src/bronzebeam/standins/backend_fleet.py
@@ -1,4 +1,10 @@
-"""All backend servers of a document's services, as stand-ins in one process."""
+"""
+All backend servers of a document's services, as stand-ins in one process.
+
+Its control port answers also for servers that crashed or are frozen: GET /history
+returns every server's report, POST /faults/NAME sets its fault switches, and POST
+/revive/NAME starts a crashed one again on its port.
+"""
 
 import random
 from collections.abc import Iterator
@@ -9,7 +15,14 @@
 from attrs import define, evolve, field, frozen
 
 from bronzebeam.documents.model import EnvironmentDocument, ServiceKind, ServiceSpec
-from bronzebeam.standins.backend import BackendFaults, BackendStandin
+from bronzebeam.standins.backend import BackendStandin
+from bronzebeam.standins.backend_faults import BackendFaults
+from bronzebeam.standins.http_json import (
+    JsonRequest,
+    JsonResponse,
+    build_json_app,
+    serve_app,
+)
 
 FIRST_VERSION: Final = 1
 DOMAIN_LETTERS: Final = "abcdefgh"
@@ -50,6 +63,7 @@
     :ivar part: index of this process's part of the places.
     :ivar parts: number of parts.
     :ivar instance_list_url: where the backend servers are listed.
+    :ivar control_port: port of `handle_control`, 0 for none.
     """
 
     document: EnvironmentDocument
@@ -60,8 +74,10 @@
     parts: int = 1
     seed: int = 1
     address: str = "127.0.0.1"
+    control_port: int = 0
     servers: dict[str, BackendStandin] = field(factory=dict, init=False)
     ports: dict[str, int] = field(factory=dict, init=False)
+    _revivals: dict[str, anyio.Event] = field(factory=dict, init=False)
 
     async def run(self, *, started: anyio.Event | None = None) -> None:
         """Run until cancelled; `started` is set once all are listed."""
@@ -69,6 +85,8 @@
             for index, place in enumerate(places(self.document)):
                 if index % self.parts == self.part:
                     group.start_soon(self._serve, place, index)
+            if self.control_port:
+                group.start_soon(self._serve_control)
             await self._wait_listening()
             await self._list_all()
             if started is not None:
@@ -92,7 +110,30 @@
         def note_port(port: int) -> None:
             self.ports[place.name] = port
 
-        await server.serve(self.address, 0, started=note_port)
+        while True:
+            revival = self._revivals[place.name] = anyio.Event()
+            port = self.ports.get(place.name, 0)
+            await server.serve(self.address, port, started=note_port)
+            await revival.wait()
+            server.revive()
+
+    async def _serve_control(self) -> None:
+        app = build_json_app(self.handle_control)
+        await serve_app(app, address=self.address, port=self.control_port)
+
+    async def handle_control(self, request: JsonRequest) -> JsonResponse | None:
+        """Answer one request to the control port."""
+        section, _, name = request.path.lstrip("/").partition("/")
+        if section == "history":
+            reports = {key: server.report() for key, server in self.servers.items()}
+            return JsonResponse(body=reports)
+        if name not in self.servers:
+            return JsonResponse(status=404, body={"error": "no such server"})
+        if section == "revive":
+            self._revivals[name].set()
+        else:
+            self.servers[name].set_faults(dict(request.body or {}))
+        return JsonResponse(body={})
 
     async def _wait_listening(self) -> None:
         while len(self.ports) < len(self._own_places()):
