Run seeded faults under load and check the histories

Cause: no run put several faults together on separate processes and checked what callers, backend servers and entries saw against each other. The stand-in's swapped reply is now the whole reply to another request, so that taking it would show. The caller of the rig drops idle connections that the entry closed.

--- a/src/bronzebeam/bench/checker.py
+++ b/src/bronzebeam/bench/checker.py
@@ -275,6 +275,10 @@
 
 def _other_content(history: History) -> Iterator[Finding]:
     accepted = {row.revision: row for row in history.acceptances}
+    for revision, count in Counter(row.revision for row in history.acceptances).items():
+        if count > 1:
+            place = f"/revisions/{revision}"
+            yield Finding(place=place, message=f"was accepted {count} times")
     for row in history.revisions:
         known: AcceptanceRow | None = accepted.get(row.revision)
         if known and known.content_hash and known.content_hash != row.content_hash:
--- a/src/bronzebeam/bench/load.py
+++ b/src/bronzebeam/bench/load.py
@@ -115,6 +115,9 @@
                 method="POST", path=path, headers=headers, body=orjson.dumps(payload)
             )
         except ChannelClosed as error:
+            if isinstance(error.__cause__, httpcore.ConnectionNotAvailable):
+                # The entry closed this idle connection, and nothing was sent on it.
+                return await self._exchange(address, path, headers, payload)
             refused = isinstance(error.__cause__, httpcore.ConnectError)
             return "refused" if refused else "broken", 0, {}
         idle.append(channel)
--- a/src/bronzebeam/bench/rig.py
+++ b/src/bronzebeam/bench/rig.py
@@ -18,6 +18,7 @@
 from bronzebeam.standins.backend_fleet import places
 
 READY_SECONDS: Final = 20.0
+HISTORY_SECONDS: Final = 30.0
 POLL_SECONDS: Final = 0.05
 
 
@@ -28,6 +29,7 @@
 
     :ivar backend_arguments: switches of the backend stand-ins' behaviour.
     :ivar backend_parts: processes that the backend servers are divided over.
+    :ivar environment: further environment variables of every process.
     """
 
     document: dict[str, Any]
@@ -38,6 +40,7 @@
     entry_arguments: tuple[str, ...] = ()
     drain_lag_ms: int = 200
     drain_bound_ms: int = 5_000
+    environment: dict[str, str] = field(factory=dict)
 
 
 @define(kw_only=True, eq=False)
@@ -47,6 +50,11 @@
     process: ChildProcess
     caller_address: str
     peer_address: str
+    domain: str = ""
+
+    @property
+    def name(self) -> str:
+        return self.process.name
 
 
 @define(kw_only=True, eq=False)
@@ -60,6 +68,7 @@
     entries: list[EntryProcess] = field(factory=list)
     backends: list[ChildProcess] = field(factory=list)
     platform: list[ChildProcess] = field(factory=list)
+    controls: dict[str, str] = field(factory=dict)
     client: httpx.AsyncClient = field(factory=httpx.AsyncClient)
     _entry_count: int = field(default=0, init=False)
 
@@ -103,7 +112,11 @@
     def _start_backends(self) -> None:
         path = self.folder / "document.json"
         path.write_text(json.dumps(self.spec.document))
+        names = [place.name for place in places(self.document)]
         for part in range(self.spec.backend_parts):
+            control_port = free_port()
+            for name in names[part :: self.spec.backend_parts]:
+                self.controls[name] = f"http://{LOOPBACK}:{control_port}"
             arguments = (
                 "standin",
                 "backends",
@@ -117,6 +130,8 @@
                 str(part),
                 "--parts",
                 str(self.spec.backend_parts),
+                "--control-port",
+                str(control_port),
                 *self.spec.backend_arguments,
             )
             process = self._child(f"backends-{part}", arguments)
@@ -151,25 +166,37 @@
             process=process,
             caller_address=f"{LOOPBACK}:{caller_port}",
             peer_address=f"{LOOPBACK}:{peer_port}",
+            domain=domain,
         )
         process.start()
         self.entries.append(entry)
-        await self.list_entry(entry, domain, "live")
+        await self.list_entry(entry, "live")
         return entry
 
-    async def list_entry(self, entry: EntryProcess, domain: str, state: str) -> None:
+    async def list_entry(self, entry: EntryProcess, state: str) -> None:
         """Put an entry into the instance list."""
         value = {
             "role": "entry",
             "service": None,
             "address": entry.caller_address,
             "peer_address": entry.peer_address,
-            "failure_domain": domain,
+            "failure_domain": entry.domain,
             "state": state,
         }
-        url = f"{self.instances_url}/instances/{entry.process.name}"
+        url = f"{self.instances_url}/instances/{entry.name}"
         (await self.client.put(url, json=value)).raise_for_status()
 
+    async def unlist(self, name: str) -> None:
+        """Take an instance off the instance list."""
+        await self.client.delete(f"{self.instances_url}/instances/{name}")
+
+    async def list_state(self, name: str, state: str) -> None:
+        """Change the listed state of an instance."""
+        reply = await self.client.get(f"{self.instances_url}/instances")
+        listed = {item["instance"]: item for item in reply.json()["instances"]}
+        url = f"{self.instances_url}/instances/{name}"
+        await self.client.put(url, json={**listed[name], "state": state})
+
     def _settings(
         self, name: str, domain: str, caller_port: int, peer_port: int
     ) -> dict[str, Any]:
@@ -190,7 +217,10 @@
 
     def _child(self, name: str, arguments: tuple[str, ...]) -> ChildProcess:
         return ChildProcess(
-            name=name, arguments=arguments, log_path=self.folder / f"{name}.log"
+            name=name,
+            arguments=arguments,
+            log_path=self.folder / f"{name}.log",
+            environment=self.spec.environment,
         )
 
     async def wait_ready(self, entry: EntryProcess) -> None:
@@ -230,23 +260,20 @@
 
     async def set_faults(self, replica: str, **faults: Any) -> None:
         """Set fault switches of a backend server."""
-        address = (await self.addresses())[replica]
-        try:
-            await self.client.post(f"http://{address}/faults", json=faults)
-        except httpx.HTTPError:
-            if not faults.get("crash"):
-                raise
+        url = f"{self.controls[replica]}/faults/{replica}"
+        (await self.client.post(url, json=faults)).raise_for_status()
+
+    async def revive(self, replica: str) -> None:
+        """Start a crashed backend server again."""
+        url = f"{self.controls[replica]}/revive/{replica}"
+        (await self.client.post(url)).raise_for_status()
 
     async def history(self) -> dict[str, Any]:
-        """Return the reports of all backend servers that still run, by name."""
-        addresses = await self.addresses()
+        """Return the reports of all backend servers, also of crashed ones, by name."""
         reports: dict[str, Any] = {}
-        for place in places(self.document):
-            try:
-                reply = await self.client.get(f"http://{addresses[place.name]}/history")
-                reports[place.name] = reply.json()
-            except httpx.HTTPError:
-                reports[place.name] = None
+        for url in sorted(set(self.controls.values())):
+            reply = await self.client.get(f"{url}/history", timeout=HISTORY_SECONDS)
+            reports |= reply.json()
         return reports
 
 
--- a/src/bronzebeam/bench/seeding.py
+++ b/src/bronzebeam/bench/seeding.py
@@ -8,7 +8,7 @@
     AcceptedDocument,
     EnvironmentDocument,
 )
-from bronzebeam.transport.store import Conflict
+from bronzebeam.transport.store import Conflict, StoreUnavailable
 from bronzebeam.transport.store_http import HttpStore
 
 
@@ -16,29 +16,44 @@
     """Another write came first."""
 
 
-async def accept_document(*, store_url: str, document: EnvironmentDocument) -> int:
+async def accept_document(
+    *, store_url: str, document: EnvironmentDocument, above: int = 0
+) -> int:
     """
     Accept `document` at the next revision and return that revision.
 
-    :raises AcceptConflict: if another write came first.
+    :param above: a revision known to be in force, for a store that came back older.
+    :raises AcceptConflict: if another write came first, or came after a write whose
+        reply was lost.
+    :raises StoreUnavailable: if the store does not answer.
     """
     key = DOCUMENT_KEY_PREFIX + document.environment
     async with HttpStore(base_url=store_url) as store:
         current = await store.get(key)
-        revision = 1 if current is None else int(current.value["revision"]) + 1
+        stored = 0 if current is None else int(current.value["revision"])
         accepted = AcceptedDocument(
-            revision=revision,
+            revision=max(stored, above) + 1,
             write_id=uuid.uuid4().hex,
             content_hash=content_hash(document),
             author="rig",
             approved_by="rig",
             document=document,
         )
-        result = await store.compare_and_swap(
-            key=key,
-            value=accepted_to_json(accepted),
-            expected=0 if current is None else current.mod_revision,
-        )
+        expected = 0 if current is None else current.mod_revision
+        try:
+            result = await store.compare_and_swap(
+                key=key, value=accepted_to_json(accepted), expected=expected
+            )
+        except StoreUnavailable:
+            await _confirm(store, key, accepted)
+            return accepted.revision
         if isinstance(result, Conflict):
             raise AcceptConflict
-        return revision
+        return accepted.revision
+
+
+async def _confirm(store: HttpStore, key: str, accepted: AcceptedDocument) -> None:
+    """Tell by its write identifier whether a write without a reply took effect."""
+    current = await store.get(key)
+    if current is None or current.value["write_id"] != accepted.write_id:
+        raise AcceptConflict
--- /dev/null
+++ b/src/bronzebeam/bench/soak.py
@@ -0,0 +1,223 @@
+"""A long randomised run in separate processes, checked by its histories."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any, Final
+
+import anyio
+import httpx
+import orjson
+from attrs import define, field
+
+from bronzebeam.bench.checker import check_history
+from bronzebeam.bench.history import CallerRow, History
+from bronzebeam.bench.rig import EntryProcess, RigSpec, running_rig
+from bronzebeam.bench.soak_backend_faults import (
+    crash_servers,
+    drain_servers,
+    freeze_servers,
+    list_leaving,
+    repartition,
+    silence_servers,
+    slow_servers,
+    swap_identifiers,
+    swap_index,
+    truncate_replies,
+)
+from bronzebeam.bench.soak_entry_faults import (
+    kill_entry,
+    pause_entry,
+    replace_entries,
+    stop_entry,
+)
+from bronzebeam.bench.soak_load import SoakLoad
+from bronzebeam.bench.soak_operators import accept, poll_revisions
+from bronzebeam.bench.soak_state import DRAIN_LAG_MS, ENTRIES, SoakState, soak_document
+from bronzebeam.bench.soak_store_faults import (
+    lost_replies,
+    operators_race,
+    silent_watches,
+    store_older,
+    store_outage,
+)
+from bronzebeam.findings import Finding
+from bronzebeam.invariants import STRICT_VARIABLE
+
+GAP_SECONDS: Final = (0.3, 1.5)
+QUIET_SECONDS: Final = 8.0
+CHECK_SECONDS: Final = 30.0
+WATCH_SECONDS: Final = 1.0
+LOG_TAIL_CHARACTERS: Final = 2_000
+METRICS_SECONDS: Final = 2.0
+VIOLATIONS_METRIC: Final = "bronzebeam_invariant_violations_count"
+
+Echo = Callable[[str], None]
+Fault = Callable[[SoakState], Coroutine[Any, Any, None]]
+
+FAULTS: Final[tuple[Fault, ...]] = (
+    accept,
+    crash_servers,
+    drain_servers,
+    freeze_servers,
+    kill_entry,
+    list_leaving,
+    lost_replies,
+    operators_race,
+    pause_entry,
+    repartition,
+    replace_entries,
+    silence_servers,
+    silent_watches,
+    slow_servers,
+    stop_entry,
+    store_older,
+    store_outage,
+    swap_identifiers,
+    swap_index,
+    truncate_replies,
+)
+
+
+def schedule(rng: random.Random, seconds: float) -> Iterator[tuple[float, Fault]]:
+    """
+    Yield faults and the pauses before them; each round has every fault once.
+
+    :param seconds: time that the pauses add up to.
+    """
+    elapsed = 0.0
+    while True:
+        for fault in rng.sample(FAULTS, len(FAULTS)):
+            pause = rng.uniform(*GAP_SECONDS)
+            elapsed += pause
+            if elapsed > seconds:
+                return
+            yield pause, fault
+
+
+async def run_soak(*, seed: int, minutes: float, echo: Echo) -> int:
+    """Run the schedule of `seed` and return the number of violations."""
+    spec = RigSpec(
+        document=soak_document(),
+        entries=ENTRIES,
+        drain_lag_ms=DRAIN_LAG_MS,
+        environment={STRICT_VARIABLE: "1"},
+    )
+    async with running_rig(spec) as rig:
+        state = SoakState(rig=rig, rng=random.Random(f"{seed}/faults"))
+        run = SoakRun(state=state, seed=seed, seconds=minutes * 60, echo=echo)
+        return await run.run()
+
+
+@define(kw_only=True, eq=False)
+class SoakRun:
+    """One run on a rig that is ready."""
+
+    state: SoakState
+    seed: int
+    seconds: float
+    echo: Echo
+    _shown: set[str] = field(factory=set, init=False)
+    _violated: set[str] = field(factory=set, init=False)
+    _violations: Counter[str] = field(factory=Counter, init=False)
+
+    async def run(self) -> int:
+        """Run faults under load, check, print figures; return the violations."""
+        self._print(event="soak_started", seed=self.seed, seconds=self.seconds)
+        load = SoakLoad(state=self.state, rng=random.Random(f"{self.seed}/load"))
+        async with anyio.create_task_group() as watchers:
+            watchers.start_soon(poll_revisions, self.state)
+            watchers.start_soon(self._watch_processes)
+            watchers.start_soon(self._check_often)
+            async with anyio.create_task_group() as group:
+                group.start_soon(load.run)
+                await self._run_faults()
+                await anyio.sleep(QUIET_SECONDS)
+                load.stopping.set()
+            watchers.cancel_scope.cancel()
+        history = await self._check()
+        self._print_figures(history)
+        return self._violations.total()
+
+    async def _run_faults(self) -> None:
+        rng = random.Random(f"{self.seed}/schedule")
+        async with anyio.create_task_group() as group:
+            for pause, fault in schedule(rng, self.seconds):
+                await anyio.sleep(pause)
+                group.start_soon(fault, self.state)
+
+    async def _watch_processes(self) -> None:
+        while True:
+            for entry in list(self.state.rig.entries):
+                if entry.process.running:
+                    await self._note_invariants(entry)
+                    continue
+                if entry.name in self.state.ended:
+                    continue
+                self.state.ended.add(entry.name)
+                self.state.unbalance(entry)
+                tail = entry.process.log_path.read_text()[-LOG_TAIL_CHARACTERS:]
+                place = f"/entries/{entry.name}"
+                message = f"ended by itself, {entry.process.exit_code}: {tail}"
+                self.state.odd.append(Finding(place=place, message=message))
+            await anyio.sleep(WATCH_SECONDS)
+
+    async def _check_often(self) -> None:
+        while True:
+            await anyio.sleep(CHECK_SECONDS)
+            await self._check()
+
+    async def _check(self) -> History:
+        """Apply all rules to the rows so far and show the first finding of each."""
+        history = await self.state.history()
+        findings = check_history(history)
+        findings["process"] = list(self.state.odd)
+        self._violations = Counter(
+            {name: len(found) for name, found in findings.items()}
+        )
+        for name, found in findings.items():
+            if found and name not in self._shown:
+                self._shown.add(name)
+                first = found[0]
+                self._print(violation=name, place=first.place, rows=first.message)
+        return history
+
+    async def _note_invariants(self, entry: EntryProcess) -> None:
+        """Note once that an entry counts violations of its own invariants."""
+        url = f"http://{entry.peer_address}/metrics"
+        try:
+            reply = await self.state.rig.client.get(url, timeout=METRICS_SECONDS)
+        except httpx.HTTPError:
+            return
+        for line in reply.text.splitlines():
+            violated = line.startswith(VIOLATIONS_METRIC) and float(line.split()[-1])
+            if violated and entry.name not in self._violated:
+                self._violated.add(entry.name)
+                place = f"/entries/{entry.name}"
+                self.state.odd.append(Finding(place=place, message=line))
+
+    def _print_figures(self, history: History) -> None:
+        figures: dict[str, int] = dict(sorted(self.state.counts.items()))
+        figures |= _caller_figures(history.callers)
+        figures["runs"] = len(history.runs)
+        figures["acceptances"] = len(history.acceptances)
+        figures["revision_rows"] = len(history.revisions)
+        for name, count in self._violations.items():
+            figures[f"violations_{name}"] = count
+        for name, value in figures.items():
+            self._print(figure=name, value=value, unit="count")
+        total = self._violations.total()
+        self._print(event="soak_ended", seed=self.seed, violations=total)
+
+    def _print(self, **fields: Any) -> None:
+        self.echo(orjson.dumps(fields).decode())
+
+
+def _caller_figures(rows: tuple[CallerRow, ...]) -> dict[str, int]:
+    counts = Counter(f"{row.path.rpartition('/')[2]}_{row.outcome}" for row in rows)
+    counts.update(f"callers_{row.end}" for row in rows)
+    booked = {row.key for row in rows if row.key is not None}
+    answered = {row.key for row in rows if row.key and row.outcome == "answered"}
+    counts["bookings"] = len(booked)
+    counts["bookings_never_answered"] = len(booked - answered)
+    return dict(sorted(counts.items()))
--- /dev/null
+++ b/src/bronzebeam/bench/soak_load.py
@@ -0,0 +1,123 @@
+"""Callers of a soak run: searches, finds, and bookings with their resends."""
+
+import random
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from bronzebeam.bench.documents import BOOK_PATH, FIND_PATH, SEARCH_PATH
+from bronzebeam.bench.history import CallerRow, caller_row
+from bronzebeam.bench.load import Caller, new_key
+from bronzebeam.bench.soak_state import SoakState
+
+SEARCHES_PER_SECOND: Final = 12.0
+FINDS_PER_SECOND: Final = 4.0
+BOOKINGS_PER_SECOND: Final = 4.0
+DEADLINE_MS: Final = 800
+EMPTY_SHARE: Final = 0.2
+AT_ONCE_SHARE: Final = 0.25
+AFTER_ANSWER_SHARE: Final = 0.25
+RESENDS_MOST: Final = 4
+RESEND_SECONDS: Final = (0.02, 1.5)
+LAST_ANSWER_SECONDS: Final = 15.0
+
+
+@define(kw_only=True, eq=False)
+class SoakLoad:
+    """
+    Sends requests at bounded rates.
+
+    :ivar stopping: set when no new request is to be sent.
+    """
+
+    state: SoakState
+    rng: random.Random
+    stopping: anyio.Event = field(factory=anyio.Event)
+    _caller: Caller = field(init=False)
+    _number: int = field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._caller = Caller(addresses=self._addresses, rng=self.rng)
+
+    def _addresses(self) -> list[str]:
+        return [entry.caller_address for entry in self.state.balanced]
+
+    async def run(self) -> None:
+        """Send until `stopping`, then wait for the answers that are due."""
+        with anyio.CancelScope() as scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._stop_late, scope)
+                for rate, send in (
+                    (SEARCHES_PER_SECOND, self._search),
+                    (FINDS_PER_SECOND, self._find),
+                    (BOOKINGS_PER_SECOND, self._book),
+                ):
+                    group.start_soon(self._loop, group, rate, send)
+
+    async def _stop_late(self, scope: anyio.CancelScope) -> None:
+        await self.stopping.wait()
+        scope.deadline = anyio.current_time() + LAST_ANSWER_SECONDS
+
+    async def _loop(
+        self,
+        group: TaskGroup,
+        rate: float,
+        send: Callable[[], Coroutine[Any, Any, None]],
+    ) -> None:
+        while not self.stopping.is_set():
+            await anyio.sleep(self.rng.expovariate(rate))
+            group.start_soon(send)
+
+    async def _search(self) -> None:
+        empty = [
+            shard
+            for shard in range(self.state.index.shard_count)
+            if self.rng.random() < EMPTY_SHARE
+        ]
+        payload = {"token": self._token("s"), "empty_shards": empty}
+        await self._post(SEARCH_PATH, payload)
+
+    async def _find(self) -> None:
+        await self._post(FIND_PATH, {"token": self._token("f")})
+
+    async def _book(self) -> None:
+        key = new_key(now_ms=time.time_ns() // 1_000_000, rng=self.rng)
+        async with anyio.create_task_group() as group:
+            if self.rng.random() < AT_ONCE_SHARE:
+                group.start_soon(self._post, BOOK_PATH, {"token": key}, key)
+            for _ in range(RESENDS_MOST):
+                row = await self._post(BOOK_PATH, {"token": key}, key)
+                if row.outcome == "answered":
+                    break
+                await anyio.sleep(self.rng.uniform(*RESEND_SECONDS))
+            if self.rng.random() < AFTER_ANSWER_SHARE:
+                await anyio.sleep(self.rng.uniform(*RESEND_SECONDS))
+                await self._post(BOOK_PATH, {"token": key}, key)
+
+    async def _post(
+        self, path: str, payload: dict[str, Any], key: str | None = None
+    ) -> CallerRow:
+        entry = self.rng.choice(self.state.balanced)
+        answer = await self._caller.post(
+            path,
+            payload,
+            deadline_ms=DEADLINE_MS,
+            key=key,
+            address=entry.caller_address,
+        )
+        row = caller_row(
+            answer,
+            entry=entry.name,
+            token=payload["token"],
+            empty_shards=payload.get("empty_shards", ()),
+        )
+        self.state.callers.append(row)
+        return row
+
+    def _token(self, prefix: str) -> str:
+        self._number += 1
+        return f"{prefix}-{self._number}"
--- /dev/null
+++ b/src/bronzebeam/bench/soak_operators.py
@@ -0,0 +1,77 @@
+"""Operators of a soak run, and the poll of the revisions in force."""
+
+from typing import Final
+
+import anyio
+import httpx
+
+from bronzebeam.bench.history import AcceptanceRow, RevisionRow
+from bronzebeam.bench.rig import EntryProcess
+from bronzebeam.bench.seeding import AcceptConflict, accept_document
+from bronzebeam.bench.soak_state import SoakState, soak_document
+from bronzebeam.documents.loading import content_hash, document_from_json
+from bronzebeam.transport.store import StoreUnavailable
+
+POLL_SECONDS: Final = 0.25
+STATUS_SECONDS: Final = 1.0
+
+
+async def accept(state: SoakState) -> None:
+    """Accept a changed document; note it only if it surely took effect."""
+    state.document_number += 1
+    document = document_from_json(soak_document(state.document_number))
+    try:
+        revision = await accept_document(
+            store_url=state.rig.store_url,
+            document=document,
+            above=state.highest_revision(),
+        )
+    except (AcceptConflict, StoreUnavailable) as error:
+        state.count(f"acceptances_{type(error).__name__}")
+        return
+    state.acceptances.append(
+        AcceptanceRow(
+            revision=revision,
+            accepted_seconds=anyio.current_time(),
+            content_hash=content_hash(document),
+        )
+    )
+
+
+async def race(state: SoakState) -> None:
+    """Let two operators accept at the same moment."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(accept, state)
+        group.start_soon(accept, state)
+
+
+async def poll_revisions(state: SoakState) -> None:
+    """Note what each entry says is in force, until cancelled."""
+    polled: set[str] = set()
+    async with anyio.create_task_group() as group:
+        while True:
+            for entry in state.rig.entries:
+                if entry.name not in polled:
+                    polled.add(entry.name)
+                    group.start_soon(_poll, state, entry)
+            await anyio.sleep(POLL_SECONDS)
+
+
+async def _poll(state: SoakState, entry: EntryProcess) -> None:
+    while entry in state.rig.entries:
+        asked = anyio.current_time()
+        url = f"http://{entry.peer_address}/internal/status"
+        try:
+            reply = await state.rig.client.get(url, timeout=STATUS_SECONDS)
+            value = reply.json()
+        except (httpx.HTTPError, ValueError):
+            value = {}
+        if value.get("revision"):
+            row = RevisionRow(
+                entry=entry.name,
+                at_seconds=asked,
+                revision=value["revision"],
+                content_hash=value["content_hash"] or "",
+            )
+            state.revisions.append(row)
+        await anyio.sleep(POLL_SECONDS)
--- a/src/bronzebeam/standins/backend.py
+++ b/src/bronzebeam/standins/backend.py
@@ -44,6 +44,7 @@
     _running: dict[str, anyio.CancelScope] = field(factory=dict, init=False)
     _open: set[int] = field(factory=set, init=False)
     _silenced: set[int] = field(factory=set, init=False)
+    _last_reply: dict[str, Any] = field(factory=dict, init=False)
     _scope: anyio.CancelScope | None = field(default=None, init=False)
 
     async def serve(
@@ -112,13 +113,19 @@
             connection.start_next_cycle()
 
     def _damage(self, value: dict[str, Any]) -> bytes:
-        if "request_id" in value and self.rng.random() < self.faults.swap_share:
-            value = value | {"request_id": "another-request"}
+        if value.get("result") and "error" not in value:
+            value, self._last_reply = self._maybe_swap(value), value
         content = orjson.dumps(value)
         if self.rng.random() < self.faults.truncate_share:
             content = content[: len(content) // 2]
         return content
 
+    def _maybe_swap(self, value: dict[str, Any]) -> dict[str, Any]:
+        """Return the reply before this one instead of it, if the fault has it so."""
+        if self._last_reply and self.rng.random() < self.faults.swap_share:
+            return self._last_reply
+        return value
+
     async def _answer(
         self, request: h11.Request, body: bytes
     ) -> tuple[int, dict[str, Any]]:
--- a/src/bronzebeam/standins/backend_faults.py
+++ b/src/bronzebeam/standins/backend_faults.py
@@ -17,7 +17,7 @@
     :ivar frozen: nothing answers.
     :ivar lie_healthy: the status reply denies draining and load.
     :ivar truncate_share: share of replies that end early as valid HTTP.
-    :ivar swap_share: share of replies that carry another request's identifier.
+    :ivar swap_share: share of replies that are whole replies to the request before.
     """
 
     service_ms: float = 5.0
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -221,6 +221,7 @@
         evolve(CLEAN, revisions=(*CLEAN.revisions, third), acceptances=()),
         evolve(CLEAN, revisions=(FIRST_REVISION, late, CLEAN.revisions[1])),
         evolve(CLEAN, revisions=(other,), acceptances=(accepted,)),
+        evolve(CLEAN, acceptances=CLEAN.acceptances * 2),
     )
 
 
