--- /dev/null
+++ b/tests/test_fuzz_backend_replies.py
@@ -0,0 +1,117 @@
+"""Fuzz tests of the replies of backend servers."""
+
+from typing import Any
+
+import orjson
+from hypothesis import example, given, settings, strategies as st
+
+from bronzebeam.filters.attempt_outcomes import reason_of, surely_not_run
+from bronzebeam.routing.snapshots import pick_snapshot
+from bronzebeam.transport.backend_protocol import (
+    MOST_SHARDS,
+    BackendDidNotRun,
+    BackendFailed,
+    BackendReply,
+    BadReply,
+    parse_reply,
+)
+from tests.fixtures_asgi import JSON
+
+STATUSES = st.sampled_from([200, 409, 503, 500, 404, 0])
+NUMBERS = st.integers(-(2**63), 2**63) | st.floats() | st.booleans()
+ROWS = st.lists(st.lists(NUMBERS | JSON, max_size=4) | JSON, max_size=4)
+USUAL: dict[str, Any] = {
+    "request_id": "r-1",
+    "load": {"in_flight": 0, "draining": False},
+    "holdings": [[1, 0, 2]],
+    "result": [],
+    "index_version": 1,
+    "shard": 0,
+    "shard_count": 2,
+}
+MEMBERS = st.fixed_dictionaries(
+    {},
+    optional={
+        "request_id": JSON | st.just("r-1"),
+        "load": JSON
+        | st.fixed_dictionaries({"in_flight": NUMBERS | JSON, "draining": JSON}),
+        "holdings": ROWS | JSON,
+        "result": JSON,
+        "error": JSON | st.sampled_from(["overloaded", "draining", "version_gone"]),
+        "ran": JSON | st.just(False),
+        "retry_after_ms": JSON | NUMBERS,
+        "index_version": JSON,
+        "shard": JSON,
+        "shard_count": JSON,
+    },
+)
+
+
+def _check(status: int, body: bytes) -> None:
+    reply = parse_reply(replica="a", request_id="r-1", status=status, body=body)
+    assert isinstance(reply, (BackendReply, BackendDidNotRun, BackendFailed, BadReply))
+    reason_of(reply)
+    if surely_not_run(reply):
+        value = orjson.loads(body)
+        assert value["ran"] is False and value["request_id"] == "r-1"
+    if not isinstance(reply, (BackendReply, BackendDidNotRun)):
+        return
+    assert reply.load.in_flight >= 0
+    if isinstance(reply, BackendDidNotRun):
+        wait = reply.retry_after_ms
+        assert wait is None or type(wait) is int and wait >= 0
+    for row in reply.holdings:
+        assert 0 <= row.shard < row.shard_count <= MOST_SHARDS
+    if isinstance(reply, BackendReply):
+        for number in (reply.index_version, reply.shard, reply.shard_count):
+            assert number is None or type(number) is int
+    pick_snapshot(reply.holdings, {"a"})
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=300)
+@given(status=STATUSES, body=st.binary(max_size=200))
+@example(status=200, body=b"[" * 100_000)
+@example(status=200, body=b"")
+@example(
+    status=200,
+    body=b'{"request_id": "r-1", "load": {"in_flight": 1e999, "draining": 0}}',
+)
+def test_any_bytes_are_a_typed_reply(status: int, body: bytes) -> None:
+    _check(status, body)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=500)
+@given(status=STATUSES, changes=MEMBERS)
+@example(status=503, changes={"ran": False, "error": "no such reason"})
+@example(status=503, changes={"ran": False, "error": "draining", "retry_after_ms": "x"})
+@example(status=200, changes={"load": {"in_flight": -1, "draining": False}})
+@example(status=200, changes={"holdings": [[1, 0, 10**12]]})
+@example(status=200, changes={"holdings": [[1, -1, 2]]})
+@example(status=200, changes={"index_version": True})
+def test_any_members_are_a_typed_reply(status: int, changes: dict[str, Any]) -> None:
+    try:
+        body = orjson.dumps({**USUAL, **changes})
+    except TypeError:
+        return
+    _check(status, body)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=200)
+@given(cut=st.integers(0, len(orjson.dumps(USUAL)) - 1))
+def test_a_reply_cut_short_is_a_bad_one(cut: int) -> None:
+    body = orjson.dumps(USUAL)[:cut]
+    reply = parse_reply(replica="a", request_id="r-1", status=200, body=body)
+    assert reply == BadReply(reason="truncated_reply")
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=200)
+@given(other=JSON)
+def test_a_reply_to_another_request_is_a_bad_one(other: Any) -> None:
+    if other == "r-1":
+        return
+    try:
+        body = orjson.dumps({**USUAL, "request_id": other})
+    except TypeError:
+        return
+    reply = parse_reply(replica="a", request_id="r-1", status=200, body=body)
+    assert reply == BadReply(reason="wrong_reply")
--- /dev/null
+++ b/tests/test_fuzz_callers.py
@@ -0,0 +1,164 @@
+"""Fuzz tests of the callers' interface, as raw ASGI."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import orjson
+import trio
+import trio.testing
+from hypothesis import example, given, settings, strategies as st
+
+from bronzebeam.clock import SystemClock
+from bronzebeam.documents.model import AcceptedDocument
+from bronzebeam.entry.caller_app import CallerApp
+from bronzebeam.entry.lifecycle import Lifecycle
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.outcomes import Answered, Coverage, Outcome
+from bronzebeam.settings import DrainSettings
+from bronzebeam.telemetry.query_metrics import QueryMetrics
+from bronzebeam.telemetry.traces import Tracing
+from tests.fixtures_asgi import (
+    ANY_TEXT,
+    JSON,
+    RawRequest,
+    raw_requests,
+    whole_response,
+)
+from tests.fixtures_callers import BOOK_PATH, SEARCH_PATH, make_document
+
+BODY_MAX_BYTES = 2_000
+OUTCOMES = {"answered", "partial", "not_run", "outcome_unknown", "refused"}
+NAMES = [
+    b"bronzebeam-deadline-ms",
+    b"bronzebeam-class",
+    b"bronzebeam-caller",
+    b"bronzebeam-request-id",
+    b"idempotency-key",
+    b"traceparent",
+    b"tracestate",
+    b"Content-Length",
+]
+VALUES = st.binary(max_size=60) | st.sampled_from(
+    [b"300", b"-1", b"planner", b"ward-3", b"k-1", b"9" * 400, b"\xff", b"a\r\nb: c"]
+)
+HEADERS = st.lists(
+    st.tuples(st.sampled_from(NAMES) | st.binary(max_size=20), VALUES), max_size=8
+)
+PATHS = (
+    st.sampled_from([SEARCH_PATH, BOOK_PATH, "", "/", "/v1/services/guests/calls/"])
+    | ANY_TEXT
+)
+METHODS = st.sampled_from(["POST", "GET", "HEAD"]) | ANY_TEXT
+BODIES = st.one_of(
+    st.binary(max_size=200),
+    JSON.filter(lambda value: _encodes(value)).map(orjson.dumps),
+    st.sampled_from([b"[" * 900, b"[" * 251 + b"]" * 251, b"x" * 3_000, b"1e999", b""]),
+)
+RAW_REQUESTS = raw_requests(
+    methods=METHODS, paths=PATHS, headers=HEADERS, bodies=BODIES
+)
+USUAL = RawRequest(method="POST", path=SEARCH_PATH, headers=[], parts=[b'{"q":1}'])
+
+
+def _encodes(value: Any) -> bool:
+    try:
+        orjson.dumps(value)
+    except TypeError:
+        return False
+    return True
+
+
+async def _echo(request: CallerRequest) -> Outcome:
+    await anyio.sleep(0.01 if request.payload else 0.02)
+    coverage = Coverage(index_version=1, shard_count=1, included=(0,))
+    return Answered(result=[request.payload], coverage=coverage)
+
+
+def _app(
+    document: Callable[[], AcceptedDocument | None] = make_document,
+) -> CallerApp:
+    clock = SystemClock()
+    return CallerApp(
+        chain=_echo,
+        document=document,
+        lifecycle=Lifecycle(
+            drain_settings=DrainSettings(lag_ms=1, bound_ms=2), clock=clock
+        ),
+        tracing=Tracing(instance="entry-1", sample_share=0.0, log_spans=False),
+        metrics=QueryMetrics(),
+        clock=clock,
+        body_max_bytes=BODY_MAX_BYTES,
+    )
+
+
+def _run(app: CallerApp, *requests: RawRequest) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            for request in requests:
+                group.start_soon(app, request.scope, request.receive, request.send)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=400)
+@given(request=RAW_REQUESTS)
+@example(request=USUAL)
+def test_any_request_gets_one_whole_answer_or_the_caller_left(
+    request: RawRequest,
+) -> None:
+    app = _app()
+    _run(app, request)
+    assert app.lifecycle.in_flight == 0
+    assert request.taken_bytes <= BODY_MAX_BYTES + max(map(len, request.parts))
+    if not request.sent:
+        assert request.cut
+        return
+    assert whole_response(request)
+    value = orjson.loads(request.body)
+    assert value["outcome"] in OUTCOMES
+    assert (value["outcome"] == "not_run") == (value["ran"] is False)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=100)
+@given(request=RAW_REQUESTS)
+def test_any_request_before_the_first_document_is_not_run(request: RawRequest) -> None:
+    _run(_app(document=lambda: None), request)
+    assert orjson.loads(request.body)["reason"] == "not_ready"
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=100)
+@given(
+    others=st.lists(RAW_REQUESTS, max_size=4),
+    payloads=st.lists(st.integers(0, 10**6), min_size=2, max_size=5, unique=True),
+)
+def test_callers_at_the_same_time_get_their_own_answers(
+    others: list[RawRequest], payloads: list[int]
+) -> None:
+    own = [
+        RawRequest(
+            method="POST",
+            path=SEARCH_PATH,
+            headers=[],
+            parts=[orjson.dumps({"secret": payload})],
+        )
+        for payload in payloads
+    ]
+    _run(_app(), *others, *own)
+    for request, payload in zip(own, payloads):
+        value = orjson.loads(request.body)
+        assert value["result"] == [{"secret": payload}]
+    for request in others:
+        if request.sent:
+            assert b"secret" not in request.body or b"secret" in b"".join(request.parts)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=50)
+@given(paths=st.lists(ANY_TEXT, min_size=5, max_size=20))
+def test_unknown_paths_add_no_metrics(paths: list[str]) -> None:
+    app = _app()
+    sizes = []
+    for path in paths:
+        _run(app, RawRequest(method="POST", path=path, headers=[], parts=[b"1"]))
+        sizes.append(app.metrics.render(now_seconds=0.0).count("\n"))
+    assert len(set(sizes)) == 1
