--- /dev/null
+++ b/src/bronzebeam/controllers/claim_buckets.py
@@ -0,0 +1,239 @@
+"""Group commit of claim changes to one bucket of the store.
+
+One compare-and-swap is in flight for a bucket; changes that arrive meanwhile go
+with the next one. A lost reply is settled by reading the bucket back and looking
+for the nonce of each change.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+import anyio
+import attrs
+from attrs import frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.controllers.claim_changes import LogEvent, PendingChange
+from bronzebeam.controllers.store_view import ClaimLeases, StoreView
+from bronzebeam.routing.claims import (
+    Bucket,
+    ClaimDecision,
+    ClaimState,
+    Held,
+    InProgress,
+    UnreadableBucket,
+    apply_changes,
+    parse_bucket,
+)
+from bronzebeam.routing.idempotency_keys import (
+    AHEAD_MARGIN_SECONDS,
+    CLOCK_SKEW_SECONDS,
+    kept_until_seconds,
+)
+from bronzebeam.transport.store import Conflict, Store, StoredValue, StoreUnavailable
+
+CLAIM_GATHER_SECONDS: Final = 0.002
+RECORD_GATHER_SECONDS: Final = 0.1
+
+
+@frozen(kw_only=True)
+class KnownBucket:
+    """A bucket at a modification revision; 0 if the store has no such key."""
+
+    mod_revision: int
+    bucket: Bucket
+
+
+class BucketWriter:
+    """
+    Writes the pending changes of one bucket.
+
+    :param bucket_key: the bucket's key in the store.
+    :param log: called with the event's name and fields.
+    """
+
+    def __init__(
+        self,
+        *,
+        bucket_key: str,
+        store: Store,
+        view: StoreView,
+        leases: ClaimLeases,
+        clock: Clock,
+        log: LogEvent,
+    ) -> None:
+        self._bucket_key = bucket_key
+        self._store = store
+        self._view = view
+        self._leases = leases
+        self._clock = clock
+        self._log = log
+        self._known: KnownBucket | None = None
+        self._fresh = False
+        self._claim_added = anyio.Event()
+        self.pending: list[PendingChange] = []
+        self.running = False
+
+    def add(self, pending: PendingChange) -> None:
+        """Queue a change for the next write."""
+        self.pending.append(pending)
+        if pending.is_claim:
+            self._claim_added.set()
+
+    def abandon(self, pending: PendingChange) -> None:
+        """Withdraw a claim whose attempt has ended without sending."""
+        if pending in self.pending:
+            self.pending.remove(pending)
+        if pending.in_doubt and isinstance(pending.decision, Held | None):
+            self.pending.append(pending.release())
+
+    async def run(self) -> None:
+        """Write until no change is pending."""
+        while self.pending:
+            await self._gather()
+            try:
+                await self._commit()
+            except StoreUnavailable:
+                await self._handle_failure()
+            except UnreadableBucket as error:
+                self._handle_unreadable(error)
+
+    async def _gather(self) -> None:
+        if any(pending.is_claim for pending in self.pending):
+            await anyio.sleep(CLAIM_GATHER_SECONDS)
+            return
+        self._claim_added = anyio.Event()
+        with anyio.move_on_after(RECORD_GATHER_SECONDS):
+            await self._claim_added.wait()
+
+    async def _commit(self) -> None:
+        batch = tuple(self.pending)
+        known = self._known or await self._read(batch)
+        self._give_up_distrusted(batch)
+        batch = tuple(item for item in batch if item in self.pending)
+        bucket, decisions = apply_changes(known.bucket, [p.change for p in batch])
+        if bucket is not known.bucket:
+            await self._write(batch, known, bucket, decisions)
+            return
+        if not self._fresh and InProgress() in decisions:
+            self._known = None
+            return
+        self._fresh = False
+        self._finish(batch, decisions)
+
+    async def _read(self, batch: Sequence[PendingChange]) -> KnownBucket:
+        stored = await self._store.get(self._bucket_key)
+        self._view.note_answer()
+        return self._learn(stored, batch)
+
+    async def _write(
+        self,
+        batch: Sequence[PendingChange],
+        known: KnownBucket,
+        bucket: Bucket,
+        decisions: Sequence[ClaimDecision],
+    ) -> None:
+        bucket = await self._with_lease(bucket, batch)
+        if any(item not in self.pending for item in batch):
+            return
+        floor = self._view.highest_revision
+        for pending in batch:
+            pending.in_doubt = True
+        reply = await self._store.compare_and_swap(
+            key=self._bucket_key,
+            value=bucket.to_json(),
+            expected=known.mod_revision,
+            lease_id=bucket.lease_id,
+        )
+        self._view.note_answer()
+        if isinstance(reply, Conflict):
+            self._learn(reply.current, batch)
+            return
+        self._known = KnownBucket(mod_revision=reply.mod_revision, bucket=bucket)
+        self._fresh = False
+        if not self._view.note_write(mod_revision=reply.mod_revision, floor=floor):
+            self._handle_regression()
+            self._give_up_distrusted(batch)
+        self._finish(batch, decisions)
+
+    async def _with_lease(
+        self, bucket: Bucket, batch: Sequence[PendingChange]
+    ) -> Bucket:
+        needed_until_seconds = max(kept_until_seconds(p.key) for p in batch)
+        if bucket.lease_ends_at_seconds >= needed_until_seconds:
+            return bucket
+        lease = await self._leases.lasting_until(needed_until_seconds)
+        return attrs.evolve(
+            bucket,
+            lease_id=lease.lease_id,
+            lease_ends_at_seconds=lease.ends_at_seconds,
+        )
+
+    def _learn(
+        self, stored: StoredValue | None, batch: Sequence[PendingChange]
+    ) -> KnownBucket:
+        mod_revision = 0 if stored is None else stored.mod_revision
+        if self._known is not None and mod_revision < self._known.mod_revision:
+            self._handle_regression()
+        bucket = Bucket() if stored is None else parse_bucket(stored.value)
+        self._known = KnownBucket(mod_revision=mod_revision, bucket=bucket)
+        self._fresh = True
+        for pending in batch:
+            claim = bucket.claims.get(pending.change.key)
+            pending.unclaimed_seen = (
+                claim is None
+                or claim.state is ClaimState.RELEASED
+                or claim.nonce == pending.change.nonce
+            )
+        return self._known
+
+    def _finish(
+        self, batch: Sequence[PendingChange], decisions: Sequence[ClaimDecision]
+    ) -> None:
+        for pending, decision in zip(batch, decisions, strict=True):
+            pending.settle(decision)
+        self._remove(batch)
+
+    def _remove(self, batch: Sequence[PendingChange]) -> None:
+        self.pending = [item for item in self.pending if item not in batch]
+
+    def _give_up_distrusted(self, batch: Sequence[PendingChange]) -> None:
+        before_seconds = self._view.distrusted_before_seconds
+        for pending in batch:
+            if pending.is_claim and pending.key.created_at_seconds < before_seconds:
+                pending.unclaimed_seen = False
+                self._give_up(pending, "store_regressed")
+
+    def _give_up(self, pending: PendingChange, reason: str) -> None:
+        pending.give_up(reason)
+        self.pending.remove(pending)
+        if pending.in_doubt:
+            self.pending.append(pending.release())
+
+    def _handle_regression(self) -> None:
+        self._known = None
+        trusted_from_seconds = (
+            self._clock.wall_seconds() + AHEAD_MARGIN_SECONDS + CLOCK_SKEW_SECONDS
+        )
+        self._view.note_regression(trusted_from_seconds=trusted_from_seconds)
+        self._log("claims.store_regressed", bucket=self._bucket_key)
+
+    def _handle_unreadable(self, error: UnreadableBucket) -> None:
+        self._known = None
+        self._log("claims.bucket_unreadable", bucket=self._bucket_key, error=str(error))
+        for pending in self.pending:
+            pending.unclaimed_seen = False
+            pending.give_up("bucket_unreadable")
+        self.pending = []
+
+    async def _handle_failure(self) -> None:
+        self._leases.forget()
+        wait_seconds = self._view.note_failure()
+        if self._view.out_of_reach:
+            for pending in [item for item in self.pending if item.is_claim]:
+                self._give_up(pending, "store_unavailable")
+        now_seconds = self._clock.wall_seconds()
+        self._remove(
+            [p for p in self.pending if kept_until_seconds(p.key) < now_seconds]
+        )
+        await anyio.sleep(wait_seconds)
--- /dev/null
+++ b/src/bronzebeam/controllers/claims.py
@@ -0,0 +1,227 @@
+"""Claims on callers' idempotency keys, kept in the platform's store."""
+
+from collections import OrderedDict
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.controllers.base import Controller
+from bronzebeam.controllers.claim_buckets import BucketWriter
+from bronzebeam.controllers.claim_changes import (
+    LogEvent,
+    PendingChange,
+    Unsettled,
+    ignore_event,
+)
+from bronzebeam.controllers.store_view import ClaimLeases, StoreView
+from bronzebeam.routing.claims import (
+    ClaimChange,
+    ClaimDecision,
+    RecordOutcome,
+    ReleaseClaim,
+    TakeClaim,
+)
+from bronzebeam.routing.idempotency_keys import CallerKey, bucket_key
+from bronzebeam.transport.store import Store
+
+PENDING_CLAIM_LIMIT: Final = 4096
+PENDING_CHANGE_LIMIT: Final = 8192
+IDLE_BUCKET_LIMIT: Final = 32
+FLUSH_POLL_SECONDS: Final = 0.01
+
+
+@frozen(kw_only=True)
+class ChangeRequested:
+    """Message: queue a change for its bucket."""
+
+    pending: PendingChange
+
+
+@frozen(kw_only=True)
+class ClaimAbandoned:
+    """Message: the attempt behind a claim ended without sending."""
+
+    pending: PendingChange
+
+
+ClaimMessage = ChangeRequested | ClaimAbandoned
+
+
+class ClaimsController(Controller[ClaimMessage]):
+    """
+    Takes, releases and records claims, one task for each bucket in use.
+
+    :param environment: part of the buckets' keys.
+    :param incarnation: identifier of this process, unique to its life.
+    :param log: called with the event's name and fields.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        clock: Clock,
+        environment: str,
+        incarnation: str,
+        log: LogEvent = ignore_event,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._clock = clock
+        self._environment = environment
+        self._incarnation = incarnation
+        self._log = log
+        self._view = StoreView(clock=clock)
+        self._leases = ClaimLeases(store=store, clock=clock)
+        self._writers: OrderedDict[str, BucketWriter] = OrderedDict()
+        self._tasks: TaskGroup | None = None
+
+    @property
+    def retry_after_ms(self) -> int:
+        """Return when a claim that was given up may be tried again."""
+        return self._view.retry_after_ms
+
+    @property
+    def pending_count(self) -> int:
+        """Return how many changes are not yet settled in the store."""
+        return sum(len(writer.pending) for writer in self._writers.values())
+
+    async def claim(
+        self,
+        *,
+        key: CallerKey,
+        fingerprint: str,
+        nonce: str,
+        deadline_at_seconds: float,
+    ) -> ClaimDecision | Unsettled:
+        """
+        Take the claim on `key` for the attempt `nonce`.
+
+        An attempt that is cancelled here, or that gets another decision than `Held`,
+        must never send the request. The controller sees to its claim.
+
+        :param deadline_at_seconds: time of the event loop's clock.
+        """
+        change = TakeClaim(
+            key=key.text,
+            fingerprint=fingerprint,
+            nonce=nonce,
+            incarnation=self._incarnation,
+        )
+        pending = PendingChange(key=key, change=change)
+        self.post(ChangeRequested(pending=pending))
+        try:
+            with anyio.CancelScope(deadline=deadline_at_seconds):
+                await pending.settled.wait()
+        except anyio.get_cancelled_exc_class():
+            self.post(ClaimAbandoned(pending=pending))
+            raise
+        if pending.decision is not None:
+            return pending.decision
+        self.post(ClaimAbandoned(pending=pending))
+        return Unsettled(
+            reason="store_unavailable", unclaimed_seen=pending.unclaimed_seen
+        )
+
+    async def flush(self) -> None:
+        """Wait until every change is settled; bound it by a cancel scope."""
+        while self._inbox.statistics().current_buffer_used or self.pending_count:
+            await anyio.sleep(FLUSH_POLL_SECONDS)
+
+    def release(self, *, key: CallerKey, fingerprint: str, nonce: str) -> PendingChange:
+        """Release the claim of an attempt that did not run and never will."""
+        change = ReleaseClaim(
+            key=key.text,
+            fingerprint=fingerprint,
+            nonce=nonce,
+            incarnation=self._incarnation,
+        )
+        return self._request(key, change)
+
+    def record(
+        self, *, key: CallerKey, fingerprint: str, nonce: str, outcome: dict[str, Any]
+    ) -> PendingChange:
+        """Record what the attempt `nonce` ended with, as JSON."""
+        change = RecordOutcome(
+            key=key.text,
+            fingerprint=fingerprint,
+            nonce=nonce,
+            incarnation=self._incarnation,
+            outcome=outcome,
+        )
+        return self._request(key, change)
+
+    def _request(self, key: CallerKey, change: ClaimChange) -> PendingChange:
+        pending = PendingChange(key=key, change=change)
+        self.post(ChangeRequested(pending=pending))
+        return pending
+
+    async def run(self) -> None:
+        """Handle messages and write buckets until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await super().run()
+
+    async def handle(self, message: ClaimMessage) -> None:
+        """Pass one message to the writer of its bucket."""
+        pending = message.pending
+        if isinstance(message, ClaimAbandoned):
+            writer = self._writer(pending.key)
+            writer.abandon(pending)
+            self._start(writer)
+            return
+        reason = self._refusal(pending)
+        if reason is not None:
+            pending.give_up(reason)
+            return
+        writer = self._writer(pending.key)
+        writer.add(pending)
+        self._start(writer)
+
+    def _refusal(self, pending: PendingChange) -> str | None:
+        pending_count = self.pending_count
+        if not pending.is_claim:
+            if pending_count < PENDING_CHANGE_LIMIT:
+                return None
+            self._log("claims.change_dropped", key=pending.key.text)
+            return "claims_overloaded"
+        if pending_count >= PENDING_CLAIM_LIMIT:
+            return "claims_overloaded"
+        return "store_unavailable" if self._view.suspended else None
+
+    def _writer(self, key: CallerKey) -> BucketWriter:
+        name = bucket_key(key, environment=self._environment)
+        writer = self._writers.get(name)
+        if writer is None:
+            writer = self._writers[name] = BucketWriter(
+                bucket_key=name,
+                store=self._store,
+                view=self._view,
+                leases=self._leases,
+                clock=self._clock,
+                log=self._log,
+            )
+        self._writers.move_to_end(name)
+        return writer
+
+    def _start(self, writer: BucketWriter) -> None:
+        if writer.running or not writer.pending or self._tasks is None:
+            return
+        writer.running = True
+        self._tasks.start_soon(self._run_writer, writer)
+
+    async def _run_writer(self, writer: BucketWriter) -> None:
+        try:
+            await writer.run()
+        finally:
+            writer.running = False
+        self._drop_idle_writers()
+
+    def _drop_idle_writers(self) -> None:
+        excess = len(self._writers) - IDLE_BUCKET_LIMIT
+        idle = [name for name, item in self._writers.items() if not item.running]
+        for name in idle[: max(excess, 0)]:
+            del self._writers[name]
--- /dev/null
+++ b/src/bronzebeam/controllers/owned_keys.py
@@ -0,0 +1,211 @@
+"""Single-use idempotency keys that only this process may run, kept in memory.
+
+No method waits, so each is atomic within the event loop and no task is needed. The
+keys end with the process: nobody else ever runs them.
+"""
+
+import hmac
+import secrets
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+from attrs import define, frozen
+
+from bronzebeam.clock import Clock
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.outcomes import Outcome
+from bronzebeam.routing.claims import InProgress, KeyReused, Recorded
+from bronzebeam.routing.idempotency_keys import OwnedKey, format_owned_key, parse_key
+from bronzebeam.routing.recorded_outcomes import encode_outcome
+
+OWNED_KEY_LIFETIME_SECONDS: Final = 300
+UNSPENT_KEY_LIMIT: Final = 16384
+SPENT_KEY_LIMIT: Final = 4096
+SPENT_KEY_KEPT_SECONDS: Final = 3600
+SECRET_BYTES: Final = 16
+
+
+class OwnerRoute(Protocol):
+    """The way to the entry that minted an owner-bound key."""
+
+    async def forward(
+        self, *, incarnation: str, request: CallerRequest
+    ) -> Outcome | None:
+        """
+        Send `request` to the entry of `incarnation`, once, and return its answer.
+
+        The owner answers through `IdempotencyFilter.apply_forwarded`. None means
+        that no answer came back; the request may have run there.
+        """
+
+
+@frozen(kw_only=True)
+class Spent:
+    """The key was unspent and is spent now; the request may be sent, once."""
+
+
+@frozen(kw_only=True)
+class UnknownKey:
+    """The owner has no memory of the key; it may have run."""
+
+
+@frozen(kw_only=True)
+class VoidKey:
+    """
+    The key was never run and never will be.
+
+    :ivar reason: `key_expired` or `owner_leaving`.
+    """
+
+    reason: str
+
+
+SpendDecision = Spent | InProgress | Recorded | KeyReused | UnknownKey | VoidKey
+
+
+@define(kw_only=True)
+class _UnspentKey:
+    secret: str
+    expires_at_seconds: int
+    fingerprint: str | None = None
+
+
+@define(kw_only=True)
+class _SpentKey:
+    unspent: _UnspentKey
+    fingerprint: str
+    spent_at_seconds: float
+    outcome: dict[str, Any] | None = None
+
+
+def new_secret() -> str:
+    """Return the random part of a key."""
+    return secrets.token_hex(SECRET_BYTES)
+
+
+class OwnedKeys:
+    """
+    Mints owner-bound keys and lets each run once.
+
+    :ivar incarnation: identifier of this process, unique to its life.
+    :param unspent_limit: most keys minted and not yet spent.
+    :param spent_limit: most spent keys whose outcome is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        clock: Clock,
+        make_secret: Callable[[], str] = new_secret,
+        unspent_limit: int = UNSPENT_KEY_LIMIT,
+        spent_limit: int = SPENT_KEY_LIMIT,
+    ) -> None:
+        self.incarnation = incarnation
+        self._clock = clock
+        self._make_secret = make_secret
+        self._unspent_limit = unspent_limit
+        self._spent_limit = spent_limit
+        self._counter = 0
+        self._closed = False
+        self._unspent: OrderedDict[int, _UnspentKey] = OrderedDict()
+        self._spent: OrderedDict[int, _SpentKey] = OrderedDict()
+
+    def mint(self) -> str | None:
+        """Mint a key; None while too many are unspent, or once closed."""
+        self._drop_expired()
+        if self._closed or len(self._unspent) >= self._unspent_limit:
+            return None
+        self._counter += 1
+        now_seconds = int(self._clock.wall_seconds())
+        unspent = _UnspentKey(
+            secret=self._make_secret(),
+            expires_at_seconds=now_seconds + OWNED_KEY_LIFETIME_SECONDS,
+        )
+        self._unspent[self._counter] = unspent
+        text = format_owned_key(
+            incarnation=self.incarnation,
+            counter=self._counter,
+            expires_at_seconds=unspent.expires_at_seconds,
+            secret=unspent.secret,
+        )
+        if parse_key(text) is None:
+            raise ValueError(f"incarnation {self.incarnation!r} does not fit a key")
+        return text
+
+    def spend(self, key: OwnedKey, *, fingerprint: str) -> SpendDecision:
+        """Spend `key` for the request with `fingerprint`, if it is unspent."""
+        spent = self._spent.get(key.counter)
+        if spent is not None:
+            return self._repeat(spent, key, fingerprint)
+        unspent = self._unspent.get(key.counter)
+        if unspent is None or not _matches(unspent, key):
+            return UnknownKey()
+        if unspent.fingerprint not in (None, fingerprint):
+            return KeyReused()
+        if self._closed:
+            return VoidKey(reason="owner_leaving")
+        if unspent.expires_at_seconds <= self._clock.wall_seconds():
+            return VoidKey(reason="key_expired")
+        if not self._make_room():
+            return VoidKey(reason="owner_overloaded")
+        del self._unspent[key.counter]
+        self._spent[key.counter] = _SpentKey(
+            unspent=unspent,
+            fingerprint=fingerprint,
+            spent_at_seconds=self._clock.monotonic_seconds(),
+        )
+        return Spent()
+
+    def finish(self, key: OwnedKey, outcome: Outcome) -> None:
+        """Keep the outcome of a spent key for resends."""
+        spent = self._spent.get(key.counter)
+        if spent is not None:
+            spent.outcome = encode_outcome(outcome)
+
+    def restore(self, key: OwnedKey) -> None:
+        """Make a spent key unspent again; the request was not run."""
+        spent = self._spent.pop(key.counter, None)
+        if spent is None:
+            return
+        spent.unspent.fingerprint = spent.fingerprint
+        self._unspent[key.counter] = spent.unspent
+
+    def close(self) -> None:
+        """Void all unspent keys for good, as the last step before the process ends."""
+        self._closed = True
+
+    def _repeat(
+        self, spent: _SpentKey, key: OwnedKey, fingerprint: str
+    ) -> SpendDecision:
+        if not _matches(spent.unspent, key):
+            return UnknownKey()
+        if spent.fingerprint != fingerprint:
+            return KeyReused()
+        if spent.outcome is None:
+            return InProgress()
+        return Recorded(outcome=spent.outcome)
+
+    def _make_room(self) -> bool:
+        """Forget outcomes that are old or too many; never a key in progress."""
+        oldest_seconds = self._clock.monotonic_seconds() - SPENT_KEY_KEPT_SECONDS
+        for counter, spent in list(self._spent.items()):
+            full = len(self._spent) >= self._spent_limit
+            if not full and spent.spent_at_seconds >= oldest_seconds:
+                break
+            if spent.outcome is not None:
+                del self._spent[counter]
+        return len(self._spent) < self._spent_limit
+
+    def _drop_expired(self) -> None:
+        now_seconds = self._clock.wall_seconds()
+        while self._unspent:
+            counter, unspent = next(iter(self._unspent.items()))
+            if unspent.expires_at_seconds > now_seconds:
+                return
+            del self._unspent[counter]
+
+
+def _matches(unspent: _UnspentKey, key: OwnedKey) -> bool:
+    return hmac.compare_digest(unspent.secret, key.secret)
--- /dev/null
+++ b/src/bronzebeam/filters/idempotency.py
@@ -0,0 +1,277 @@
+"""Non-idempotent requests run at most once for each idempotency key."""
+
+import secrets
+from collections.abc import Callable
+from typing import Any, Final
+
+import anyio
+
+from bronzebeam.clock import Clock
+from bronzebeam.controllers.claim_changes import LogEvent, Unsettled, ignore_event
+from bronzebeam.controllers.claims import ClaimsController
+from bronzebeam.controllers.owned_keys import (
+    OwnedKeys,
+    OwnerRoute,
+    Spent,
+    UnknownKey,
+    VoidKey,
+)
+from bronzebeam.filters.chain import CallerRequest, Handler
+from bronzebeam.filters.idempotency_answers import (
+    ATTEMPT_INTERRUPTED,
+    CLAIM_IN_PROGRESS,
+    KEY_EXPIRED,
+    KEY_REUSED,
+    KEY_UNKNOWN,
+    LATE_AFTER_CLAIM,
+    LATE_BEFORE_CLAIM,
+    OWNER_UNREACHABLE,
+)
+from bronzebeam.outcomes import NotRun, Outcome, OutcomeUnknown, Refused
+from bronzebeam.routing.claims import BucketFull, Held, InProgress, KeyReused, Recorded
+from bronzebeam.routing.idempotency_keys import (
+    CallerKey,
+    KeyStanding,
+    OwnedKey,
+    assess_key,
+    parse_key,
+)
+from bronzebeam.routing.recorded_outcomes import decode_outcome, encode_outcome
+
+NONCE_BYTES: Final = 16
+
+
+def new_nonce() -> str:
+    """Return an identifier unique to one attempt."""
+    return secrets.token_hex(NONCE_BYTES)
+
+
+def never_first(request: CallerRequest) -> bool:
+    """Treat every request as one that may be a resend."""
+    return False
+
+
+class IdempotencyFilter:
+    """
+    Let a non-idempotent request through only with a claim on its key.
+
+    :param owner_route: way to other owners; None if there is none.
+    :param is_first_attempt: tells whether the caller vouches that it never sent the
+        key before. It only changes the wording of answers, never what is run.
+    :param log: called with the event's name and fields.
+    """
+
+    def __init__(
+        self,
+        *,
+        claims: ClaimsController,
+        owned_keys: OwnedKeys,
+        clock: Clock,
+        owner_route: OwnerRoute | None = None,
+        is_first_attempt: Callable[[CallerRequest], bool] = never_first,
+        make_nonce: Callable[[], str] = new_nonce,
+        log: LogEvent = ignore_event,
+    ) -> None:
+        self._claims = claims
+        self._owned_keys = owned_keys
+        self._clock = clock
+        self._owner_route = owner_route
+        self._is_first_attempt = is_first_attempt
+        self._make_nonce = make_nonce
+        self._log = log
+
+    async def apply(self, request: CallerRequest, proceed: Handler) -> Outcome:
+        """Answer `request`; call `proceed` at most once, and only with a claim."""
+        if request.idempotent:
+            return await proceed(request)
+        outcome = await self._dispatch(request, proceed, forward=True)
+        self._log_outcome(request, outcome)
+        return outcome
+
+    async def apply_forwarded(
+        self, request: CallerRequest, proceed: Handler
+    ) -> Outcome:
+        """Answer a request that another entry forwarded; never forward it again."""
+        if request.idempotent:
+            return await proceed(request)
+        outcome = await self._dispatch(request, proceed, forward=False)
+        self._log_outcome(request, outcome)
+        return outcome
+
+    async def _dispatch(
+        self, request: CallerRequest, proceed: Handler, *, forward: bool
+    ) -> Outcome:
+        if request.idempotency_key is None:
+            return self._not_run(
+                "key_missing", detail="An Idempotency-Key is required."
+            )
+        key = parse_key(request.idempotency_key)
+        if key is None:
+            return self._not_run(
+                "key_malformed", detail="The key must be a UUIDv7 or one we minted."
+            )
+        if isinstance(key, CallerKey):
+            return await self._apply_caller_key(request, key, proceed)
+        if key.incarnation == self._owned_keys.incarnation:
+            return await self._apply_owned_key(request, key, proceed)
+        if not forward or self._owner_route is None:
+            return OWNER_UNREACHABLE
+        outcome = await self._owner_route.forward(
+            incarnation=key.incarnation, request=request
+        )
+        return OWNER_UNREACHABLE if outcome is None else outcome
+
+    async def _apply_caller_key(
+        self, request: CallerRequest, key: CallerKey, proceed: Handler
+    ) -> Outcome:
+        refusal = self._refuse_standing(key)
+        if refusal is not None:
+            return refusal
+        nonce = self._make_nonce()
+        decision = await self._claims.claim(
+            key=key,
+            fingerprint=request.fingerprint,
+            nonce=nonce,
+            deadline_at_seconds=request.deadline_at_seconds,
+        )
+        match decision:
+            case Held():
+                return await self._run_claimed(request, key, nonce, proceed)
+            case Recorded(outcome=recorded):
+                return decode_outcome(recorded)
+            case KeyReused():
+                return KEY_REUSED
+            case BucketFull():
+                return self._not_run(
+                    "claims_full", detail="Too many keys of one minute; use a new key."
+                )
+            case Unsettled():
+                return self._answer_unsettled(request, decision)
+            case _:
+                return CLAIM_IN_PROGRESS
+
+    def _refuse_standing(self, key: CallerKey) -> Outcome | None:
+        now_seconds = self._clock.wall_seconds()
+        match assess_key(key, now_seconds=now_seconds):
+            case KeyStanding.VALID:
+                return None
+            case KeyStanding.EXPIRED:
+                return KEY_EXPIRED
+            case KeyStanding.AHEAD:
+                return OutcomeUnknown(
+                    reason="key_ahead",
+                    retry_after_ms=int((key.created_at_seconds - now_seconds) * 1000),
+                    detail="The key's time is ahead of this entry's clock.",
+                )
+            case KeyStanding.IMPOSSIBLE:
+                return self._not_run(
+                    "key_ahead", detail="The key's time is ahead; check your clock."
+                )
+
+    async def _run_claimed(
+        self, request: CallerRequest, key: CallerKey, nonce: str, proceed: Handler
+    ) -> Outcome:
+        # The process may have been paused since the key was checked. If the bucket
+        # had lapsed by the time of the claim, the key is expired by now.
+        refusal = self._refuse_standing(key)
+        if refusal is None and self._is_late(request):
+            refusal = LATE_AFTER_CLAIM
+        if refusal is not None:
+            self._claims.release(key=key, fingerprint=request.fingerprint, nonce=nonce)
+            return refusal
+        try:
+            outcome = await proceed(request)
+        except BaseException:
+            self._record(request, key, nonce, ATTEMPT_INTERRUPTED)
+            raise
+        if not _was_not_run(outcome):
+            self._record(request, key, nonce, outcome)
+            return outcome
+        released = self._claims.release(
+            key=key, fingerprint=request.fingerprint, nonce=nonce
+        )
+        with anyio.CancelScope(deadline=request.deadline_at_seconds):
+            await released.settled.wait()
+        return outcome
+
+    def _record(
+        self, request: CallerRequest, key: CallerKey, nonce: str, outcome: Outcome
+    ) -> None:
+        self._claims.record(
+            key=key,
+            fingerprint=request.fingerprint,
+            nonce=nonce,
+            outcome=encode_outcome(outcome),
+        )
+
+    async def _apply_owned_key(
+        self, request: CallerRequest, key: OwnedKey, proceed: Handler
+    ) -> Outcome:
+        if self._is_late(request):
+            return LATE_BEFORE_CLAIM
+        match self._owned_keys.spend(key, fingerprint=request.fingerprint):
+            case Spent():
+                return await self._run_owned(request, key, proceed)
+            case Recorded(outcome=recorded):
+                return decode_outcome(recorded)
+            case KeyReused():
+                return KEY_REUSED
+            case VoidKey(reason=reason):
+                return self._not_run(reason, detail="The key was not run.")
+            case UnknownKey():
+                return KEY_UNKNOWN
+            case InProgress():
+                return CLAIM_IN_PROGRESS
+
+    async def _run_owned(
+        self, request: CallerRequest, key: OwnedKey, proceed: Handler
+    ) -> Outcome:
+        try:
+            outcome = await proceed(request)
+        except BaseException:
+            self._owned_keys.finish(key, ATTEMPT_INTERRUPTED)
+            raise
+        if _was_not_run(outcome):
+            self._owned_keys.restore(key)
+        else:
+            self._owned_keys.finish(key, outcome)
+        return outcome
+
+    def _answer_unsettled(self, request: CallerRequest, decision: Unsettled) -> Outcome:
+        retry_after_ms = self._claims.retry_after_ms
+        if decision.unclaimed_seen or self._is_first_attempt(request):
+            return self._not_run(decision.reason, retry_after_ms=retry_after_ms)
+        return OutcomeUnknown(
+            reason=decision.reason,
+            retry_after_ms=retry_after_ms,
+            detail="This attempt was not sent; an earlier one under the key may have.",
+        )
+
+    def _not_run(
+        self, reason: str, *, retry_after_ms: int | None = None, detail: str = ""
+    ) -> NotRun:
+        offered_key = self._owned_keys.mint()
+        extra: dict[str, Any] = {}
+        if offered_key is not None:
+            extra["offered_key"] = offered_key
+        return NotRun(
+            reason=reason, retry_after_ms=retry_after_ms, detail=detail, extra=extra
+        )
+
+    def _is_late(self, request: CallerRequest) -> bool:
+        return self._clock.monotonic_seconds() >= request.deadline_at_seconds
+
+    def _log_outcome(self, request: CallerRequest, outcome: Outcome) -> None:
+        if isinstance(outcome, NotRun | OutcomeUnknown | Refused):
+            self._log(
+                "booking." + outcome.tag,
+                request_id=request.request_id,
+                key=request.idempotency_key or "",
+                reason=outcome.reason,
+            )
+
+
+def _was_not_run(outcome: Outcome) -> bool:
+    if isinstance(outcome, Refused):
+        return not outcome.ran
+    return isinstance(outcome, NotRun)
--- /dev/null
+++ b/src/bronzebeam/routing/recorded_outcomes.py
@@ -0,0 +1,41 @@
+"""Outcomes of non-idempotent requests, in the bounded form kept for resends."""
+
+from typing import Any, Final
+
+import orjson
+
+from bronzebeam.outcomes import Answered, Outcome, OutcomeUnknown, Refused
+
+RECORDED_RESULT_BYTES: Final = 1024
+RESULT_NOT_KEPT: Final = {"ran": True, "result_kept": False}
+
+
+def encode_outcome(outcome: Outcome) -> dict[str, Any]:
+    """
+    Return `outcome` as bounded JSON.
+
+    A result over `RECORDED_RESULT_BYTES` is left out; that the request ran is kept.
+    Anything but an answer is kept as unknown.
+    """
+    if isinstance(outcome, Answered):
+        return {"tag": outcome.tag, "result": _bounded(outcome.result)}
+    reason = outcome.reason if isinstance(outcome, OutcomeUnknown | Refused) else ""
+    return {"tag": OutcomeUnknown.tag, "reason": reason[:RECORDED_RESULT_BYTES]}
+
+
+def decode_outcome(recorded: dict[str, Any]) -> Answered | OutcomeUnknown:
+    """Return the outcome that a resend is answered with."""
+    if recorded.get("tag") == Answered.tag:
+        return Answered(result=recorded.get("result"))
+    return OutcomeUnknown(
+        reason=recorded.get("reason") or "outcome_not_recorded",
+        detail="An earlier attempt may have run; it will not be run again.",
+    )
+
+
+def _bounded(result: Any) -> Any:
+    try:
+        encoded = orjson.dumps(result)
+    except TypeError:
+        return RESULT_NOT_KEPT
+    return result if len(encoded) <= RECORDED_RESULT_BYTES else RESULT_NOT_KEPT
--- /dev/null
+++ b/tests/fixtures_bookings.py
@@ -0,0 +1,345 @@
+"""Store, backend server and entries for tests of bookings, in virtual time."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+from uuid import UUID
+
+import anyio
+import anyio.lowlevel
+import trio
+from anyio.abc import TaskGroup
+from attrs import define, field
+from trio.testing import MockClock
+
+from bronzebeam.controllers.claims import ClaimsController
+from bronzebeam.controllers.owned_keys import OwnedKeys
+from bronzebeam.documents.model import (
+    BackendSpec,
+    CallerLimitSpec,
+    DeadlineSpec,
+    EnvironmentDocument,
+    FleetSpec,
+    OperationSpec,
+    ServiceKind,
+    ServiceSpec,
+)
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.filters.idempotency import IdempotencyFilter
+from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown
+from bronzebeam.transport.store import Conflict, StoredValue, StoreUnavailable, Written
+
+START_SECONDS = 1_800_000_000.0
+STORE_BOUND_SECONDS = 0.2
+STORE_LATENCY_SECONDS = 0.004
+BACKEND_SECONDS = 0.02
+
+SERVICE = ServiceSpec(
+    name="booking",
+    kind=ServiceKind.CALL,
+    replicas=3,
+    backend=BackendSpec(slots=4, connections=45, connect_ms=1),
+    deadline=DeadlineSpec(default_ms=1000, maximum_ms=5000),
+    operations=(OperationSpec(name="book", idempotent=False),),
+)
+DOCUMENT = EnvironmentDocument(
+    environment="test",
+    fleet=FleetSpec(entry_instances=2),
+    classes=(),
+    caller_limit=CallerLimitSpec(rate_per_second=1, burst=1),
+    services=(SERVICE,),
+)
+
+
+def run_virtual(main: Callable[[], Awaitable[None]], *instruments: Any) -> None:
+    """Run `main` on trio with a clock that jumps while all tasks wait."""
+    clock = MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock, instruments=instruments)
+
+
+def caller_key(number: int, *, age_seconds: float = 0.0) -> str:
+    """Return a UUIDv7 minted `age_seconds` before the start."""
+    milliseconds = int((START_SECONDS - age_seconds) * 1000)
+    return str(UUID(int=milliseconds << 80 | 7 << 76 | 2 << 62 | number))
+
+
+@define(kw_only=True)
+class World:
+    """Wall time, which also passes while every process is suspended."""
+
+    suspended_seconds: float = 0.0
+
+    def monotonic_seconds(self) -> float:
+        return anyio.current_time()
+
+    def wall_seconds(self) -> float:
+        return START_SECONDS + anyio.current_time() + self.suspended_seconds
+
+
+@define(kw_only=True)
+class FakeStore:
+    """
+    A store in memory with faults.
+
+    :ivar next_fault: returns a fault for each call: "" for none, "down", "lost"
+        (applied, no reply) or "late" (no reply, applied after `late_seconds`).
+    :ivar before_write: awaited before each write leaves its caller.
+    """
+
+    world: World
+    tasks: TaskGroup
+    next_fault: Callable[[], str] = lambda: ""
+    before_write: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    late_seconds: float = 3.0
+    down: bool = False
+    reads: int = 0
+    writes: int = 0
+    revision: int = 0
+    values: dict[str, tuple[StoredValue, str | None]] = field(factory=dict)
+    leases: dict[str, float] = field(factory=dict)
+
+    async def _pass(self, apply: Callable[[], Any]) -> Any:
+        await anyio.sleep(STORE_LATENCY_SECONDS / 2)
+        fault = "down" if self.down else self.next_fault()
+        if fault == "late":
+            self.tasks.start_soon(self._apply_late, apply)
+        if fault == "lost":
+            apply()
+        if fault:
+            await anyio.sleep(STORE_BOUND_SECONDS)
+            raise StoreUnavailable(fault)
+        reply = apply()
+        await anyio.sleep(STORE_LATENCY_SECONDS / 2)
+        return reply
+
+    async def _apply_late(self, apply: Callable[[], Any]) -> None:
+        await anyio.sleep(self.late_seconds)
+        apply()
+
+    def _current(self, key: str) -> StoredValue | None:
+        now_seconds = self.world.wall_seconds()
+        for name, (_, lease_id) in list(self.values.items()):
+            if lease_id is not None and self.leases[lease_id] <= now_seconds:
+                del self.values[name]
+        return self.values[key][0] if key in self.values else None
+
+    async def get(self, key: str) -> StoredValue | None:
+        self.reads += 1
+        stored: StoredValue | None = await self._pass(lambda: self._current(key))
+        return stored
+
+    async def compare_and_swap(
+        self, *, key: str, value: Any, expected: int, lease_id: str | None = None
+    ) -> Written | Conflict:
+        self.writes += 1
+        await self.before_write()
+
+        def apply() -> Written | Conflict:
+            current = self._current(key)
+            if (current.mod_revision if current else 0) != expected:
+                return Conflict(current=current)
+            self.revision += 1
+            stored = StoredValue(key=key, value=value, mod_revision=self.revision)
+            self.values[key] = (stored, lease_id)
+            return Written(mod_revision=self.revision)
+
+        reply: Written | Conflict = await self._pass(apply)
+        return reply
+
+    async def grant_lease(self, *, ttl_seconds: float) -> str:
+        def apply() -> str:
+            lease_id = f"lease-{len(self.leases)}"
+            self.leases[lease_id] = self.world.wall_seconds() + ttl_seconds
+            return lease_id
+
+        lease_id: str = await self._pass(apply)
+        return lease_id
+
+    async def watch(
+        self, *, key: str, after: int, wait_seconds: float
+    ) -> StoredValue | None:
+        raise NotImplementedError
+
+    async def keep_lease(self, *, lease_id: str) -> bool:
+        raise NotImplementedError
+
+
+@define(kw_only=True)
+class Attempt:
+    """One attempt as its caller and the backend server saw it."""
+
+    key: str
+    payload: str
+    sent_at_seconds: float
+    ran_at_seconds: list[float] = field(factory=list)
+    outcome: Outcome | None = None
+
+
+@define(kw_only=True)
+class Backend:
+    """
+    Runs bookings and counts them.
+
+    :ivar behave: what to do with the next one: "answer", "lose" (run, no reply) or
+        "refuse" (the backend server's own word that it did not run).
+    """
+
+    attempts: list[Attempt] = field(factory=list)
+    behave: Callable[[], str] = lambda: "answer"
+
+    async def run(self, attempt: Attempt) -> Outcome:
+        behaviour = self.behave()
+        if behaviour == "refuse":
+            await anyio.sleep(BACKEND_SECONDS)
+            return NotRun(reason="backend_refused", retry_after_ms=10)
+        attempt.ran_at_seconds.append(anyio.current_time())
+        number = sum(len(item.ran_at_seconds) for item in self.attempts)
+        await anyio.sleep(BACKEND_SECONDS)
+        if behaviour == "lose":
+            return OutcomeUnknown(reason="connection_lost")
+        return Answered(result={"booking": number})
+
+
+class Entry:
+    """An entry instance; leaving its context without `kill` is no drain."""
+
+    def __init__(self, name: str, store: FakeStore, backend: Backend) -> None:
+        self.claims = ClaimsController(
+            store=store, clock=store.world, environment="test", incarnation=name
+        )
+        self.owned_keys = OwnedKeys(incarnation=name, clock=store.world)
+        self.peers: dict[str, Entry] = {}
+        self.filter = IdempotencyFilter(
+            claims=self.claims,
+            owned_keys=self.owned_keys,
+            clock=store.world,
+            owner_route=self,
+        )
+        self.backend = backend
+        self.alive = True
+        self._scopes: list[anyio.CancelScope] = []
+
+    async def run(self) -> None:
+        """Run the controller until the entry is killed."""
+        with anyio.CancelScope() as scope:
+            self._scopes.append(scope)
+            await self.claims.run()
+
+    def kill(self) -> None:
+        """End the entry's tasks at once."""
+        self.alive = False
+        for scope in self._scopes:
+            scope.cancel()
+
+    async def forward(
+        self, *, incarnation: str, request: CallerRequest
+    ) -> Outcome | None:
+        peer = self.peers.get(incarnation)
+        if peer is None or not peer.alive:
+            return None
+        attempt = request.payload
+        return await peer.filter.apply_forwarded(
+            request, lambda _: self.backend.run(attempt)
+        )
+
+    async def book(
+        self, key: str, *, payload: str = "chair", timeout_seconds: float = 1.0
+    ) -> Attempt:
+        """Send one attempt; its outcome stays None if the entry is killed."""
+        now = anyio.current_time()
+        attempt = Attempt(key=key, payload=payload, sent_at_seconds=now)
+        self.backend.attempts.append(attempt)
+        request = CallerRequest(
+            request_id=f"request-{len(self.backend.attempts)}",
+            caller="planner",
+            document=DOCUMENT,
+            document_revision=1,
+            service=SERVICE,
+            operation=SERVICE.operations[0],
+            class_name="check-in",
+            arrived_at_seconds=now,
+            deadline_at_seconds=now + timeout_seconds,
+            payload=attempt,
+            fingerprint=payload,
+            idempotency_key=key,
+        )
+        if not self.alive:
+            return attempt
+        with anyio.CancelScope() as scope:
+            self._scopes.append(scope)
+            attempt.outcome = await self.filter.apply(
+                request, lambda _: self.backend.run(attempt)
+            )
+        return attempt
+
+
+@define(kw_only=True)
+class Fleet:
+    """Entries that share one store and one backend server."""
+
+    world: World
+    store: FakeStore
+    backend: Backend
+    tasks: TaskGroup
+    entries: list[Entry] = field(factory=list)
+
+    def add_entry(self) -> Entry:
+        """Start a further entry."""
+        entry = Entry(f"entry-{len(self.entries)}", self.store, self.backend)
+        self.entries.append(entry)
+        entry.peers = {item.owned_keys.incarnation: item for item in self.entries}
+        for item in self.entries:
+            item.peers[entry.owned_keys.incarnation] = entry
+        self.tasks.start_soon(entry.run)
+        return entry
+
+
+@asynccontextmanager
+async def open_fleet(entries: int = 2) -> AsyncIterator[Fleet]:
+    """Run a fleet; its history is checked at the end."""
+    world = World()
+    backend = Backend()
+    async with anyio.create_task_group() as tasks:
+        store = FakeStore(world=world, tasks=tasks)
+        fleet = Fleet(world=world, store=store, backend=backend, tasks=tasks)
+        for _ in range(entries):
+            fleet.add_entry()
+        await anyio.sleep(0)
+        yield fleet
+        check_history(backend.attempts)
+        tasks.cancel_scope.cancel()
+
+
+class HistoryViolation(AssertionError):
+    """The history breaks a promise on bookings."""
+
+
+def check_history(attempts: list[Attempt]) -> None:
+    """
+    Check every key's runs and answers.
+
+    :raises HistoryViolation: if a key ran twice, if `not_run` was said of a request
+        that had run before the attempt or ran in it, or if two answers differ.
+    """
+    for key in {attempt.key for attempt in attempts}:
+        _check_key(key, [attempt for attempt in attempts if attempt.key == key])
+
+
+def _check_key(key: str, attempts: list[Attempt]) -> None:
+    runs = [
+        (ran_at, attempt) for attempt in attempts for ran_at in attempt.ran_at_seconds
+    ]
+    if len(runs) > 1:
+        raise HistoryViolation(f"{key} ran {len(runs)} times")
+    for attempt in attempts:
+        if not isinstance(attempt.outcome, NotRun):
+            continue
+        for ran_at, runner in runs:
+            earlier = ran_at < attempt.sent_at_seconds
+            if runner is attempt or (earlier and runner.payload == attempt.payload):
+                raise HistoryViolation(f"{key} ran, but was answered as not run")
+    answers = [a.outcome.result for a in attempts if isinstance(a.outcome, Answered)]
+    if any(answer != answers[0] for answer in answers):
+        raise HistoryViolation(f"{key} has different answers")
+    if answers and not runs:
+        raise HistoryViolation(f"{key} was answered without a run")
--- /dev/null
+++ b/tests/test_bookings_claims.py
@@ -0,0 +1,265 @@
+"""Bookings with caller-minted keys run at most once."""
+
+import anyio
+import anyio.lowlevel
+import trio
+
+from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown
+from bronzebeam.routing.idempotency_keys import VALIDITY_WINDOW_SECONDS
+from tests.fixtures_bookings import (
+    Attempt,
+    Entry,
+    caller_key,
+    check_history,
+    open_fleet,
+    run_virtual,
+)
+
+LAST_STEP = 400
+
+
+def reason_of(outcome: Outcome | None) -> str:
+    """Return the reason of an outcome that has one."""
+    assert isinstance(outcome, NotRun | OutcomeUnknown), outcome
+    return outcome.reason
+
+
+def test_concurrent_resends_through_all_entries_run_once() -> None:
+    async def main() -> None:
+        async with open_fleet(entries=4) as fleet:
+            async with anyio.create_task_group() as tasks:
+                for entry in fleet.entries * 3:
+                    tasks.start_soon(entry.book, caller_key(1))
+            outcomes = [attempt.outcome for attempt in fleet.backend.attempts]
+            assert sum(isinstance(item, Answered) for item in outcomes) >= 1
+            await anyio.sleep(1)
+            for entry in fleet.entries:
+                resend = await entry.book(caller_key(1))
+                assert resend.outcome == Answered(result={"booking": 1})
+
+    run_virtual(main)
+
+
+def test_another_payload_under_the_key_is_refused() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            await first.book(caller_key(1))
+            other = await second.book(caller_key(1), payload="cushion")
+            assert reason_of(other.outcome) == "key_reused"
+            assert isinstance(other.outcome, NotRun)
+            assert other.ran_at_seconds == []
+
+    run_virtual(main)
+
+
+def test_word_of_the_backend_server_lets_a_resend_run() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            fleet.backend.behave = lambda: "refuse"
+            refused = await first.book(caller_key(1))
+            assert reason_of(refused.outcome) == "backend_refused"
+            fleet.backend.behave = lambda: "answer"
+            resend = await second.book(caller_key(1))
+            assert isinstance(resend.outcome, Answered)
+
+    run_virtual(main)
+
+
+def test_lost_reply_of_the_backend_server_is_not_run_again() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            fleet.backend.behave = lambda: "lose"
+            await first.book(caller_key(1))
+            fleet.backend.behave = lambda: "answer"
+            await anyio.sleep(1)
+            resend = await second.book(caller_key(1))
+            assert reason_of(resend.outcome) == "connection_lost"
+
+    run_virtual(main)
+
+
+def test_each_fault_of_each_store_call_runs_once() -> None:
+    for fault in ("down", "lost", "late"):
+        for faulty_call in range(5):
+            run_virtual(lambda: resend_after_fault(fault, faulty_call))
+
+
+async def resend_after_fault(fault: str, faulty_call: int) -> None:
+    calls = iter(range(1000))
+    async with open_fleet() as fleet:
+        first, second = fleet.entries
+        fleet.store.next_fault = lambda: fault if next(calls) == faulty_call else ""
+        await first.book(caller_key(1), timeout_seconds=0.15)
+        await second.book(caller_key(1))
+        await anyio.sleep(10)
+        last = await second.book(caller_key(1))
+        assert isinstance(last.outcome, Answered), (fault, faulty_call, last)
+
+
+def test_claimer_killed_at_each_step_runs_once() -> None:
+    killed_count = 0
+    for step in range(LAST_STEP):
+        killer = KillAtStep(step)
+        run_virtual(lambda: resend_after_kill(killer), killer)
+        if not killer.done:
+            break
+        killed_count += 1
+    assert 15 < killed_count < LAST_STEP, killed_count
+
+
+class KillAtStep(trio.abc.Instrument):
+    """Kills an entry before the n-th step of any task."""
+
+    def __init__(self, step: int) -> None:
+        self.steps_left = step
+        self.entry: Entry | None = None
+        self.done = False
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        if self.entry is None or self.done:
+            return
+        self.steps_left -= 1
+        if self.steps_left < 0:
+            self.done = True
+            self.entry.kill()
+
+
+async def resend_after_kill(killer: KillAtStep) -> None:
+    async with open_fleet() as fleet:
+        first, second = fleet.entries
+        killer.entry = first
+        await first.book(caller_key(1))
+        await anyio.sleep(0.2)
+        killer.entry = None
+        await second.book(caller_key(1))
+        await anyio.sleep(5)
+        await second.book(caller_key(1))
+        await fleet.add_entry().book(caller_key(1))
+
+
+def test_cancelled_attempt_never_blocks_the_key_unless_it_was_sent() -> None:
+    for delay_ms in range(1, 40):
+        run_virtual(lambda: resend_after_cancel(delay_ms / 1000))
+
+
+async def resend_after_cancel(delay_seconds: float) -> None:
+    async with open_fleet() as fleet:
+        first, second = fleet.entries
+        with anyio.move_on_after(delay_seconds):
+            await first.book(caller_key(1))
+        attempt = fleet.backend.attempts[0]
+        cut_off = attempt.outcome is None and bool(attempt.ran_at_seconds)
+        await anyio.sleep(1)
+        resend = await second.book(caller_key(1))
+        assert isinstance(resend.outcome, OutcomeUnknown if cut_off else Answered)
+
+
+def test_late_resend_after_expiry_is_not_run() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            await first.book(caller_key(1))
+            await anyio.sleep(VALIDITY_WINDOW_SECONDS - 10)
+            resend = await second.book(caller_key(1))
+            assert isinstance(resend.outcome, Answered)
+            await anyio.sleep(20)
+            late = await second.book(caller_key(1))
+            assert reason_of(late.outcome) == "key_expired"
+            assert isinstance(late.outcome, OutcomeUnknown)
+            await anyio.sleep(4 * 3600)
+            await first.book(caller_key(2, age_seconds=-100_000))
+            assert len(fleet.store.values) <= 1, "the bucket has lapsed"
+
+    run_virtual(main)
+
+
+def test_holder_suspended_before_its_claim_lands_does_not_run() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+
+            async def suspend_while_a_resend_runs() -> None:
+                fleet.store.before_write = anyio.lowlevel.checkpoint
+                resend = await second.book(caller_key(1))
+                assert isinstance(resend.outcome, Answered)
+                await anyio.sleep(1)
+                fleet.world.suspended_seconds = VALIDITY_WINDOW_SECONDS + 4 * 3600
+
+            fleet.store.before_write = suspend_while_a_resend_runs
+            late = await first.book(caller_key(1), timeout_seconds=5)
+            assert fleet.world.suspended_seconds
+            assert reason_of(late.outcome) == "key_expired"
+
+    run_virtual(main)
+
+
+def test_paused_holder_past_its_deadline_does_not_send() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            first.filter._is_late = lambda request: True  # type: ignore[method-assign]
+            late = await first.book(caller_key(1))
+            assert reason_of(late.outcome) == "deadline_exceeded"
+            await anyio.sleep(1)
+            resend = await second.book(caller_key(1))
+            assert isinstance(resend.outcome, Answered)
+
+    run_virtual(main)
+
+
+def test_hour_of_outage_runs_nothing_twice_and_recovers() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            ran = await first.book(caller_key(1))
+            fleet.store.down = True
+            resend = await second.book(caller_key(1))
+            assert isinstance(resend.outcome, OutcomeUnknown)
+            assert reason_of(resend.outcome) == "store_unavailable"
+            for number in range(2, 62):
+                await second.book(caller_key(number))
+                await anyio.sleep(60)
+            calls = fleet.store.writes + fleet.store.reads
+            assert calls < 1000, "one call in 5 s for a record and one for a claim"
+            fleet.store.down = False
+            await anyio.sleep(6)
+            resend = await second.book(caller_key(1))
+            assert resend.outcome == ran.outcome
+            again = await second.book(caller_key(5))
+            assert isinstance(again.outcome, Answered)
+
+    run_virtual(main)
+
+
+def test_store_restored_from_an_older_state_runs_nothing_twice() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            for number in range(16):
+                await first.book(caller_key(number))
+            await anyio.sleep(1)
+            await second.book(caller_key(20))
+            fleet.store.values.clear()
+            fleet.store.revision = 0
+            for number in range(16):
+                resend = await second.book(caller_key(number))
+                if not isinstance(resend.outcome, Answered):
+                    assert reason_of(resend.outcome) == "store_regressed"
+
+    run_virtual(main)
+
+
+def test_checker_finds_planted_faults() -> None:
+    twice = Attempt(key="a", payload="p", sent_at_seconds=0, ran_at_seconds=[1, 2])
+    ran = Attempt(key="a", payload="p", sent_at_seconds=0, ran_at_seconds=[1])
+    denied = Attempt(key="a", payload="p", sent_at_seconds=2)
+    denied.outcome = NotRun(reason="r")
+    for history in ([twice], [ran, denied]):
+        try:
+            check_history(history)
+        except AssertionError:
+            continue
+        raise AssertionError("the fault was not found")
--- /dev/null
+++ b/tests/test_bookings_random.py
@@ -0,0 +1,152 @@
+"""Random histories of bookings under faults, checked for doubled runs."""
+
+from itertools import cycle
+
+import anyio
+from attrs import frozen
+from hypothesis import HealthCheck, given, settings, strategies as st
+
+from bronzebeam.outcomes import NotRun
+from bronzebeam.routing.claims import ClaimDecision, Held
+from tests.fixtures_bookings import (
+    Fleet,
+    HistoryViolation,
+    caller_key,
+    open_fleet,
+    run_virtual,
+)
+
+KEYS = tuple(caller_key(number) for number in range(3))
+SETTLE_SECONDS = 30
+
+
+@frozen(kw_only=True)
+class Step:
+    """One step of a plan, `wait_ms` after the one before."""
+
+    action: str
+    wait_ms: int
+    entry: int
+    key: int
+    payload: str
+    timeout_ms: int
+
+
+STEPS = st.builds(
+    Step,
+    action=st.sampled_from(
+        ["book"] * 6 + ["cancel", "owned", "kill", "add", "outage", "mend", "pause"]
+    ),
+    wait_ms=st.sampled_from([0, 1, 3, 5, 10, 30, 200, 2000]),
+    entry=st.integers(0, 2),
+    key=st.integers(0, 2),
+    payload=st.sampled_from(["chair", "chair", "chair", "ramp"]),
+    timeout_ms=st.sampled_from([5, 20, 100, 1000]),
+)
+FAULTS = st.lists(
+    st.sampled_from(["", "", "", "down", "lost", "late"]), min_size=1, max_size=20
+)
+BEHAVIOURS = st.lists(
+    st.sampled_from(["answer", "answer", "lose", "refuse"]), min_size=1, max_size=6
+)
+
+
+class Plan:
+    """Applies steps to a fleet and remembers the owned keys that it was given."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.owned_keys: list[str] = []
+
+    async def apply(self, step: Step) -> None:
+        """Apply one step; bookings go on in the background."""
+        entry = self.fleet.entries[step.entry % len(self.fleet.entries)]
+        tasks = self.fleet.tasks
+        if step.action == "book":
+            tasks.start_soon(self.book, step, KEYS[step.key], None)
+        if step.action == "cancel":
+            tasks.start_soon(self.book, step, KEYS[step.key], step.timeout_ms / 1000)
+        if step.action == "owned":
+            minted = entry.owned_keys.mint()
+            self.owned_keys += [minted] if minted else []
+            for key in self.owned_keys:
+                tasks.start_soon(self.book, step, key, None)
+        if step.action == "kill":
+            entry.kill()
+        if step.action == "add":
+            self.fleet.add_entry()
+        if step.action in ("outage", "mend"):
+            self.fleet.store.down = step.action == "outage"
+        if step.action == "pause":
+            await anyio.sleep(5)
+
+    async def book(self, step: Step, key: str, cancel_seconds: float | None) -> None:
+        """Book and keep an offered key, as a caller would."""
+        entry = self.fleet.entries[step.entry % len(self.fleet.entries)]
+        with anyio.CancelScope() as scope:
+            if cancel_seconds is not None:
+                scope.deadline = anyio.current_time() + cancel_seconds
+            attempt = await entry.book(
+                key, payload=step.payload, timeout_seconds=step.timeout_ms / 1000
+            )
+            if isinstance(attempt.outcome, NotRun):
+                offered = attempt.outcome.extra.get("offered_key")
+                self.owned_keys += [offered] if offered else []
+
+
+async def run_plan(
+    steps: list[Step], faults: list[str], behaviours: list[str], *, planted: bool
+) -> None:
+    """Run a plan, then resend every key without faults; the fleet checks it all."""
+    next_fault, next_behaviour = cycle(faults), cycle(behaviours)
+    async with open_fleet(entries=2) as fleet:
+        fleet.store.next_fault = lambda: next(next_fault)
+        fleet.backend.behave = lambda: next(next_behaviour)
+        plan = Plan(fleet)
+        if planted:
+            for entry in fleet.entries:
+                entry.claims.claim = hold_always  # type: ignore[method-assign]
+        for step in steps:
+            await anyio.sleep(step.wait_ms / 1000)
+            await plan.apply(step)
+        fleet.store.down = False
+        fleet.store.next_fault = lambda: ""
+        await anyio.sleep(SETTLE_SECONDS)
+        for entry in fleet.entries:
+            assert not entry.alive or entry.claims.pending_count == 0
+        last = fleet.add_entry()
+        for key in (*KEYS, *plan.owned_keys):
+            await last.book(key)
+
+
+async def hold_always(**_: object) -> ClaimDecision:
+    """Stand for a controller that gives every attempt the claim."""
+    return Held()
+
+
+@settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=400,
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    steps=st.lists(STEPS, min_size=2, max_size=30), faults=FAULTS, behaviours=BEHAVIOURS
+)
+def test_random_histories_keep_the_promises(
+    steps: list[Step], faults: list[str], behaviours: list[str]
+) -> None:
+    run_virtual(lambda: run_plan(steps, faults, behaviours, planted=False))
+
+
+def test_random_run_finds_a_planted_doubled_run() -> None:
+    resend = Step(
+        action="book", wait_ms=30, entry=0, key=0, payload="chair", timeout_ms=1000
+    )
+    try:
+        run_virtual(lambda: run_plan([resend] * 2, [""], ["answer"], planted=True))
+    except BaseExceptionGroup as group:
+        assert group.subgroup(HistoryViolation) is not None
+    else:
+        raise AssertionError("the doubled run was not found")
