Read a claim bucket before its compare-and-swap

Cause: with 8 entries and a bucket kept in memory nearly every first compare-and-swap failed, since another entry had written in between: 5.27 writes a booking at 100 bookings/s (3.94 of them conflicts, 527 writes/s in all), 15.31 with 32 entries. 8 slots of 256 claims also bound the environment to 34 bookings/s over a whole minute.

Ruled out: a longer gathering time, which merges only changes of one entry.

Change: what is known of a bucket is trusted for 20 ms and read again after that, a read being cheaper for the store than a failed write. 32 slots, so that entries meet less often. Fewer buckets are kept in memory.

--- a/src/bronzebeam/controllers/claim_buckets.py
+++ b/src/bronzebeam/controllers/claim_buckets.py
@@ -34,6 +34,7 @@
 
 CLAIM_GATHER_SECONDS: Final = 0.002
 RECORD_GATHER_SECONDS: Final = 0.1
+KNOWN_TRUST_SECONDS: Final = 0.02
 
 
 @frozen(kw_only=True)
@@ -69,6 +70,8 @@
         self._clock = clock
         self._log = log
         self._known: KnownBucket | None = None
+        self._known_at_seconds = 0.0
+        self._seen_revision = 0
         self._fresh = False
         self._claim_added = anyio.Event()
         self.pending: list[PendingChange] = []
@@ -108,6 +111,7 @@
 
     async def _commit(self) -> None:
         batch = tuple(self.pending)
+        self._forget_stale()
         known = self._known or await self._read(batch)
         self._give_up_distrusted(batch)
         batch = tuple(item for item in batch if item in self.pending)
@@ -121,6 +125,16 @@
         self._fresh = False
         self._finish(batch, decisions)
 
+    def _forget_stale(self) -> None:
+        """
+        Forget a bucket that another entry has probably written since.
+
+        A read costs the store less than a compare-and-swap that fails.
+        """
+        age_seconds = self._clock.monotonic_seconds() - self._known_at_seconds
+        if age_seconds > KNOWN_TRUST_SECONDS:
+            self._known = None
+
     async def _read(self, batch: Sequence[PendingChange]) -> KnownBucket:
         stored = await self._store.get(self._bucket_key)
         self._view.note_answer()
@@ -149,7 +163,7 @@
         if isinstance(reply, Conflict):
             self._learn(reply.current, batch)
             return
-        self._known = KnownBucket(mod_revision=reply.mod_revision, bucket=bucket)
+        self._remember(reply.mod_revision, bucket)
         self._fresh = False
         if not self._view.note_write(mod_revision=reply.mod_revision, floor=floor):
             self._handle_regression()
@@ -173,10 +187,10 @@
         self, stored: StoredValue | None, batch: Sequence[PendingChange]
     ) -> KnownBucket:
         mod_revision = 0 if stored is None else stored.mod_revision
-        if self._known is not None and mod_revision < self._known.mod_revision:
+        if mod_revision < self._seen_revision:
             self._handle_regression()
         bucket = Bucket() if stored is None else parse_bucket(stored.value)
-        self._known = KnownBucket(mod_revision=mod_revision, bucket=bucket)
+        known = self._remember(mod_revision, bucket)
         self._fresh = True
         for pending in batch:
             claim = bucket.claims.get(pending.change.key)
@@ -185,6 +199,12 @@
                 or claim.state is ClaimState.RELEASED
                 or claim.nonce == pending.change.nonce
             )
+        return known
+
+    def _remember(self, mod_revision: int, bucket: Bucket) -> KnownBucket:
+        self._known = KnownBucket(mod_revision=mod_revision, bucket=bucket)
+        self._known_at_seconds = self._clock.monotonic_seconds()
+        self._seen_revision = mod_revision
         return self._known
 
     def _finish(
--- a/src/bronzebeam/controllers/claims.py
+++ b/src/bronzebeam/controllers/claims.py
@@ -29,7 +29,7 @@
 
 PENDING_CLAIM_LIMIT: Final = 4096
 PENDING_CHANGE_LIMIT: Final = 8192
-IDLE_BUCKET_LIMIT: Final = 32
+IDLE_BUCKET_LIMIT: Final = 16
 FLUSH_POLL_SECONDS: Final = 0.01
 
 
--- a/src/bronzebeam/routing/idempotency_keys.py
+++ b/src/bronzebeam/routing/idempotency_keys.py
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 CLAIM_KEY_PREFIX: Final = "bronzebeam/claims/"
-CLAIM_SLOT_COUNT: Final = 8
+CLAIM_SLOT_COUNT: Final = 32
 BUCKET_SECONDS: Final = 60
 VALIDITY_WINDOW_SECONDS: Final = 24 * 3600
 AHEAD_MARGIN_SECONDS: Final = 300
--- a/tests/test_bookings_rules.py
+++ b/tests/test_bookings_rules.py
@@ -66,7 +66,7 @@
 
 def neighbour_of(text: str) -> str:
     """Return another key in the bucket of `text`."""
-    others = map(caller_key, range(100, 200))
+    others = map(caller_key, range(100, 1000))
     return next(other for other in others if bucket_of(other) == bucket_of(text))
 
 
