--- a/src/bronzebeam/transport/backend_protocol.py
+++ b/src/bronzebeam/transport/backend_protocol.py
@@ -18,7 +18,9 @@
 STATUS_UNAVAILABLE: Final = 503
 MOST_SHARDS: Final = 10_000
 
-NotRunReason = Literal["overloaded", "draining", "version_gone", "cancelled"]
+NotRunReason = Literal[
+    "overloaded", "draining", "version_gone", "cancelled", "backend_error"
+]
 
 
 @frozen(kw_only=True)
@@ -161,10 +163,10 @@
 
 
 def _not_run_reason(error: Any) -> NotRunReason:
-    """Return the reason given; one that is not known counts as overload."""
+    """Return the reason given, or `backend_error` for a word that is not known."""
     if error in get_args(NotRunReason):
         return cast(NotRunReason, error)
-    return "overloaded"
+    return "backend_error"
 
 
 def _retry_after_ms(value: Any) -> int | None:
--- a/tests/test_fuzz_callers.py
+++ b/tests/test_fuzz_callers.py
@@ -82,6 +82,7 @@
     return CallerApp(
         chain=_echo,
         document=document,
+        mint_key=lambda: None,
         lifecycle=Lifecycle(
             drain_settings=DrainSettings(lag_ms=1, bound_ms=2), clock=clock
         ),
