Add the quarantine of requests that crash backend servers

Cause: a request that crashes each backend server that runs it is sent again. Ruled out: counting two lost replicas at once. One fan-out loses up to 30 in one event, and an entry with only an innocent request in flight on two of them sees the same as the culprit's entry, before the innocent's first answer is back; the same holds for a rack that is lost. So the losses of one event make suspects, and the second loss counts only if the fingerprint was sent there as a suspect, with no other possible culprit in flight. For a call that is the second lost replica; for a search it costs one replica more than the first event. Change: Quarantine, LostReplica, Record, merge_records, solo_order. Two entries that convict different fingerprints on one loss contest each other, and both stay suspects. Merge keeps the records of highest rank, in one total order. Conclusion: no sequence of losses of one event quarantines anybody.

--- /dev/null
+++ b/src/bronzebeam/routing/quarantine.py
@@ -0,0 +1,300 @@
+"""Quarantine of requests that crash each backend server that runs them."""
+
+import hashlib
+import math
+from collections import OrderedDict
+from collections.abc import Iterable
+from enum import Enum
+from typing import Final
+
+from attrs import define, evolve, field, frozen
+
+CONTEST_SECONDS: Final = 5.0
+EXONERATED_SECONDS: Final = 60.0
+FIRST_QUARANTINE_SECONDS: Final = 60.0
+LONGEST_QUARANTINE_SECONDS: Final = 3600.0
+MOST_EXONERATED: Final = 4096
+MOST_LOSSES: Final = 32
+MOST_RECORDS: Final = 1024
+OFFENCE_MEMORY_SECONDS: Final = 3600.0
+SUSPICION_MEMORY_SECONDS: Final = 300.0
+
+
+class Standing(Enum):
+    """
+    How a fingerprint may run.
+
+    `SUSPECT`: on one replica at a time, without hedges, where nothing else of this
+    entry is in flight. `QUARANTINED`: not at all until its release.
+    """
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@frozen(kw_only=True)
+class LostReplica:
+    """
+    A replica lost while requests of this entry were in flight on it.
+
+    :ivar in_flight: fingerprints that were in flight there.
+    :ivar solo: those of them that were sent there as suspects.
+    :ivar at_seconds: monotonic time of the loss.
+    """
+
+    replica: str
+    in_flight: frozenset[str]
+    solo: frozenset[str]
+    at_seconds: float
+
+
+@frozen(kw_only=True)
+class Record:
+    """
+    What the fleet holds of one fingerprint; the larger of two records counts.
+
+    :ivar offences: quarantines so far; 0 for a suspect.
+    :ivar released_at_seconds: wall time at which the last quarantine ends, or at
+        which the fingerprint became a suspect.
+    :ivar lifted: a successful reply has cleared the fingerprint since.
+    :ivar convicted_on: replica whose loss led to the last quarantine.
+    """
+
+    fingerprint: str
+    offences: int
+    released_at_seconds: float
+    lifted: bool = False
+    convicted_on: str = ""
+
+    @property
+    def rank(self) -> tuple[int, float, bool, str, str]:
+        """The total order by which records are merged and kept."""
+        return (
+            self.offences,
+            self.released_at_seconds,
+            self.lifted,
+            self.convicted_on,
+            self.fingerprint,
+        )
+
+    @property
+    def guilty(self) -> bool:
+        return self.offences > 0 and not self.lifted
+
+    def is_remembered(self, wall_seconds: float) -> bool:
+        """Whether the record still says something at `wall_seconds`."""
+        memory_seconds = (
+            OFFENCE_MEMORY_SECONDS if self.guilty else SUSPICION_MEMORY_SECONDS
+        )
+        return wall_seconds < self.released_at_seconds + memory_seconds
+
+    def contests(self, other: "Record") -> bool:
+        """
+        Whether both were convicted on the same loss, by different entries.
+
+        Neither verdict holds then, and both stay suspects.
+        """
+        return (
+            self.guilty
+            and other.guilty
+            and self.fingerprint != other.fingerprint
+            and self.convicted_on == other.convicted_on
+            and abs(_convicted_at(self) - _convicted_at(other)) <= CONTEST_SECONDS
+        )
+
+
+def quarantine_seconds(offences: int) -> float:
+    """Return the length of the nth quarantine: doubling, bounded."""
+    doublings = min(max(offences, 1) - 1, 16)
+    return min(
+        FIRST_QUARANTINE_SECONDS * float(1 << doublings), LONGEST_QUARANTINE_SECONDS
+    )
+
+
+def merge_records(*sets: Iterable[Record], most: int = MOST_RECORDS) -> list[Record]:
+    """
+    Merge sets of records; commutative, associative and idempotent.
+
+    :param most: records kept, those of the highest rank.
+    """
+    merged: dict[str, Record] = {}
+    for records in sets:
+        for record in records:
+            held = merged.get(record.fingerprint)
+            if held is None or held.rank < record.rank:
+                merged[record.fingerprint] = record
+    ranked = sorted(merged.values(), key=lambda item: item.rank, reverse=True)
+    return ranked[:most]
+
+
+def solo_order(fingerprint: str, shards: int) -> list[int]:
+    """
+    Return the order in which a suspect goes through the shards, one at a time.
+
+    It differs between fingerprints, so that suspects of different entries seldom
+    meet on a replica.
+    """
+    hashed = [hashlib.blake2b(f"{fingerprint}/{n}".encode()) for n in range(shards)]
+    return sorted(range(shards), key=lambda shard: hashed[shard].digest())
+
+
+def _convicted_at(record: Record) -> float:
+    return record.released_at_seconds - quarantine_seconds(record.offences)
+
+
+@define(kw_only=True)
+class Quarantine:
+    """
+    Suspects and quarantined fingerprints, as one entry knows them.
+
+    A fingerprint in flight on a lost replica becomes a suspect. It is quarantined if
+    it is then sent as a suspect and that replica is lost too, with no other possible
+    culprit in flight. What was sent before belongs to the same event: a fan-out can
+    lose a replica of each shard at once, beside innocent requests.
+    """
+
+    _records: dict[str, Record] = field(factory=dict, init=False)
+    _losses: dict[str, list[frozenset[str]]] = field(factory=dict, init=False)
+    _exonerated: OrderedDict[str, float] = field(factory=OrderedDict, init=False)
+
+    @property
+    def records(self) -> tuple[Record, ...]:
+        """The records to tell to peers."""
+        return tuple(self._records.values())
+
+    @property
+    def exonerated_held(self) -> int:
+        """Number of fingerprints remembered as answered."""
+        return len(self._exonerated)
+
+    def standing(self, fingerprint: str, *, wall_seconds: float) -> Standing:
+        """Return how `fingerprint` may run at `wall_seconds`."""
+        record = self._records.get(fingerprint)
+        if record is None or record.lifted or not record.is_remembered(wall_seconds):
+            return Standing.CLEAR
+        if wall_seconds < record.released_at_seconds and self._is_guilty(record):
+            return Standing.QUARANTINED
+        return Standing.SUSPECT
+
+    def release_after_ms(self, fingerprint: str, *, wall_seconds: float) -> int:
+        """Return the time to the release of `fingerprint`; 0 if it is not held."""
+        standing = self.standing(fingerprint, wall_seconds=wall_seconds)
+        if standing is not Standing.QUARANTINED:
+            return 0
+        released_at_seconds = self._records[fingerprint].released_at_seconds
+        return math.ceil((released_at_seconds - wall_seconds) * 1000)
+
+    def observe_success(self, fingerprint: str, *, now_seconds: float) -> None:
+        """
+        Take in a successful reply to `fingerprint`, which clears it.
+
+        :param now_seconds: monotonic time.
+        """
+        self._exonerated[fingerprint] = now_seconds
+        self._exonerated.move_to_end(fingerprint)
+        if len(self._exonerated) > MOST_EXONERATED:
+            self._exonerated.popitem(last=False)
+        if fingerprint in self._records:
+            self._lift(fingerprint)
+
+    def observe_loss(self, lost: LostReplica, *, wall_seconds: float) -> str | None:
+        """
+        Take in the loss of a replica; call it once for each loss.
+
+        :return: the fingerprint that is quarantined from now on, if there is one.
+        """
+        self._keep(self._records.values(), wall_seconds)
+        candidates = frozenset(
+            name
+            for name in lost.in_flight
+            if not self._is_exonerated(name, lost.at_seconds)
+        )
+        # A fingerprint that is already guilty explains the loss for all others.
+        culprits = candidates & self._guilty_names()
+        if not culprits:
+            self._accuse(candidates, wall_seconds)
+            culprits = candidates
+        if len(culprits) != 1 or not culprits <= lost.solo:
+            return None
+        [culprit] = culprits
+        if self.standing(culprit, wall_seconds=wall_seconds) is not Standing.SUSPECT:
+            return None
+        self._convict(culprit, lost.replica, wall_seconds)
+        return culprit
+
+    def merge(self, records: Iterable[Record], *, wall_seconds: float) -> None:
+        """Take in the records of a peer, and forget what has lapsed."""
+        merged = merge_records(self._records.values(), records)
+        self._keep(merged, wall_seconds)
+        self._clear_explained()
+
+    def _keep(self, records: Iterable[Record], wall_seconds: float) -> None:
+        self._records = {
+            record.fingerprint: record
+            for record in records
+            if record.is_remembered(wall_seconds)
+        }
+        self._losses = {
+            name: losses
+            for name, losses in self._losses.items()
+            if name in self._records and not self._records[name].lifted
+        }
+
+    def _accuse(self, candidates: frozenset[str], wall_seconds: float) -> None:
+        suspects = []
+        for name in candidates:
+            losses = self._losses.setdefault(name, [])
+            if len(losses) < MOST_LOSSES:
+                losses.append(candidates)
+            held = self._records.get(name)
+            if held is None or held.lifted:
+                suspects.append(
+                    Record(
+                        fingerprint=name,
+                        offences=held.offences if held else 0,
+                        released_at_seconds=wall_seconds,
+                    )
+                )
+        self._keep(merge_records(self._records.values(), suspects), wall_seconds)
+
+    def _convict(self, name: str, replica: str, wall_seconds: float) -> None:
+        held = self._records[name]
+        for other in list(self._records.values()):
+            if held.contests(other):
+                self._lift(other.fingerprint)
+        offences = held.offences + 1
+        self._records[name] = evolve(
+            held,
+            offences=offences,
+            released_at_seconds=wall_seconds + quarantine_seconds(offences),
+            convicted_on=replica,
+        )
+        self._clear_explained()
+
+    def _clear_explained(self) -> None:
+        """Clear the suspects whose every loss had a guilty fingerprint in flight."""
+        guilty = self._guilty_names()
+        for name in self._losses.keys() - guilty if guilty else ():
+            losses = [names for names in self._losses[name] if not names & guilty]
+            self._losses[name] = losses
+            if not losses:
+                self._lift(name)
+
+    def _lift(self, name: str) -> None:
+        self._records[name] = evolve(self._records[name], lifted=True)
+
+    def _is_exonerated(self, name: str, now_seconds: float) -> bool:
+        at_seconds = self._exonerated.get(name, -math.inf)
+        return now_seconds - at_seconds < EXONERATED_SECONDS
+
+    def _is_guilty(self, record: Record) -> bool:
+        others = self._records.values()
+        return record.guilty and not any(record.contests(other) for other in others)
+
+    def _guilty_names(self) -> frozenset[str]:
+        return frozenset(
+            record.fingerprint
+            for record in self._records.values()
+            if self._is_guilty(record)
+        )
