--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -2,28 +2,21 @@
 
 import random
 
-from hypothesis import given, settings, strategies as st
-
-from bronzebeam.routing.admission import (
-    LEAST_RETRY_AFTER_MS,
-    LONGEST_RETRY_AFTER_MS,
-    AdmissionQueue,
-    AdmissionStep,
-    Arrival,
-    Capacity,
-    GiveUpReason,
-    retry_after,
-)
-from bronzebeam.routing.limits import ConcurrencyLimit, LimitBounds, QuerySample
+from hypothesis import given, strategies as st
 
-COMMON = settings(derandomize=True, database=None, deadline=None)
+from bronzebeam.routing import admission
+from bronzebeam.routing.admission import Arrival, Capacity, GiveUpReason
+from bronzebeam.routing.limits import ConcurrencyLimit, LimitBounds, QuerySample
+from tests.fixtures_routing import COMMON
 
 
 class QueueRun:
     """An admission queue with a service that the test starts and finishes."""
 
     def __init__(self, *, limit: int, most_waiting: int = 3) -> None:
-        self.queue = AdmissionQueue(most_waiting=most_waiting, rng=random.Random(1))
+        self.queue = admission.AdmissionQueue(
+            most_waiting=most_waiting, rng=random.Random(1)
+        )
         self.limit = limit
         self.now = 0.0
         self.running: list[str] = []
@@ -50,11 +43,15 @@
         step = self.queue.advance(capacity=self.capacity, now_seconds=self.now)
         self.take_in(step)
 
-    def take_in(self, step: AdmissionStep) -> None:
+    def take_in(self, step: admission.AdmissionStep) -> None:
         self.running += step.started
         for item in step.given_up:
             assert item.query_id not in self.given_up
-            assert LEAST_RETRY_AFTER_MS <= item.retry_after_ms <= LONGEST_RETRY_AFTER_MS
+            assert (
+                admission.LEAST_RETRY_AFTER_MS
+                <= item.retry_after_ms
+                <= admission.LONGEST_RETRY_AFTER_MS
+            )
             self.given_up[item.query_id] = item.reason
 
 
@@ -168,7 +165,8 @@
 def test_retry_after_follows_the_drain_rate() -> None:
     capacity = Capacity(limit=2, running=2, service_ms=100.0)
     times = [
-        retry_after(capacity, ahead=9, rng=random.Random(seed)) for seed in range(50)
+        admission.retry_after(capacity, ahead=9, rng=random.Random(seed))
+        for seed in range(50)
     ]
     assert 500 <= min(times) < 550 and 700 < max(times) <= 750
 
--- a/tests/test_routing_caller_rates.py
+++ b/tests/test_routing_caller_rates.py
@@ -1,11 +1,11 @@
 """Tests of callers' rates over the fleet."""
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from bronzebeam.documents.model import CallerLimitSpec
 from bronzebeam.routing.caller_rates import CallerRates, entry_share
+from tests.fixtures_routing import COMMON
 
-COMMON = settings(derandomize=True, database=None, deadline=None)
 SPEC = CallerLimitSpec(rate_per_second=10.0, burst=20)
 
 
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from bronzebeam.routing.choice import LatencyAverage, ReplicaView, choose_replica
 from bronzebeam.routing.ejection import (
@@ -11,9 +11,7 @@
     ShardEjections,
 )
 from bronzebeam.routing.slow_start import slow_start_weight
-from tests.fixtures_routing import OWN_DOMAIN, replica_view
-
-COMMON = settings(derandomize=True, database=None, deadline=None)
+from tests.fixtures_routing import COMMON, OWN_DOMAIN, replica_view
 
 views = st.builds(
     replica_view,
--- a/tests/test_routing_hedging.py
+++ b/tests/test_routing_hedging.py
@@ -1,22 +1,14 @@
 """Tests of the extra-load budget and of hedges and retries."""
 
 from attrs import evolve
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from bronzebeam.documents.model import HedgingSpec
+from bronzebeam.routing import hedging
 from bronzebeam.routing.budget import BURST_LIMIT, WINDOW_SECONDS, ExtraLoadBudget
-from bronzebeam.routing.hedging import (
-    FailureKind,
-    HedgeDelay,
-    SubRequestState,
-    Verdict,
-    allow_hedge,
-    allow_retry,
-    hedge_percentile,
-    replicas_to_exclude,
-)
+from bronzebeam.routing.hedging import FailureKind, HedgeDelay, SubRequestState, Verdict
+from tests.fixtures_routing import COMMON
 
-COMMON = settings(derandomize=True, database=None, deadline=None)
 STATE = SubRequestState(
     idempotent=True,
     solo=False,
@@ -36,8 +28,7 @@
 @COMMON
 @given(
     st.lists(
-        st.tuples(st.floats(0, 4), st.integers(0, 300), st.integers(0, 30)),
-        max_size=60,
+        st.tuples(st.floats(0, 4), st.integers(0, 300), st.integers(0, 30)), max_size=60
     ),
     st.sampled_from([0.0, 0.01, 0.05, 0.5]),
 )
@@ -85,8 +76,11 @@
 def test_hedges_leave_a_reserve_for_retries() -> None:
     budget = ExtraLoadBudget(extra_load_share=0.05)
     budget.count_firsts(20, now_seconds=0.0)
-    assert allow_hedge(STATE, budget=budget, now_seconds=0.0) is Verdict.OVER_BUDGET
-    retried = allow_retry(
+    assert (
+        hedging.allow_hedge(STATE, budget=budget, now_seconds=0.0)
+        is Verdict.OVER_BUDGET
+    )
+    retried = hedging.allow_retry(
         STATE, failure=FailureKind.UNKNOWN, budget=budget, now_seconds=0.0
     )
     assert retried is Verdict.ALLOWED
@@ -102,12 +96,14 @@
         Verdict.ALLOWED: STATE,
     }
     for verdict, state in refusals.items():
-        decided = allow_hedge(state, budget=full_budget(), now_seconds=0.0)
+        decided = hedging.allow_hedge(state, budget=full_budget(), now_seconds=0.0)
         assert decided is verdict
 
 
 def retry(state: SubRequestState, failure: FailureKind) -> Verdict:
-    return allow_retry(state, failure=failure, budget=full_budget(), now_seconds=0.0)
+    return hedging.allow_retry(
+        state, failure=failure, budget=full_budget(), now_seconds=0.0
+    )
 
 
 def test_call_that_may_have_run_is_never_retried() -> None:
@@ -125,21 +121,21 @@
 def test_resend_after_not_run_is_charged_and_after_not_sent_is_not() -> None:
     empty = ExtraLoadBudget(extra_load_share=0.05)
     verdicts = [
-        allow_retry(STATE, failure=failure, budget=empty, now_seconds=0.0)
+        hedging.allow_retry(STATE, failure=failure, budget=empty, now_seconds=0.0)
         for failure in (FailureKind.NOT_RUN, FailureKind.NOT_SENT)
     ]
     assert verdicts == [Verdict.OVER_BUDGET, Verdict.ALLOWED]
 
 
 def test_third_attempt_goes_back_only_when_all_are_tried() -> None:
-    assert replicas_to_exclude(tried="a", replicas=2) == {"a"}
-    assert replicas_to_exclude(tried="ab", replicas=2) == {"b"}
-    assert replicas_to_exclude(tried="ab", replicas=3) == {"a", "b"}
+    assert hedging.replicas_to_exclude(tried="a", replicas=2) == {"a"}
+    assert hedging.replicas_to_exclude(tried="ab", replicas=2) == {"b"}
+    assert hedging.replicas_to_exclude(tried="ab", replicas=3) == {"a", "b"}
 
 
 def test_hedge_percentile_fits_the_budget() -> None:
-    assert hedge_percentile(HedgingSpec(percentile=90.0)) == 96.0
-    assert hedge_percentile(HedgingSpec(percentile=99.0)) == 99.0
+    assert hedging.hedge_percentile(HedgingSpec(percentile=90.0)) == 96.0
+    assert hedging.hedge_percentile(HedgingSpec(percentile=99.0)) == 99.0
 
 
 def test_hedge_delay_follows_the_percentile_and_forgets() -> None:
--- a/tests/test_routing_quarantine.py
+++ b/tests/test_routing_quarantine.py
@@ -2,23 +2,12 @@
 
 import random
 
-from hypothesis import given, settings, strategies as st
-
-from bronzebeam.routing.quarantine import (
-    LONGEST_QUARANTINE_SECONDS,
-    MOST_EXONERATED,
-    MOST_LOSSES,
-    MOST_RECORDS,
-    LostReplica,
-    Quarantine,
-    Record,
-    Standing,
-    merge_records,
-    quarantine_seconds,
-    solo_order,
-)
+from hypothesis import given, strategies as st
+
+from bronzebeam.routing import quarantine
+from bronzebeam.routing.quarantine import LostReplica, Quarantine, Record, Standing
+from tests.fixtures_routing import COMMON
 
-COMMON = settings(derandomize=True, database=None, deadline=None)
 names = st.sampled_from(["killer", "x", "y", "z"])
 
 
@@ -71,8 +60,8 @@
         assert standing(state, "x", now) is Standing.CLEAR
         released = state.release_after_ms("killer", wall_seconds=now) / 1000
         now += released
-    assert released == LONGEST_QUARANTINE_SECONDS
-    assert [quarantine_seconds(n) for n in (1, 2, 3)] == [60.0, 120.0, 240.0]
+    assert released == quarantine.LONGEST_QUARANTINE_SECONDS
+    assert [quarantine.quarantine_seconds(n) for n in (1, 2, 3)] == [60.0, 120.0, 240.0]
 
 
 def test_killer_search_does_not_quarantine_innocents_beside_it() -> None:
@@ -225,7 +214,7 @@
     one: list[Record], two: list[Record], three: list[Record], most: int
 ) -> None:
     def merge(*sets: list[Record]) -> list[Record]:
-        return merge_records(*sets, most=most)
+        return quarantine.merge_records(*sets, most=most)
 
     assert merge(one, two) == merge(two, one)
     assert merge(merge(one, two), three) == merge(one, merge(two, three))
@@ -235,19 +224,21 @@
 
 def test_state_is_bounded() -> None:
     state = convicted()
-    for _ in range(MOST_LOSSES + 1):
+    for _ in range(quarantine.MOST_LOSSES + 1):
         lose(state, "x")
-    assert len(state._losses["x"]) == MOST_LOSSES
-    for number in range(MOST_RECORDS + 100):
+    assert len(state._losses["x"]) == quarantine.MOST_LOSSES
+    for number in range(quarantine.MOST_RECORDS + 100):
         lose(state, f"x{number}")
-    for number in range(MOST_EXONERATED + 100):
+    for number in range(quarantine.MOST_EXONERATED + 100):
         state.observe_success(f"y{number}", now_seconds=0.0)
-    assert len(state.records) == MOST_RECORDS
-    assert state.exonerated_held == MOST_EXONERATED
+    assert len(state.records) == quarantine.MOST_RECORDS
+    assert state.exonerated_held == quarantine.MOST_EXONERATED
     assert standing(state, "killer") is Standing.QUARANTINED
 
 
 def test_suspects_take_the_shards_in_different_orders() -> None:
-    firsts = [solo_order(str(random.Random(n).random()), 30)[0] for n in range(60)]
-    assert sorted(solo_order("a", 30)) == list(range(30))
+    firsts = [
+        quarantine.solo_order(str(random.Random(n).random()), 30)[0] for n in range(60)
+    ]
+    assert sorted(quarantine.solo_order("a", 30)) == list(range(30))
     assert len(set(firsts)) > 15
--- a/tests/test_routing_snapshots.py
+++ b/tests/test_routing_snapshots.py
@@ -1,17 +1,12 @@
 """Tests of snapshot choice and of the coverage policy."""
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from bronzebeam.documents.model import CoverageSpec
-from bronzebeam.routing.coverage import (
-    CoverageDecision,
-    ShardProgress,
-    decide_coverage,
-    next_decision_ms,
-)
+from bronzebeam.routing import coverage
+from bronzebeam.routing.coverage import CoverageDecision, ShardProgress
 from bronzebeam.routing.snapshots import ReplicaHolding, Snapshot, pick_snapshot
-
-COMMON = settings(derandomize=True, database=None, deadline=None)
+from tests.fixtures_routing import COMMON
 
 
 def holding(replica: str, version: int, shard: int, count: int) -> ReplicaHolding:
@@ -109,7 +104,9 @@
     spec: CoverageSpec, included: int, missing: int, elapsed_ms: float
 ) -> CoverageDecision:
     progress = ShardProgress(shard_count=10, included=included, missing=missing)
-    return decide_coverage(spec, progress, elapsed_ms=elapsed_ms, deadline_ms=100.0)
+    return coverage.decide_coverage(
+        spec, progress, elapsed_ms=elapsed_ms, deadline_ms=100.0
+    )
 
 
 def test_coverage_waits_or_answers_by_policy() -> None:
@@ -124,8 +121,8 @@
     assert decide(hard, 8, 2, 1.0) is CoverageDecision.PARTIAL
     assert decide(hard, 0, 3, 1.0) is CoverageDecision.BELOW_MINIMUM
     assert decide(CoverageSpec(), 0, 10, 1.0) is CoverageDecision.BELOW_MINIMUM
-    assert next_decision_ms(soft, elapsed_ms=1.0, deadline_ms=100.0) == 50.0
-    assert next_decision_ms(soft, elapsed_ms=50.0, deadline_ms=100.0) == 100.0
+    assert coverage.next_decision_ms(soft, elapsed_ms=1.0, deadline_ms=100.0) == 50.0
+    assert coverage.next_decision_ms(soft, elapsed_ms=50.0, deadline_ms=100.0) == 100.0
 
 
 @COMMON
