--- a/src/bronzebeam/routing/quarantine.py
+++ b/src/bronzebeam/routing/quarantine.py
@@ -283,7 +283,6 @@
 
     def _lift(self, name: str) -> None:
         self._records[name] = evolve(self._records[name], lifted=True)
-        self._losses.pop(name, None)
 
     def _is_exonerated(self, name: str, now_seconds: float) -> bool:
         at_seconds = self._exonerated.get(name, -math.inf)
