Mend three faults of the claim writer under regressions and long pauses

Cause, each found by widening the random histories (slow and held store calls, stalled senders, suspensions of nine hours): - A claim withdrawn while its batch was read, in a store that went back in time, was removed twice; the exception would have ended the entry's claim task. - A change whose bucket had lapsed was still written, with a lease of negative length. - A commit with nothing left to write read the bucket, and took a lapsed one for a store that went back in time.

Change: only pending claims are given up, changes of lapsed buckets are dropped, an empty commit does nothing. The test store's code moved to its own file.

--- a/src/bronzebeam/controllers/claim_buckets.py
+++ b/src/bronzebeam/controllers/claim_buckets.py
@@ -110,7 +110,10 @@
             await self._claim_added.wait()
 
     async def _commit(self) -> None:
+        self._drop_expired()
         batch = tuple(self.pending)
+        if not batch:
+            return
         self._forget_stale()
         known = self._known or await self._read(batch)
         self._give_up_distrusted(batch)
@@ -207,6 +210,13 @@
         self._seen_revision = mod_revision
         return self._known
 
+    def _drop_expired(self) -> None:
+        now_seconds = self._clock.wall_seconds()
+        for pending in tuple(self.pending):
+            if kept_until_seconds(pending.key) < now_seconds:
+                pending.give_up("key_expired")
+                self.pending.remove(pending)
+
     def _finish(
         self, batch: Sequence[PendingChange], decisions: Sequence[ClaimDecision]
     ) -> None:
@@ -220,7 +230,8 @@
     def _give_up_distrusted(self, batch: Sequence[PendingChange]) -> None:
         before_seconds = self._view.distrusted_before_seconds
         for pending in batch:
-            if pending.is_claim and pending.key.created_at_seconds < before_seconds:
+            distrusted = pending.key.created_at_seconds < before_seconds
+            if pending.is_claim and distrusted and pending in self.pending:
                 pending.unclaimed_seen = False
                 self._give_up(pending, "store_regressed")
 
@@ -252,8 +263,5 @@
         if self._view.out_of_reach:
             for pending in [item for item in self.pending if item.is_claim]:
                 self._give_up(pending, "store_unavailable")
-        now_seconds = self._clock.wall_seconds()
-        self._remove(
-            [p for p in self.pending if kept_until_seconds(p.key) < now_seconds]
-        )
+        self._drop_expired()
         await anyio.sleep(wait_seconds)
--- a/src/bronzebeam/controllers/claim_changes.py
+++ b/src/bronzebeam/controllers/claim_changes.py
@@ -26,8 +26,8 @@
     """
     The claim could not be settled; this attempt never sends.
 
-    :ivar reason: `store_unavailable`, `store_regressed`, `bucket_unreadable` or
-        `claims_overloaded`.
+    :ivar reason: `store_unavailable`, `store_regressed`, `bucket_unreadable`,
+        `claims_overloaded` or `key_expired`.
     :ivar unclaimed_seen: the store showed, while this attempt waited, that the key
         had not run under any attempt.
     """
--- a/tests/fixtures_bookings.py
+++ b/tests/fixtures_bookings.py
@@ -6,7 +6,6 @@
 from uuid import UUID
 
 import anyio
-import anyio.lowlevel
 import trio
 from anyio.abc import TaskGroup
 from attrs import define, field
@@ -28,13 +27,11 @@
 from bronzebeam.filters.chain import CallerRequest
 from bronzebeam.filters.idempotency import IdempotencyFilter
 from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown
-from bronzebeam.transport.store import Conflict, StoredValue, StoreUnavailable, Written
 from tests.fixtures_booking_history import Attempt, check_history
+from tests.fixtures_booking_store import START_SECONDS, FakeStore, World
 
-START_SECONDS = 1_800_000_000.0
-STORE_BOUND_SECONDS = 0.2
-STORE_LATENCY_SECONDS = 0.004
 BACKEND_SECONDS = 0.02
+STALL_SECONDS = 4.0
 
 SERVICE = ServiceSpec(
     name="booking",
@@ -74,114 +71,14 @@
     return str(UUID(int=milliseconds << 80 | 7 << 76 | 2 << 62 | number))
 
 
-@define(kw_only=True)
-class World:
-    """Wall time, which also passes while every process is suspended."""
-
-    suspended_seconds: float = 0.0
-
-    def monotonic_seconds(self) -> float:
-        return anyio.current_time()
-
-    def wall_seconds(self) -> float:
-        return START_SECONDS + anyio.current_time() + self.suspended_seconds
-
-
-@define(kw_only=True)
-class FakeStore:
-    """
-    A store in memory with faults.
-
-    :ivar next_fault: returns a fault for each call: "" for none, "down", "lost"
-        (applied, no reply) or "late" (no reply, applied after `late_seconds`).
-    :ivar before_write: awaited before each write leaves its caller.
-    """
-
-    world: World
-    tasks: TaskGroup
-    next_fault: Callable[[], str] = lambda: ""
-    before_write: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
-    late_seconds: float = 3.0
-    down: bool = False
-    reads: int = 0
-    writes: int = 0
-    revision: int = 0
-    values: dict[str, tuple[StoredValue, str | None]] = field(factory=dict)
-    leases: dict[str, float] = field(factory=dict)
-
-    async def _pass(self, apply: Callable[[], Any]) -> Any:
-        await anyio.sleep(STORE_LATENCY_SECONDS / 2)
-        fault = "down" if self.down else self.next_fault()
-        if fault == "late":
-            self.tasks.start_soon(self._apply_late, apply)
-        if fault == "lost":
-            apply()
-        if fault:
-            await anyio.sleep(STORE_BOUND_SECONDS)
-            raise StoreUnavailable(fault)
-        reply = apply()
-        await anyio.sleep(STORE_LATENCY_SECONDS / 2)
-        return reply
-
-    async def _apply_late(self, apply: Callable[[], Any]) -> None:
-        await anyio.sleep(self.late_seconds)
-        apply()
-
-    def _current(self, key: str) -> StoredValue | None:
-        now_seconds = self.world.wall_seconds()
-        for name, (_, lease_id) in list(self.values.items()):
-            if lease_id is not None and self.leases[lease_id] <= now_seconds:
-                del self.values[name]
-        return self.values[key][0] if key in self.values else None
-
-    async def get(self, key: str) -> StoredValue | None:
-        self.reads += 1
-        stored: StoredValue | None = await self._pass(lambda: self._current(key))
-        return stored
-
-    async def compare_and_swap(
-        self, *, key: str, value: Any, expected: int, lease_id: str | None = None
-    ) -> Written | Conflict:
-        self.writes += 1
-        await self.before_write()
-
-        def apply() -> Written | Conflict:
-            current = self._current(key)
-            if (current.mod_revision if current else 0) != expected:
-                return Conflict(current=current)
-            self.revision += 1
-            stored = StoredValue(key=key, value=value, mod_revision=self.revision)
-            self.values[key] = (stored, lease_id)
-            return Written(mod_revision=self.revision)
-
-        reply: Written | Conflict = await self._pass(apply)
-        return reply
-
-    async def grant_lease(self, *, ttl_seconds: float) -> str:
-        def apply() -> str:
-            lease_id = f"lease-{len(self.leases)}"
-            self.leases[lease_id] = self.world.wall_seconds() + ttl_seconds
-            return lease_id
-
-        lease_id: str = await self._pass(apply)
-        return lease_id
-
-    async def watch(
-        self, *, key: str, after: int, wait_seconds: float
-    ) -> StoredValue | None:
-        raise NotImplementedError
-
-    async def keep_lease(self, *, lease_id: str) -> bool:
-        raise NotImplementedError
-
-
 @define(kw_only=True)
 class Backend:
     """
     Runs bookings and counts them.
 
-    :ivar behave: what to do with the next one: "answer", "lose" (run, no reply) or
-        "refuse" (the backend server's own word that it did not run).
+    :ivar behave: what to do with the next one: "answer", "lose" (run, no reply),
+        "stall" (run late, as from a paused sender) or "refuse" (the backend server's
+        own word that it did not run).
     """
 
     attempts: list[Attempt] = field(factory=list)
@@ -192,6 +89,8 @@
         if behaviour == "refuse":
             await anyio.sleep(BACKEND_SECONDS)
             return NotRun(reason="backend_refused", retry_after_ms=10)
+        if behaviour == "stall":
+            await anyio.sleep(STALL_SECONDS)
         attempt.ran_at_seconds.append(anyio.current_time())
         number = sum(len(item.ran_at_seconds) for item in self.attempts)
         await anyio.sleep(BACKEND_SECONDS)
--- a/tests/test_bookings_claims.py
+++ b/tests/test_bookings_claims.py
@@ -83,7 +83,7 @@
 
 
 def test_each_fault_of_each_store_call_runs_once() -> None:
-    for fault in ("down", "lost", "late"):
+    for fault in ("down", "lost", "late", "slow", "held"):
         for faulty_call in range(5):
             run_virtual(lambda: resend_after_fault(fault, faulty_call))
 
--- a/tests/test_bookings_owned_keys.py
+++ b/tests/test_bookings_owned_keys.py
@@ -4,7 +4,8 @@
 
 from bronzebeam.controllers.owned_keys import OWNED_KEY_LIFETIME_SECONDS, OwnedKeys
 from bronzebeam.outcomes import Answered, NotRun, OutcomeUnknown
-from tests.fixtures_bookings import Entry, World, caller_key, open_fleet, run_virtual
+from tests.fixtures_booking_store import World
+from tests.fixtures_bookings import Entry, caller_key, open_fleet, run_virtual
 from tests.test_bookings_claims import reason_of
 
 
--- a/tests/test_bookings_random.py
+++ b/tests/test_bookings_random.py
@@ -18,6 +18,7 @@
 
 KEYS = tuple(caller_key(number) for number in range(3))
 SETTLE_SECONDS = 30
+SUSPENDED_SECONDS = 9 * 3600
 
 
 @frozen(kw_only=True)
@@ -35,7 +36,8 @@
 STEPS = st.builds(
     Step,
     action=st.sampled_from(
-        ["book"] * 6 + ["cancel", "owned", "kill", "add", "outage", "mend", "pause"]
+        ["book"] * 7
+        + ["cancel", "owned", "kill", "add", "outage", "mend", "pause", "suspend"]
     ),
     wait_ms=st.sampled_from([0, 1, 3, 5, 10, 30, 200, 2000]),
     entry=st.integers(0, 2),
@@ -44,10 +46,14 @@
     timeout_ms=st.sampled_from([5, 20, 100, 1000]),
 )
 FAULTS = st.lists(
-    st.sampled_from(["", "", "", "down", "lost", "late"]), min_size=1, max_size=20
+    st.sampled_from(["", "", "", "down", "lost", "late", "slow", "held"]),
+    min_size=1,
+    max_size=20,
 )
 BEHAVIOURS = st.lists(
-    st.sampled_from(["answer", "answer", "lose", "refuse"]), min_size=1, max_size=6
+    st.sampled_from(["answer", "answer", "lose", "refuse", "stall"]),
+    min_size=1,
+    max_size=6,
 )
 
 
@@ -79,6 +85,8 @@
             self.fleet.store.down = step.action == "outage"
         if step.action == "pause":
             await anyio.sleep(5)
+        if step.action == "suspend":
+            self.fleet.world.suspended_seconds += SUSPENDED_SECONDS
 
     async def book(self, step: Step, key: str, cancel_seconds: float | None) -> None:
         """Book and keep an offered key, as a caller would."""
--- a/tests/test_bookings_rules.py
+++ b/tests/test_bookings_rules.py
@@ -20,13 +20,19 @@
     apply_changes,
     parse_bucket,
 )
-from bronzebeam.routing.idempotency_keys import CallerKey, bucket_key, parse_key
+from bronzebeam.routing.idempotency_keys import (
+    VALIDITY_WINDOW_SECONDS,
+    CallerKey,
+    bucket_key,
+    parse_key,
+)
 from bronzebeam.routing.recorded_outcomes import (
     RECORDED_RESULT_BYTES,
     RESULT_NOT_KEPT,
     encode_outcome,
 )
-from tests.fixtures_bookings import Entry, World, caller_key, open_fleet, run_virtual
+from tests.fixtures_booking_store import World
+from tests.fixtures_bookings import Entry, caller_key, open_fleet, run_virtual
 from tests.test_bookings_claims import reason_of
 
 
@@ -138,6 +144,65 @@
     run_virtual(main)
 
 
+def test_change_of_a_lapsed_bucket_is_dropped() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            events: list[str] = []
+            first, second = fleet.entries
+            first.claims._log = lambda name, **_: events.append(name)
+            await first.book(caller_key(1))
+            fleet.store.down = True
+            await anyio.sleep(1)
+            fleet.world.suspended_seconds = 2 * VALIDITY_WINDOW_SECONDS
+            fleet.store.down = False
+            await anyio.sleep(10)
+            assert first.claims.pending_count == 0
+            assert fleet.store.reads + fleet.store.writes < 10
+            assert fleet.store._current(bucket_of(caller_key(1))) is None
+            key = caller_key(2, age_seconds=-fleet.world.suspended_seconds)
+            last = await first.book(key)
+            assert isinstance(last.outcome, Answered), (last, events)
+            assert events == []
+
+    run_virtual(main)
+
+
+def test_bucket_older_than_seen_before_is_not_trusted() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            entry = fleet.entries[0]
+            await entry.book(neighbour_of(caller_key(1)))
+            await entry.claims.flush()
+            older = dict(fleet.store.values)
+            await entry.book(caller_key(1))
+            await entry.claims.flush()
+            fleet.store.values = older
+            await anyio.sleep(1)
+            resend = await entry.book(caller_key(1))
+            assert reason_of(resend.outcome) == "store_regressed"
+
+    run_virtual(main)
+
+
+def test_claim_withdrawn_while_the_store_regresses_harms_no_other() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            first, second = fleet.entries
+            await first.book(caller_key(1))
+            await first.claims.flush()
+            fleet.store.values.clear()
+            fleet.store.revision = 0
+            fleet.store.next_fault = lambda: "held"
+            key = neighbour_of(caller_key(1))
+            await first.book(key, timeout_seconds=0.1)
+            await anyio.sleep(1)
+            fleet.store.next_fault = lambda: ""
+            last = await first.book(caller_key(3), timeout_seconds=5)
+            assert reason_of(last.outcome) == "store_regressed"
+
+    run_virtual(main)
+
+
 def test_key_seen_claimed_by_another_attempt_is_not_called_not_run() -> None:
     async def main() -> None:
         async with open_fleet() as fleet:
