--- a/tests/measure_bookings.py
+++ b/tests/measure_bookings.py
@@ -9,6 +9,7 @@
 import random
 import sys
 import time
+from collections import Counter
 
 import anyio
 
@@ -26,6 +27,8 @@
 RATES_PER_SECOND = (10, 50, 100, 200, 400)
 ENTRY_COUNTS = (8, 32)
 MEASURED_SECONDS = 10
+OUTAGE_SECONDS = 3600
+OUTAGE_RATE_PER_SECOND = 5
 
 
 async def send_bookings(fleet: Fleet, rate_per_second: int) -> None:
@@ -88,6 +91,39 @@
     }
 
 
+def measure_outage(*, ask_ahead: bool) -> dict[str, object]:
+    """
+    Measure bookings while the store is down and an entry is replaced each minute.
+
+    :param ask_ahead: callers ask an entry for an owner-bound key first.
+    """
+    tags: Counter[str] = Counter()
+
+    async def main() -> None:
+        chooser = random.Random(1)
+        async with open_fleet(entries=8) as fleet:
+            fleet.store.down = True
+            alive = list(fleet.entries)
+
+            async def book_once(number: int) -> None:
+                owned = chooser.choice(alive).owned_keys.mint() if ask_ahead else None
+                key = owned or caller_key(number, age_seconds=-anyio.current_time())
+                await anyio.sleep(chooser.random())
+                attempt = await chooser.choice(alive).book(key)
+                tags[attempt.outcome.tag if attempt.outcome else "no_reply"] += 1
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(OUTAGE_SECONDS * OUTAGE_RATE_PER_SECOND):
+                    await anyio.sleep(1 / OUTAGE_RATE_PER_SECOND)
+                    tasks.start_soon(book_once, number)
+                    if number % (60 * OUTAGE_RATE_PER_SECOND) == 0:
+                        alive.pop(0).kill()
+                        alive.append(fleet.add_entry())
+
+    run_virtual(main)
+    return {"outage_seconds": OUTAGE_SECONDS, "ask_ahead": ask_ahead, **tags}
+
+
 def main() -> None:
     """Print one JSON object for each setting."""
     if len(sys.argv) == 3:
@@ -96,6 +132,8 @@
     for entry_count in ENTRY_COUNTS:
         for rate_per_second in RATES_PER_SECOND:
             print(json.dumps(measure(entry_count, rate_per_second)), flush=True)
+    for ask_ahead in (False, True):
+        print(json.dumps(measure_outage(ask_ahead=ask_ahead)), flush=True)
 
 
 if __name__ == "__main__":
