--- a/src/bronzebeam/controllers/configuration.py
+++ b/src/bronzebeam/controllers/configuration.py
@@ -54,6 +54,7 @@
     Of two documents the one of higher revision is kept. Under the same revision the
     one that is in force stays, and `split` is set until a higher revision comes.
 
+    :ivar environment: environment whose document is kept.
     :param read_document: reads the JSON form; raises `FindingsError`.
     """
 
@@ -71,7 +72,7 @@
         log: Callable[..., None] = lambda *args, **fields: None,
     ) -> None:
         super().__init__()
-        self._environment = environment
+        self.environment = environment
         self._peers = peers
         self._membership = membership
         self._news = outbox
@@ -234,7 +235,7 @@
         except FindingsError as error:
             self._refuse(source, str(error))
             return None
-        if accepted.document.environment != self._environment:
+        if accepted.document.environment != self.environment:
             self._refuse(source, "is of another environment")
             return None
         return DocumentOffer(accepted=accepted, value=value)
--- a/src/bronzebeam/entry/peer_app.py
+++ b/src/bronzebeam/entry/peer_app.py
@@ -125,6 +125,7 @@
             {
                 "instance": own.instance,
                 "incarnation": own.incarnation,
+                "environment": self._configuration.environment,
                 "revision": view.revision,
                 "content_hash": view.content_hash,
                 "ready": readiness.ready,
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -10,7 +10,7 @@
 from bronzebeam.controllers.peer_messages import MOST_MESSAGE_BYTES, Push
 from bronzebeam.entry.peer_app import PeerApp, PeerResponse
 from bronzebeam.transport.peer import HttpPeerClient, PeerUnavailable
-from tests.fixtures_fleet import FakeStore, accepted_value, member
+from tests.fixtures_fleet import ENVIRONMENT, FakeStore, accepted_value, member
 from tests.fixtures_fleet_sockets import SharedList, running_entry
 
 
@@ -42,6 +42,7 @@
             added = await plain.get(f"http://{address}/internal/hello")
         await client.aclose()
         assert added.json() == "hello"
+        assert status.json()["environment"] == ENVIRONMENT
         assert status.json()["revision"] == 3
         assert status.json()["ready"] is True
         assert status.json()["members"] == 2
