--- /dev/null
+++ b/src/bronzebeam/transport/owner.py
@@ -0,0 +1,218 @@
+"""The task that owns one connection to a backend server."""
+
+import math
+from typing import Final, Protocol
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream
+from attrs import define, field
+
+from bronzebeam.clock import Clock
+from bronzebeam.transport.attempt import (
+    Attempt,
+    AttemptLost,
+    AttemptOutcome,
+    LostReason,
+)
+from bronzebeam.transport.backend_protocol import (
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    BadReply,
+    parse_reply,
+)
+from bronzebeam.transport.channel import Channel, ChannelClosed, ChannelFactory
+
+DRAIN_BOUND_SECONDS: Final = 0.25
+PROBE_BOUND_SECONDS: Final = 1.0
+FRESH_PROBE_BOUND_SECONDS: Final = 0.15
+STALE_IDLE_SECONDS: Final = 2.0
+OPEN_STAGGER_SECONDS: Final = 0.01
+REOPEN_FIRST_SECONDS: Final = 0.05
+REOPEN_MOST_SECONDS: Final = 2.0
+CLOSE_BOUND_SECONDS: Final = 1.0
+MS_PER_SECOND: Final = 1_000
+
+
+class OwnerHost(Protocol):
+    """What a connection's owner needs of the link that it belongs to."""
+
+    def keeps(self, owner: "ConnectionOwner") -> bool:
+        """Tell whether `owner` is to go on."""
+
+    def begin_probe(self, bound_seconds: float) -> Attempt:
+        """Make and count a request of the status path."""
+
+    def finish(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
+        """Report what came of an attempt."""
+
+    def connection_ended(self, *, lost: bool) -> None:
+        """
+        Take note that a connection is no longer open.
+
+        :param lost: it broke or went silent after it had been open.
+        """
+
+
+@define(kw_only=True, eq=False)
+class ConnectionOwner:
+    """
+    Opens one connection, carries attempts over it one at a time, and reopens it.
+
+    :ivar index: number of the connection, which staggers the opening.
+    :ivar queue: attempts that any free connection of the link may take.
+    :ivar open: the connection has answered and has not broken since.
+    :ivar waiting: the owner waits for an attempt.
+    :ivar attempt: the attempt that the connection carries.
+    """
+
+    index: int
+    replica: str
+    address: str
+    clock: Clock
+    channels: ChannelFactory
+    queue: MemoryObjectReceiveStream[Attempt]
+    host: OwnerHost
+    open: bool = field(default=False, init=False)
+    waiting: bool = field(default=False, init=False)
+    attempt: Attempt | None = field(default=None, init=False)
+    last_used_seconds: float = field(default=0.0, init=False)
+    _give_up_at_seconds: float = field(default=math.inf, init=False)
+    _scope: anyio.CancelScope | None = field(default=None, init=False)
+
+    async def run(self) -> None:
+        """Keep the connection open for as long as the link keeps its owner."""
+        await anyio.sleep(self.index * OPEN_STAGGER_SECONDS)
+        pause_seconds = REOPEN_FIRST_SECONDS
+        while self.host.keeps(self):
+            if await self._run_connection():
+                pause_seconds = REOPEN_FIRST_SECONDS
+            if self.host.keeps(self):
+                await anyio.sleep(pause_seconds)
+                pause_seconds = min(pause_seconds * 2, REOPEN_MOST_SECONDS)
+
+    def idle_seconds(self, now_seconds: float) -> float:
+        """Return for how long the connection has waited for an attempt."""
+        return now_seconds - self.last_used_seconds if self.waiting else 0.0
+
+    def give_up(self, attempt: Attempt, at_seconds: float) -> None:
+        """Close the connection at `at_seconds` if it still carries `attempt` then."""
+        if self.attempt is attempt:
+            self._give_up_at_seconds = min(self._give_up_at_seconds, at_seconds)
+
+    def close_if_silent(self, now_seconds: float) -> None:
+        """Close the connection if its attempt is past its bound."""
+        if now_seconds > self._give_up_at_seconds and self._scope is not None:
+            self._scope.cancel()
+
+    async def _run_connection(self) -> bool:
+        """Open and use one connection; return whether it was ever open."""
+        channel = self.channels.new_channel(self.address)
+        opened = False
+        with anyio.CancelScope() as self._scope:
+            try:
+                opened = await self._greet(channel)
+                if opened:
+                    await self._serve(channel)
+            except ChannelClosed:
+                pass
+        self._end(opened)
+        with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_BOUND_SECONDS):
+            await channel.aclose()
+        return opened
+
+    async def _greet(self, channel: Channel) -> bool:
+        return await self._probe(channel, PROBE_BOUND_SECONDS)
+
+    async def _probe(self, channel: Channel, bound_seconds: float) -> bool:
+        """Ask for the status; return whether the connection is usable."""
+        probe = self.host.begin_probe(bound_seconds)
+        return await self._carry(channel, probe, probe.deadline_at_seconds)
+
+    async def _serve(self, channel: Channel) -> None:
+        while self.host.keeps(self):
+            self.waiting = True
+            try:
+                attempt = await self.queue.receive()
+            except anyio.EndOfStream:
+                return
+            finally:
+                self.waiting = False
+            if not await self._prepare(channel, attempt):
+                return
+            if attempt.finished:
+                continue
+            give_up_at = attempt.deadline_at_seconds + DRAIN_BOUND_SECONDS
+            if not await self._carry(channel, attempt, give_up_at):
+                return
+
+    async def _prepare(self, channel: Channel, attempt: Attempt) -> bool:
+        """Drop an attempt nobody waits for; probe before a non-idempotent one."""
+        if self._drop_if_late(attempt) or attempt.idempotent:
+            return True
+        now = self.clock.monotonic_seconds()
+        if now - self.last_used_seconds < STALE_IDLE_SECONDS:
+            return True
+        alive = False
+        try:
+            alive = await self._probe(channel, FRESH_PROBE_BOUND_SECONDS)
+        finally:
+            if not alive:
+                lost = AttemptLost(reason="no_connection", sent=False)
+                self.host.finish(attempt, lost)
+        if alive:
+            self._drop_if_late(attempt)
+        return alive
+
+    def _drop_if_late(self, attempt: Attempt) -> bool:
+        now = self.clock.monotonic_seconds()
+        if not attempt.abandoned and now < attempt.deadline_at_seconds:
+            return False
+        self.host.finish(attempt, AttemptLost(reason="timeout", sent=False))
+        return True
+
+    async def _carry(
+        self, channel: Channel, attempt: Attempt, give_up_at_seconds: float
+    ) -> bool:
+        """Exchange one attempt; return whether the connection is still usable."""
+        now = self.clock.monotonic_seconds()
+        self.attempt = attempt
+        self._give_up_at_seconds = give_up_at_seconds
+        attempt.sent_at_seconds = now
+        remaining_seconds = attempt.deadline_at_seconds - now
+        remaining_ms = max(1, round(remaining_seconds * MS_PER_SECOND))
+        response = await channel.exchange(
+            method="POST" if attempt.body else "GET",
+            path=attempt.path,
+            headers=(
+                (REQUEST_ID_HEADER, attempt.request_id.encode()),
+                (DEADLINE_HEADER, str(remaining_ms).encode()),
+                *attempt.headers,
+            ),
+            body=attempt.body,
+        )
+        parsed = parse_reply(
+            replica=self.replica,
+            request_id=attempt.request_id,
+            status=response.status,
+            body=response.body,
+        )
+        self.last_used_seconds = self.clock.monotonic_seconds()
+        self._give_up_at_seconds = math.inf
+        self.attempt = None
+        self.open = not isinstance(parsed, BadReply)
+        self.host.finish(attempt, parsed)
+        return self.open
+
+    def _end(self, opened: bool) -> None:
+        """Report the attempt that the connection carried, if it broke."""
+        attempt, self.attempt = self.attempt, None
+        self.open = False
+        timed_out = self.clock.monotonic_seconds() > self._give_up_at_seconds
+        self._give_up_at_seconds = math.inf
+        self._scope = None
+        if attempt is not None:
+            reason: LostReason = "connection_lost" if opened else "no_connection"
+            if timed_out:
+                reason = "timeout"
+            self.host.finish(attempt, AttemptLost(reason=reason, sent=opened))
+        self.host.connection_ended(lost=opened and attempt is not None)
--- a/tests/fixtures_path.py
+++ b/tests/fixtures_path.py
@@ -461,7 +461,7 @@
             link = self.backends.link(name)
             if link is not None:
                 assert link.in_flight == 0, (name, link.in_flight)
-                assert link._queued == 0, name
+                assert link.queued == 0, name
                 assert not any(owner.attempt for owner in link._owners), name
 
 
--- /dev/null
+++ b/tests/test_path_killed.py
@@ -0,0 +1,108 @@
+"""Tests of replicas lost without warning, and of reopening connections."""
+
+import anyio
+
+from bronzebeam.documents.model import CoverageSpec
+from bronzebeam.outcomes import Answered, Outcome, Partial, Refused
+from bronzebeam.transport.owner import REOPEN_MOST_SECONDS
+from tests.fixtures_path import RequestPath, make_document, run_path
+
+
+def test_searches_are_whole_a_second_after_one_of_each_shard_is_killed() -> None:
+    async def scenario(path: RequestPath) -> None:
+        path.add_shards()
+        await path.start()
+        await path.warm_up()
+        outcomes: list[tuple[float, Outcome]] = []
+
+        async def ask() -> None:
+            began = anyio.current_time()
+            outcomes.append((began, await path.search()))
+
+        killed_at = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            for number in range(300):
+                if number == 3:
+                    killed_at = anyio.current_time()
+                    for shard in range(4):
+                        path.servers[f"s{shard}a"].kill()
+                group.start_soon(ask)
+                await anyio.sleep(0.01)
+        late = [item for began, item in outcomes if began > killed_at + 1]
+        assert len(late) > 100
+        assert all(isinstance(item, Answered) for item in late)
+        path.assert_idle()
+
+    for seed in range(5):
+        run_path(scenario, seed=seed)
+
+
+def search_without_shard_two(minimum_share: float) -> Outcome:
+    coverage = CoverageSpec(minimum_share=minimum_share)
+
+    async def scenario(path: RequestPath) -> Outcome:
+        path.add_shards()
+        await path.start()
+        for name in ("s2a", "s2b"):
+            path.servers[name].kill()
+        for _ in range(10):
+            await path.search()
+        await anyio.sleep(1)
+        began = anyio.current_time()
+        outcome = await path.search()
+        assert anyio.current_time() - began < 0.1
+        return outcome
+
+    return run_path(scenario, document=make_document(coverage=coverage))
+
+
+def test_lost_shard_is_missing_with_its_reason() -> None:
+    outcome = search_without_shard_two(0.5)
+    assert isinstance(outcome, Partial)
+    assert outcome.coverage.included == (0, 1, 3)
+    missing = [(item.shard, item.reason) for item in outcome.coverage.missing]
+    assert missing == [(2, "no_replica")]
+
+
+def test_lost_shard_is_a_refusal_for_full_coverage() -> None:
+    outcome = search_without_shard_two(1.0)
+    assert isinstance(outcome, Refused)
+    assert outcome.reason == "below_minimum_coverage" and not outcome.ran
+    assert outcome.coverage is not None
+    missing = [item.reason for item in outcome.coverage.missing]
+    assert missing[2] == "no_replica" and len(missing) == 4
+
+
+def test_reopening_backs_off_and_recovers() -> None:
+    async def scenario(path: RequestPath) -> None:
+        path.add_shards()
+        await path.start()
+        server = path.servers["s0a"]
+        server.kill()
+        await path.search()
+        await anyio.sleep(60)
+        share = path.backends.link("s0a").share  # type: ignore[union-attr]
+        recent = [at for at in server.connects if at > anyio.current_time() - 20]
+        assert 0 < len(recent) <= share * (20 / REOPEN_MOST_SECONDS + 1)
+        server.refuse = False
+        await anyio.sleep(REOPEN_MOST_SECONDS + 0.5)
+        assert len(server.channels) == share
+        before = len(server.runs)
+        for _ in range(30):
+            assert isinstance(await path.search(), Answered)
+        assert len(server.runs) > before
+
+    run_path(scenario)
+
+
+def test_killer_ends_refused_once_it_is_quarantined() -> None:
+    async def scenario(path: RequestPath) -> Outcome:
+        path.add_shards()
+        await path.start()
+        query = {"crash": True}
+        path.killers.quarantined.add(path.request(query).fingerprint)
+        return await path.search(query)
+
+    outcome = run_path(scenario)
+    assert isinstance(outcome, Refused)
+    assert outcome.reason == "quarantined" and outcome.ran
--- a/tests/test_path_replies.py
+++ b/tests/test_path_replies.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings, strategies as st
 
 from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown, Partial
-from bronzebeam.transport.link import DRAIN_BOUND_SECONDS
+from bronzebeam.transport.owner import DRAIN_BOUND_SECONDS
 from tests.fixtures_path import Fault, RequestPath, run_path
 
 COMMON = settings(derandomize=True, database=None, deadline=None, max_examples=40)
