--- a/src/bronzebeam/controllers/backends.py
+++ b/src/bronzebeam/controllers/backends.py
@@ -1,6 +1,7 @@
 """The controller of backend servers: links, load, health and held snapshots."""
 
 import math
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import anyio
@@ -9,12 +10,12 @@
 
 from bronzebeam.clock import Clock
 from bronzebeam.controllers.base import Controller
-from bronzebeam.controllers.replica_evidence import evidence_of, replicas_behind
+from bronzebeam.controllers.replica_evidence import choose_snapshots, evidence_of
 from bronzebeam.controllers.replica_state import ReplicaState
 from bronzebeam.documents.model import EnvironmentDocument, ServiceKind, ServiceSpec
 from bronzebeam.routing.choice import ReplicaView
 from bronzebeam.routing.ejection import ShardEjections
-from bronzebeam.routing.snapshots import ReplicaHolding, Snapshot, pick_snapshot
+from bronzebeam.routing.snapshots import Snapshot
 from bronzebeam.transport.attempt import AttemptOutcome
 from bronzebeam.transport.backend_protocol import (
     STATUS_PATH,
@@ -23,9 +24,10 @@
 )
 from bronzebeam.transport.channel import ChannelFactory
 from bronzebeam.transport.instance_list import ListedInstance
-from bronzebeam.transport.link import LinkEvent, ReplicaLink
+from bronzebeam.transport.link import LinkEvent, LinkObserver, ReplicaLink
 
 TICK_SECONDS: Final = 0.1
+WARM_BOUND_SECONDS: Final = 3.0
 ASK_BEHIND_SECONDS: Final = 2.0
 
 
@@ -47,28 +49,49 @@
 
 
 class Backends(Controller[BackendsMessage]):
-    """Owns the links to backend servers and what their replies tell."""
+    """
+    Owns the links to backend servers and what their replies tell.
+
+    :param observers: told of the end of each attempt, besides this controller.
+    """
 
     def __init__(
         self,
         *,
         clock: Clock,
         channels: ChannelFactory,
+        observers: Sequence[LinkObserver] = (),
     ) -> None:
         super().__init__()
         self._document: EnvironmentDocument | None = None
         self._clock = clock
         self._channels = channels
+        self._observers = observers
         self._replicas: dict[str, ReplicaState] = {}
-        self._snapshots: dict[str, Snapshot | None] = {}
+        self._snapshots: Mapping[str, Snapshot | None] = {}
         self._ejections: dict[str, ShardEjections] = {}
         self._group: TaskGroup | None = None
-        self._settled = False
+        self._listed_at_seconds: float | None = None
         self._listed: tuple[ListedInstance, ...] = ()
         self._retired: list[ReplicaLink] = []
         self._behind: tuple[str, ...] = ()
         self._asked_at_seconds = -math.inf
 
+    def is_warm(self) -> bool:
+        """
+        Tell whether this entry has connections enough to take requests.
+
+        That is so once each listed backend server has answered, or some time after
+        the first list, since a lost one must not keep an entry from serving.
+        """
+        if self._listed_at_seconds is None:
+            return False
+        now = self._clock.monotonic_seconds()
+        if now - self._listed_at_seconds > WARM_BOUND_SECONDS:
+            return True
+        replicas = self._replicas.values()
+        return bool(replicas) and all(item.usable or item.leaving for item in replicas)
+
     def snapshot(self, service: str) -> Snapshot | None:
         """Return the newest snapshot that `service` can answer from."""
         return self._snapshots.get(service)
@@ -161,7 +184,8 @@
             service = document.service(item.service or "")
             if service is not None:
                 self._apply_listed(item, service, document.connection_share(service))
-        self._settled = self._settled or bool(listed)
+        if listed and self._listed_at_seconds is None:
+            self._listed_at_seconds = self._clock.monotonic_seconds()
         self._choose_snapshots()
 
     def _apply_listed(
@@ -174,13 +198,14 @@
                 return
             self._retire(item.instance)
         now = self._clock.monotonic_seconds()
+        first_list = self._listed_at_seconds is None
         link = ReplicaLink(
             replica=item.instance,
             address=item.address,
             share=share,
             clock=self._clock,
             channels=self._channels,
-            observer=self.post,
+            observer=self._observe,
         )
         replica = ReplicaState(
             listed=item,
@@ -189,12 +214,17 @@
             group=service.name,
             sharded=service.kind is ServiceKind.SEARCH,
             # What the first list holds was running before this entry started.
-            available_since_seconds=now if self._settled else -math.inf,
+            available_since_seconds=-math.inf if first_list else now,
         )
         self._replicas[item.instance] = replica
         assert self._group is not None
         self._group.start_soon(link.run)
 
+    def _observe(self, event: LinkEvent) -> None:
+        self.post(event)
+        for observer in self._observers:
+            observer(event)
+
     def _update_listed(
         self,
         replica: ReplicaState,
@@ -226,7 +256,8 @@
                 probe=event.attempt.path == STATUS_PATH,
                 now_seconds=self._clock.monotonic_seconds(),
             )
-            self._note_holdings(replica, outcome.holdings)
+            if replica.note_holdings(outcome.holdings):
+                self._choose_snapshots()
         self._note_usable(replica)
         if not probe:
             self._note_evidence(replica, outcome)
@@ -257,34 +288,10 @@
             replicas=self._group_members(replica.group),
         )
 
-    def _note_holdings(
-        self, replica: ReplicaState, holdings: tuple[ReplicaHolding, ...] | None
-    ) -> None:
-        if holdings is None or holdings == replica.holdings:
-            return
-        replica.holdings = holdings
-        if holdings:
-            newest = max(holdings, key=lambda item: item.index_version)
-            replica.group = f"{replica.listed.service}/{newest.shard}"
-        self._choose_snapshots()
-
     def _choose_snapshots(self) -> None:
-        by_service: dict[str, list[ReplicaState]] = {}
-        for replica in self._replicas.values():
-            by_service.setdefault(replica.listed.service or "", []).append(replica)
-        self._snapshots = {
-            service: pick_snapshot(
-                tuple(row for item in replicas for row in item.holdings),
-                frozenset(item.listed.instance for item in replicas if item.usable),
-            )
-            for service, replicas in by_service.items()
-        }
-        behind = tuple(
-            name
-            for service, replicas in by_service.items()
-            for name in replicas_behind(self._snapshots[service], replicas)
-        )
-        more = not set(behind) <= set(self._behind)
-        self._behind = behind
+        known = choose_snapshots(self._replicas.values())
+        self._snapshots = known.by_service
+        more = not set(known.behind) <= set(self._behind)
+        self._behind = known.behind
         if more:
             self._ask_behind()
--- a/src/bronzebeam/controllers/replica_evidence.py
+++ b/src/bronzebeam/controllers/replica_evidence.py
@@ -1,16 +1,51 @@
 """What replies and holdings tell about replicas."""
 
+from collections.abc import Iterable, Mapping
+
+from attrs import frozen
+
 from bronzebeam.controllers.replica_state import ReplicaState
 from bronzebeam.routing.ejection import Evidence
-from bronzebeam.routing.snapshots import Snapshot
+from bronzebeam.routing.snapshots import Snapshot, pick_snapshot
 from bronzebeam.transport.attempt import AttemptLost, AttemptOutcome
 from bronzebeam.transport.backend_protocol import BackendFailed, BackendReply, BadReply
 
 
-def replicas_behind(
-    snapshot: Snapshot | None, replicas: list[ReplicaState]
-) -> tuple[str, ...]:
-    """Return the replicas to ask for a version that is not known to be complete."""
+@frozen(kw_only=True)
+class KnownSnapshots:
+    """
+    What the holdings of all replicas come to.
+
+    :ivar by_service: the snapshot that each service answers from; None for none.
+    :ivar behind: replicas to ask for a version that is not known to be complete.
+    """
+
+    by_service: Mapping[str, Snapshot | None]
+    behind: tuple[str, ...]
+
+
+def choose_snapshots(replicas: Iterable[ReplicaState]) -> KnownSnapshots:
+    """Choose the snapshot of each service, and the replicas to ask for a newer one."""
+    services: dict[str, list[ReplicaState]] = {}
+    for replica in replicas:
+        services.setdefault(replica.listed.service or "", []).append(replica)
+    by_service = {name: _pick(members) for name, members in services.items()}
+    behind = tuple(
+        instance
+        for name, members in services.items()
+        for instance in _behind(by_service[name], members)
+    )
+    return KnownSnapshots(by_service=by_service, behind=behind)
+
+
+def _pick(replicas: list[ReplicaState]) -> Snapshot | None:
+    return pick_snapshot(
+        tuple(row for item in replicas for row in item.holdings),
+        frozenset(item.listed.instance for item in replicas if item.usable),
+    )
+
+
+def _behind(snapshot: Snapshot | None, replicas: list[ReplicaState]) -> tuple[str, ...]:
     usable = [item for item in replicas if item.usable and item.sharded]
     newest = max((item.newest_version for item in usable), default=0)
     if snapshot is None or (snapshot.complete and snapshot.index_version >= newest):
--- a/src/bronzebeam/controllers/replica_state.py
+++ b/src/bronzebeam/controllers/replica_state.py
@@ -95,6 +95,16 @@
             self._returns = min(self._returns + 1, DRAIN_HOLD_DOUBLINGS_MOST)
             self.available_since_seconds = now_seconds
 
+    def note_holdings(self, holdings: tuple[ReplicaHolding, ...] | None) -> bool:
+        """Take in the holdings that a reply states; return whether they changed."""
+        if holdings is None or holdings == self.holdings:
+            return False
+        self.holdings = holdings
+        if holdings:
+            newest = max(holdings, key=lambda item: item.index_version)
+            self.group = f"{self.listed.service}/{newest.shard}"
+        return True
+
     def note_available(self, now_seconds: float) -> None:
         """Start the slow start when the backend server is first of use."""
         if self.served or not self.usable or (self.sharded and not self.holdings):
--- a/src/bronzebeam/filters/attempt_outcomes.py
+++ b/src/bronzebeam/filters/attempt_outcomes.py
@@ -1,7 +1,5 @@
 """What an attempt's outcome means to the caller's request."""
 
-from typing import Final, get_args
-
 from bronzebeam.reasons import Reason
 from bronzebeam.transport.attempt import AttemptLost, AttemptOutcome
 from bronzebeam.transport.backend_protocol import (
@@ -9,11 +7,8 @@
     BackendFailed,
     BackendReply,
     BadReply,
-    NotRunReason,
 )
 
-_REFUSALS: Final = frozenset(get_args(NotRunReason))
-
 
 def surely_not_run(outcome: AttemptOutcome) -> bool:
     """Tell whether the attempt certainly ran nothing."""
@@ -27,8 +22,6 @@
     match outcome:
         case BackendDidNotRun(reason="cancelled"):
             return Reason.TIMEOUT
-        case BackendDidNotRun() if outcome.reason not in _REFUSALS:
-            return Reason.BACKEND_ERROR
         case BackendDidNotRun() | AttemptLost() | BadReply():
             return Reason(outcome.reason)
         case BackendFailed():
--- a/src/bronzebeam/transport/attempt.py
+++ b/src/bronzebeam/transport/attempt.py
@@ -34,6 +34,7 @@
     :ivar shard: shard asked, or 0 for a call.
     :ivar deadline_at_seconds: monotonic time at which the asker gives up.
     :ivar fingerprint: fingerprint of the caller's request; empty for a probe.
+    :ivar solo: sent as a suspect, on one replica at a time.
     :ivar on_result: called once in the event loop, never after `abandoned`.
     :ivar handed_over_seconds: when the attempt was handed to a connection's queue.
     :ivar sent_at_seconds: set when the first byte may leave.
@@ -49,6 +50,7 @@
     fingerprint: str = ""
     idempotent: bool = True
     hedge: bool = False
+    solo: bool = False
     on_result: Callable[["Attempt", AttemptOutcome], None] | None = None
     handed_over_seconds: float = 0.0
     sent_at_seconds: float | None = None
--- a/src/bronzebeam/transport/backend_protocol.py
+++ b/src/bronzebeam/transport/backend_protocol.py
@@ -1,6 +1,6 @@
 """The backend servers' HTTP interface as typed messages."""
 
-from typing import Any, Final, Literal, cast
+from typing import Any, Final, Literal, cast, get_args
 
 import orjson
 from attrs import frozen
@@ -16,6 +16,7 @@
 STATUS_OK: Final = 200
 STATUS_CONFLICT: Final = 409
 STATUS_UNAVAILABLE: Final = 503
+MOST_SHARDS: Final = 10_000
 
 NotRunReason = Literal["overloaded", "draining", "version_gone", "cancelled"]
 
@@ -137,16 +138,16 @@
     if value["request_id"] != request_id:
         return BadReply(reason="wrong_reply")
     load = BackendLoad(
-        in_flight=int(value["load"]["in_flight"]),
+        in_flight=max(0, int(value["load"]["in_flight"])),
         draining=bool(value["load"]["draining"]),
     )
     holdings = _parse_holdings(replica, value.get("holdings"))
     if status in (STATUS_UNAVAILABLE, STATUS_CONFLICT) and value.get("ran") is False:
         return BackendDidNotRun(
-            reason=cast(NotRunReason, str(value["error"])),
+            reason=_not_run_reason(value["error"]),
             load=load,
             holdings=holdings,
-            retry_after_ms=value.get("retry_after_ms"),
+            retry_after_ms=_retry_after_ms(value.get("retry_after_ms")),
         )
     if status != STATUS_OK:
         return BackendFailed(status=status)
@@ -154,21 +155,52 @@
         result=value["result"],
         load=load,
         holdings=holdings,
-        index_version=value.get("index_version"),
-        shard=value.get("shard"),
-        shard_count=value.get("shard_count"),
+        index_version=_optional_integer(value.get("index_version")),
+        shard=_optional_integer(value.get("shard")),
+        shard_count=_optional_integer(value.get("shard_count")),
     )
 
 
+def _not_run_reason(error: Any) -> NotRunReason:
+    """Return the reason given; one that is not known counts as overload."""
+    if error in get_args(NotRunReason):
+        return cast(NotRunReason, error)
+    return "overloaded"
+
+
+def _retry_after_ms(value: Any) -> int | None:
+    return value if type(value) is int and value >= 0 else None
+
+
+def _optional_integer(value: Any) -> int | None:
+    return None if value is None else _integer(value)
+
+
+def _integer(value: Any) -> int:
+    if type(value) is not int:
+        raise TypeError("a number of a shard or version is not an integer")
+    return value
+
+
 def _parse_holdings(replica: str, rows: Any) -> tuple[ReplicaHolding, ...] | None:
     if rows is None:
         return None
     return tuple(
-        ReplicaHolding(
-            replica=replica,
-            index_version=int(version),
-            shard=int(shard),
-            shard_count=int(shard_count),
-        )
+        _parse_holding(replica, version, shard, shard_count)
         for version, shard, shard_count in rows
     )
+
+
+def _parse_holding(
+    replica: str, version: Any, shard: Any, shard_count: Any
+) -> ReplicaHolding:
+    holding = ReplicaHolding(
+        replica=replica,
+        index_version=_integer(version),
+        shard=_integer(shard),
+        shard_count=_integer(shard_count),
+    )
+    # The shard map is held in memory, so its size must not be another's to choose.
+    if not 0 <= holding.shard < holding.shard_count <= MOST_SHARDS:
+        raise ValueError("a shard is outside its shard map")
+    return holding
--- a/src/bronzebeam/transport/link.py
+++ b/src/bronzebeam/transport/link.py
@@ -37,6 +37,7 @@
     :ivar latency_ms: from the first byte sent to the whole reply, or to the end of
         an attempt given up; None without either.
     :ivar in_flight: fingerprints that were running at this replica at that moment.
+    :ivar solo: those of them that were sent as suspects.
     """
 
     replica: str
@@ -44,6 +45,7 @@
     outcome: AttemptOutcome
     latency_ms: float | None
     in_flight: frozenset[str] = frozenset()
+    solo: frozenset[str] = frozenset()
 
 
 LinkObserver = Callable[[LinkEvent], None]
@@ -188,13 +190,16 @@
 
     def finish(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         self.in_flight -= 1
+        running = [item.attempt for item in self._owners if item.attempt is not None]
+        running = [item for item in (attempt, *running) if item.fingerprint]
         self.observer(
             LinkEvent(
                 replica=self.replica,
                 attempt=attempt,
                 outcome=outcome,
                 latency_ms=self._latency_ms(attempt, outcome),
-                in_flight=self._fingerprints(attempt),
+                in_flight=frozenset(item.fingerprint for item in running),
+                solo=frozenset(item.fingerprint for item in running if item.solo),
             )
         )
         attempt.finish(outcome)
@@ -246,12 +251,6 @@
         elapsed_seconds = self.clock.monotonic_seconds() - attempt.sent_at_seconds
         return elapsed_seconds * MS_PER_SECOND
 
-    def _fingerprints(self, attempt: Attempt) -> frozenset[str]:
-        running = [owner.attempt for owner in self._owners if owner.attempt is not None]
-        return frozenset(
-            item.fingerprint for item in (attempt, *running) if item.fingerprint
-        )
-
     def _probe(self, deadline_at_seconds: float) -> Attempt:
         self._messages += 1
         return Attempt(
