--- a/src/bronzebeam/controllers/backends.py
+++ b/src/bronzebeam/controllers/backends.py
@@ -1,34 +1,34 @@
 """The controller of backend servers: links, load, health and held snapshots."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import define, frozen
+from attrs import frozen
 
 from bronzebeam.clock import Clock
 from bronzebeam.controllers.base import Controller
-from bronzebeam.documents.model import EnvironmentDocument, ServiceSpec
-from bronzebeam.routing.choice import LatencyAverage, ReplicaView
-from bronzebeam.routing.ejection import Evidence, ShardEjections
-from bronzebeam.routing.slow_start import slow_start_weight
-from bronzebeam.routing.snapshots import ReplicaHolding, Snapshot, pick_snapshot
-from bronzebeam.transport.attempt import AttemptLost, AttemptOutcome
+from bronzebeam.controllers.replica_evidence import choose_snapshots, evidence_of
+from bronzebeam.controllers.replica_state import ReplicaState
+from bronzebeam.documents.model import EnvironmentDocument, ServiceKind, ServiceSpec
+from bronzebeam.routing.choice import ReplicaView
+from bronzebeam.routing.ejection import ShardEjections
+from bronzebeam.routing.snapshots import Snapshot
+from bronzebeam.transport.attempt import AttemptOutcome
 from bronzebeam.transport.backend_protocol import (
+    STATUS_PATH,
     BackendDidNotRun,
-    BackendFailed,
     BackendReply,
-    BadReply,
 )
 from bronzebeam.transport.channel import ChannelFactory
-from bronzebeam.transport.instance_list import InstanceState, ListedInstance
+from bronzebeam.transport.instance_list import ListedInstance
 from bronzebeam.transport.link import LinkEvent, LinkObserver, ReplicaLink
 
 TICK_SECONDS: Final = 0.1
-HONEST_PROBES: Final = 3
 WARM_BOUND_SECONDS: Final = 3.0
+ASK_BEHIND_SECONDS: Final = 2.0
 
 
 @frozen(kw_only=True)
@@ -48,34 +48,6 @@
 BackendsMessage = InstancesListed | DocumentInForce | LinkEvent
 
 
-@define(kw_only=True, eq=False)
-class _Replica:
-    """
-    What is known of one backend server.
-
-    :ivar group: replicas that stand in for each other, for ejection.
-    :ivar refused_drain: it said by its own reply that it is leaving.
-    :ivar usable: whether the snapshots count it in.
-    :ivar available_since_seconds: monotonic time since which it takes work.
-    """
-
-    listed: ListedInstance
-    link: ReplicaLink
-    slots: int
-    group: str
-    available_since_seconds: float
-    holdings: tuple[ReplicaHolding, ...] = ()
-    latency: LatencyAverage = LatencyAverage()
-    reported_in_flight: int = 0
-    refused_drain: bool = False
-    honest_probes: int = 0
-    usable: bool = False
-
-    @property
-    def leaving(self) -> bool:
-        return self.refused_drain or self.listed.state is InstanceState.LEAVING
-
-
 class Backends(Controller[BackendsMessage]):
     """
     Owns the links to backend servers and what their replies tell.
@@ -95,12 +67,15 @@
         self._clock = clock
         self._channels = channels
         self._observers = observers
-        self._replicas: dict[str, _Replica] = {}
-        self._snapshots: dict[str, Snapshot | None] = {}
+        self._replicas: dict[str, ReplicaState] = {}
+        self._snapshots: Mapping[str, Snapshot | None] = {}
         self._ejections: dict[str, ShardEjections] = {}
         self._group: TaskGroup | None = None
         self._listed_at_seconds: float | None = None
         self._listed: tuple[ListedInstance, ...] = ()
+        self._retired: list[ReplicaLink] = []
+        self._behind: tuple[str, ...] = ()
+        self._asked_at_seconds = -math.inf
 
     def is_warm(self) -> bool:
         """
@@ -135,22 +110,9 @@
         if replica is None:
             return None
         now = self._clock.monotonic_seconds()
-        return ReplicaView(
-            replica=name,
-            failure_domain=replica.listed.failure_domain,
-            slots=replica.slots,
-            own_in_flight=replica.link.in_flight,
-            reported_in_flight=replica.reported_in_flight,
-            latency_ms=replica.latency.at(now),
-            leaving=replica.leaving or not replica.link.open_connections,
-            ejected=self._is_ejected(replica, now),
-            weight=slow_start_weight(
-                available_for_seconds=now - replica.available_since_seconds
-            ),
-            free_connections=replica.link.free_connections,
-        )
+        return replica.view(now, ejected=self._is_ejected(replica, now))
 
-    def _is_ejected(self, replica: _Replica, now: float) -> bool:
+    def _is_ejected(self, replica: ReplicaState, now: float) -> bool:
         ejections = self._ejections.get(replica.group)
         if ejections is None or not ejections.records:
             return False
@@ -167,9 +129,12 @@
         )
 
     def link(self, name: str) -> ReplicaLink | None:
-        """Return the link to a replica."""
+        """Return the link to a replica, also while its last attempts run."""
         replica = self._replicas.get(name)
-        return replica.link if replica is not None else None
+        if replica is not None:
+            return replica.link
+        retired = (link for link in self._retired if link.replica == name)
+        return next(retired, None)
 
     async def run(self) -> None:
         async with anyio.create_task_group() as self._group:
@@ -193,12 +158,26 @@
             now = self._clock.monotonic_seconds()
             for replica in self._replicas.values():
                 replica.link.tick(now)
+            self._retired = [link for link in self._retired if not link.ended]
+            for link in self._retired:
+                link.tick(now)
+            if self._behind and now - self._asked_at_seconds >= ASK_BEHIND_SECONDS:
+                self._ask_behind()
+
+    def _ask_behind(self) -> None:
+        """Ask the replicas that may hold a newer version without our knowing."""
+        self._asked_at_seconds = self._clock.monotonic_seconds()
+        for name in self._behind:
+            replica = self._replicas.get(name)
+            if replica is not None:
+                replica.link.probe_once()
 
     def _apply_list(self) -> None:
         document = self._document
         if document is None:
             return
-        listed = {item.instance: item for item in self._listed}
+        known = (item for item in self._listed if document.service(item.service or ""))
+        listed = {item.instance: item for item in known}
         for name in [name for name in self._replicas if name not in listed]:
             self._retire(name)
         for name, item in listed.items():
@@ -214,12 +193,12 @@
     ) -> None:
         known = self._replicas.get(item.instance)
         if known is not None:
-            same = known.link.address == item.address and known.link.share == share
-            if same:
-                known.listed = item
-                self._note_usable(known)
+            if known.link.address == item.address:
+                self._update_listed(known, item, service, share)
                 return
             self._retire(item.instance)
+        now = self._clock.monotonic_seconds()
+        first_list = self._listed_at_seconds is None
         link = ReplicaLink(
             replica=item.instance,
             address=item.address,
@@ -228,12 +207,14 @@
             channels=self._channels,
             observer=self._observe,
         )
-        replica = _Replica(
+        replica = ReplicaState(
             listed=item,
             link=link,
             slots=service.backend.slots,
             group=service.name,
-            available_since_seconds=self._first_available_seconds(),
+            sharded=service.kind is ServiceKind.SEARCH,
+            # What the first list holds was running before this entry started.
+            available_since_seconds=-math.inf if first_list else now,
         )
         self._replicas[item.instance] = replica
         assert self._group is not None
@@ -244,14 +225,23 @@
         for observer in self._observers:
             observer(event)
 
-    def _first_available_seconds(self) -> float:
-        """Return when a replica listed now counts as available, for slow start."""
-        now = self._clock.monotonic_seconds()
-        # What the first list holds was running before this entry started.
-        return now if self._listed_at_seconds is not None else -math.inf
+    def _update_listed(
+        self,
+        replica: ReplicaState,
+        item: ListedInstance,
+        service: ServiceSpec,
+        share: int,
+    ) -> None:
+        replica.listed = item
+        replica.slots = service.backend.slots
+        if replica.link.share != share:
+            replica.link.resize(share)
+        self._note_usable(replica)
 
     def _retire(self, name: str) -> None:
-        self._replicas.pop(name).link.retire()
+        link = self._replicas.pop(name).link
+        link.retire()
+        self._retired.append(link)
 
     def _apply_event(self, event: LinkEvent) -> None:
         replica = self._replicas.get(event.replica)
@@ -261,8 +251,13 @@
         probe = not event.attempt.fingerprint
         if isinstance(outcome, (BackendReply, BackendDidNotRun)):
             replica.reported_in_flight = outcome.load.in_flight
-            self._note_drain(replica, draining=outcome.load.draining, probe=probe)
-            self._note_holdings(replica, outcome.holdings)
+            replica.note_drain(
+                draining=outcome.load.draining,
+                probe=event.attempt.path == STATUS_PATH,
+                now_seconds=self._clock.monotonic_seconds(),
+            )
+            if replica.note_holdings(outcome.holdings):
+                self._choose_snapshots()
         self._note_usable(replica)
         if not probe:
             self._note_evidence(replica, outcome)
@@ -272,14 +267,17 @@
                 now_seconds=self._clock.monotonic_seconds(),
             )
 
-    def _note_usable(self, replica: _Replica) -> None:
+    def _note_usable(self, replica: ReplicaState) -> None:
         usable = not replica.leaving and replica.link.open_connections > 0
+        if replica.leaving:
+            replica.link.return_queued()
         if usable != replica.usable:
             replica.usable = usable
             self._choose_snapshots()
+        replica.note_available(self._clock.monotonic_seconds())
 
-    def _note_evidence(self, replica: _Replica, outcome: AttemptOutcome) -> None:
-        evidence = _evidence(outcome)
+    def _note_evidence(self, replica: ReplicaState, outcome: AttemptOutcome) -> None:
+        evidence = evidence_of(outcome)
         if evidence is None:
             return
         known = self._ejections.get(replica.group, ShardEjections())
@@ -290,47 +288,10 @@
             replicas=self._group_members(replica.group),
         )
 
-    def _note_drain(self, replica: _Replica, *, draining: bool, probe: bool) -> None:
-        """A probe may set the mark, but only several in a row may clear it."""
-        if draining:
-            replica.refused_drain = True
-            replica.honest_probes = 0
-            return
-        if not replica.refused_drain or not probe:
-            return
-        replica.honest_probes += 1
-        if replica.honest_probes >= HONEST_PROBES:
-            replica.refused_drain = False
-            replica.available_since_seconds = self._clock.monotonic_seconds()
-
-    def _note_holdings(
-        self, replica: _Replica, holdings: tuple[ReplicaHolding, ...]
-    ) -> None:
-        if holdings and holdings != replica.holdings:
-            replica.holdings = holdings
-            newest = max(holdings, key=lambda item: item.index_version)
-            replica.group = f"{replica.listed.service}/{newest.shard}"
-            self._choose_snapshots()
-
     def _choose_snapshots(self) -> None:
-        by_service: dict[str, list[_Replica]] = {}
-        for replica in self._replicas.values():
-            by_service.setdefault(replica.listed.service or "", []).append(replica)
-        self._snapshots = {
-            service: pick_snapshot(
-                tuple(row for item in replicas for row in item.holdings),
-                frozenset(item.listed.instance for item in replicas if item.usable),
-            )
-            for service, replicas in by_service.items()
-        }
-
-
-def _evidence(outcome: AttemptOutcome) -> Evidence | None:
-    match outcome:
-        case BackendReply():
-            return Evidence.SUCCESS
-        case AttemptLost(reason="timeout", sent=True) | BadReply() | BackendFailed():
-            return Evidence.FAILURE
-        case AttemptLost(reason="connection_lost" | "no_connection"):
-            return Evidence.LOST_CONNECTION
-    return None
+        known = choose_snapshots(self._replicas.values())
+        self._snapshots = known.by_service
+        more = not set(known.behind) <= set(self._behind)
+        self._behind = known.behind
+        if more:
+            self._ask_behind()
--- a/src/bronzebeam/transport/backend_protocol.py
+++ b/src/bronzebeam/transport/backend_protocol.py
@@ -42,12 +42,13 @@
     A whole reply that echoes the request identifier.
 
     :ivar result: hits of a search or result of a call; None for a status reply.
-    :ivar holdings: index versions and shards that the backend server holds.
+    :ivar holdings: index versions and shards that the backend server holds; None if
+        it does not say.
     """
 
     result: Any
     load: BackendLoad
-    holdings: tuple[ReplicaHolding, ...] = ()
+    holdings: tuple[ReplicaHolding, ...] | None = None
     index_version: int | None = None
     shard: int | None = None
     shard_count: int | None = None
@@ -59,7 +60,7 @@
 
     reason: NotRunReason
     load: BackendLoad
-    holdings: tuple[ReplicaHolding, ...] = ()
+    holdings: tuple[ReplicaHolding, ...] | None = None
     retry_after_ms: int | None = None
 
 
@@ -142,7 +143,7 @@
         in_flight=max(0, int(value["load"]["in_flight"])),
         draining=bool(value["load"]["draining"]),
     )
-    holdings = _parse_holdings(replica, value.get("holdings", ()))
+    holdings = _parse_holdings(replica, value.get("holdings"))
     if status in (STATUS_UNAVAILABLE, STATUS_CONFLICT) and value.get("ran") is False:
         return BackendDidNotRun(
             reason=_not_run_reason(value["error"]),
@@ -183,7 +184,9 @@
     return value
 
 
-def _parse_holdings(replica: str, rows: Any) -> tuple[ReplicaHolding, ...]:
+def _parse_holdings(replica: str, rows: Any) -> tuple[ReplicaHolding, ...] | None:
+    if rows is None:
+        return None
     return tuple(
         _parse_holding(replica, version, shard, shard_count)
         for version, shard, shard_count in rows
