--- a/src/bronzebeam/bench/checker.py
+++ b/src/bronzebeam/bench/checker.py
@@ -59,6 +59,8 @@
     """Find answers that hold another request's content, or not all of their own."""
     findings: list[Finding] = []
     for row in history.callers:
+        if row.end == "malformed":
+            findings.append(_of_caller(row, "is no JSON"))
         if row.outcome not in ("answered", "partial"):
             continue
         tokens = {hit.token for hit in row.hits}
--- a/src/bronzebeam/bench/history.py
+++ b/src/bronzebeam/bench/history.py
@@ -43,7 +43,8 @@
     One request of a caller and what came of it.
 
     :ivar token: unique to the request's payload; equal for its resends.
-    :ivar end: `whole` for an answer, `refused` if no connection could be opened,
+    :ivar end: `whole` for an answer, `malformed` for one that is no JSON, `refused`
+        if no connection could be opened,
         `broken` if it ended before the answer, `timeout` if nothing came.
     :ivar request_id: identifier that the entry gave; empty without an answer.
     :ivar hits: hits of a search.
--- a/src/bronzebeam/bench/load.py
+++ b/src/bronzebeam/bench/load.py
@@ -13,7 +13,7 @@
 from bronzebeam.transport.channel import Channel, ChannelClosed, HttpcoreChannel
 
 GRACE_SECONDS: Final = 1.0
-End = Literal["whole", "refused", "broken", "timeout"]
+End = Literal["whole", "malformed", "refused", "broken", "timeout"]
 JSON_HEADER: Final = (b"content-type", b"application/json")
 
 
@@ -25,7 +25,8 @@
     :ivar status: 0 if no answer came.
     :ivar started_seconds: monotonic time at which the request was due.
     :ivar address: the entry that was asked.
-    :ivar end: `whole` for an answer, `refused` if no connection could be opened,
+    :ivar end: `whole` for an answer, `malformed` for one that is no JSON, `refused`
+        if no connection could be opened,
         `broken` if it ended before the answer, `timeout` if nothing came.
     """
 
@@ -121,7 +122,10 @@
             refused = isinstance(error.__cause__, httpcore.ConnectError)
             return "refused" if refused else "broken", 0, {}
         idle.append(channel)
-        return "whole", response.status, orjson.loads(response.body)
+        try:
+            return "whole", response.status, orjson.loads(response.body)
+        except orjson.JSONDecodeError:
+            return "malformed", response.status, {}
 
 
 def new_key(*, now_ms: int, rng: random.Random) -> str:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -165,6 +165,7 @@
         _search_with(hits=_hits(0, 0)),
         evolve(CLEAN, callers=(SEARCH, crossed)),
         evolve(CLEAN, callers=(SEARCH, SEARCH)),
+        evolve(CLEAN, callers=(evolve(REFUSED, end="malformed"),)),
     )
 
 
--- a/tests/test_fuzz_callers.py
+++ b/tests/test_fuzz_callers.py
@@ -59,6 +59,9 @@
     methods=METHODS, paths=PATHS, headers=HEADERS, bodies=BODIES
 )
 USUAL = RawRequest(method="POST", path=SEARCH_PATH, headers=[], parts=[b'{"q":1}'])
+DEEP = RawRequest(
+    method="POST", path=SEARCH_PATH, headers=[], parts=[b"[" * 254 + b"]" * 254]
+)
 
 
 def _encodes(value: Any) -> bool:
@@ -104,6 +107,7 @@
 @settings(derandomize=True, database=None, deadline=None, max_examples=400)
 @given(request=RAW_REQUESTS)
 @example(request=USUAL)
+@example(request=DEEP)
 def test_any_request_gets_one_whole_answer_or_the_caller_left(
     request: RawRequest,
 ) -> None:
--- /dev/null
+++ b/tests/test_fuzz_peers.py
@@ -0,0 +1,160 @@
+"""Fuzz tests of the peer protocol: raw requests and the controllers behind them."""
+
+from typing import Any
+
+import anyio
+import orjson
+from hypothesis import example, given, settings, strategies as st
+
+from bronzebeam.controllers.peer_messages import (
+    MOST_MESSAGE_BYTES,
+    Exchange,
+    Push,
+    exchange_to_json,
+    push_to_json,
+)
+from bronzebeam.entry.peer_app import PeerApp
+from bronzebeam.transport.peer import (
+    DOCUMENT_PATH,
+    EXCHANGE_PATH,
+    PUSH_PATH,
+    STATUS_PATH,
+)
+from tests.fixtures_asgi import ANY_TEXT, JSON, RawRequest, raw_requests, whole_response
+from tests.fixtures_fleet import FakeNode, Fleet, accepted_value, member, run_fleet
+
+STATUSES = {200, 400, 404, 413}
+IN_FORCE_SECONDS = 60.0
+MOST_MEMBERS = 300
+SENDER = member("e9", "b")
+EXCHANGE: dict[str, Any] = exchange_to_json(
+    Exchange(
+        sender=SENDER,
+        revision=0,
+        content_hash="",
+        store_failing=False,
+        records_digest="0",
+        buckets=(),
+        records=(member("e8"),),
+        topics=(),
+    )
+)
+PUSH: dict[str, Any] = push_to_json(
+    Push(sender=SENDER, configuration=None, records=(member("e8"),), topics=())
+)
+RECORDS = st.lists(
+    JSON
+    | st.fixed_dictionaries(
+        {
+            "instance": st.sampled_from(["e0", "e1", "e9"]) | JSON,
+            "incarnation": st.integers(-1, 2**64) | JSON,
+            "state": st.sampled_from(["live", "leaving", "gone"]) | JSON,
+            "address": ANY_TEXT,
+            "peer_address": ANY_TEXT,
+            "failure_domain": ANY_TEXT,
+        }
+    ),
+    max_size=5,
+)
+NEWS = st.fixed_dictionaries(
+    {
+        "revision": st.integers(-1, 2**64) | JSON,
+        "content_hash": ANY_TEXT,
+        "base_revision": st.integers(0, 3) | JSON,
+        "base_checksum": ANY_TEXT,
+        "checksum": ANY_TEXT,
+        "changes": st.lists(JSON, max_size=3),
+    }
+)
+MEMBERS = st.dictionaries(
+    st.sampled_from(
+        ["sender", "records", "configuration", "topics", "buckets", "revision"]
+    ),
+    JSON | RECORDS | NEWS,
+    max_size=3,
+)
+BODIES = st.one_of(
+    st.binary(max_size=100),
+    st.builds(lambda base, some: {**base, **some}, st.just(EXCHANGE), MEMBERS).map(
+        lambda value: _encode(value)
+    ),
+    st.builds(lambda base, some: {**base, **some}, st.just(PUSH), MEMBERS).map(
+        lambda value: _encode(value)
+    ),
+    st.sampled_from([b"[" * 2_000, b"x" * (MOST_MESSAGE_BYTES + 1)]),
+)
+RAW_REQUESTS = raw_requests(
+    methods=st.sampled_from(["POST", "GET"]) | ANY_TEXT,
+    paths=st.sampled_from([EXCHANGE_PATH, PUSH_PATH, DOCUMENT_PATH, STATUS_PATH])
+    | ANY_TEXT,
+    headers=st.just([]),
+    bodies=BODIES,
+)
+LARGE = RawRequest(
+    method="POST",
+    path=PUSH_PATH,
+    headers=[],
+    parts=[b"x" * (MOST_MESSAGE_BYTES // 2)] * 5,
+)
+
+
+def _encode(value: Any) -> bytes:
+    try:
+        return orjson.dumps(value)
+    except TypeError:
+        return b"null"
+
+
+def _post(path: str, value: Any) -> RawRequest:
+    return RawRequest(method="POST", path=path, headers=[], parts=[_encode(value)])
+
+
+def _app(node: FakeNode) -> PeerApp:
+    return PeerApp(
+        membership=node.membership,
+        configuration=node.configuration,
+        gossip=node.gossip,
+    )
+
+
+async def _send(app: PeerApp, request: RawRequest) -> None:
+    await app(request.scope, request.receive, request.send)
+    assert request.taken_bytes <= MOST_MESSAGE_BYTES + max(map(len, request.parts))
+    if not request.sent:
+        assert request.cut
+        return
+    assert whole_response(request)
+    assert request.status in STATUSES
+    orjson.loads(request.body)
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=150)
+@given(requests=st.lists(RAW_REQUESTS, min_size=1, max_size=6))
+@example(requests=[LARGE])
+@example(requests=[_post(EXCHANGE_PATH, EXCHANGE), _post(PUSH_PATH, PUSH)])
+def test_fleet_works_on_after_any_requests(requests: list[RawRequest]) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.start_many(3)
+        fleet.store.put(accepted_value(1))
+        await fleet.in_force(1, IN_FORCE_SECONDS)
+        app = _app(fleet.nodes["e0"])
+        for request in requests:
+            await _send(app, request)
+        await anyio.sleep(5.0)
+        assert fleet.revisions() == {1}
+        fleet.store.put(accepted_value(2))
+        await fleet.in_force(2, IN_FORCE_SECONDS)
+        for node in fleet.nodes.values():
+            assert len(node.membership.view.members) <= MOST_MEMBERS
+
+    run_fleet(scenario)
+
+
+def test_usual_messages_are_taken() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        app = _app(fleet.start("e0"))
+        for request in (_post(EXCHANGE_PATH, EXCHANGE), _post(PUSH_PATH, PUSH)):
+            await _send(app, request)
+            assert request.status == 200, request.body
+
+    run_fleet(scenario)
