Test that a deeply nested document is a finding (fails)

Cause: load_document raises RecursionError on 100000 nested arrays, instead of FindingsError; bronzebeam document validate would end with a traceback.

--- a/tests/test_fuzz_documents.py
+++ b/tests/test_fuzz_documents.py
@@ -87,6 +87,10 @@
     _check_settings(DEEP)
 
 
+def test_deeply_nested_documents_are_found() -> None:
+    _check_document(DEEP)
+
+
 @settings(derandomize=True, database=None, deadline=None, max_examples=400)
 @given(steps=STEPS, value=VALUES)
 def test_any_change_of_a_document_is_taken_or_found(
