Report a document nested too deeply as a finding

Cause: fuzzing found that a deeply nested document ended in a traceback of the JSON decoder. Change: the decoder's recursion limit is a finding. Ruled out: another decoder, since this one reports repeated keys.

--- a/src/bronzebeam/documents/loading.py
+++ b/src/bronzebeam/documents/loading.py
@@ -154,6 +154,8 @@
         value = json.loads(data, object_pairs_hook=collect, parse_constant=_refuse)
     except ValueError as error:
         findings = [Finding(place="", message=f"not valid JSON: {error}")]
+    except RecursionError:
+        findings = [Finding(place="", message="the JSON is nested too deeply")]
     else:
         findings = [
             Finding(place="", message=f"the key {name!r} stands twice in one object")
