--- /dev/null
+++ b/tests/test_documents_machine.py
@@ -0,0 +1,140 @@
+"""Random runs of acceptances under races, lost replies, refusals and crashes."""
+
+import anyio
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from bronzebeam.documents.accepting import Proposal, accept
+from bronzebeam.documents.errors import ConflictError, OutcomeUnknownError
+from bronzebeam.documents.loading import accepted_from_json
+from bronzebeam.documents.review import Base, base_of
+from bronzebeam.documents.storage import read_history
+from bronzebeam.transport.store import StoreUnavailable
+from tests.fixtures_documents import example_document
+from tests.fixtures_store import CrashError, MemoryStore, Step, run_virtual
+
+PLANS = st.lists(st.sampled_from(Step), max_size=9)
+BURSTS = st.integers(1, 3)
+# Calls take a multiple of 100 ms; the offset keeps two clients' calls apart, so that
+# their order does not depend on the scheduler.
+OFFSET_SECONDS = 0.013
+
+
+class AcceptanceMachine(RuleBasedStateMachine):
+    """Two operators accept documents; each verdict is compared with the writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = MemoryStore()
+        self.proposals: dict[str, Proposal] = {}
+        self.last: Proposal | None = None
+
+    @rule(burst=BURSTS, plan=PLANS)
+    def accept_alone(self, burst: int, plan: list[Step]) -> None:
+        proposal = self.propose("ada", burst, self.bases()[-1])
+        self.last = proposal
+        run_virtual(lambda: self.attempt(proposal, plan))
+
+    @rule(bursts=st.tuples(BURSTS, BURSTS), plans=st.tuples(PLANS, PLANS))
+    def race(
+        self, bursts: tuple[int, int], plans: tuple[list[Step], list[Step]]
+    ) -> None:
+        base = self.bases()[-1]
+        ada = self.propose("ada", bursts[0], base)
+        lin = self.propose("lin", bursts[1], base)
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.attempt, ada, plans[0])
+                await anyio.sleep(OFFSET_SECONDS)
+                tasks.start_soon(self.attempt, lin, plans[1])
+
+        run_virtual(main)
+
+    @precondition(lambda self: len(self.store.accepted) > 1)
+    @rule(burst=BURSTS, data=st.data())
+    def accept_on_a_replaced_base(self, burst: int, data: st.DataObject) -> None:
+        base = data.draw(st.sampled_from(self.bases()[:-1]))
+        proposal = self.propose("lin", burst, base)
+        run_virtual(lambda: self.attempt(proposal, []))
+
+    @precondition(lambda self: self.last is not None)
+    @rule()
+    def repeat_the_last(self) -> None:
+        last = self.last
+        assert last is not None
+        run_virtual(lambda: self.attempt(last, []))
+
+    @invariant()
+    def each_document_replaces_the_one_before(self) -> None:
+        accepted = [accepted_from_json(item) for item in self.store.accepted]
+        base = Base()
+        for item in accepted:
+            assert item.revision == base.revision + 1
+            assert self.proposals[item.write_id].base == base
+            base = base_of(item)
+
+    @invariant()
+    def history_is_what_was_in_force(self) -> None:
+        async def main() -> None:
+            history = await read_history(self.store.view(), "production")
+            accepted = [accepted_from_json(item) for item in self.store.accepted]
+            assert list(history) == accepted[::-1]
+
+        run_virtual(main)
+
+    def bases(self) -> list[Base]:
+        accepted = [accepted_from_json(item) for item in self.store.accepted]
+        return [Base(), *map(base_of, accepted)]
+
+    def propose(self, author: str, burst: int, base: Base) -> Proposal:
+        proposal = Proposal(
+            document=example_document(burst=burst),
+            base=base,
+            author=author,
+            approved_by="grace",
+        )
+        self.proposals[proposal.build().write_id] = proposal
+        return proposal
+
+    async def attempt(self, proposal: Proposal, plan: list[Step]) -> None:
+        """Accept, and compare what the operator is told with what was written."""
+        wanted = proposal.build()
+        held_before = self.is_written(wanted.write_id)
+        try:
+            acceptance = await accept(self.store.view(plan), proposal)
+        except (CrashError, OutcomeUnknownError):
+            return
+        except StoreUnavailable:
+            assert self.is_written(wanted.write_id) == held_before
+            return
+        except ConflictError as error:
+            assert not self.is_written(wanted.write_id)
+            assert error.current is not None
+            return
+        assert acceptance.accepted == wanted
+        assert self.is_written(wanted.write_id)
+
+    def is_written(self, write_id: str) -> bool:
+        return any(item["write_id"] == write_id for item in self.store.accepted)
+
+
+def test_verdicts_agree_with_the_writes_in_random_runs() -> None:
+    run_state_machine_as_test(
+        AcceptanceMachine,
+        settings=settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=60,
+            stateful_step_count=15,
+            # Shrinking a run of virtual hours takes minutes of real time.
+            phases=(Phase.generate,),
+        ),
+    )
--- a/tests/test_documents_operations.py
+++ b/tests/test_documents_operations.py
@@ -19,6 +19,7 @@
     HISTORY_SLOTS,
     read_current,
     read_history,
+    read_revision,
 )
 from bronzebeam.transport.store import StoreUnavailable
 from tests.fixtures_documents import (
@@ -257,6 +258,8 @@
         assert history == list(range(newest, newest - HISTORY_SLOTS, -1))
         keys = store.state.list_prefix("bronzebeam/history/")
         assert len(keys) == HISTORY_SLOTS
+        later = newest - 1 + HISTORY_SLOTS
+        assert await read_revision(store, "production", later) is None
         lost = operations.roll_back(
             store,
             environment="production",
@@ -281,11 +284,11 @@
         blocked = operations.promote_draft(store, draft, held_revision=2)
         await failure_of(blocked, StoreBehindError)
         await put_in_force(store, burst=4)
-        restore = partial(operations.restore, store, newer, held_revision=5)
-        await failure_of(restore(replaces=1, held_revision=2), ConflictError)
+        restore = partial(operations.restore, store, newer)
+        await failure_of(restore(replaces=1), ConflictError)
         await failure_of(restore(replaces=3), RefusedError)
-        for _ in range(2):
-            done = await restore(replaces=2)
+        for held_revision in (5, 6):
+            done = await restore(replaces=2, held_revision=held_revision)
             assert done.accepted.revision == 6
             assert done.accepted.document == newer.document
         history = [item.revision for item in await read_history(store, "production")]
