Guard resends against not_run from filters ahead of the claim

Cause: admission and rate limits turn a resend away with not_run although an earlier attempt under the key may have run. Besides, a bucket whose lease the store has lost refused each write for good.

Ruled out: taking the claim before admission, which costs two store writes with each request that is shed.

Change: `ResendGuard` runs such filters and answers outcome_unknown in their place for non-idempotent requests with a key. After a write without an answer a bucket gets a new lease.

--- a/src/bronzebeam/controllers/claim_buckets.py
+++ b/src/bronzebeam/controllers/claim_buckets.py
@@ -72,6 +72,7 @@
         self._known: KnownBucket | None = None
         self._known_at_seconds = 0.0
         self._seen_revision = 0
+        self._lease_in_doubt = False
         self._fresh = False
         self._claim_added = anyio.Event()
         self.pending: list[PendingChange] = []
@@ -156,12 +157,15 @@
         floor = self._view.highest_revision
         for pending in batch:
             pending.in_doubt = True
+        # The store refuses a write under a lease that it does not know.
+        self._lease_in_doubt = True
         reply = await self._store.compare_and_swap(
             key=self._bucket_key,
             value=bucket.to_json(),
             expected=known.mod_revision,
             lease_id=bucket.lease_id,
         )
+        self._lease_in_doubt = False
         self._view.note_answer()
         if isinstance(reply, Conflict):
             self._learn(reply.current, batch)
@@ -177,7 +181,8 @@
         self, bucket: Bucket, batch: Sequence[PendingChange]
     ) -> Bucket:
         needed_until_seconds = max(kept_until_seconds(p.key) for p in batch)
-        if bucket.lease_ends_at_seconds >= needed_until_seconds:
+        lasts = bucket.lease_ends_at_seconds >= needed_until_seconds
+        if lasts and not self._lease_in_doubt:
             return bucket
         lease = await self._leases.lasting_until(needed_until_seconds)
         return attrs.evolve(
--- /dev/null
+++ b/src/bronzebeam/filters/resends.py
@@ -0,0 +1,62 @@
+"""Truthful answers of filters that do not know a request's earlier attempts."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from bronzebeam.filters.chain import CallerRequest, Filter, Handler, build_chain
+from bronzebeam.filters.idempotency import never_first
+from bronzebeam.outcomes import NotRun, Outcome, OutcomeUnknown, Refused
+
+
+class ResendGuard:
+    """
+    Run filters ahead of the idempotency filter, and correct what they answer.
+
+    A filter that turns a request away, for instance under load, says `not_run`. If
+    the request is not idempotent and has a key, an earlier attempt under the key may
+    have run, so that the caller is told `outcome_unknown` instead.
+
+    :param filters: filters to run, in order.
+    :param is_first_attempt: tells whether the caller vouches that it never sent the
+        key before.
+    """
+
+    def __init__(
+        self,
+        *,
+        filters: Sequence[Filter],
+        is_first_attempt: Callable[[CallerRequest], bool] = never_first,
+    ) -> None:
+        self._filters = tuple(filters)
+        self._is_first_attempt = is_first_attempt
+
+    async def apply(self, request: CallerRequest, proceed: Handler) -> Outcome:
+        """Answer `request`; answers from `proceed` are passed on as they are."""
+        passed = False
+
+        async def note_passed(request: CallerRequest) -> Outcome:
+            nonlocal passed
+            passed = True
+            return await proceed(request)
+
+        outcome = await build_chain(self._filters, note_passed)(request)
+        if passed or not self._may_have_run(request):
+            return outcome
+        return _correct(outcome)
+
+    def _may_have_run(self, request: CallerRequest) -> bool:
+        if request.idempotent or request.idempotency_key is None:
+            return False
+        return not self._is_first_attempt(request)
+
+
+def _correct(outcome: Outcome) -> Outcome:
+    if isinstance(outcome, NotRun):
+        return OutcomeUnknown(
+            reason=outcome.reason,
+            retry_after_ms=outcome.retry_after_ms,
+            detail="This attempt was not sent; an earlier one under the key may have.",
+        )
+    if isinstance(outcome, Refused):
+        return replace(outcome, ran=True)
+    return outcome
--- a/tests/fixtures_booking_store.py
+++ b/tests/fixtures_booking_store.py
@@ -95,6 +95,8 @@
             current = self._current(key)
             if (current.mod_revision if current else 0) != expected:
                 return Conflict(current=current)
+            if lease_id is not None and lease_id not in self.leases:
+                raise StoreUnavailable("unknown lease")
             self.revision += 1
             stored = StoredValue(key=key, value=value, mod_revision=self.revision)
             self.values[key] = (stored, lease_id)
--- a/tests/fixtures_bookings.py
+++ b/tests/fixtures_bookings.py
@@ -141,14 +141,17 @@
             request, lambda _: self.backend.run(attempt)
         )
 
-    async def book(
-        self, key: str, *, payload: str = "chair", timeout_seconds: float = 1.0
-    ) -> Attempt:
-        """Send one attempt; its outcome stays None if the entry is killed."""
+    def make_request(
+        self,
+        *,
+        key: str | None,
+        payload: Any = None,
+        fingerprint: str = "",
+        timeout_seconds: float = 1.0,
+    ) -> CallerRequest:
+        """Return a booking as the entry takes it in."""
         now = anyio.current_time()
-        attempt = Attempt(key=key, payload=payload, sent_at_seconds=now)
-        self.backend.attempts.append(attempt)
-        request = CallerRequest(
+        return CallerRequest(
             request_id=f"request-{len(self.backend.attempts)}",
             caller="planner",
             document=DOCUMENT,
@@ -158,9 +161,24 @@
             class_name="check-in",
             arrived_at_seconds=now,
             deadline_at_seconds=now + timeout_seconds,
+            payload=payload,
+            fingerprint=fingerprint,
+            idempotency_key=key,
+        )
+
+    async def book(
+        self, key: str, *, payload: str = "chair", timeout_seconds: float = 1.0
+    ) -> Attempt:
+        """Send one attempt; its outcome stays None if the entry is killed."""
+        attempt = Attempt(
+            key=key, payload=payload, sent_at_seconds=anyio.current_time()
+        )
+        self.backend.attempts.append(attempt)
+        request = self.make_request(
+            key=key,
             payload=attempt,
             fingerprint=payload,
-            idempotency_key=key,
+            timeout_seconds=timeout_seconds,
         )
         if not self.alive:
             return attempt
