Let soak faults wait for their turn; count answers by reason

Cause: faults that found the store or the index taken were dropped, so that a run of a minute had no store that came back older, and the figures did not say why bookings went unanswered. Change: a fault waits until what it needs is free; figures count reasons, and of the bookings never answered those that ran.

--- a/src/bronzebeam/bench/soak.py
+++ b/src/bronzebeam/bench/soak.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from bronzebeam.bench.checker import check_history
-from bronzebeam.bench.history import CallerRow, History
+from bronzebeam.bench.history import History
 from bronzebeam.bench.rig import EntryProcess, RigSpec, running_rig
 from bronzebeam.bench.soak_backend_faults import (
     crash_servers,
@@ -31,6 +31,7 @@
     replace_entries,
     stop_entry,
 )
+from bronzebeam.bench.soak_figures import soak_figures
 from bronzebeam.bench.soak_load import SoakLoad
 from bronzebeam.bench.soak_operators import accept, poll_revisions
 from bronzebeam.bench.soak_state import DRAIN_LAG_MS, ENTRIES, SoakState, soak_document
@@ -198,10 +199,7 @@
 
     def _print_figures(self, history: History) -> None:
         figures: dict[str, int] = dict(sorted(self.state.counts.items()))
-        figures |= _caller_figures(history.callers)
-        figures["runs"] = len(history.runs)
-        figures["acceptances"] = len(history.acceptances)
-        figures["revision_rows"] = len(history.revisions)
+        figures |= soak_figures(history)
         for name, count in self._violations.items():
             figures[f"violations_{name}"] = count
         for name, value in figures.items():
@@ -211,13 +209,3 @@
 
     def _print(self, **fields: Any) -> None:
         self.echo(orjson.dumps(fields).decode())
-
-
-def _caller_figures(rows: tuple[CallerRow, ...]) -> dict[str, int]:
-    counts = Counter(f"{row.path.rpartition('/')[2]}_{row.outcome}" for row in rows)
-    counts.update(f"callers_{row.end}" for row in rows)
-    booked = {row.key for row in rows if row.key is not None}
-    answered = {row.key for row in rows if row.key and row.outcome == "answered"}
-    counts["bookings"] = len(booked)
-    counts["bookings_never_answered"] = len(booked - answered)
-    return dict(sorted(counts.items()))
--- a/src/bronzebeam/bench/soak_backend_faults.py
+++ b/src/bronzebeam/bench/soak_backend_faults.py
@@ -117,9 +117,7 @@
 
 
 async def _change_index(state: SoakState, shard_count: int, fault: str) -> None:
-    if "index" in state.busy:
-        return
-    state.busy.add("index")
+    await state.take("index")
     state.count(f"fault_{fault}")
     old = state.index
     new = IndexRow(index_version=old.index_version + 1, shard_count=shard_count)
--- a/src/bronzebeam/bench/soak_entry_faults.py
+++ b/src/bronzebeam/bench/soak_entry_faults.py
@@ -18,10 +18,7 @@
 
 async def kill_entry(state: SoakState) -> None:
     """Kill an entry; balancer and instance list notice late; start another."""
-    entry = state.free_entry()
-    if entry is None:
-        return
-    state.busy.add(entry.name)
+    entry = await state.take_entry()
     state.ended.add(entry.name)
     entry.process.kill()
     state.count("fault_kill_entry")
@@ -34,10 +31,7 @@
 
 async def pause_entry(state: SoakState) -> None:
     """Stop an entry's process for seconds, unknown to it."""
-    entry = state.free_entry()
-    if entry is None:
-        return
-    state.busy.add(entry.name)
+    entry = await state.take_entry()
     started = anyio.current_time()
     entry.process.send(signal.SIGSTOP)
     state.count("fault_pause_entry")
@@ -49,19 +43,14 @@
 
 async def stop_entry(state: SoakState) -> None:
     """Carry out a planned stop under load, then start another entry."""
-    entry = state.free_entry()
-    if entry is None:
-        return
-    state.busy.add(entry.name)
+    entry = await state.take_entry()
     await _planned_stop(state, entry)
     await state.add_entry()
 
 
 async def replace_entries(state: SoakState) -> None:
     """Replace all entries, one after the other, each started before one stops."""
-    if "replacement" in state.busy:
-        return
-    state.busy.add("replacement")
+    await state.take("replacement")
     state.count("fault_rolling_replacement")
     for entry in list(state.balanced):
         if entry.name in state.busy:
--- /dev/null
+++ b/src/bronzebeam/bench/soak_figures.py
@@ -0,0 +1,36 @@
+"""Figures of a soak run, counted from its history."""
+
+from collections import Counter
+
+from bronzebeam.bench.history import CallerRow, History
+
+
+def soak_figures(history: History) -> dict[str, int]:
+    """Count answers by outcome and reason, bookings, runs and acceptances."""
+    counts: Counter[str] = Counter()
+    for row in history.callers:
+        kind = row.path.rpartition("/")[2]
+        counts[f"{kind}_{row.outcome}"] += 1
+        counts[f"callers_{row.end}"] += 1
+        if row.reason:
+            counts[f"{kind}_{row.outcome}_{row.reason}"] += 1
+    counts += _bookings(history)
+    counts["runs"] = len(history.runs)
+    counts["acceptances"] = len(history.acceptances)
+    counts["revision_rows"] = len(history.revisions)
+    return dict(sorted(counts.items()))
+
+
+def _bookings(history: History) -> Counter[str]:
+    by_key: dict[str, list[CallerRow]] = {}
+    for row in history.callers:
+        if row.key is not None:
+            by_key.setdefault(row.key, []).append(row)
+    ran = {run.key for run in history.runs}
+    counts = Counter(bookings=len(by_key))
+    for key, rows in by_key.items():
+        if any(row.outcome == "answered" for row in rows):
+            continue
+        counts["bookings_never_answered"] += 1
+        counts["bookings_never_answered_but_ran"] += key in ran
+    return counts
--- a/src/bronzebeam/bench/soak_state.py
+++ b/src/bronzebeam/bench/soak_state.py
@@ -24,6 +24,7 @@
 SHARDS: Final = 6
 ENTRIES: Final = 4
 LEAST_SERVING: Final = 2
+TURN_SECONDS: Final = 0.1
 DRAIN_LAG_MS: Final = 600
 NON_IDEMPOTENT: Final = frozenset({"register"})
 
@@ -78,12 +79,21 @@
         in_force = (row.revision for row in self.revisions)
         return max([*accepted, *in_force], default=0)
 
-    def free_entry(self) -> EntryProcess | None:
-        """Pick an entry that no fault has taken, if enough others serve."""
-        free = [item for item in self.balanced if item.name not in self.busy]
-        if len(free) <= LEAST_SERVING:
-            return None
-        return self.rng.choice(free)
+    async def take(self, name: str) -> None:
+        """Take what only one fault may hold, once it is free."""
+        while name in self.busy:
+            await anyio.sleep(TURN_SECONDS)
+        self.busy.add(name)
+
+    async def take_entry(self) -> EntryProcess:
+        """Take an entry that no fault has, once enough others serve."""
+        while True:
+            free = [item for item in self.balanced if item.name not in self.busy]
+            if len(free) > LEAST_SERVING:
+                entry = self.rng.choice(free)
+                self.busy.add(entry.name)
+                return entry
+            await anyio.sleep(TURN_SECONDS)
 
     def free_servers(self, count: int) -> list[str]:
         """Pick up to `count` backend servers that no fault has taken."""
--- a/src/bronzebeam/bench/soak_store_faults.py
+++ b/src/bronzebeam/bench/soak_store_faults.py
@@ -15,8 +15,7 @@
 async def store_outage(state: SoakState) -> None:
     """Refuse or leave unanswered every call for a while."""
     fault = state.rng.choice(["refuse_all", "answer_nothing"])
-    if not _take(state, "store_outage"):
-        return
+    await _take(state, "store_outage")
     started = anyio.current_time()
     await _set(state, {fault: True})
     await anyio.sleep(state.rng.uniform(*OUTAGE_SECONDS))
@@ -27,8 +26,7 @@
 
 async def silent_watches(state: SoakState) -> None:
     """Leave watches without an answer while documents are accepted."""
-    if not _take(state, "silent_watches"):
-        return
+    await _take(state, "silent_watches")
     await _set(state, {"silent_watches": True})
     await accept(state)
     await anyio.sleep(state.rng.uniform(*SILENCE_SECONDS))
@@ -38,8 +36,7 @@
 
 async def lost_replies(state: SoakState) -> None:
     """Apply writes without a reply, while two operators accept."""
-    if not _take(state, "lost_replies"):
-        return
+    await _take(state, "lost_replies")
     dropped = state.rng.randint(1, DROPPED_MOST)
     await _set(state, {"drop_write_replies": dropped})
     await race(state)
@@ -49,8 +46,7 @@
 
 async def store_older(state: SoakState) -> None:
     """Let the store lose the last acceptances, then accept above what is in force."""
-    if not _take(state, "store_older"):
-        return
+    await _take(state, "store_older")
     await _control(state, "snapshot/take")
     await accept(state)
     await anyio.sleep(state.rng.uniform(*SILENCE_SECONDS))
@@ -66,12 +62,9 @@
     await race(state)
 
 
-def _take(state: SoakState, fault: str) -> bool:
-    if "store" in state.busy:
-        return False
-    state.busy.add("store")
+async def _take(state: SoakState, fault: str) -> None:
+    await state.take("store")
     state.count(f"fault_{fault}")
-    return True
 
 
 async def _set(state: SoakState, faults: dict[str, Any]) -> None:
