--- a/src/bronzebeam/bench/checker.py
+++ b/src/bronzebeam/bench/checker.py
@@ -86,19 +86,25 @@
 
 
 def check_at_most_once(history: History) -> list[Finding]:
-    """Find bookings that ran twice, and answered ones that did not run once."""
-    by_key: defaultdict[str, list[RunRow]] = defaultdict(list)
+    """
+    Find bookings that ran twice, and answered ones that did not run once.
+
+    A booking is known by its key, and by its token if the caller changed the key
+    after each answer had said that the booking did not run.
+    """
+    by_place: defaultdict[str, list[RunRow]] = defaultdict(list)
     for run in history.runs:
         if run.operation in history.non_idempotent:
-            by_key[run.key or f"without a key: {run.request_id}"].append(run)
+            by_place[f"/keys/{run.key}"].append(run)
+            by_place[f"/tokens/{run.token}"].append(run)
     findings = [
-        Finding(place=f"/keys/{key}", message=f"ran {len(runs)} times: {runs}")
-        for key, runs in by_key.items()
+        Finding(place=place, message=f"ran {len(runs)} times: {runs}")
+        for place, runs in by_place.items()
         if len(runs) > 1
     ]
     for row in history.callers:
         if _is_booking(row, history) and row.outcome == "answered":
-            if not by_key.get(row.key or ""):
+            if not by_place.get(f"/keys/{row.key}"):
                 findings.append(_of_caller(row, "was answered but never ran"))
     return findings
 
--- a/src/bronzebeam/bench/soak_figures.py
+++ b/src/bronzebeam/bench/soak_figures.py
@@ -22,15 +22,16 @@
 
 
 def _bookings(history: History) -> Counter[str]:
-    by_key: dict[str, list[CallerRow]] = {}
+    by_token: dict[str, list[CallerRow]] = {}
     for row in history.callers:
         if row.key is not None:
-            by_key.setdefault(row.key, []).append(row)
-    ran = {run.key for run in history.runs}
-    counts = Counter(bookings=len(by_key))
-    for key, rows in by_key.items():
+            by_token.setdefault(row.token, []).append(row)
+    ran = {run.token for run in history.runs}
+    counts = Counter(bookings=len(by_token))
+    for token, rows in by_token.items():
+        counts["bookings_under_offered_key"] += any(row.key != token for row in rows)
         if any(row.outcome == "answered" for row in rows):
             continue
         counts["bookings_never_answered"] += 1
-        counts["bookings_never_answered_but_ran"] += key in ran
+        counts["bookings_never_answered_but_ran"] += token in ran
     return counts
--- a/src/bronzebeam/bench/soak_load.py
+++ b/src/bronzebeam/bench/soak_load.py
@@ -10,8 +10,8 @@
 from attrs import define, field
 
 from bronzebeam.bench.documents import BOOK_PATH, FIND_PATH, SEARCH_PATH
-from bronzebeam.bench.history import CallerRow, caller_row
-from bronzebeam.bench.load import Caller, new_key
+from bronzebeam.bench.history import caller_row
+from bronzebeam.bench.load import Caller, CallerAnswer, new_key
 from bronzebeam.bench.soak_state import SoakState
 
 SEARCHES_PER_SECOND: Final = 12.0
@@ -26,6 +26,20 @@
 LAST_ANSWER_SECONDS: Final = 15.0
 
 
+@define(kw_only=True, eq=False)
+class _Booking:
+    """
+    One booking and its resends.
+
+    :ivar key: the caller's key, or the one that an entry offered.
+    :ivar surely_not_run: each answer so far said so, so that another key may be used.
+    """
+
+    token: str
+    key: str
+    surely_not_run: bool = True
+
+
 @define(kw_only=True, eq=False)
 class SoakLoad:
     """
@@ -86,21 +100,32 @@
 
     async def _book(self) -> None:
         key = new_key(now_ms=time.time_ns() // 1_000_000, rng=self.rng)
+        booking = _Booking(token=key, key=key)
         async with anyio.create_task_group() as group:
             if self.rng.random() < AT_ONCE_SHARE:
-                group.start_soon(self._post, BOOK_PATH, {"token": key}, key)
+                booking.surely_not_run = False
+                group.start_soon(self._send_booking, booking)
             for _ in range(RESENDS_MOST):
-                row = await self._post(BOOK_PATH, {"token": key}, key)
-                if row.outcome == "answered":
+                if await self._send_booking(booking) == "answered":
                     break
                 await anyio.sleep(self.rng.uniform(*RESEND_SECONDS))
             if self.rng.random() < AFTER_ANSWER_SHARE:
                 await anyio.sleep(self.rng.uniform(*RESEND_SECONDS))
-                await self._post(BOOK_PATH, {"token": key}, key)
+                await self._send_booking(booking)
+
+    async def _send_booking(self, booking: _Booking) -> str:
+        """Send a booking once, and take the key offered if it surely did not run."""
+        answer = await self._post(BOOK_PATH, {"token": booking.token}, booking.key)
+        if answer.outcome != "not_run":
+            booking.surely_not_run = False
+        offered = answer.body.get("offered_key")
+        if booking.surely_not_run and offered:
+            booking.key = offered
+        return answer.outcome
 
     async def _post(
         self, path: str, payload: dict[str, Any], key: str | None = None
-    ) -> CallerRow:
+    ) -> CallerAnswer:
         entry = self.rng.choice(self.state.balanced)
         answer = await self._caller.post(
             path,
@@ -116,7 +141,7 @@
             empty_shards=payload.get("empty_shards", ()),
         )
         self.state.callers.append(row)
-        return row
+        return answer
 
     def _token(self, prefix: str) -> str:
         self._number += 1
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -176,11 +176,15 @@
 
 def test_booking_that_ran_twice_or_never_is_found() -> None:
     elsewhere = evolve(BOOKING_RUN, request_id="r-9.1", server="attendee-r1")
+    other_key = evolve(elsewhere, key="b-9")
+    other_token = evolve(elsewhere, token="b-9")
     unfinished = evolve(elsewhere, done=False)
     _rejects(
         "at_most_once",
         _runs_and(elsewhere),
         _runs_and(unfinished),
+        _runs_and(other_key),
+        _runs_and(other_token),
         evolve(CLEAN, runs=CLEAN.runs[:-1]),
     )
 
