Run suspects on one replica at a time, and stop them at the verdict

Cause: on the whole path a search that crashes its backend servers took all 8 replicas of 4 shards: retries went to the second replicas before any verdict, and after the verdict the run went on to the next shard. Change: a run whose fingerprint is suspected goes on solo, waits until the quarantine has taken in a loss, and gives up at the verdict; attempts carry the mark. Ruled out: no retry after any lost connection, which would cost complete answers when a replica is just lost.

--- a/src/bronzebeam/controllers/quarantine.py
+++ b/src/bronzebeam/controllers/quarantine.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+import anyio
 from attrs import asdict, define, frozen
 
 from bronzebeam.clock import Clock
@@ -27,7 +28,14 @@
     records: tuple[Record, ...]
 
 
-QuarantineMessage = LinkEvent | RecordsHeard
+@frozen(kw_only=True)
+class Settled:
+    """Asks for `reached` to be set once all earlier messages are handled."""
+
+    reached: anyio.Event
+
+
+QuarantineMessage = LinkEvent | RecordsHeard | Settled
 Publish = Callable[[str, Any], None]
 
 
@@ -73,9 +81,17 @@
         standing = self._quarantine.standing(fingerprint, wall_seconds=wall)
         return standing is Standing.SUSPECT
 
+    async def settle(self) -> None:
+        """Wait until every loss reported so far is taken in."""
+        marker = Settled(reached=anyio.Event())
+        self.post(marker)
+        await marker.reached.wait()
+
     async def handle(self, message: QuarantineMessage) -> None:
         """Apply one message to the state."""
-        if isinstance(message, RecordsHeard):
+        if isinstance(message, Settled):
+            message.reached.set()
+        elif isinstance(message, RecordsHeard):
             wall = self._clock.wall_seconds()
             self._quarantine.merge(message.records, wall_seconds=wall)
         elif message.attempt.fingerprint:
--- a/src/bronzebeam/filters/call.py
+++ b/src/bronzebeam/filters/call.py
@@ -85,6 +85,7 @@
         while self._running:
             with anyio.CancelScope(deadline=min(answer_by, self._hedge_at_seconds)):
                 attempt, outcome = await self._results_out.receive()
+                await self.dispatcher.settle_loss(outcome)
                 answer = self._handle(attempt, outcome)
                 if answer is not None:
                     return answer
@@ -162,6 +163,7 @@
             fingerprint=self.request.fingerprint,
             idempotent=self.request.idempotent,
             hedge=hedge,
+            solo=self.dispatcher.is_suspect(self.request),
             on_result=self._receive,
         )
 
--- a/src/bronzebeam/filters/dispatch.py
+++ b/src/bronzebeam/filters/dispatch.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
+import anyio
 from attrs import frozen
 
 from bronzebeam.clock import Clock
@@ -65,13 +66,29 @@
         link = self.reach.link(choice.replica)
         return Chosen(replica=choice.replica, link=link) if link is not None else None
 
+    async def settle_loss(self, outcome: AttemptOutcome) -> None:
+        """After a lost connection, wait until the quarantine has taken it in."""
+        if isinstance(outcome, AttemptLost) and outcome.reason == "connection_lost":
+            with anyio.CancelScope(shield=True):
+                await self.killers.settle()
+
+    def is_quarantined(self, request: CallerRequest) -> bool:
+        """Tell whether `request` is to run no further."""
+        now = self.clock.monotonic_seconds()
+        return self.killers.release_ms(request.fingerprint, now) is not None
+
+    def is_suspect(self, request: CallerRequest) -> bool:
+        """Tell whether `request` is to run on one replica at a time."""
+        now = self.clock.monotonic_seconds()
+        return request.solo or self.killers.is_suspect(request.fingerprint, now)
+
     def may_hedge(
         self, request: CallerRequest, *, replicas: Sequence[str], tried: Sequence[str]
     ) -> bool:
         """Decide on a hedge, and take it from the service's budget."""
-        now = self.clock.monotonic_seconds()
-        if self.killers.is_suspect(request.fingerprint, now):
+        if self.is_suspect(request):
             return False
+        now = self.clock.monotonic_seconds()
         state = self._state(request, replicas, tried, now)
         return self.extra.allow_hedge(request.service, state, now)
 
@@ -84,9 +101,9 @@
         tried: Sequence[str],
     ) -> bool:
         """Decide on a retry, and take it from the service's budget."""
-        now = self.clock.monotonic_seconds()
-        if self.killers.release_ms(request.fingerprint, now) is not None:
+        if self.is_quarantined(request):
             return False
+        now = self.clock.monotonic_seconds()
         state = self._state(request, replicas, tried, now)
         failure = _failure_kind(outcome)
         return self.extra.allow_retry(request.service, state, failure, now)
--- a/src/bronzebeam/filters/policy.py
+++ b/src/bronzebeam/filters/policy.py
@@ -46,6 +46,9 @@
     def is_suspect(self, fingerprint: str, now_seconds: float) -> bool:
         """Tell whether `fingerprint` is to run on one replica at a time."""
 
+    async def settle(self) -> None:
+        """Wait until every loss reported so far is taken in."""
+
 
 class NoKillerWatch:
     """Quarantines nothing: the baseline of an experiment."""
@@ -57,3 +60,6 @@
     def is_suspect(self, fingerprint: str, now_seconds: float) -> bool:
         """Return False."""
         return False
+
+    async def settle(self) -> None:
+        """Return at once."""
--- a/src/bronzebeam/filters/search_run.py
+++ b/src/bronzebeam/filters/search_run.py
@@ -20,6 +20,7 @@
     required_shards,
 )
 from bronzebeam.routing.hedging import MOST_ATTEMPTS
+from bronzebeam.routing.quarantine import solo_order
 from bronzebeam.routing.snapshots import Snapshot
 from bronzebeam.transport.attempt import Attempt, AttemptOutcome
 from bronzebeam.transport.backend_protocol import (
@@ -45,6 +46,7 @@
     _timing: SearchTiming = field(init=False)
     _shards: list[ShardAttempts] = field(init=False)
     _unsettled: int = field(init=False)
+    _solo: bool = field(default=False, init=False)
     _included: int = field(default=0, init=False)
     _attempts: int = field(default=0, init=False)
     _version_gone: bool = field(default=False, init=False)
@@ -83,11 +85,11 @@
         if self.snapshot.covered < required_shards(coverage, len(self._shards)):
             self._give_up_uncovered()
             return
-        if self.request.solo:
+        self._solo = self.request.solo
+        if self._solo:
             self._send_next_solo()
         else:
-            for shard in self._shards:
-                self._send(shard)
+            self._send_waiting()
         extra = self.dispatcher.extra
         extra.note_first(self.request.service, len(self._shards), now)
         delay_seconds = extra.hedge_delay_seconds(self.request.service, now)
@@ -104,6 +106,7 @@
         while not self._is_over():
             with anyio.CancelScope(deadline=self._wake_at_seconds()):
                 async for attempt, outcome in self._results_out:
+                    await self.dispatcher.settle_loss(outcome)
                     self._handle(attempt, outcome)
                     if self._is_over():
                         return
@@ -176,6 +179,7 @@
             deadline_at_seconds=self.request.deadline_at_seconds,
             fingerprint=self.request.fingerprint,
             hedge=hedge,
+            solo=self._solo,
             on_result=self._receive,
         )
 
@@ -195,8 +199,9 @@
         else:
             shard.reason = reason_of(outcome)
             self._version_gone |= shard.reason is Reason.VERSION_GONE
+            self._solo = self._solo or self.dispatcher.is_suspect(self.request)
             self._retry(shard, outcome)
-        if self.request.solo and shard.settled:
+        if self._solo:
             self._send_next_solo()
 
     def _accept(
@@ -209,10 +214,27 @@
         for loser in shard.running:
             self.dispatcher.note_waited(self.request, loser)
         self._cancel(shard)
+        if self._solo:
+            # What has been answered once crashes nothing.
+            self._solo = False
+            self._send_waiting()
 
-    def _send_next_solo(self) -> None:
+    def _send_waiting(self) -> None:
         for shard in self._shards:
-            if not shard.settled and not shard.tried and self._send(shard):
+            if not shard.settled and not shard.running:
+                self._send(shard)
+
+    def _send_next_solo(self) -> None:
+        """Send a suspect to one more shard, unless it still runs on another."""
+        if any(shard.running for shard in self._shards):
+            return
+        if self.dispatcher.is_quarantined(self.request):
+            for shard in self._shards:
+                self._give_up(shard, Reason.QUARANTINED)
+            return
+        for number in solo_order(self.request.fingerprint, len(self._shards)):
+            shard = self._shards[number]
+            if not shard.settled and self._send(shard):
                 return
 
     def _retry(self, shard: ShardAttempts, outcome: AttemptOutcome) -> None:
@@ -221,12 +243,16 @@
         allowed = self.dispatcher.may_retry(
             self.request, outcome, replicas=shard.replicas, tried=shard.tried
         )
-        if not allowed or not self._send(shard):
+        if not allowed:
+            self._give_up(shard)
+        elif not self._solo and not self._send(shard):
             self._give_up(shard)
 
     def _hedge(self, now: float) -> None:
         """Send a further attempt for each shard that waits past the hedge delay."""
         self._hedge_at_seconds = math.inf
+        if self._solo:
+            return
         if self._unsettled > self._most_stragglers:
             self._hedge_at_seconds = now + HEDGE_AGAIN_SECONDS
             return
--- a/tests/fixtures_path.py
+++ b/tests/fixtures_path.py
@@ -299,6 +299,9 @@
     def is_suspect(self, fingerprint: str, now_seconds: float) -> bool:
         return fingerprint in self.suspects
 
+    async def settle(self) -> None:
+        pass
+
 
 def make_document(
     *, coverage: CoverageSpec = CoverageSpec(), extra_load_share: float = 0.05
