Let a suspect ask the rest of its shards at once only when it is cleared

Change: the run asks the quarantine again after each answer. The test now names the fingerprint as a suspect for its whole length, and a second one covers the cleared case.

--- a/src/bronzebeam/filters/call.py
+++ b/src/bronzebeam/filters/call.py
@@ -163,7 +163,7 @@
             fingerprint=self.request.fingerprint,
             idempotent=self.request.idempotent,
             hedge=hedge,
-            solo=self.dispatcher.is_suspect(self.request),
+            solo=self.request.solo or self.dispatcher.is_suspected(self.request),
             on_result=self._receive,
         )
 
--- a/src/bronzebeam/filters/dispatch.py
+++ b/src/bronzebeam/filters/dispatch.py
@@ -77,16 +77,16 @@
         now = self.clock.monotonic_seconds()
         return self.killers.release_ms(request.fingerprint, now) is not None
 
-    def is_suspect(self, request: CallerRequest) -> bool:
-        """Tell whether `request` is to run on one replica at a time."""
+    def is_suspected(self, request: CallerRequest) -> bool:
+        """Tell whether `request` is to run on one replica at a time by now."""
         now = self.clock.monotonic_seconds()
-        return request.solo or self.killers.is_suspect(request.fingerprint, now)
+        return self.killers.is_suspect(request.fingerprint, now)
 
     def may_hedge(
         self, request: CallerRequest, *, replicas: Sequence[str], tried: Sequence[str]
     ) -> bool:
         """Decide on a hedge, and take it from the service's budget."""
-        if self.is_suspect(request):
+        if self.is_suspected(request):
             return False
         now = self.clock.monotonic_seconds()
         state = self._state(request, replicas, tried, now)
--- a/src/bronzebeam/filters/search_run.py
+++ b/src/bronzebeam/filters/search_run.py
@@ -199,7 +199,7 @@
         else:
             shard.reason = reason_of(outcome)
             self._version_gone |= shard.reason is Reason.VERSION_GONE
-            self._solo = self._solo or self.dispatcher.is_suspect(self.request)
+            self._solo = self._solo or self.dispatcher.is_suspected(self.request)
             self._retry(shard, outcome)
         if self._solo:
             self._send_next_solo()
@@ -214,8 +214,8 @@
         for loser in shard.running:
             self.dispatcher.note_waited(self.request, loser)
         self._cancel(shard)
-        if self._solo:
-            # What has been answered once crashes nothing.
+        if self._solo and not self.dispatcher.is_suspected(self.request):
+            # An answer has cleared it, so the other shards need not take turns.
             self._solo = False
             self._send_waiting()
 
--- a/tests/test_path_hedges.py
+++ b/tests/test_path_hedges.py
@@ -73,6 +73,7 @@
         path.group.start_soon(watch)
         for server in path.servers.values():
             server.service_seconds = 0.1
+        path.killers.suspects.add(path.request({"q": 1}).fingerprint)
         outcome = await path.search({"q": 1}, solo=True, deadline_ms=2_000)
         ran = sum(len(item.runs) - before[name] for name, item in path.servers.items())
         assert ran == 4
@@ -82,6 +83,21 @@
     assert isinstance(run_path(scenario), Answered)
 
 
+def test_solo_search_cleared_by_an_answer_asks_the_rest_at_once() -> None:
+    async def scenario(path: RequestPath) -> float:
+        path.add_shards()
+        await path.start()
+        await path.warm_up()
+        for server in path.servers.values():
+            server.service_seconds = 0.1
+        started = anyio.current_time()
+        outcome = await path.search({"q": 1}, solo=True, deadline_ms=2_000)
+        assert isinstance(outcome, Answered)
+        return anyio.current_time() - started
+
+    assert 0.2 <= run_path(scenario) < 0.3
+
+
 def test_solo_search_goes_on_past_a_shard_without_replicas() -> None:
     async def scenario(path: RequestPath) -> Outcome:
         path.add_shards()
