--- a/src/bronzebeam/controllers/claim_buckets.py
+++ b/src/bronzebeam/controllers/claim_buckets.py
@@ -20,7 +20,6 @@
     ClaimDecision,
     ClaimState,
     Held,
-    InProgress,
     UnreadableBucket,
     apply_changes,
     parse_bucket,
@@ -73,7 +72,6 @@
         self._known_at_seconds = 0.0
         self._seen_revision = 0
         self._lease_in_doubt = False
-        self._fresh = False
         self._claim_added = anyio.Event()
         self.pending: list[PendingChange] = []
         self.running = False
@@ -123,10 +121,6 @@
         if bucket is not known.bucket:
             await self._write(batch, known, bucket, decisions)
             return
-        if not self._fresh and InProgress() in decisions:
-            self._known = None
-            return
-        self._fresh = False
         self._finish(batch, decisions)
 
     def _forget_stale(self) -> None:
@@ -171,7 +165,6 @@
             self._learn(reply.current, batch)
             return
         self._remember(reply.mod_revision, bucket)
-        self._fresh = False
         if not self._view.note_write(mod_revision=reply.mod_revision, floor=floor):
             self._handle_regression()
             self._give_up_distrusted(batch)
@@ -199,7 +192,6 @@
             self._handle_regression()
         bucket = Bucket() if stored is None else parse_bucket(stored.value)
         known = self._remember(mod_revision, bucket)
-        self._fresh = True
         for pending in batch:
             claim = bucket.claims.get(pending.change.key)
             pending.unclaimed_seen = (
