Tell a cleared fingerprint from a suspect in the exchange with peers

Cause: the digest left out whether a record was lifted, so that a clearance could stay unsent; and the merge renamed fields of the records. Change: the mark includes it.

--- a/src/bronzebeam/controllers/quarantine.py
+++ b/src/bronzebeam/controllers/quarantine.py
@@ -144,11 +144,8 @@
     controller: QuarantineController
 
     def digest(self) -> Any:
-        """Return the offences and release time of each record."""
-        return {
-            record.fingerprint: [record.offences, record.released_at_seconds]
-            for record in self.controller.records
-        }
+        """Return what tells a newer record of a fingerprint from an older one."""
+        return {record.fingerprint: _mark(record) for record in self.controller.records}
 
     def delta(self, since: Any) -> Any:
         """Return the records that differ from `since`; None if none does."""
@@ -157,8 +154,7 @@
         differing = [
             record
             for record in self.controller.records
-            if since.get(record.fingerprint)
-            != [record.offences, record.released_at_seconds]
+            if since.get(record.fingerprint) != _mark(record)
         ]
         return _to_json(differing) if differing else None
 
@@ -172,6 +168,10 @@
         return bool(news)
 
 
+def _mark(record: Record) -> list[Any]:
+    return [record.quarantines, record.released_at_seconds, record.lifted]
+
+
 def _to_json(records: list[Record]) -> list[dict[str, Any]]:
     return [asdict(record) for record in records]
 
@@ -183,10 +183,10 @@
         return [
             Record(
                 fingerprint=str(item["fingerprint"]),
-                offences=int(item["offences"]),
+                quarantines=int(item["quarantines"]),
                 released_at_seconds=float(item["released_at_seconds"]),
                 lifted=bool(item["lifted"]),
-                convicted_on=str(item["convicted_on"]),
+                crashed_replica=str(item["crashed_replica"]),
             )
             for item in payload
         ]
