--- a/src/bronzebeam/bench/soak_load.py
+++ b/src/bronzebeam/bench/soak_load.py
@@ -15,8 +15,8 @@
 from bronzebeam.bench.soak_state import SoakState
 
 SEARCHES_PER_SECOND: Final = 12.0
-FINDS_PER_SECOND: Final = 4.0
-BOOKINGS_PER_SECOND: Final = 4.0
+FINDS_PER_SECOND: Final = 6.0
+BOOKINGS_PER_SECOND: Final = 8.0
 DEADLINE_MS: Final = 800
 EMPTY_SHARE: Final = 0.2
 AT_ONCE_SHARE: Final = 0.25
--- a/src/bronzebeam/bench/soak_state.py
+++ b/src/bronzebeam/bench/soak_state.py
@@ -6,7 +6,7 @@
 import anyio
 from attrs import define, field
 
-from bronzebeam.bench.documents import rig_document
+from bronzebeam.bench.documents import CALLS, rig_document
 from bronzebeam.bench.history import (
     AcceptanceRow,
     CallerRow,
@@ -24,6 +24,7 @@
 SHARDS: Final = 6
 ENTRIES: Final = 4
 LEAST_SERVING: Final = 2
+CALLS_SHARE: Final = 0.4
 TURN_SECONDS: Final = 0.1
 DRAIN_LAG_MS: Final = 600
 NON_IDEMPOTENT: Final = frozenset({"register"})
@@ -98,6 +99,9 @@
     def free_servers(self, count: int) -> list[str]:
         """Pick up to `count` backend servers that no fault has taken."""
         free = sorted(set(self.rig.controls) - self.busy)
+        calls = [name for name in free if name.startswith(CALLS)]
+        if calls and self.rng.random() < CALLS_SHARE:
+            free = calls
         return self.rng.sample(free, min(count, len(free)))
 
     def unbalance(self, entry: EntryProcess) -> None:
