Keep ended members by the time of their end, and refused documents out

Cause: three faults found on review. Ended records were kept by incarnation, so that an entry up for longer than the last 512 ends was forgotten as it left, and taken for live again by the list. An entry that refuses a document fetched it whole at each exchange.

Ruled out: keeping more ended records, which only moves the first fault.

Change: records have `ended_ms`; only kept records are news; a refused document is fetched again after 60 s at the earliest.

--- a/src/bronzebeam/controllers/configuration.py
+++ b/src/bronzebeam/controllers/configuration.py
@@ -34,6 +34,7 @@
 
 ISOLATED_WATCH_SECONDS: Final = 3.0
 OLDER_READS: Final = 2
+REFUSED_RETRY_SECONDS: Final = 60.0
 
 ReadDocument = Callable[[Any], AcceptedDocument]
 
@@ -81,6 +82,8 @@
         self._log = log
         self._view = ConfigurationView()
         self._older_reads = 0
+        self._refused_hash = ""
+        self._refused_seconds = 0.0
         self._started_seconds: float | None = None
         self.store_watch = StoreWatch(
             store=store,
@@ -187,20 +190,26 @@
 
     async def _take_news(self, message: NewsArrived) -> None:
         news = message.news
-        self._note_hash(news.revision, news.content_hash, message.instance)
-        if news.revision <= self._view.revision:
+        peer = PeerRevision(
+            instance=message.instance,
+            address=message.address,
+            revision=news.revision,
+            content_hash=news.content_hash,
+        )
+        self._note_hash(peer.revision, peer.content_hash, peer.instance)
+        if not self._wants(peer):
             return
         offer = self._patched(news)
         if offer is None:
-            offer = await self._fetch(message.instance, message.address)
+            offer = await self._fetch(peer)
         if offer is not None:
             self._adopt(offer, message.instance, news)
 
     async def _follow_peer(self, message: PeerRevision) -> None:
         self._note_hash(message.revision, message.content_hash, message.instance)
-        if message.revision <= self._view.revision:
+        if not self._wants(message):
             return
-        offer = await self._fetch(message.instance, message.address)
+        offer = await self._fetch(message)
         if offer is not None:
             self._adopt(offer, message.instance)
 
@@ -220,14 +229,28 @@
         offer = self._read(value, "difference")
         return offer if offer and offer.revision == news.revision else None
 
-    async def _fetch(self, instance: str, address: str) -> DocumentOffer | None:
+    def _wants(self, peer: PeerRevision) -> bool:
+        """Tell whether a peer's document is newer and was not refused lately."""
+        if peer.revision <= self._view.revision:
+            return False
+        if self._refused_hash != peer.content_hash:
+            return True
+        return self._seconds_since(self._refused_seconds) >= REFUSED_RETRY_SECONDS
+
+    async def _fetch(self, peer: PeerRevision) -> DocumentOffer | None:
         try:
-            value = await self._peers.fetch_document(address=address)
+            value = await self._peers.fetch_document(address=peer.address)
         except PeerUnavailable as error:
-            self._membership.post(ContactFailed(instance=instance))
-            self._log("document_fetch_failed", instance=instance, error=str(error))
+            self._membership.post(ContactFailed(instance=peer.instance))
+            self._log("document_fetch_failed", instance=peer.instance, error=str(error))
             return None
-        return None if value is None else self._read(value, instance)
+        if value is None:
+            return None
+        offer = self._read(value, peer.instance)
+        if offer is None:
+            self._refused_hash = peer.content_hash
+            self._refused_seconds = self._clock.monotonic_seconds()
+        return offer
 
     def _read(self, value: Any, source: str) -> DocumentOffer | None:
         try:
--- a/src/bronzebeam/controllers/membership.py
+++ b/src/bronzebeam/controllers/membership.py
@@ -157,10 +157,17 @@
         if not result.changed:
             return
         own = self._refuted(result.records.get(self._view.own.instance))
-        records = {**result.records, own.instance: own}
-        changed = [item for item in result.changed if item.instance != own.instance]
+        records = bound_records({**result.records, own.instance: own})
+        # A record dropped at once is no news; pushed on, it would go round for ever.
+        changed = [
+            item
+            for item in result.changed
+            if item.instance != own.instance and item.instance in records
+        ]
         if own != self._view.own:
             changed.append(own)
+        if not changed:
+            return
         if forward or len(changed) <= MOST_FORWARDED_RECORDS:
             self._news.add_records(tuple(changed))
         for record in changed:
@@ -170,7 +177,7 @@
                 state=record.state.value,
                 incarnation=record.incarnation,
             )
-        self._view = evolve(self._view, own=own, records=bound_records(records))
+        self._view = evolve(self._view, own=own, records=records)
         self._publish_members()
 
     def _refuted(self, heard: MemberRecord | None) -> MemberRecord:
@@ -216,16 +223,20 @@
             self._log("peer_unreachable", instance=instance)
         record = self._view.records.get(instance)
         if instance in self._view.doubtful and record is not None:
-            self._merge((record.with_state(MemberState.GONE),), forward=True)
+            gone = record.ended(MemberState.GONE, at_ms=self._wall_ms())
+            self._merge((gone,), forward=True)
         self._publish_doubts()
 
     def _leave(self) -> None:
-        own = self._view.own.with_state(MemberState.LEAVING)
-        records = {**self._view.records, own.instance: own}
+        own = self._view.own.ended(MemberState.LEAVING, at_ms=self._wall_ms())
+        records = bound_records({**self._view.records, own.instance: own})
         self._view = evolve(self._view, own=own, records=records)
         self._news.add_records((own,))
         self._publish_members()
 
+    def _wall_ms(self) -> int:
+        return int(self._clock.wall_seconds() * 1000)
+
     def _publish_members(self) -> None:
         view = self._view
         plan = build_plan(view.own, view.records, self._listed_entries)
--- a/src/bronzebeam/controllers/peer_messages.py
+++ b/src/bronzebeam/controllers/peer_messages.py
@@ -185,6 +185,7 @@
         "address": record.address,
         "peer_address": record.peer_address,
         "failure_domain": record.failure_domain,
+        "ended_ms": record.ended_ms,
     }
 
 
@@ -200,6 +201,7 @@
         address=reader.text("address", empty=True),
         peer_address=reader.text("peer_address"),
         failure_domain=reader.text("failure_domain", empty=True),
+        ended_ms=reader.integer("ended_ms"),
     )
 
 
--- a/src/bronzebeam/routing/membership_state.py
+++ b/src/bronzebeam/routing/membership_state.py
@@ -37,6 +37,7 @@
     :ivar incarnation: number of the process life; a later life has a higher one.
     :ivar address: where callers reach the member.
     :ivar peer_address: host and port of its peer protocol.
+    :ivar ended_ms: wall time at which it was said to be leaving or gone; 0 while live.
     """
 
     instance: str
@@ -45,21 +46,23 @@
     address: str
     peer_address: str
     failure_domain: str
+    ended_ms: int = 0
 
     @property
-    def precedence(self) -> tuple[int, int, str, str, str]:
+    def precedence(self) -> tuple[int, int, int, str, str, str]:
         """Return the total order by which the later of two records wins."""
         return (
             self.incarnation,
             _STATE_ORDER[self.state],
+            self.ended_ms,
             self.address,
             self.peer_address,
             self.failure_domain,
         )
 
-    def with_state(self, state: MemberState) -> "MemberRecord":
-        """Return the record of the same life in `state`."""
-        return evolve(self, state=state)
+    def ended(self, state: MemberState, *, at_ms: int) -> "MemberRecord":
+        """Return the record of the same life as leaving or gone."""
+        return evolve(self, state=state, ended_ms=at_ms)
 
 
 Records = Mapping[str, MemberRecord]
@@ -99,24 +102,22 @@
 
 def bound_records(records: Records) -> Records:
     """
-    Drop the oldest lives above `MOST_MEMBERS` and `MOST_GONE_RECORDS`.
+    Drop the records above `MOST_MEMBERS` and `MOST_GONE_RECORDS`.
 
-    Leaving members count with the gone ones, since they come to be gone unsaid. All
-    nodes drop the same ones from the same records, so their digests agree.
+    Of live members the latest lives are kept, of the others the latest ends. Leaving
+    members count with the gone ones, since they come to be gone unsaid. All nodes drop
+    the same ones from the same records, so their digests agree.
     """
     present = [item for item in records.values() if item.state == MemberState.LIVE]
     gone = [item for item in records.values() if item.state != MemberState.LIVE]
     if len(present) <= MOST_MEMBERS and len(gone) <= MOST_GONE_RECORDS:
         return records
-    kept = _newest(present, MOST_MEMBERS) + _newest(gone, MOST_GONE_RECORDS)
+    present.sort(key=lambda item: (item.incarnation, item.instance))
+    gone.sort(key=lambda item: (item.ended_ms, item.instance))
+    kept = present[-MOST_MEMBERS:] + gone[-MOST_GONE_RECORDS:]
     return {item.instance: item for item in kept}
 
 
-def _newest(records: list[MemberRecord], count: int) -> list[MemberRecord]:
-    ordered = sorted(records, key=lambda item: (item.incarnation, item.instance))
-    return ordered[-count:]
-
-
 def bucket_of(instance: str) -> int:
     """Return the bucket that the record of `instance` is compared in."""
     return hashlib.blake2b(instance.encode(), digest_size=1).digest()[0] % BUCKETS
@@ -146,11 +147,15 @@
     """Compute the digest of `records`."""
     lines: list[list[str]] = [[] for _ in range(BUCKETS)]
     for record in records.values():
-        version = f"{record.instance}\0{record.incarnation}\0{record.state.value}"
-        lines[bucket_of(record.instance)].append(version)
+        lines[bucket_of(record.instance)].append(_version(record))
     buckets = tuple(_digest("\n".join(sorted(bucket))) for bucket in lines)
     return RecordsDigest(whole=_digest("".join(buckets)), buckets=buckets)
 
 
+def _version(record: MemberRecord) -> str:
+    parts = (record.instance, record.incarnation, record.state.value, record.ended_ms)
+    return "\0".join(map(str, parts))
+
+
 def _digest(text: str) -> str:
     return hashlib.blake2b(text.encode(), digest_size=BUCKET_DIGEST_BYTES).hexdigest()
--- a/tests/fixtures_fleet.py
+++ b/tests/fixtures_fleet.py
@@ -10,7 +10,6 @@
 import trio.testing
 from attrs import define, field
 
-from bronzebeam.clock import SystemClock
 from bronzebeam.controllers.configuration import ConfigurationController
 from bronzebeam.controllers.gossip import GossipController, TopicSpec
 from bronzebeam.controllers.membership import (
@@ -82,6 +81,16 @@
     )
 
 
+class VirtualClock:
+    """The event loop's time, as wall time too."""
+
+    def monotonic_seconds(self) -> float:
+        return anyio.current_time()
+
+    def wall_seconds(self) -> float:
+        return anyio.current_time()
+
+
 class VersionTopic:
     """News of names with versions; the higher version is kept."""
 
@@ -204,10 +213,15 @@
         self.loss = 0.0
         self.duplicate_pushes = False
         self.list_up = True
+        self.fetches = 0
         self.events: list[tuple[str, str, dict[str, Any]]] = []
 
     def start(
-        self, name: str, domain: str = "a", topics: tuple[TopicSpec, ...] = ()
+        self,
+        name: str,
+        domain: str = "a",
+        topics: tuple[TopicSpec, ...] = (),
+        read: Callable[[Any], AcceptedDocument] = read_accepted,
     ) -> FakeNode:
         incarnation = 1 + int(anyio.current_time() * 1000)
         own = member(name, domain, incarnation)
@@ -218,7 +232,7 @@
             self.events.append((name, event, fields))
 
         seeded: dict[str, Any] = {
-            "clock": SystemClock(),
+            "clock": VirtualClock(),
             "rng": Random(self.rng.random()),
             "log": log,
         }
@@ -231,7 +245,7 @@
             peers=link,
             membership=membership,
             outbox=outbox,
-            read_document=read_accepted,
+            read_document=read,
             **seeded,
         )
         gossip = GossipController(
@@ -327,6 +341,7 @@
 
     async def fetch_document(self, *, address: str) -> Any:
         node = await self._reach(address)
+        self._fleet.fetches += 1
         encoded = node.configuration.view.encoded
         return None if encoded is None else orjson.loads(encoded)
 
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -1,9 +1,13 @@
 """Tests of the configuration in force over a fleet, in virtual time."""
 
+from typing import Any
+
 import anyio
 import orjson
 
-from tests.fixtures_fleet import Fleet, accepted_value, run_fleet
+from bronzebeam.documents.model import AcceptedDocument
+from bronzebeam.findings import FindingsError
+from tests.fixtures_fleet import Fleet, accepted_value, read_accepted, run_fleet
 
 SETTLE_SECONDS = 12.0
 
@@ -212,6 +216,28 @@
     run_fleet(scenario)
 
 
+def test_refused_document_is_not_fetched_at_each_exchange() -> None:
+    def read_old_release(value: Any) -> AcceptedDocument:
+        if value["revision"] == 2:
+            raise FindingsError(subject="document", findings=())
+        return read_accepted(value)
+
+    async def scenario(fleet: Fleet) -> None:
+        await _settled(fleet)
+        old = fleet.start("old", read=read_old_release)
+        await anyio.sleep(5)
+        fleet.store.put(accepted_value(2))
+        before = fleet.fetches
+        await anyio.sleep(100)
+        assert old.revision == 1 and old.configuration.view.refused
+        assert 1 <= fleet.fetches - before <= 2
+        fleet.store.put(accepted_value(3))
+        await fleet.in_force(3, within=2.0)
+        assert not old.configuration.view.refused
+
+    run_fleet(scenario)
+
+
 def test_peers_get_the_document_as_it_was_accepted() -> None:
     async def scenario(fleet: Fleet) -> None:
         await _settled(fleet)
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -3,8 +3,9 @@
 import anyio
 
 from bronzebeam.controllers.gossip import TopicSpec
-from bronzebeam.controllers.membership import LeaveFleet
-from tests.fixtures_fleet import Fleet, VersionTopic, accepted_value, run_fleet
+from bronzebeam.controllers.membership import LeaveFleet, RecordsArrived
+from bronzebeam.routing.membership_state import MOST_GONE_RECORDS, MemberState
+from tests.fixtures_fleet import Fleet, VersionTopic, accepted_value, member, run_fleet
 
 SETTLE_SECONDS = 12.0
 
@@ -21,6 +22,18 @@
         assert set(node.membership.view.members) == names, name
 
 
+async def _fill_with_ended(fleet: Fleet) -> None:
+    """Give each entry as many records of ended lives as it keeps, of this moment."""
+    at_ms = int(anyio.current_time() * 1000)
+    ended = tuple(
+        member(f"past{index}", incarnation=10**9).ended(MemberState.GONE, at_ms=at_ms)
+        for index in range(MOST_GONE_RECORDS + 10)
+    )
+    for node in fleet.nodes.values():
+        node.membership.post(RecordsArrived(records=ended, pushed=False))
+    await anyio.sleep(5)
+
+
 def test_newcomer_is_known_to_all_before_the_list_shows_it() -> None:
     async def scenario(fleet: Fleet) -> None:
         await _settled(fleet)
@@ -50,6 +63,33 @@
     run_fleet(scenario)
 
 
+def test_entry_of_an_early_life_leaves_after_many_later_ones() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await _settled(fleet, count=4)
+        await _fill_with_ended(fleet)
+        fleet.nodes["e3"].membership.post(LeaveFleet())
+        await anyio.sleep(30)
+        _all_know(fleet, set(fleet.nodes) - {"e3"})
+        for node in fleet.nodes.values():
+            assert len(node.membership.view.records) == MOST_GONE_RECORDS + 3
+
+    run_fleet(scenario)
+
+
+def test_record_that_is_dropped_at_once_is_not_pushed_on() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await _settled(fleet, count=4)
+        await _fill_with_ended(fleet)
+        before = sum(node.gossip.pushes for node in fleet.nodes.values())
+        older = member("older").ended(MemberState.GONE, at_ms=1)
+        arrived = RecordsArrived(records=(older,), pushed=True)
+        fleet.nodes["e0"].membership.post(arrived)
+        await anyio.sleep(0.5)
+        assert sum(node.gossip.pushes for node in fleet.nodes.values()) == before
+
+    run_fleet(scenario)
+
+
 def test_crashed_entry_is_a_member_until_the_list_drops_it() -> None:
     async def scenario(fleet: Fleet) -> None:
         await _settled(fleet)
--- a/tests/test_fleet_routing.py
+++ b/tests/test_fleet_routing.py
@@ -37,6 +37,7 @@
         address=st.sampled_from(["x", "y"]),
         peer_address=st.just("p"),
         failure_domain=st.just("d"),
+        ended_ms=st.integers(0, 2),
     ),
     max_size=8,
 )
@@ -63,7 +64,7 @@
 
 
 def test_later_life_wins_over_the_end_of_an_earlier_one() -> None:
-    gone = member("a", incarnation=4).with_state(MemberState.GONE)
+    gone = member("a", incarnation=4).ended(MemberState.GONE, at_ms=9)
     later = member("a", incarnation=5)
     assert _merged([later], [gone])["a"] == later
     assert _merged([gone], [member("a", incarnation=4)])["a"] == gone
@@ -72,7 +73,7 @@
 def test_records_are_bounded_and_live_ones_kept_before_gone_ones() -> None:
     live = [member(f"live{i}", incarnation=i) for i in range(100)]
     gone = [
-        member(f"gone{i}", incarnation=1000 + i).with_state(MemberState.GONE)
+        member(f"gone{i}", incarnation=1000 - i).ended(MemberState.GONE, at_ms=i)
         for i in range(MOST_GONE_RECORDS + 50)
     ]
     kept = bound_records(_merged(live, gone))
