--- a/tests/test_fleet_routing.py
+++ b/tests/test_fleet_routing.py
@@ -1,11 +1,14 @@
 """Tests of the pure parts of the fleet: ranking, watchers, rings and records."""
 
 from collections import Counter
+from random import Random
 
 from hypothesis import given, settings, strategies as st
 
+from bronzebeam.controllers.membership_view import MembershipView, build_plan
 from bronzebeam.routing.dissemination import (
     PUSH_RINGS,
+    choose_exchange_peer,
     exchange_interval_seconds,
     push_candidates,
 )
@@ -20,7 +23,12 @@
     merge_records,
 )
 from bronzebeam.routing.rendezvous import RendezvousRanking, rank_members
-from bronzebeam.routing.watchers import choose_standby, choose_watchers
+from bronzebeam.routing.watchers import (
+    STANDBY_WATCHERS,
+    WATCHERS,
+    choose_standby,
+    choose_watchers,
+)
 from tests.fixtures_fleet import member
 from tests.fixtures_fleet_dissemination import CASES, fleet_members, spread
 
@@ -118,6 +126,31 @@
     assert choose_standby(ranked, chosen) == ("e1", "e2", "e3", "e4", "e7", "e8")
 
 
+def test_standby_entries_and_watchers_check_on_the_watchers() -> None:
+    members = fleet_members(100)
+    records = {item.instance: item for item in members}
+    checked = {}
+    for own in members:
+        view = MembershipView(
+            revision=1, own=own, records=records, plan=build_plan(own, records, {})
+        )
+        checked[own.instance] = set(view.checked_peers)
+        watchers = set(view.watchers)
+    checking = {name for name, peers in checked.items() if peers}
+    assert len(checking) == WATCHERS + STANDBY_WATCHERS and watchers < checking
+    assert all(checked[name] == watchers - {name} for name in checking)
+
+
+def test_checked_peers_get_every_second_exchange() -> None:
+    chosen = [
+        choose_exchange_peer(
+            peers=("a", "b"), urgent=("w",), suspected=(), turn=turn, rng=Random(1)
+        )
+        for turn in range(6)
+    ]
+    assert chosen[::2] == ["w"] * 3 and "w" not in chosen[1::2]
+
+
 def test_each_node_is_pushed_to_by_about_as_many_as_it_pushes_to() -> None:
     members = fleet_members(200)
     received: Counter[str] = Counter()
