--- a/src/bronzebeam/controllers/backends.py
+++ b/src/bronzebeam/controllers/backends.py
@@ -107,9 +107,9 @@
     def view(self, name: str) -> ReplicaView | None:
         """Return what routing needs to know of a replica."""
         replica = self._replicas.get(name)
+        now = self._clock.monotonic_seconds()
         if replica is None:
             return None
-        now = self._clock.monotonic_seconds()
         return replica.view(now, ejected=self._is_ejected(replica, now))
 
     def _is_ejected(self, replica: ReplicaState, now: float) -> bool:
@@ -136,6 +136,11 @@
         retired = (link for link in self._retired if link.replica == name)
         return next(retired, None)
 
+    @property
+    def retired_links(self) -> int:
+        """Links to replicas gone from the list whose last attempts still run."""
+        return len(self._retired)
+
     async def run(self) -> None:
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._tick)
@@ -194,7 +199,8 @@
         known = self._replicas.get(item.instance)
         if known is not None:
             if known.link.address == item.address:
-                self._update_listed(known, item, service, share)
+                known.update(item, slots=service.backend.slots, share=share)
+                self._note_usable(known)
                 return
             self._retire(item.instance)
         now = self._clock.monotonic_seconds()
@@ -225,19 +231,6 @@
         for observer in self._observers:
             observer(event)
 
-    def _update_listed(
-        self,
-        replica: ReplicaState,
-        item: ListedInstance,
-        service: ServiceSpec,
-        share: int,
-    ) -> None:
-        replica.listed = item
-        replica.slots = service.backend.slots
-        if replica.link.share != share:
-            replica.link.resize(share)
-        self._note_usable(replica)
-
     def _retire(self, name: str) -> None:
         link = self._replicas.pop(name).link
         link.retire()
--- a/src/bronzebeam/controllers/replica_state.py
+++ b/src/bronzebeam/controllers/replica_state.py
@@ -55,6 +55,13 @@
         """Newest index version that it holds; 0 for none."""
         return max((item.index_version for item in self.holdings), default=0)
 
+    def update(self, listed: ListedInstance, *, slots: int, share: int) -> None:
+        """Take in the instance list and document of today."""
+        self.listed = listed
+        self.slots = slots
+        if self.link.share != share:
+            self.link.resize(share)
+
     def view(self, now_seconds: float, *, ejected: bool) -> ReplicaView:
         """Return what routing needs to know of the backend server."""
         return ReplicaView(
