--- a/src/bronzebeam/controllers/caller_usage.py
+++ b/src/bronzebeam/controllers/caller_usage.py
@@ -7,7 +7,7 @@
 
 from bronzebeam.clock import Clock
 from bronzebeam.filters.chain import CallerRequest
-from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.findings import FindingsError, one_finding
 from bronzebeam.routing.caller_rates import CallerRates, RateDecision
 
 TOPIC: Final = "caller_usage"
@@ -145,5 +145,4 @@
 
 
 def _malformed(message: str) -> FindingsError:
-    finding = Finding(place="", message=message)
-    return FindingsError(subject=TOPIC, findings=(finding,))
+    return one_finding(subject=TOPIC, message=message)
--- a/src/bronzebeam/controllers/document_difference.py
+++ b/src/bronzebeam/controllers/document_difference.py
@@ -6,8 +6,7 @@
 import orjson
 from attrs import frozen
 
-from bronzebeam.controllers.message_reader import findings_error
-from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.findings import FindingsError, one_finding
 
 CHECKSUM_BYTES: Final = 16
 
@@ -97,4 +96,4 @@
 
 
 def _refusal(message: str) -> FindingsError:
-    return findings_error("document difference", [Finding(place="", message=message)])
+    return one_finding(subject="document difference", message=message)
--- a/src/bronzebeam/controllers/message_reader.py
+++ b/src/bronzebeam/controllers/message_reader.py
@@ -9,16 +9,6 @@
 MOST_INTEGER: Final = 2**63 - 1
 
 
-def findings_error(subject: str, findings: Any) -> FindingsError:
-    """
-    Build the error that carries `findings`.
-
-    :param findings: an iterable of `Finding`; mypy takes no typed one for the
-        converter of `FindingsError`.
-    """
-    return FindingsError(subject=subject, findings=findings)
-
-
 class MessageReader:
     """
     Reads the members of one JSON object and collects what is wrong with them.
@@ -110,4 +100,4 @@
         :raises FindingsError: if there were findings.
         """
         if self.findings:
-            raise findings_error(subject, self.findings)
+            raise FindingsError(subject=subject, findings=self.findings)
--- a/src/bronzebeam/controllers/quarantine.py
+++ b/src/bronzebeam/controllers/quarantine.py
@@ -8,7 +8,7 @@
 
 from bronzebeam.clock import Clock
 from bronzebeam.controllers.base import Controller
-from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.findings import FindingsError, one_finding
 from bronzebeam.routing.quarantine import LostReplica, Quarantine, Record, Standing
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.transport.attempt import AttemptLost
@@ -195,5 +195,4 @@
 
 
 def _malformed(message: str) -> FindingsError:
-    finding = Finding(place="", message=message)
-    return FindingsError(subject=TOPIC, findings=(finding,))
+    return one_finding(subject=TOPIC, message=message)
--- a/src/bronzebeam/documents/drafts.py
+++ b/src/bronzebeam/documents/drafts.py
@@ -7,7 +7,6 @@
 
 from bronzebeam.documents.loading import (
     document_to_json,
-    findings_error,
     load_document,
     parse_json,
 )
@@ -40,7 +39,7 @@
     value = parse_json(data, subject)
     findings = _draft_findings(value)
     if findings:
-        raise findings_error(subject, findings)
+        raise FindingsError(subject=subject, findings=findings)
     try:
         document = load_document(
             json.dumps(value["document"]).encode(), subject=subject
@@ -50,7 +49,7 @@
             Finding(place="/document" + item.place, message=item.message)
             for item in error.findings
         )
-        raise findings_error(subject, moved) from None
+        raise FindingsError(subject=subject, findings=moved) from None
     base = Base(revision=value["base_revision"], write_id=value["base_write_id"])
     return Draft(author=value["author"], base=base, document=document)
 
--- a/src/bronzebeam/documents/loading.py
+++ b/src/bronzebeam/documents/loading.py
@@ -53,7 +53,7 @@
     document = document_from_json(parse_json(data, subject), subject=subject)
     findings = check_document(document)
     if findings:
-        raise findings_error(subject, findings)
+        raise FindingsError(subject=subject, findings=findings)
     return document
 
 
@@ -103,7 +103,7 @@
         finding = Finding(
             place="/content_hash", message="the hash does not match the document"
         )
-        raise findings_error(subject, (finding,))
+        raise FindingsError(subject=subject, findings=(finding,))
     return AcceptedDocument(
         revision=int(value["revision"]),
         write_id=value["write_id"],
@@ -121,12 +121,6 @@
     return value
 
 
-def findings_error(subject: str, findings: Any) -> FindingsError:
-    """Build the error that carries all `findings`."""
-    # Any, since mypy cannot infer the type that the field's converter takes.
-    return FindingsError(subject=subject, findings=findings)
-
-
 def _serialize(_instance: Any, _attribute: Any, value: Any) -> Any:
     if isinstance(value, Enum):
         return value.value
@@ -162,7 +156,7 @@
             for name in sorted(repeated)
         ]
     if findings:
-        raise findings_error(subject, findings)
+        raise FindingsError(subject=subject, findings=findings)
     return value
 
 
@@ -173,7 +167,7 @@
 def _validate(validator: Draft202012Validator, value: Any, subject: str) -> None:
     findings = _schema_findings(validator, value)
     if findings:
-        raise findings_error(subject, findings)
+        raise FindingsError(subject=subject, findings=findings)
 
 
 def _schema_findings(validator: Draft202012Validator, value: Any) -> list[Finding]:
--- a/src/bronzebeam/documents/operations.py
+++ b/src/bronzebeam/documents/operations.py
@@ -7,7 +7,7 @@
 from bronzebeam.documents.diff import Change, diff_documents
 from bronzebeam.documents.drafts import Draft
 from bronzebeam.documents.errors import ConflictError, RefusedError
-from bronzebeam.documents.loading import content_hash, findings_error
+from bronzebeam.documents.loading import content_hash
 from bronzebeam.documents.model import AcceptedDocument, EnvironmentDocument
 from bronzebeam.documents.review import Approval, Base, approve, base_of
 from bronzebeam.documents.storage import (
@@ -18,6 +18,7 @@
     read_revision,
     write_approval,
 )
+from bronzebeam.findings import FindingsError
 from bronzebeam.transport.store import Store
 
 
@@ -282,4 +283,4 @@
 def _require_checked(document: EnvironmentDocument) -> None:
     findings = check_document(document)
     if findings:
-        raise findings_error(document.environment, findings)
+        raise FindingsError(subject=document.environment, findings=findings)
--- a/src/bronzebeam/entry/peer_app.py
+++ b/src/bronzebeam/entry/peer_app.py
@@ -9,7 +9,6 @@
 from bronzebeam.controllers.configuration import ConfigurationController
 from bronzebeam.controllers.gossip import GossipController
 from bronzebeam.controllers.membership import MembershipController
-from bronzebeam.controllers.message_reader import findings_error
 from bronzebeam.controllers.peer_messages import (
     MOST_MESSAGE_BYTES,
     exchange_from_json,
@@ -17,7 +16,7 @@
     push_from_json,
     push_reply_to_json,
 )
-from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.findings import FindingsError, one_finding
 from bronzebeam.transport.peer import (
     DOCUMENT_PATH,
     EXCHANGE_PATH,
@@ -180,8 +179,8 @@
 
 
 def _refusal(status: int, subject: str, message: str) -> PeerResponse:
-    finding = Finding(place="", message=message)
-    return _findings_response(status, findings_error(subject, [finding]))
+    error = one_finding(subject=subject, message=message)
+    return _findings_response(status, error)
 
 
 def _findings_response(status: int, error: FindingsError) -> PeerResponse:
--- a/src/bronzebeam/findings.py
+++ b/src/bronzebeam/findings.py
@@ -41,6 +41,13 @@
         return f"{self.subject}: " + "; ".join(map(str, self.findings))
 
 
+def one_finding(*, subject: str, message: str, place: str = "") -> FindingsError:
+    """Build the error of a single finding."""
+    return FindingsError(
+        subject=subject, findings=(Finding(place=place, message=message),)
+    )
+
+
 def json_pointer(parts: Iterable[str | int]) -> str:
     """
     Build the JSON pointer of a path.
