Open a span for the chain and for each attempt

Change: the chain and every attempt have spans under the caller's trace; the attempt's context goes to the backend server.

--- a/src/bronzebeam/entry/caller_app.py
+++ b/src/bronzebeam/entry/caller_app.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from attrs import define
+from attrs import define, evolve
 
 from bronzebeam.clock import Clock
 from bronzebeam.documents.model import AcceptedDocument
@@ -28,7 +28,12 @@
 from bronzebeam.reasons import Reason
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.telemetry.query_metrics import QueryMetrics
-from bronzebeam.telemetry.traces import SPAN_CALLER_REQUEST, SpanScope, Tracing
+from bronzebeam.telemetry.traces import (
+    SPAN_CALLER_REQUEST,
+    SPAN_FILTER_CHAIN,
+    SpanScope,
+    Tracing,
+)
 
 NOT_READY_RETRY_MS: Final = 1_000
 KEYS_PATH: Final = "/v1/idempotency-keys"
@@ -127,7 +132,9 @@
         )
         if isinstance(request, NotRun):
             return request
-        return await self._run(request, request_id)
+        with self.tracing.span(SPAN_FILTER_CHAIN, parent=span.headers) as inner:
+            request = evolve(request, trace_headers=inner.headers)
+            return await self._run(request, request_id)
 
     async def _run(self, request: CallerRequest, request_id: str) -> Outcome:
         try:
--- a/src/bronzebeam/entry/daemon.py
+++ b/src/bronzebeam/entry/daemon.py
@@ -78,6 +78,7 @@
                 clock=self.clock,
             )
             await self._serve()
+        self.path.tracing.close()
         await peers.aclose()
         return 1 if self.lifecycle.cut_off else 0
 
@@ -92,6 +93,11 @@
             usage=usage,
             clock=self.clock,
             rng=self.rng,
+            tracing=Tracing(
+                instance=settings.instance,
+                sample_share=settings.trace_sample_share,
+                log_spans=settings.log_spans,
+            ),
             baseline=self.baseline,
         )
         self.fleet = build_fleet(
@@ -186,11 +192,7 @@
             document=self.fleet.document,
             mint_key=self.path.owned_keys.mint,
             lifecycle=self.lifecycle,
-            tracing=Tracing(
-                instance=settings.instance,
-                sample_share=settings.trace_sample_share,
-                log_spans=settings.log_spans,
-            ),
+            tracing=self.path.tracing,
             metrics=self.metrics,
             clock=self.clock,
             body_max_bytes=settings.request_body_max_bytes,
--- a/src/bronzebeam/entry/request_path.py
+++ b/src/bronzebeam/entry/request_path.py
@@ -24,6 +24,7 @@
 from bronzebeam.outcomes import Outcome
 from bronzebeam.settings import EntrySettings
 from bronzebeam.telemetry.logs import log_event
+from bronzebeam.telemetry.traces import Tracing
 from bronzebeam.transport.channel import HttpcoreChannelFactory
 from bronzebeam.transport.owner_route import PeerOwnerRoute
 from bronzebeam.transport.store import Store
@@ -52,6 +53,7 @@
     usage: CallerUsage
     clock: Clock
     rng: random.Random
+    tracing: Tracing
     baseline: Baseline = field(factory=Baseline)
     quarantine: QuarantineController = field(init=False)
     backends: Backends = field(init=False)
@@ -114,6 +116,7 @@
             clock=self.clock,
             rng=self.rng,
             failure_domain=self.settings.failure_domain,
+            tracing=self.tracing,
         )
         search = SearchHandler(dispatcher=dispatcher)
         call = CallHandler(dispatcher=dispatcher)
--- a/src/bronzebeam/filters/call.py
+++ b/src/bronzebeam/filters/call.py
@@ -146,6 +146,9 @@
     def _new_attempt(self, replica: str, hedge: bool) -> Attempt:
         self._attempts += 1
         request_id = f"{self.request.request_id}.{self._attempts}"
+        span = self.dispatcher.open_span(
+            self.request, shard=0, replica=replica, hedge=hedge
+        )
         operation = self.request.operation
         assert operation is not None
         return Attempt(
@@ -158,7 +161,8 @@
                 payload=self.request.payload,
                 idempotency_key=self.request.idempotency_key,
             ),
-            headers=trace_headers(self.request),
+            headers=trace_headers(span),
+            span=span,
             deadline_at_seconds=self.request.deadline_at_seconds,
             fingerprint=self.request.fingerprint,
             idempotent=self.request.idempotent,
--- a/src/bronzebeam/filters/dispatch.py
+++ b/src/bronzebeam/filters/dispatch.py
@@ -18,6 +18,7 @@
     SubRequestState,
     replicas_to_exclude,
 )
+from bronzebeam.telemetry.traces import SPAN_SHARD_ATTEMPT, SpanScope, Tracing
 from bronzebeam.transport.attempt import Attempt, AttemptLost, AttemptOutcome
 from bronzebeam.transport.backend_protocol import BackendDidNotRun
 from bronzebeam.transport.channel import Headers
@@ -42,6 +43,7 @@
     What the runs of searches and calls share.
 
     :ivar failure_domain: failure domain of this entry, preferred for replicas.
+    :ivar tracing: opens a span for each attempt; None for none.
     """
 
     reach: Reach
@@ -50,6 +52,21 @@
     clock: Clock
     rng: random.Random
     failure_domain: str
+    tracing: Tracing | None = None
+
+    def open_span(
+        self, request: CallerRequest, *, shard: int, replica: str, hedge: bool
+    ) -> SpanScope:
+        """Open the span of one attempt; the attempt's end ends it."""
+        if self.tracing is None:
+            return SpanScope(headers=request.trace_headers)
+        return self.tracing.open_span(
+            SPAN_SHARD_ATTEMPT,
+            parent=request.trace_headers,
+            shard=shard,
+            replica=replica,
+            hedge=hedge,
+        )
 
     def choose(self, *, replicas: Iterable[str], tried: Sequence[str]) -> Chosen | None:
         """Choose a replica for the next attempt; None if none may take it."""
@@ -149,10 +166,10 @@
         )
 
 
-def trace_headers(request: CallerRequest) -> Headers:
-    """Return the trace context of `request` as headers of its attempts."""
+def trace_headers(span: SpanScope) -> Headers:
+    """Return the trace context of an attempt's span as headers."""
     return tuple(
-        (name.encode(), value.encode()) for name, value in request.trace_headers.items()
+        (name.encode(), value.encode()) for name, value in span.headers.items()
     )
 
 
--- a/src/bronzebeam/filters/search_run.py
+++ b/src/bronzebeam/filters/search_run.py
@@ -164,6 +164,9 @@
     def _new_attempt(self, shard: ShardAttempts, replica: str, hedge: bool) -> Attempt:
         self._attempts += 1
         request_id = f"{self.request.request_id}.{self._attempts}"
+        span = self.dispatcher.open_span(
+            self.request, shard=shard.number, replica=replica, hedge=hedge
+        )
         return Attempt(
             request_id=request_id,
             replica=replica,
@@ -174,7 +177,8 @@
                 shard=shard.number,
                 query=self.request.payload,
             ),
-            headers=trace_headers(self.request),
+            headers=trace_headers(span),
+            span=span,
             shard=shard.number,
             deadline_at_seconds=self.request.deadline_at_seconds,
             fingerprint=self.request.fingerprint,
--- a/src/bronzebeam/transport/attempt.py
+++ b/src/bronzebeam/transport/attempt.py
@@ -1,10 +1,11 @@
 """An attempt: one sub-request handed to a connection, and what came of it."""
 
 from collections.abc import Callable
-from typing import Any, Literal
+from typing import Literal
 
-from attrs import define, field, frozen
+from attrs import define, frozen
 
+from bronzebeam.telemetry.traces import SpanScope
 from bronzebeam.transport.backend_protocol import ParsedReply
 from bronzebeam.transport.channel import Headers
 
@@ -36,6 +37,7 @@
     :ivar fingerprint: fingerprint of the caller's request; empty for a probe.
     :ivar solo: sent as a suspect, on one replica at a time.
     :ivar on_result: called once in the event loop, never after `abandoned`.
+    :ivar span: ended with the attempt.
     :ivar handed_over_seconds: when the attempt was handed to a connection's queue.
     :ivar sent_at_seconds: set when the first byte may leave.
     """
@@ -56,12 +58,22 @@
     sent_at_seconds: float | None = None
     finished: bool = False
     abandoned: bool = False
-    context: Any = field(default=None)
+    span: SpanScope | None = None
 
     def finish(self, outcome: AttemptOutcome) -> None:
         """Report `outcome` to the asker unless it has left."""
         if self.finished:
             return
         self.finished = True
+        self._end_span(outcome)
         if self.on_result is not None and not self.abandoned:
             self.on_result(self, outcome)
+
+    def _end_span(self, outcome: AttemptOutcome) -> None:
+        if self.span is None:
+            return
+        self.span.annotate(outcome=type(outcome).__name__, abandoned=self.abandoned)
+        reason = getattr(outcome, "reason", None)
+        if reason is not None:
+            self.span.fail(reason)
+        self.span.end()
