Check each bucket's lease in the store used by tests

Change: the test store refuses a write whose lease ends before the bucket's keys expire, or earlier than the bucket states. A test of a long life and one of a short lease; the third test waits until the bucket is read again.

--- a/tests/fixtures_booking_store.py
+++ b/tests/fixtures_booking_store.py
@@ -10,6 +10,8 @@
 
 from bronzebeam.transport.store import Conflict, StoredValue, StoreUnavailable, Written
 
+BUCKET_SECONDS = 60
+KEPT_SECONDS = 24 * 3600 + 2 * 60
 START_SECONDS = 1_800_000_000.0
 STORE_BOUND_SECONDS = 0.2
 STORE_LATENCY_SECONDS = 0.004
@@ -97,6 +99,7 @@
                 return Conflict(current=current)
             if lease_id is not None and lease_id not in self.leases:
                 raise StoreUnavailable("unknown lease")
+            self._check_lease(key, value, lease_id)
             self.revision += 1
             stored = StoredValue(key=key, value=value, mod_revision=self.revision)
             self.values[key] = (stored, lease_id)
@@ -105,6 +108,13 @@
         reply: Written | Conflict = await self._pass(apply)
         return reply
 
+    def _check_lease(self, key: str, value: Any, lease_id: str | None) -> None:
+        if lease_id is None or value["lease_ends_at_seconds"] > self.leases[lease_id]:
+            raise AssertionError(f"{key} may lapse earlier than it states")
+        bucket_end_seconds = (int(key.split("/")[3]) + 1) * BUCKET_SECONDS
+        if value["lease_ends_at_seconds"] < bucket_end_seconds + KEPT_SECONDS:
+            raise AssertionError(f"{key} lapses before its keys expire")
+
     async def grant_lease(self, *, ttl_seconds: float) -> str:
         def apply() -> str:
             lease_id = f"lease-{len(self.leases)}"
--- a/tests/test_bookings_pauses.py
+++ b/tests/test_bookings_pauses.py
@@ -28,6 +28,20 @@
     run_virtual(main)
 
 
+def test_each_bucket_of_a_long_life_outlasts_its_keys() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            for number in range(5):
+                age_seconds = -anyio.current_time()
+                key = caller_key(number, age_seconds=age_seconds)
+                booked = await fleet.entries[0].book(key)
+                assert isinstance(booked.outcome, Answered)
+                await anyio.sleep(1800)
+            assert 1 < len(fleet.store.leases) < 5, "a lease serves about an hour"
+
+    run_virtual(main)
+
+
 def test_holder_suspended_before_its_claim_lands_does_not_run() -> None:
     async def main() -> None:
         async with open_fleet() as fleet:
--- a/tests/test_bookings_store_faults.py
+++ b/tests/test_bookings_store_faults.py
@@ -6,12 +6,14 @@
 import anyio.lowlevel
 
 from bronzebeam.outcomes import Answered, NotRun, OutcomeUnknown
+from bronzebeam.routing.claims import Bucket
 from bronzebeam.routing.idempotency_keys import (
     VALIDITY_WINDOW_SECONDS,
     CallerKey,
     bucket_key,
     parse_key,
 )
+from bronzebeam.transport.store import StoredValue
 from tests.fixtures_bookings import caller_key, open_fleet, run_virtual
 from tests.test_bookings_claims import reason_of
 
@@ -36,9 +38,11 @@
             name = bucket_of(caller_key(1))
             stored: Any
             for stored in ({"format": 2}, {"format": 1}, [], "x"):
-                await fleet.store.compare_and_swap(
-                    key=name, value=stored, expected=fleet.store.revision
+                fleet.store.revision += 1
+                value = StoredValue(
+                    key=name, value=stored, mod_revision=fleet.store.revision
                 )
+                fleet.store.values[name] = (value, None)
                 attempt = await entry.book(caller_key(1))
                 assert reason_of(attempt.outcome) == "bucket_unreadable"
                 assert isinstance(attempt.outcome, OutcomeUnknown)
@@ -108,6 +112,24 @@
     run_virtual(main)
 
 
+def test_bucket_with_a_short_lease_gets_a_longer_one() -> None:
+    async def main() -> None:
+        async with open_fleet() as fleet:
+            # A writer that was paused after its grant leaves such a bucket.
+            lease_id = await fleet.store.grant_lease(ttl_seconds=60)
+            ends_at_seconds = fleet.store.leases[lease_id]
+            bucket = Bucket(lease_id=lease_id, lease_ends_at_seconds=ends_at_seconds)
+            name = bucket_of(caller_key(1))
+            stored = StoredValue(key=name, value=bucket.to_json(), mod_revision=1)
+            fleet.store.values[name] = (stored, lease_id)
+            fleet.store.revision = 1
+            booked = await fleet.entries[0].book(caller_key(1))
+            assert isinstance(booked.outcome, Answered)
+            assert fleet.store.values[name][1] != lease_id
+
+    run_virtual(main)
+
+
 def test_bucket_older_than_seen_before_is_not_trusted() -> None:
     async def main() -> None:
         async with open_fleet() as fleet:
@@ -134,6 +156,7 @@
             fleet.store.values.clear()
             fleet.store.revision = 0
             fleet.store.next_fault = lambda: "held"
+            await anyio.sleep(1)
             key = neighbour_of(caller_key(1))
             await first.book(key, timeout_seconds=0.1)
             await anyio.sleep(1)
