Show a soak violation with the run's events and what callers were told

Change: the run notes its events with their times and prints the last 100 with the first finding of each rule; at_most_once adds what callers were told.

--- a/src/bronzebeam/bench/checker.py
+++ b/src/bronzebeam/bench/checker.py
@@ -97,11 +97,13 @@
         if run.operation in history.non_idempotent:
             by_place[f"/keys/{run.key}"].append(run)
             by_place[f"/tokens/{run.token}"].append(run)
-    findings = [
-        Finding(place=place, message=f"ran {len(runs)} times: {runs}")
-        for place, runs in by_place.items()
-        if len(runs) > 1
-    ]
+    findings: list[Finding] = []
+    for place, runs in by_place.items():
+        if len(runs) > 1:
+            tokens = {run.token for run in runs}
+            told = [row for row in history.callers if row.token in tokens]
+            message = f"ran {len(runs)} times: {runs}; callers were told {told}"
+            findings.append(Finding(place=place, message=message))
     for row in history.callers:
         if _is_booking(row, history) and row.outcome == "answered":
             if not by_place.get(f"/keys/{row.key}"):
--- a/src/bronzebeam/bench/soak.py
+++ b/src/bronzebeam/bench/soak.py
@@ -50,6 +50,7 @@
 CHECK_SECONDS: Final = 30.0
 WATCH_SECONDS: Final = 1.0
 LOG_TAIL_CHARACTERS: Final = 2_000
+EVENTS_SHOWN: Final = 100
 METRICS_SECONDS: Final = 2.0
 VIOLATIONS_METRIC: Final = "bronzebeam_invariant_violations_count"
 
@@ -180,7 +181,12 @@
             if found and name not in self._shown:
                 self._shown.add(name)
                 first = found[0]
-                self._print(violation=name, place=first.place, rows=first.message)
+                self._print(
+                    violation=name,
+                    place=first.place,
+                    rows=first.message,
+                    events=self.state.events[-EVENTS_SHOWN:],
+                )
         return history
 
     async def _note_invariants(self, entry: EntryProcess) -> None:
--- a/src/bronzebeam/bench/soak_state.py
+++ b/src/bronzebeam/bench/soak_state.py
@@ -46,6 +46,7 @@
     :ivar busy: names of entries and backend servers that a fault has taken.
     :ivar ended: names of entry processes that the run itself ended.
     :ivar odd: findings that no history shows, as an entry that ended by itself.
+    :ivar events: what the run did, each with its time.
     :ivar counts: figures that are counted as the run goes on.
     """
 
@@ -55,6 +56,7 @@
     busy: set[str] = field(factory=set)
     ended: set[str] = field(factory=set)
     odd: list[Finding] = field(factory=list)
+    events: list[str] = field(factory=list)
     counts: dict[str, int] = field(factory=dict)
     index: IndexRow = IndexRow(index_version=1, shard_count=SHARDS)
     callers: list[CallerRow] = field(factory=list)
@@ -71,8 +73,13 @@
         self.indexes.append(self.index)
 
     def count(self, name: str, by: int = 1) -> None:
-        """Add to a counted figure."""
+        """Add to a counted figure, and note when."""
         self.counts[name] = self.counts.get(name, 0) + by
+        self.note(name)
+
+    def note(self, event: str) -> None:
+        """Note an event of the run, to explain a finding."""
+        self.events.append(f"{anyio.current_time():.3f} {event}")
 
     def highest_revision(self) -> int:
         """Return the highest revision accepted or seen in force."""
@@ -114,6 +121,7 @@
         entry = await self.rig.start_entry()
         await self.rig.wait_ready(entry)
         self.balanced.append(entry)
+        self.note(f"ready {entry.name}")
         return entry
 
     async def forget_entry(self, entry: EntryProcess) -> None:
--- a/src/bronzebeam/bench/soak_store_faults.py
+++ b/src/bronzebeam/bench/soak_store_faults.py
@@ -68,10 +68,12 @@
 
 
 async def _set(state: SoakState, faults: dict[str, Any]) -> None:
+    state.note(f"store {faults}")
     url = f"{state.rig.store_url}/faults"
     (await state.rig.client.post(url, json=faults)).raise_for_status()
 
 
 async def _control(state: SoakState, path: str) -> None:
+    state.note(path)
     url = f"{state.rig.store_url}/{path}"
     (await state.rig.client.post(url)).raise_for_status()
