Share what each entry knows of the claims' store with its peers

Ruled out: a double send by one entry (two request identifiers) and a lost claim reply. Change: the highest revision and any loss found go to peers (exchange; a loss is pushed at once). Conclusion: what stays open is a resend within the time of an exchange after the loss.

--- a/src/bronzebeam/controllers/claims.py
+++ b/src/bronzebeam/controllers/claims.py
@@ -80,6 +80,11 @@
         self._tasks: TaskGroup | None = None
         self._unhandled_count = 0
 
+    @property
+    def store_view(self) -> StoreView:
+        """What this entry knows of the store, to be shared with peers."""
+        return self._view
+
     @property
     def retry_after_ms(self) -> int:
         """Return when a claim that was given up may be tried again."""
--- a/src/bronzebeam/controllers/store_view.py
+++ b/src/bronzebeam/controllers/store_view.py
@@ -1,5 +1,6 @@
 """What one entry knows of the store over all claim buckets."""
 
+from collections.abc import Callable
 from typing import Final
 
 from attrs import frozen
@@ -20,6 +21,7 @@
     :ivar failures: calls in a row without an answer.
     :ivar highest_revision: highest modification revision that a write returned.
     :ivar distrusted_before_seconds: claims of keys minted earlier may be lost.
+    :ivar on_regression: called when this entry finds that claims were lost.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -28,6 +30,7 @@
         self.highest_revision = 0
         self.distrusted_before_seconds = 0.0
         self._retry_at_seconds = 0.0
+        self.on_regression: Callable[[], None] = lambda: None
 
     @property
     def out_of_reach(self) -> bool:
@@ -73,6 +76,20 @@
         """Distrust the claims of all keys minted before `trusted_from_seconds`."""
         self.highest_revision = 0
         self.distrusted_before_seconds = trusted_from_seconds
+        self.on_regression()
+
+    def learn(self, *, distrusted_before_seconds: float, highest_revision: int) -> bool:
+        """
+        Take in what a peer knows; tell whether it was news.
+
+        Revisions count from the last loss of claims, so that of two views the one
+        with the later loss holds, and the higher revision of those with the same.
+        """
+        heard = (distrusted_before_seconds, highest_revision)
+        if heard <= (self.distrusted_before_seconds, self.highest_revision):
+            return False
+        self.distrusted_before_seconds, self.highest_revision = heard
+        return True
 
 
 @frozen(kw_only=True)
--- /dev/null
+++ b/src/bronzebeam/controllers/store_view_topic.py
@@ -0,0 +1,51 @@
+"""What entries tell each other of the store that holds the claims."""
+
+from typing import Any, Final
+
+from attrs import frozen
+
+from bronzebeam.controllers.store_view import StoreView
+from bronzebeam.findings import FindingsError, one_finding
+
+TOPIC: Final = "store_view"
+TOPIC_MOST_BYTES: Final = 256
+
+
+@frozen(kw_only=True)
+class StoreViewTopic:
+    """
+    Spreads the highest revision seen, and any loss of claims that was found.
+
+    An entry that has not written lately would otherwise take a store that came back
+    older for a sound one.
+    """
+
+    view: StoreView
+
+    def digest(self) -> Any:
+        """Return the trust limit and the highest revision."""
+        return [self.view.distrusted_before_seconds, self.view.highest_revision]
+
+    def delta(self, since: Any) -> Any:
+        """Return this entry's knowledge if it is ahead of `since`, else None."""
+        return self.digest() if _read(since) < tuple(self.digest()) else None
+
+    def merge(self, payload: Any) -> bool:
+        """Take in a peer's knowledge; tell whether it was news."""
+        distrusted_before_seconds, highest_revision = _read(payload)
+        return self.view.learn(
+            distrusted_before_seconds=distrusted_before_seconds,
+            highest_revision=highest_revision,
+        )
+
+
+def _read(value: Any) -> tuple[float, int]:
+    try:
+        limit_seconds, revision = value
+        return float(limit_seconds), int(revision)
+    except (TypeError, ValueError, OverflowError) as error:
+        raise _malformed(error) from error
+
+
+def _malformed(error: Exception) -> FindingsError:
+    return one_finding(subject=TOPIC, message=f"no pair of numbers: {error!r}")
--- a/src/bronzebeam/entry/daemon.py
+++ b/src/bronzebeam/entry/daemon.py
@@ -10,10 +10,11 @@
 from attrs import define, field
 
 from bronzebeam.clock import SystemClock
-from bronzebeam.controllers import caller_usage, quarantine
+from bronzebeam.controllers import caller_usage, quarantine, store_view_topic
 from bronzebeam.controllers.caller_usage import CallerUsage
 from bronzebeam.controllers.gossip import TopicSpec
 from bronzebeam.controllers.quarantine import QuarantineTopic
+from bronzebeam.controllers.store_view_topic import StoreViewTopic
 from bronzebeam.entry.admin_app import AdminApp
 from bronzebeam.entry.caller_app import CallerApp
 from bronzebeam.entry.collector import freeze_when_ready
@@ -112,6 +113,10 @@
         )
         usage.live_entries = lambda: len(self.fleet.membership.view.members)
         self.path.quarantine.publish = self.fleet.gossip.publish
+        topic = self._store_view_topic()
+        self.path.claims.store_view.on_regression = lambda: self.fleet.gossip.publish(
+            store_view_topic.TOPIC, topic.digest()
+        )
 
     def _topics(self, usage: CallerUsage) -> tuple[TopicSpec, ...]:
         return (
@@ -121,6 +126,12 @@
                 pushed=True,
                 most_bytes=quarantine.TOPIC_MOST_BYTES,
             ),
+            TopicSpec(
+                name=store_view_topic.TOPIC,
+                topic=self._store_view_topic(),
+                pushed=True,
+                most_bytes=store_view_topic.TOPIC_MOST_BYTES,
+            ),
             TopicSpec(
                 name=caller_usage.TOPIC,
                 topic=usage,
@@ -129,6 +140,9 @@
             ),
         )
 
+    def _store_view_topic(self) -> StoreViewTopic:
+        return StoreViewTopic(view=self.path.claims.store_view)
+
     async def _serve(self) -> None:
         async with anyio.create_task_group() as group:
             self.fleet.start(group)
