Tell resends turned away under load that they may have run before

Cause: rates and admission stand ahead of the claim and said not_run to a booking whose earlier attempt may have run. Change: the guard of resends corrects them; a caller that numbers its attempts (bronzebeam-attempt: 1) keeps not_run for a first one. Ruled out: letting callers vouch by default.

--- a/src/bronzebeam/bench/experiments/bookings.py
+++ b/src/bronzebeam/bench/experiments/bookings.py
@@ -79,6 +79,7 @@
             {"guest": number},
             deadline_ms=DEADLINE_MS,
             key=booking.keys[-1],
+            attempt=1 + sum(item.key == booking.keys[-1] for item in booking.answers),
         )
         booking.answers.append(answer)
         if answer.outcome == "answered":
--- a/src/bronzebeam/bench/load.py
+++ b/src/bronzebeam/bench/load.py
@@ -70,6 +70,7 @@
         *,
         deadline_ms: int,
         key: str | None = None,
+        attempt: int | None = None,
         class_name: str | None = None,
         due_seconds: float | None = None,
         address: str | None = None,
@@ -88,6 +89,8 @@
         ]
         if key is not None:
             headers.append((b"idempotency-key", key.encode()))
+        if attempt is not None:
+            headers.append((b"bronzebeam-attempt", str(attempt).encode()))
         if class_name is not None:
             headers.append((b"bronzebeam-class", class_name.encode()))
         status = 0
--- a/src/bronzebeam/entry/headers.py
+++ b/src/bronzebeam/entry/headers.py
@@ -14,6 +14,7 @@
 CALLER_HEADER: Final = "bronzebeam-caller"
 REQUEST_ID_HEADER: Final = "bronzebeam-request-id"
 KEY_HEADER: Final = "idempotency-key"
+ATTEMPT_HEADER: Final = "bronzebeam-attempt"
 
 ANONYMOUS_CALLER: Final = "anonymous"
 DEFAULT_CLASS: Final = "default"
@@ -21,6 +22,7 @@
 DEADLINE_SYNTAX: Final = re.compile(r"[0-9]{1,9}", re.ASCII)
 CALLER_SYNTAX: Final = re.compile(r"[A-Za-z0-9._:@-]{1,128}", re.ASCII)
 REQUEST_ID_SYNTAX: Final = re.compile(r"[A-Za-z0-9._:-]{1,128}", re.ASCII)
+ATTEMPT_SYNTAX: Final = re.compile(r"[0-9]{1,6}", re.ASCII)
 KEY_SYNTAX: Final = re.compile(r"[A-Za-z0-9._:~+/=-]{1,255}", re.ASCII)
 
 
@@ -157,3 +159,24 @@
         return key
     faults.append(RequestFault(place=KEY_HEADER, reason=reason, message=message))
     return None
+
+
+def read_first_attempt(headers: Mapping[str, str], faults: list[RequestFault]) -> bool:
+    """
+    Tell whether the caller counts this as its first attempt, or add a fault.
+
+    :returns: False if the caller does not say.
+    """
+    text = headers.get(ATTEMPT_HEADER)
+    if text is None:
+        return False
+    if ATTEMPT_SYNTAX.fullmatch(text) and int(text) >= 1:
+        return int(text) == 1
+    faults.append(
+        RequestFault(
+            place=ATTEMPT_HEADER,
+            reason=Reason.ATTEMPT_MALFORMED,
+            message="The attempt must be a whole number from 1 on.",
+        )
+    )
+    return False
--- a/src/bronzebeam/entry/intake.py
+++ b/src/bronzebeam/entry/intake.py
@@ -20,6 +20,7 @@
     read_caller,
     read_class,
     read_deadline_ms,
+    read_first_attempt,
     read_key,
 )
 from bronzebeam.filters.chain import CallerRequest
@@ -80,6 +81,7 @@
     class_name = read_class(headers, document.document, faults)
     caller = read_caller(headers, faults)
     check_request_id(headers, faults)
+    first_attempt = read_first_attempt(headers, faults)
     key = read_key(headers, target.operation, faults)
     payload, fingerprint = _read_body(body, target, faults)
     if faults:
@@ -97,6 +99,7 @@
         payload=payload,
         fingerprint=fingerprint,
         idempotency_key=key,
+        first_attempt=first_attempt,
         trace_headers=trace_context_of(
             headers if trace_headers is None else trace_headers
         ),
--- a/src/bronzebeam/entry/request_path.py
+++ b/src/bronzebeam/entry/request_path.py
@@ -20,6 +20,7 @@
 from bronzebeam.filters.dispatch import Dispatcher
 from bronzebeam.filters.idempotency import IdempotencyFilter
 from bronzebeam.filters.quarantine import QuarantineFilter
+from bronzebeam.filters.resends import ResendGuard
 from bronzebeam.filters.search import SearchHandler
 from bronzebeam.outcomes import Outcome
 from bronzebeam.settings import EntrySettings
@@ -91,22 +92,22 @@
         :param owner_route: way to other owners of keys; None for requests that
             were forwarded here, which are never forwarded again.
         """
-        admission: tuple[Filter, ...] = ()
-        if self.baseline.admission:
-            admission = (AdmissionFilter(admission=self.admission),)
-        rates: tuple[Filter, ...] = ()
+        ahead: list[Filter] = []
         if owner_route is not None:
-            rates = (RateFilter(rates=self.usage),)
+            ahead.append(RateFilter(rates=self.usage))
+        if self.baseline.admission:
+            ahead.append(AdmissionFilter(admission=self.admission))
         idempotency = IdempotencyFilter(
             claims=self.claims,
             owned_keys=self.owned_keys,
             clock=self.clock,
             owner_route=owner_route,
+            is_first_attempt=_is_first_attempt,
             log=log_event,
         )
+        guard = ResendGuard(filters=ahead, is_first_attempt=_is_first_attempt)
         quarantine = QuarantineFilter(killers=self.quarantine, clock=self.clock)
-        filters: tuple[Filter, ...] = (*rates, *admission, idempotency, quarantine)
-        return build_chain(filters, self._last())
+        return build_chain((guard, idempotency, quarantine), self._last())
 
     def _last(self) -> Handler:
         dispatcher = Dispatcher(
@@ -129,6 +130,10 @@
         return answer
 
 
+def _is_first_attempt(request: CallerRequest) -> bool:
+    return request.first_attempt
+
+
 def new_peer_client() -> httpx.AsyncClient:
     """Return the client that forwards requests to owners of keys."""
     return httpx.AsyncClient(trust_env=False, headers={"user-agent": "bronzebeam"})
--- a/src/bronzebeam/filters/chain.py
+++ b/src/bronzebeam/filters/chain.py
@@ -38,6 +38,7 @@
     :ivar payload: the decoded JSON body.
     :ivar fingerprint: hash of service, operation and payload; equal for resends.
     :ivar idempotency_key: the caller's key, None if none was given.
+    :ivar first_attempt: the caller vouches that it never sent the key before.
     :ivar trace_headers: W3C trace context to pass on.
     :ivar solo: run on one backend server at a time, without hedges.
     :ivar stats: filled in while the query runs.
@@ -55,6 +56,7 @@
     payload: Any
     fingerprint: str
     idempotency_key: str | None = None
+    first_attempt: bool = False
     trace_headers: dict[str, str] = field(factory=dict)
     solo: bool = False
     stats: QueryStats = field(factory=QueryStats, eq=False)
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -28,6 +28,7 @@
         "bronzebeam-caller",
         "bronzebeam-request-id",
         "idempotency-key",
+        "bronzebeam-attempt",
         "traceparent",
     ]
 )
@@ -189,3 +190,18 @@
     headers = header_map(pairs)
     take_in(headers=headers)
     assert all(name == name.lower() for name in headers)
+
+
+def test_attempt_number_vouches_for_a_first_attempt_only() -> None:
+    for text, first in (("1", True), ("2", False)):
+        request = accepted(
+            path=BOOK_PATH,
+            headers={"idempotency-key": "k-1", "bronzebeam-attempt": text},
+        )
+        assert request.first_attempt is first
+    for text in ("0", "-1", "one", ""):
+        outcome = rejected(
+            path=BOOK_PATH,
+            headers={"idempotency-key": "k-1", "bronzebeam-attempt": text},
+        )
+        assert outcome.reason == Reason.ATTEMPT_MALFORMED
