Test duplicated replies

A reply sent twice is read by the next request on the connection; the identifier check closes it and the call ends as outcome_unknown.

--- a/tests/fixtures_path.py
+++ b/tests/fixtures_path.py
@@ -60,6 +60,7 @@
     SILENT_AFTER = "silent_after"
     TRUNCATED = "truncated"
     SWAPPED = "swapped"
+    DUPLICATED = "duplicated"
     OTHER_VERSION = "other_version"
     OTHER_COUNT = "other_count"
     SERVER_ERROR = "server_error"
@@ -180,6 +181,8 @@
         response = self._reply(request_id, result)
         if fault is Fault.TRUNCATED:
             return ChannelResponse(status=200, body=response.body[:-9])
+        if fault is Fault.DUPLICATED:
+            channel.late.append(response)
         return response
 
     def _search_result(
@@ -234,7 +237,7 @@
     _connected: bool = False
     _broken: bool = False
     _busy: bool = False
-    _late: list[ChannelResponse] = field(factory=list)
+    late: list[ChannelResponse] = field(factory=list)
     _scope: anyio.CancelScope | None = None
 
     def break_off(self) -> None:
@@ -271,20 +274,20 @@
     ) -> ChannelResponse:
         if self.silent:
             await anyio.sleep_forever()
-        if self._late:
-            return self._late.pop()
         request_id = headers[b"x-request-id"].decode()
         value = orjson.loads(body) if body else {}
         await anyio.sleep(0.0005)
+        earlier = self.late.pop() if self.late else None
         try:
-            return await self.server.answer(self, path, request_id, value)
+            response = await self.server.answer(self, path, request_id, value)
+            return earlier or response
         except trio.Cancelled:
             late: dict[str, Any] = {
                 "request_id": request_id,
                 "load": {},
                 "result": None,
             }
-            self._late.append(ChannelResponse(status=200, body=orjson.dumps(late)))
+            self.late.append(ChannelResponse(status=200, body=orjson.dumps(late)))
             raise
 
     async def aclose(self) -> None:
--- a/tests/test_path_replies.py
+++ b/tests/test_path_replies.py
@@ -18,6 +18,7 @@
     Fault.SILENT_AFTER,
     Fault.TRUNCATED,
     Fault.SWAPPED,
+    Fault.DUPLICATED,
     Fault.OTHER_VERSION,
     Fault.OTHER_COUNT,
     Fault.SERVER_ERROR,
@@ -80,6 +81,25 @@
     run_path(scenario)
 
 
+def test_duplicated_reply_answers_no_later_request() -> None:
+    async def scenario(path: RequestPath) -> None:
+        path.add("d0", "depots", next_fault=lambda: Fault.DUPLICATED)
+        await path.start()
+        unknown = 0
+        for chair in range(20):
+            outcome = await path.call("book", {"chair": chair})
+            if isinstance(outcome, Answered):
+                assert outcome.result["echo"] == {"chair": chair}
+                continue
+            assert isinstance(outcome, OutcomeUnknown), outcome
+            assert outcome.reason == "wrong_reply"
+            unknown += 1
+            await anyio.sleep(0.2)
+        assert 0 < unknown < 20
+
+    run_path(scenario)
+
+
 def test_late_reply_is_never_read_by_the_next_request() -> None:
     async def scenario(path: RequestPath) -> None:
         path.add_shards()
