Lay a timeout to a planned stop only if the deadline was still ahead

Cause: the rule planned_stops was wrong in one case. A caller sent to a paused entry; its deadline passed 0.95 s before the signal to stop and its own bound 0.05 s after it. Change: rows carry the deadline; a timeout whose deadline had passed at the signal is no finding. A broken or refused connection still is, whatever the deadline, and so is a timeout with any time left; both are planted in the test. Conclusion: as strict for each request that the stop could have cut off.

--- a/src/bronzebeam/bench/checker.py
+++ b/src/bronzebeam/bench/checker.py
@@ -238,6 +238,8 @@
 def _cut_off(row: CallerRow, stop: StopRow) -> bool:
     if row.end == "whole" or row.started_seconds > stop.ended_seconds:
         return False
+    if row.end == "timeout" and row.deadline_seconds < stop.signalled_seconds:
+        return False
     return row.ended_seconds >= stop.signalled_seconds
 
 
--- a/src/bronzebeam/bench/history.py
+++ b/src/bronzebeam/bench/history.py
@@ -50,6 +50,7 @@
     :ivar hits: hits of a search.
     :ivar result_token: the token that the backend server of a call answered.
     :ivar empty_shards: shards in which the query finds nothing.
+    :ivar deadline_seconds: when an answer became useless to the caller.
     """
 
     entry: str
@@ -67,6 +68,7 @@
     hits: tuple[HitRow, ...] = ()
     result_token: str = ""
     empty_shards: tuple[int, ...] = ()
+    deadline_seconds: float = math.inf
 
 
 @frozen(kw_only=True)
@@ -192,6 +194,7 @@
     *,
     entry: str,
     token: str,
+    deadline_ms: int,
     empty_shards: Iterable[int] = (),
 ) -> CallerRow:
     """Build the row of what a caller saw."""
@@ -214,6 +217,7 @@
         hits=tuple(map(_hit_row, result)) if isinstance(result, list) else (),
         result_token=_token_of(result),
         empty_shards=tuple(empty_shards),
+        deadline_seconds=answer.started_seconds + deadline_ms / 1000,
     )
 
 
--- a/src/bronzebeam/bench/soak_load.py
+++ b/src/bronzebeam/bench/soak_load.py
@@ -138,6 +138,7 @@
             answer,
             entry=entry.name,
             token=payload["token"],
+            deadline_ms=DEADLINE_MS,
             empty_shards=payload.get("empty_shards", ()),
         )
         self.state.callers.append(row)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -213,7 +213,15 @@
         evolve(CLEAN, stops=(evolve(stop, exit_code=None),)),
     )
     before = evolve(running, started_seconds=1.0, ended_seconds=2.0)
-    assert not RULES["planned_stops"](evolve(CLEAN, callers=(before,)))
+    late = evolve(silent, deadline_seconds=20.04)
+    for row in (before, late):
+        assert not RULES["planned_stops"](evolve(CLEAN, callers=(row,)))
+    in_time = evolve(silent, deadline_seconds=20.06)
+    broken = evolve(late, end="broken")
+    _rejects(
+        "planned_stops",
+        *(evolve(CLEAN, callers=(row,)) for row in (in_time, broken)),
+    )
 
 
 def test_revision_that_goes_back_or_comes_late_is_found() -> None:
