Test the planned stop in virtual time

Cause: only the demo and the soak stopped an entry. Change: three tests: not ready at once but serving, waiting for what is in flight, ending at the bound with a count.

--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,131 @@
+"""Tests of the planned stop, in virtual time."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import trio
+import trio.testing
+
+from bronzebeam.clock import SystemClock
+from bronzebeam.entry.admin_app import AdminApp
+from bronzebeam.entry.caller_app import CallerApp
+from bronzebeam.entry.lifecycle import Lifecycle
+from bronzebeam.filters.chain import CallerRequest
+from bronzebeam.outcomes import Answered, Outcome
+from bronzebeam.settings import DrainSettings
+from bronzebeam.telemetry.query_metrics import QueryMetrics
+from bronzebeam.telemetry.traces import Tracing
+from tests.fixtures_callers import SEARCH_PATH, make_document
+
+LAG_MS = 2_000
+BOUND_MS = 10_000
+SLOW_SECONDS = 4.0
+STUCK_SECONDS = 1_000.0
+
+
+def _run(main: Callable[[], Awaitable[None]]) -> None:
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _lifecycle() -> Lifecycle:
+    settings = DrainSettings(lag_ms=LAG_MS, bound_ms=BOUND_MS)
+    return Lifecycle(drain_settings=settings, clock=SystemClock())
+
+
+def _app(lifecycle: Lifecycle, seconds: float) -> AdminApp:
+    async def answer(request: CallerRequest) -> Outcome:
+        await anyio.sleep(seconds)
+        return Answered(result=[])
+
+    callers = CallerApp(
+        chain=answer,
+        document=make_document,
+        mint_key=lambda: None,
+        lifecycle=lifecycle,
+        tracing=Tracing(instance="e", sample_share=0.0, log_spans=False),
+        metrics=QueryMetrics(),
+        clock=SystemClock(),
+        body_max_bytes=1_000,
+    )
+    return AdminApp(
+        inner=callers,
+        readiness=lambda: None,
+        lifecycle=lifecycle,
+        clock=SystemClock(),
+    )
+
+
+async def _ask(app: AdminApp, method: str, path: str) -> dict[str, Any]:
+    """Send one request; return the status and headers of its answer."""
+    answer: dict[str, Any] = {}
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": b"{}", "more_body": False}
+
+    async def send(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            answer.update(status=message["status"], headers=dict(message["headers"]))
+
+    scope = {"type": "http", "method": method, "path": path, "headers": []}
+    await app(scope, receive, send)
+    return answer
+
+
+def test_stop_is_not_ready_at_once_and_serves_while_the_balancer_lags() -> None:
+    async def main() -> None:
+        lifecycle = _lifecycle()
+        app = _app(lifecycle, 0.01)
+        assert (await _ask(app, "GET", "/health/ready"))["status"] == 200
+        async with anyio.create_task_group() as group:
+            lifecycle.begin_drain()
+            group.start_soon(lifecycle.drain)
+            ready = await _ask(app, "GET", "/health/ready")
+            live = await _ask(app, "GET", "/health/live")
+            assert ready["status"] == 503 and live["status"] == 200
+            await anyio.sleep(LAG_MS / 1000 - 0.5)
+            answer = await _ask(app, "POST", SEARCH_PATH)
+            assert answer["status"] == 200
+            assert answer["headers"][b"connection"] == b"close"
+
+    _run(main)
+
+
+def test_stop_waits_for_requests_in_flight() -> None:
+    async def main() -> None:
+        lifecycle = _lifecycle()
+        app = _app(lifecycle, SLOW_SECONDS)
+        answers: list[dict[str, Any]] = []
+
+        async def ask() -> None:
+            answers.append(await _ask(app, "POST", SEARCH_PATH))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.1)
+            lifecycle.begin_drain()
+            await lifecycle.drain()
+        assert lifecycle.cut_off == 0
+        assert [item["status"] for item in answers] == [200]
+        assert SLOW_SECONDS <= anyio.current_time() < BOUND_MS / 1000
+
+    _run(main)
+
+
+def test_stop_ends_at_its_bound_and_counts_what_it_cut_off() -> None:
+    async def main() -> None:
+        lifecycle = _lifecycle()
+        app = _app(lifecycle, STUCK_SECONDS)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_ask, app, "POST", SEARCH_PATH)
+            await anyio.sleep(0.1)
+            started = anyio.current_time()
+            lifecycle.begin_drain()
+            await lifecycle.drain()
+            await lifecycle.wait_ended()
+            elapsed = anyio.current_time() - started
+            group.cancel_scope.cancel()
+        assert lifecycle.cut_off == 1
+        assert BOUND_MS / 1000 <= elapsed < BOUND_MS / 1000 + 0.2
+
+    _run(main)
