Take uvloop out: it opens an io_uring

UV_USE_IO_URING=0 does not close it, set in the process or before it: libuv opens it for its epoll calls. Ruled out: an older uvloop, which nobody keeps up. Change: asyncio's own event loop. Conclusion: no loss seen. tests/test_processes.py fails with uvloop and passes without.

--- a/src/bronzebeam/cli_entry.py
+++ b/src/bronzebeam/cli_entry.py
@@ -1,6 +1,5 @@
 """The command that runs the entry daemon."""
 
-import os
 import sys
 from pathlib import Path
 
@@ -45,11 +44,9 @@
 
 def run_entry(settings: EntrySettings, baseline: Baseline) -> int:
     """Run one entry on its own event loop and return the exit code."""
-    # The event loop's library must not use io_uring, which some instances forbid.
-    os.environ["UV_USE_IO_URING"] = "0"
     output = LogOutput(entry=settings.instance)
     daemon = Entry(settings=settings, baseline=baseline)
     try:
-        return anyio.run(daemon.run, backend_options={"use_uvloop": True})
+        return anyio.run(daemon.run)
     finally:
         output.close()
--- a/src/bronzebeam/cli_standin_backends.py
+++ b/src/bronzebeam/cli_standin_backends.py
@@ -51,4 +51,4 @@
         seed=seed,
         control_port=control_port,
     )
-    anyio.run(fleet.run, backend_options={"use_uvloop": True})
+    anyio.run(fleet.run)
