Read the instance list in turns and push what changed

Cause: each entry read the whole list every 1.6 s at 8 entries. Reading less often alone would let a leaving backend server get work beyond the 3 s.

Ruled out: the reader's wall clock alone as the version of a record, since a clock ahead would beat later reads; a new parameter of the membership controller, since the topic can stand in for the list itself; retries after a failed read at the same entry, since they would grow with the fleet.

Change: the live entries have slots of 1 s in turns; a read's differences are pushed as the topic `instances` and repaired by the exchange with a digest of 24 characters. The reader of a suspected member's slot is the next one. Without a word from peers an entry reads each second. An older list does not recall a leaving backend server for 10 s. The fleet fixture has a wall clock in virtual time, since slots follow it, and entries that are cut off from peers only or from the list only.

Tests seen failing with planted faults: no push (leaving, cut off), no reading when alone (cut off), readers among four only (leaving), all read (reads per second, leaving, list refused), no hold (older list), clock alone as version (clock behind), merge without the tie rule (merge order, difference and six more).

All 346 tests pass.

--- a/src/bronzebeam/controllers/membership.py
+++ b/src/bronzebeam/controllers/membership.py
@@ -24,7 +24,12 @@
     build_plan,
 )
 from bronzebeam.controllers.news_outbox import NewsOutbox
-from bronzebeam.routing.dissemination import jittered, list_poll_seconds
+from bronzebeam.routing.dissemination import (
+    exchange_interval_seconds,
+    list_slot,
+    list_step_seconds,
+    reads_in_slot,
+)
 from bronzebeam.routing.membership_state import (
     MemberRecord,
     MemberState,
@@ -54,7 +59,8 @@
 SUSPECT_SECONDS: Final = 10.0
 UNFIT_SECONDS: Final = 10.0
 LIST_TIMEOUT_SECONDS: Final = 2.0
-LIST_RETRY_SECONDS: Final = 1.0
+LIST_SPREAD_SECONDS: Final = 0.25
+EXCHANGES_BEFORE_ALONE: Final = 3
 POLLS_BEFORE_DOUBT: Final = 2
 MOST_FORWARDED_RECORDS: Final = 8
 
@@ -112,7 +118,7 @@
         if isinstance(message, RecordsArrived):
             self._merge(message.records, forward=message.pushed)
         elif isinstance(message, InstancesListed):
-            self._take_list(message.instances)
+            self._take_list(message)
         elif isinstance(message, ContactMade):
             self._contact_made(message.instance)
         elif isinstance(message, ContactFailed):
@@ -131,12 +137,32 @@
                     instances = await self._instance_list.fetch()
             except (InstanceListUnavailable, TimeoutError) as error:
                 self._log("instance_list_unavailable", error=str(error))
-                pause = LIST_RETRY_SECONDS
             else:
                 self.post(InstancesListed(instances=instances))
-                pause = 0.0
-            pause = max(pause, list_poll_seconds(len(self._view.members)))
-            await anyio.sleep(jittered(pause, self._rng))
+            wall = self._clock.wall_seconds()
+            reads_next = self._reads_in_slot(list_slot(wall) + 1)
+            pause = list_step_seconds(wall, reads_next=reads_next)
+            late = self._rng.uniform(0.0, LIST_SPREAD_SECONDS)
+            await anyio.sleep(pause + late)
+
+    def reads_list_at(self, wall_seconds: float) -> bool:
+        """Tell whether it is this entry's turn to read the instance list."""
+        return self._reads_in_slot(list_slot(wall_seconds))
+
+    def _reads_in_slot(self, slot: int) -> bool:
+        view = self._view
+        exchange = exchange_interval_seconds(len(view.members))
+        alone_since = self._clock.monotonic_seconds() - (
+            EXCHANGES_BEFORE_ALONE * exchange
+        )
+        if self.last_contact_seconds is None or self.last_contact_seconds < alone_since:
+            return True
+        return reads_in_slot(
+            slot,
+            own=view.own.instance,
+            members=tuple(view.members),
+            suspected=view.suspected,
+        )
 
     def _merge(self, arrived: Iterable[MemberRecord], *, forward: bool) -> None:
         result = merge_records(self._view.records, arrived)
@@ -166,7 +192,8 @@
             return own
         return evolve(own, incarnation=heard.incarnation + 1)
 
-    def _take_list(self, instances: tuple[ListedInstance, ...]) -> None:
+    def _take_list(self, message: InstancesListed) -> None:
+        instances = message.instances
         entries = [item for item in instances if item.role is InstanceRole.ENTRY]
         names = {item.instance for item in entries}
         listed = {
@@ -175,7 +202,7 @@
             if item.state is InstanceState.LIVE
         }
         self._missed_polls = {
-            name: self._missed_polls.get(name, 0) + 1
+            name: self._missed_polls.get(name, 0) + message.polled
             for name in self._view.members
             if name not in names
         }
--- a/src/bronzebeam/controllers/membership_messages.py
+++ b/src/bronzebeam/controllers/membership_messages.py
@@ -20,9 +20,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class InstancesListed:
-    """The instance list as read."""
+    """
+    The instance list as read by this entry and its peers.
+
+    :ivar polled: whether this counts as a poll of those that the list lacks.
+    """
 
     instances: tuple[ListedInstance, ...]
+    polled: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/bronzebeam/entry/daemon.py
+++ b/src/bronzebeam/entry/daemon.py
@@ -10,9 +10,10 @@
 from attrs import define, field
 
 from bronzebeam.clock import SystemClock
-from bronzebeam.controllers import caller_usage, quarantine
+from bronzebeam.controllers import caller_usage, instance_topic, quarantine
 from bronzebeam.controllers.caller_usage import CallerUsage
 from bronzebeam.controllers.gossip import TopicSpec
+from bronzebeam.controllers.instance_topic import InstanceTopic
 from bronzebeam.controllers.quarantine import QuarantineTopic
 from bronzebeam.entry.admin_app import AdminApp
 from bronzebeam.entry.caller_app import CallerApp
@@ -85,6 +86,7 @@
         settings = self.settings
         incarnation = time.time_ns() // NS_PER_MS
         usage = CallerUsage(instance=settings.instance, clock=self.clock)
+        instances = InstanceTopic(source=instance_list, clock=self.clock)
         self.path = RequestPath(
             settings=settings,
             life=life_id(instance=settings.instance, incarnation=incarnation),
@@ -98,17 +100,27 @@
             settings=settings,
             incarnation=incarnation,
             store=self._store,
-            instance_list=instance_list,
+            instance_list=instances,
             peers=peers,
-            topics=self._topics(usage),
+            topics=self._topics(usage, instances),
             clock=self.clock,
             rng=self.rng,
         )
         usage.live_entries = lambda: len(self.fleet.membership.view.members)
         self.path.quarantine.publish = self.fleet.gossip.publish
+        instances.membership = self.fleet.membership
+        instances.publish = self.fleet.gossip.publish
 
-    def _topics(self, usage: CallerUsage) -> tuple[TopicSpec, ...]:
+    def _topics(
+        self, usage: CallerUsage, instances: InstanceTopic
+    ) -> tuple[TopicSpec, ...]:
         return (
+            TopicSpec(
+                name=instance_topic.TOPIC,
+                topic=instances,
+                pushed=True,
+                most_bytes=instance_topic.TOPIC_MOST_BYTES,
+            ),
             TopicSpec(
                 name=quarantine.TOPIC,
                 topic=QuarantineTopic(controller=self.path.quarantine),
--- a/src/bronzebeam/routing/dissemination.py
+++ b/src/bronzebeam/routing/dissemination.py
@@ -17,8 +17,7 @@
 LONGEST_EXCHANGE_SECONDS: Final = 4.0
 MEMBERS_PER_EXCHANGE_SECOND: Final = 300
 EXCHANGE_JITTER_SHARE: Final = 0.25
-SHORTEST_LIST_POLL_SECONDS: Final = 1.0
-LIST_POLLS_PER_SECOND: Final = 5.0
+LIST_SLOT_SECONDS: Final = 1.0
 
 PushCandidates = tuple[tuple[str, ...], ...]
 
@@ -82,9 +81,41 @@
     return min(LONGEST_EXCHANGE_SECONDS, max(SHORTEST_EXCHANGE_SECONDS, wanted))
 
 
-def list_poll_seconds(members: int) -> float:
-    """Return the mean time between two reads of the instance list by one node."""
-    return max(SHORTEST_LIST_POLL_SECONDS, members / LIST_POLLS_PER_SECOND)
+def list_slot(wall_seconds: float) -> int:
+    """Return the number of the slot in which the instance list is read."""
+    return int(wall_seconds // LIST_SLOT_SECONDS)
+
+
+def reads_in_slot(
+    slot: int, *, own: str, members: Sequence[str], suspected: Collection[str]
+) -> bool:
+    """
+    Tell whether `own` is to read the instance list in `slot`.
+
+    The live members have a slot each, in turns. The next member that is not suspected
+    reads in the slots of those that are.
+
+    :param members: live members by name, `own` included.
+    """
+    if own not in members:
+        return True
+    for step in range(len(members)):
+        reader = members[(slot + step) % len(members)]
+        if reader == own:
+            return True
+        if reader not in suspected:
+            return False
+    return True
+
+
+def list_step_seconds(wall_seconds: float, *, reads_next: bool) -> float:
+    """
+    Return the time until the list is looked at in the next slot.
+
+    A reader starts with the slot; others look in its middle, once its news has come.
+    """
+    start = (list_slot(wall_seconds) + 1) * LIST_SLOT_SECONDS
+    return start - wall_seconds + (0.0 if reads_next else LIST_SLOT_SECONDS / 2)
 
 
 def jittered(
--- /dev/null
+++ b/src/bronzebeam/routing/instance_records.py
@@ -0,0 +1,216 @@
+"""What entries read of the instance list, as a value that merges in any order."""
+
+import hashlib
+from collections.abc import Collection, Iterable, Mapping
+from typing import Any, Final
+
+import orjson
+from attrs import frozen
+
+from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.transport.instance_list import (
+    InstanceRole,
+    InstanceState,
+    ListedInstance,
+)
+
+SUBJECT: Final = "instances"
+MOST_LISTED: Final = 4096
+MOST_ABSENT: Final = 256
+UNSEEN_CHANGE_MS: Final = 1
+LATEST_MS: Final = 1 << 53
+BUCKETS: Final = 8
+WHOLE_DIGEST_BYTES: Final = 4
+BUCKET_DIGEST_BYTES: Final = 1
+
+
+@frozen(kw_only=True)
+class InstanceRecord:
+    """
+    What the list said of one instance when that last changed.
+
+    :ivar read_at_ms: wall time of the read that found the change, and above the time
+        of the record that it replaced; `UNSEEN_CHANGE_MS` if the reader knew nothing.
+    :ivar item: the list's line; None if the list no longer has the instance.
+    """
+
+    read_at_ms: int
+    item: ListedInstance | None
+
+    @property
+    def precedence(self) -> tuple[int, bytes]:
+        """Return the total order by which the later of two records wins."""
+        return self.read_at_ms, orjson.dumps(_item_to_json(self.item))
+
+
+Records = Mapping[str, InstanceRecord]
+
+
+def records_of_read(
+    known: Records,
+    instances: Iterable[ListedInstance],
+    *,
+    now_ms: int,
+    kept: Collection[str] = (),
+    held_leaving: Collection[str] = (),
+) -> Records:
+    """
+    Return the records by which a read of the list differs from what is known.
+
+    Each is later than the record it replaces, also if the reader's clock is behind.
+
+    :param kept: instances whose known record is newer than the read.
+    :param held_leaving: instances that leave, and that an older list can't recall.
+    """
+    read = {item.instance: item for item in instances}
+    changed: dict[str, InstanceRecord] = {}
+    for name in {**read, **known}:
+        item = read.get(name)
+        record = known.get(name)
+        if name in kept or (record is not None and record.item == item):
+            continue
+        live = item is not None and item.state is InstanceState.LIVE
+        if live and name in held_leaving:
+            continue
+        before_ms = 0 if record is None else record.read_at_ms
+        read_at_ms = max(now_ms, before_ms + 1) if known else UNSEEN_CHANGE_MS
+        changed[name] = InstanceRecord(read_at_ms=read_at_ms, item=item)
+    return changed
+
+
+def merge_instances(known: Records, arrived: Records) -> tuple[Records, Records]:
+    """
+    Merge `arrived` into `known`; return the records and those that were news.
+
+    Of each instance the record of highest precedence is kept, which makes the merge
+    commutative, associative and idempotent.
+    """
+    news = {
+        name: record
+        for name, record in arrived.items()
+        if (present := known.get(name)) is None
+        or present.precedence < record.precedence
+    }
+    return ({**known, **news} if news else known), news
+
+
+def bound_instances(records: Records) -> Records:
+    """Drop the oldest records above `MOST_LISTED` and `MOST_ABSENT`."""
+    listed = [name for name, record in records.items() if record.item is not None]
+    absent = [name for name, record in records.items() if record.item is None]
+    if len(listed) <= MOST_LISTED and len(absent) <= MOST_ABSENT:
+        return records
+
+    def age(name: str) -> tuple[int, str]:
+        return records[name].read_at_ms, name
+
+    kept = sorted(listed, key=age)[-MOST_LISTED:]
+    kept += sorted(absent, key=age)[-MOST_ABSENT:]
+    return {name: records[name] for name in kept}
+
+
+def digest_instances(records: Records) -> str:
+    """Return the digest of all records, followed by that of each bucket, in hex."""
+    lines: list[list[bytes]] = [[] for _ in range(BUCKETS)]
+    for name, record in records.items():
+        line = orjson.dumps([name, *record_to_json(record)])
+        lines[_bucket_of(name)].append(line)
+    parts = [b"\n".join(sorted(bucket)) for bucket in lines]
+    whole = _digest(b"\n\n".join(parts), WHOLE_DIGEST_BYTES)
+    return whole + "".join(_digest(part, BUCKET_DIGEST_BYTES) for part in parts)
+
+
+def differing_instances(records: Records, own: str, other: str) -> Records:
+    """
+    Return the records of the buckets in which two digests differ.
+
+    :param own: digest of `records`.
+    """
+    if own == other:
+        return {}
+    if len(own) != len(other):
+        return records
+    size = 2 * BUCKET_DIGEST_BYTES
+    start = 2 * WHOLE_DIGEST_BYTES
+    differing = {
+        index
+        for index, place in enumerate(range(start, len(own), size))
+        if own[place : place + size] != other[place : place + size]
+    }
+    if not differing:
+        return records
+    return {
+        name: record
+        for name, record in records.items()
+        if _bucket_of(name) in differing
+    }
+
+
+def record_to_json(record: InstanceRecord) -> list[Any]:
+    """Return the JSON form of a record."""
+    return [record.read_at_ms, _item_to_json(record.item)]
+
+
+def records_from_json(value: Any) -> Records:
+    """
+    Check and read records by instance.
+
+    :raises FindingsError: if `value` is malformed.
+    """
+    if not isinstance(value, dict):
+        raise _malformed("the payload is no object")
+    try:
+        return {name: _record(name, item) for name, item in value.items()}
+    except (TypeError, ValueError) as error:
+        raise _malformed(f"a record is malformed: {error!r}") from error
+
+
+def _record(name: str, value: Any) -> InstanceRecord:
+    read_at_ms, fields = value
+    if type(read_at_ms) is not int or not 0 < read_at_ms < LATEST_MS:
+        raise ValueError("the time is no time")
+    if fields is None:
+        return InstanceRecord(read_at_ms=read_at_ms, item=None)
+    role, service, address, peer_address, failure_domain, state = fields
+    for text in (address, failure_domain):
+        if not isinstance(text, str):
+            raise TypeError("a field is no text")
+    for text in (service, peer_address):
+        if text is not None and not isinstance(text, str):
+            raise TypeError("a field is no text")
+    item = ListedInstance(
+        instance=name,
+        role=InstanceRole(role),
+        service=service,
+        address=address,
+        peer_address=peer_address,
+        failure_domain=failure_domain,
+        state=InstanceState(state),
+    )
+    return InstanceRecord(read_at_ms=read_at_ms, item=item)
+
+
+def _item_to_json(item: ListedInstance | None) -> list[str | None] | None:
+    if item is None:
+        return None
+    return [
+        item.role.value,
+        item.service,
+        item.address,
+        item.peer_address,
+        item.failure_domain,
+        item.state.value,
+    ]
+
+
+def _bucket_of(name: str) -> int:
+    return hashlib.blake2b(name.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _digest(data: bytes, size: int) -> str:
+    return hashlib.blake2b(data, digest_size=size).hexdigest()
+
+
+def _malformed(message: str) -> FindingsError:
+    finding = Finding(place="", message=message)
+    return FindingsError(subject=SUBJECT, findings=(finding,))
--- a/tests/fixtures_fleet.py
+++ b/tests/fixtures_fleet.py
@@ -10,9 +10,10 @@
 import trio.testing
 from attrs import define, field
 
-from bronzebeam.clock import SystemClock
+from bronzebeam.controllers import instance_topic
 from bronzebeam.controllers.configuration import ConfigurationController
 from bronzebeam.controllers.gossip import GossipController, TopicSpec
+from bronzebeam.controllers.instance_topic import InstanceTopic
 from bronzebeam.controllers.membership import (
     MembershipController,
 )
@@ -114,6 +115,19 @@
         return bool(newer)
 
 
+@define(kw_only=True)
+class VirtualClock:
+    """Monotonic and wall time of the virtual clock."""
+
+    ahead_seconds: float = 0.0
+
+    def monotonic_seconds(self) -> float:
+        return anyio.current_time()
+
+    def wall_seconds(self) -> float:
+        return 1_800_000_000.0 + anyio.current_time() + self.ahead_seconds
+
+
 class FakeStore:
     """The store's one key, with its faults and a count of calls."""
 
@@ -193,6 +207,8 @@
     :ivar held: entries whose calls and answers stand still, as when paused.
     :ivar cut: entries that reach nothing and are reached by nothing.
     :ivar storeless: entries that do not reach the store.
+    :ivar peerless: entries that reach no peer and are reached by none.
+    :ivar listless: entries that do not reach the instance list.
     :ivar loss: share of calls between peers that is lost.
     """
 
@@ -201,10 +217,14 @@
         self.rng = Random(seed)
         self.store = FakeStore()
         self.nodes: dict[str, FakeNode] = {}
+        self.listings: dict[str, InstanceTopic] = {}
+        self.clocks: dict[str, VirtualClock] = {}
         self.listed: dict[str, ListedInstance] = {}
         self.held: set[str] = set()
         self.cut: set[str] = set()
         self.storeless: set[str] = set()
+        self.peerless: set[str] = set()
+        self.listless: set[str] = set()
         self.loss = 0.0
         self.duplicate_pushes = False
         self.list_up = True
@@ -221,13 +241,15 @@
         def log(event: str, **fields: Any) -> None:
             self.events.append((name, event, fields))
 
+        clock = VirtualClock()
+        instances = InstanceTopic(source=link, clock=clock)
         seeded: dict[str, Any] = {
-            "clock": SystemClock(),
+            "clock": clock,
             "rng": Random(self.rng.random()),
             "log": log,
         }
         membership = MembershipController(
-            own=own, instance_list=link, outbox=outbox, **seeded
+            own=own, instance_list=instances, outbox=outbox, **seeded
         )
         configuration = ConfigurationController(
             environment=ENVIRONMENT,
@@ -244,9 +266,12 @@
             peers=link,
             outbox=outbox,
             rng=Random(self.rng.random()),
-            topics=topics,
+            topics=(*topics, self.listing(instances)),
             log=log,
         )
+        self.listings[name], self.clocks[name] = instances, clock
+        instances.membership = membership
+        instances.publish = gossip.publish
         node = FakeNode(
             record=own,
             membership=membership,
@@ -266,6 +291,15 @@
         self.tasks.start_soon(node.run)
         return node
 
+    @staticmethod
+    def listing(instances: InstanceTopic) -> TopicSpec:
+        return TopicSpec(
+            name=instance_topic.TOPIC,
+            topic=instances,
+            pushed=True,
+            most_bytes=instance_topic.TOPIC_MOST_BYTES,
+        )
+
     def start_many(self, count: int, prefix: str = "e") -> None:
         for index in range(count):
             self.start(f"{prefix}{index}", "abcd"[index % 4])
@@ -312,7 +346,8 @@
 
     async def fetch(self) -> tuple[ListedInstance, ...]:
         await self._fleet.pass_through(self._name)
-        if self._name in self._fleet.cut or not self._fleet.list_up:
+        apart = self._fleet.cut | self._fleet.listless
+        if self._name in apart or not self._fleet.list_up:
             raise InstanceListUnavailable
         return tuple(self._fleet.listed.values())
 
@@ -339,7 +374,7 @@
         await fleet.pass_through(self._name)
         await anyio.sleep(0.002)
         lost = fleet.rng.random() < fleet.loss
-        apart = {self._name, address} & fleet.cut
+        apart = {self._name, address} & (fleet.cut | fleet.peerless)
         node = fleet.nodes.get(address)
         if node is None or lost or apart or address in fleet.held:
             await anyio.sleep(PEER_TIMEOUT_SECONDS)
