--- a/tests/test_path_bounded.py
+++ b/tests/test_path_bounded.py
@@ -5,7 +5,8 @@
 
 from bronzebeam.outcomes import Answered
 from bronzebeam.transport.instance_list import InstanceState
-from tests.fixtures_path import Fault, RequestPath, run_path
+from tests.fixtures_path import RequestPath, run_path
+from tests.fixtures_servers import Fault
 
 COMMON = settings(derandomize=True, database=None, deadline=None, max_examples=6)
 SHARE = 4
--- a/tests/test_path_calls.py
+++ b/tests/test_path_calls.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings, strategies as st
 
 from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown
-from tests.fixtures_path import Fault, RequestPath, run_path
+from tests.fixtures_path import RequestPath, run_path
+from tests.fixtures_servers import Fault
 
 COMMON = settings(derandomize=True, database=None, deadline=None, max_examples=60)
 UNKNOWN_FAULTS = {
--- a/tests/test_path_leaving.py
+++ b/tests/test_path_leaving.py
@@ -6,7 +6,8 @@
 from bronzebeam.controllers.backends import DocumentInForce
 from bronzebeam.documents.model import EnvironmentDocument, FleetSpec
 from bronzebeam.outcomes import Answered, Outcome, Partial
-from tests.fixtures_path import CONNECT_SECONDS, RequestPath, run_path
+from tests.fixtures_path import RequestPath, run_path
+from tests.fixtures_servers import CONNECT_SECONDS
 
 LEAVING_BOUND_SECONDS = 3.0
 
--- a/tests/test_path_replies.py
+++ b/tests/test_path_replies.py
@@ -7,7 +7,8 @@
 
 from bronzebeam.outcomes import Answered, NotRun, Outcome, OutcomeUnknown, Partial
 from bronzebeam.transport.owner import DRAIN_BOUND_SECONDS
-from tests.fixtures_path import Fault, RequestPath, run_path
+from tests.fixtures_path import RequestPath, run_path
+from tests.fixtures_servers import Fault
 
 COMMON = settings(derandomize=True, database=None, deadline=None, max_examples=40)
 REPLY_FAULTS = (
--- a/tests/test_path_silent.py
+++ b/tests/test_path_silent.py
@@ -5,7 +5,8 @@
 from bronzebeam.outcomes import Answered, Outcome
 from bronzebeam.transport.link import IDLE_PROBE_SECONDS
 from bronzebeam.transport.owner import DRAIN_BOUND_SECONDS, PROBE_BOUND_SECONDS
-from tests.fixtures_path import Fault, RequestPath, run_path
+from tests.fixtures_path import RequestPath, run_path
+from tests.fixtures_servers import Fault
 
 TICK_SECONDS = 0.1
 
--- a/tests/test_path_snapshot.py
+++ b/tests/test_path_snapshot.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings, strategies as st
 
 from bronzebeam.outcomes import Answered, Outcome, Partial, Refused
-from tests.fixtures_path import Fault, RequestPath, run_path
+from tests.fixtures_path import RequestPath, run_path
+from tests.fixtures_servers import Fault
 from tests.test_path_replies import assert_own_hits
 
 COMMON = settings(derandomize=True, database=None, deadline=None, max_examples=60)
