--- a/tests/fixtures_fleet.py
+++ b/tests/fixtures_fleet.py
@@ -87,6 +87,20 @@
     )
 
 
+def backend(
+    name: str = "b0", state: InstanceState = InstanceState.LIVE
+) -> ListedInstance:
+    return ListedInstance(
+        instance=name,
+        role=InstanceRole.BACKEND,
+        service="search",
+        address=f"{name}:80",
+        peer_address=None,
+        failure_domain="a",
+        state=state,
+    )
+
+
 class VersionTopic:
     """News of names with versions; the higher version is kept."""
 
