Allow a few retries of lost attempts where there is little traffic

Cause: the 5% budget gives a service of little traffic no retry, so that a call that met a lost connection was answered outcome_unknown, and a lone search stayed partial. Ruled out: a larger share, which would let hedges use it. Change: three retries of lost attempts in each window, counted as extras; none for shed ones.

--- a/src/bronzebeam/routing/budget.py
+++ b/src/bronzebeam/routing/budget.py
@@ -7,6 +7,7 @@
 
 BURST_LIMIT: Final = 10.0
 HEDGE_RESERVE: Final = 1.0
+LEAST_RETRIES: Final = 3
 WINDOW_SECONDS: Final = 10.0
 _BUCKET_SECONDS: Final = 0.5
 _BUCKETS: Final = int(WINDOW_SECONDS / _BUCKET_SECONDS)
@@ -18,6 +19,7 @@
     number: int
     firsts: int = 0
     extras: int = 0
+    least: int = 0
 
 
 @define(kw_only=True)
@@ -27,8 +29,8 @@
 
     An extra sub-request is allowed if two bounds hold: over the last 10 s the extras
     are at most `extra_load_share` of the first sub-requests; and over any stretch of
-    time they are at most that share plus `BURST_LIMIT`. The time passed in must not
-    go back.
+    time they are at most that share plus `BURST_LIMIT`. Beside that, `LEAST_RETRIES`
+    retries are allowed in each window. The time passed in must not go back.
 
     :ivar extra_load_share: extra sub-requests allowed, as a share of first ones.
     """
@@ -62,6 +64,23 @@
         self._tokens -= 1.0
         return True
 
+    def take_least(self, *, now_seconds: float) -> bool:
+        """
+        Take one of the few retries that are allowed whatever the share says.
+
+        Without them a service of little traffic could retry nothing. They count as
+        extras, so that hedges make up for them.
+
+        :return: whether the extra sub-request may be sent.
+        """
+        bucket = self._bucket_at(now_seconds)
+        if sum(item.least for item in self._buckets) >= LEAST_RETRIES:
+            return False
+        bucket.least += 1
+        bucket.extras += 1
+        self._extras += 1
+        return True
+
     def _bucket_at(self, now_seconds: float) -> _Bucket:
         number = int(now_seconds / _BUCKET_SECONDS)
         while self._buckets and self._buckets[0].number < number - _BUCKETS:
--- a/src/bronzebeam/routing/hedging.py
+++ b/src/bronzebeam/routing/hedging.py
@@ -165,7 +165,8 @@
     Decide on a retry, and take it from `budget` if it is allowed.
 
     An attempt that may have run is retried only if it is idempotent and not solo.
-    One that was not sent is retried without a charge on the budget.
+    One that was not sent is retried without a charge on the budget. A few that may
+    have run are retried in each window even if the budget is spent.
     """
     if failure is FailureKind.UNKNOWN:
         if not state.idempotent:
@@ -177,6 +178,9 @@
         return obstacle
     if failure is FailureKind.NOT_SENT or budget.take(now_seconds=now_seconds):
         return Verdict.ALLOWED
+    # A shed attempt says that there is load; a lost one does not.
+    if failure is FailureKind.UNKNOWN and budget.take_least(now_seconds=now_seconds):
+        return Verdict.ALLOWED
     return Verdict.OVER_BUDGET
 
 
--- a/tests/test_routing_hedging.py
+++ b/tests/test_routing_hedging.py
@@ -5,7 +5,12 @@
 
 from bronzebeam.documents.model import HedgingSpec
 from bronzebeam.routing import hedging
-from bronzebeam.routing.budget import BURST_LIMIT, WINDOW_SECONDS, ExtraLoadBudget
+from bronzebeam.routing.budget import (
+    BURST_LIMIT,
+    LEAST_RETRIES,
+    WINDOW_SECONDS,
+    ExtraLoadBudget,
+)
 from bronzebeam.routing.hedging import FailureKind, HedgeDelay, SubRequestState, Verdict
 from tests.fixtures_routing import COMMON
 
@@ -145,3 +150,19 @@
     for _ in range(100):
         delay.record(latency_ms=2.0, now_seconds=33.0)
     assert delay.delay_ms(now_seconds=100.0) is None
+
+
+def test_few_lost_attempts_are_retried_where_there_is_little_traffic() -> None:
+    budget = ExtraLoadBudget(extra_load_share=0.05)
+    budget.count_firsts(1, now_seconds=0.0)
+
+    def verdict(failure: FailureKind, now_seconds: float) -> Verdict:
+        return hedging.allow_retry(
+            STATE, failure=failure, budget=budget, now_seconds=now_seconds
+        )
+
+    assert verdict(FailureKind.NOT_RUN, 0.0) is Verdict.OVER_BUDGET
+    verdicts = [verdict(FailureKind.UNKNOWN, 0.1) for _ in range(5)]
+    assert verdicts.count(Verdict.ALLOWED) == LEAST_RETRIES
+    assert verdict(FailureKind.UNKNOWN, 9.9) is Verdict.OVER_BUDGET
+    assert verdict(FailureKind.UNKNOWN, 20.0) is Verdict.ALLOWED
