Move the hedges of a search into a module of their own

Change: SearchHedges decides when a shard gets a further attempt; a solo run asks for none. Behaviour is otherwise the same.

--- a/src/bronzebeam/filters/search_run.py
+++ b/src/bronzebeam/filters/search_run.py
@@ -10,6 +10,7 @@
 from bronzebeam.filters.attempt_outcomes import reason_of, surely_not_run
 from bronzebeam.filters.chain import CallerRequest
 from bronzebeam.filters.dispatch import Dispatcher, trace_headers
+from bronzebeam.filters.search_hedges import SearchHedges
 from bronzebeam.filters.search_shards import SearchResult, ShardAttempts, build_coverage
 from bronzebeam.filters.search_timing import SearchTiming
 from bronzebeam.invariants import check
@@ -19,7 +20,6 @@
     ShardProgress,
     required_shards,
 )
-from bronzebeam.routing.hedging import MOST_ATTEMPTS
 from bronzebeam.routing.quarantine import solo_order
 from bronzebeam.routing.snapshots import Snapshot
 from bronzebeam.transport.attempt import Attempt, AttemptOutcome
@@ -30,8 +30,6 @@
 )
 
 NEWER_SNAPSHOT_SECONDS: Final = 0.01
-HEDGE_AGAIN_SECONDS: Final = 0.005
-STRAGGLER_SHARE: Final = 0.25
 
 _Event = tuple[Attempt, AttemptOutcome]
 
@@ -52,8 +50,7 @@
     _version_gone: bool = field(default=False, init=False)
     _sent: bool = field(default=False, init=False)
     _cut_reason: Reason = field(default=Reason.TIMEOUT, init=False)
-    _hedge_at_seconds: float = field(default=math.inf, init=False)
-    _hedge_delay_seconds: float = field(default=math.inf, init=False)
+    _hedges: SearchHedges = field(init=False)
     _results_in: MemoryObjectSendStream[_Event] = field(init=False)
     _results_out: MemoryObjectReceiveStream[_Event] = field(init=False)
 
@@ -64,6 +61,12 @@
             for number, replicas in enumerate(self.snapshot.replicas_by_shard)
         ]
         self._unsettled = len(self._shards)
+        self._hedges = SearchHedges(
+            request=self.request,
+            dispatcher=self.dispatcher,
+            shards=self._shards,
+            send=self._send_hedge,
+        )
         self._results_in, self._results_out = anyio.create_memory_object_stream[_Event](
             math.inf
         )
@@ -92,10 +95,8 @@
             self._send_waiting()
         extra = self.dispatcher.extra
         extra.note_first(self.request.service, len(self._shards), now)
-        delay_seconds = extra.hedge_delay_seconds(self.request.service, now)
-        if delay_seconds is not None:
-            self._hedge_delay_seconds = delay_seconds
-            self._hedge_at_seconds = now + delay_seconds
+        if not self._solo:
+            self._hedges.start(now)
 
     def _give_up_uncovered(self) -> None:
         for shard in self._shards:
@@ -111,8 +112,8 @@
                     if self._is_over():
                         return
             now = self.dispatcher.clock.monotonic_seconds()
-            if now >= self._hedge_at_seconds:
-                self._hedge(now)
+            if now >= self._hedges.due_at_seconds:
+                self._hedges.send_due(now, self._unsettled)
 
     def _is_over(self) -> bool:
         """Tell whether the service's policy asks for no further waiting."""
@@ -143,7 +144,7 @@
     def _wake_at_seconds(self) -> float:
         """Return the next time at which there is something to do without a reply."""
         decide_at = self._timing.next_decision_at_seconds()
-        wake_at = min(decide_at, self._hedge_at_seconds)
+        wake_at = min(decide_at, self._hedges.due_at_seconds)
         if not self._version_gone:
             return wake_at
         now = self.dispatcher.clock.monotonic_seconds()
@@ -206,6 +207,7 @@
             self._solo = self._solo or self.dispatcher.is_suspected(self.request)
             self._retry(shard, outcome)
         if self._solo:
+            self._hedges.stop()
             self._send_next_solo()
 
     def _accept(
@@ -252,42 +254,8 @@
         elif not self._solo and not self._send(shard):
             self._give_up(shard)
 
-    def _hedge(self, now: float) -> None:
-        """Send a further attempt for each shard that waits past the hedge delay."""
-        self._hedge_at_seconds = math.inf
-        if self._solo:
-            return
-        if self._unsettled > self._most_stragglers:
-            self._hedge_at_seconds = now + HEDGE_AGAIN_SECONDS
-            return
-        for shard in self._shards:
-            if not shard.settled and shard.running:
-                self._hedge_shard(shard, now)
-
-    @property
-    def _most_stragglers(self) -> int:
-        """
-        Return how many shards may be late for hedges to help.
-
-        Where more are late, the cause is common to all of them, and hedges would
-        only add to it.
-        """
-        return max(1, int(len(self._shards) * STRAGGLER_SHARE))
-
-    def _hedge_shard(self, shard: ShardAttempts, now: float) -> None:
-        due_at = shard.hedge_due_seconds(self._hedge_delay_seconds)
-        if due_at > now:
-            self._hedge_at_seconds = min(self._hedge_at_seconds, due_at)
-            return
-        allowed = self.dispatcher.may_hedge(
-            self.request, replicas=shard.replicas, tried=shard.tried
-        )
-        if allowed and self._send(shard, hedge=True):
-            due_at = shard.hedge_due_seconds(self._hedge_delay_seconds)
-        else:
-            due_at = now + HEDGE_AGAIN_SECONDS
-        if len(shard.tried) < MOST_ATTEMPTS:
-            self._hedge_at_seconds = min(self._hedge_at_seconds, due_at)
+    def _send_hedge(self, shard: ShardAttempts) -> bool:
+        return self._send(shard, hedge=True)
 
     def _give_up(self, shard: ShardAttempts, reason: Reason | None = None) -> None:
         if shard.settled:
