--- a/tests/fixtures_fleet_dissemination.py
+++ b/src/bronzebeam/bench/dissemination.py
@@ -1,7 +1,7 @@
 """
 A run of one rumour over many nodes in virtual time, by the routing functions alone.
 
-``python -m tests.fixtures_fleet_dissemination`` prints its figures as JSON lines.
+``python -m bronzebeam.bench.dissemination`` prints its figures as JSON lines.
 """
 
 import heapq
@@ -31,10 +31,9 @@
     next_target,
     push_candidates,
 )
-from bronzebeam.routing.membership_state import MemberRecord
+from bronzebeam.routing.membership_state import MemberRecord, MemberState
 from bronzebeam.routing.watchers import choose_watchers
 from bronzebeam.transport.peer import PEER_TIMEOUT_SECONDS
-from tests.fixtures_fleet import member
 
 DOMAINS = 8
 DOMAINS_PER_REGION = 4
@@ -75,13 +74,24 @@
     pushes_by_node: dict[str, int] = field(factory=dict)
 
 
+def _member(instance: str, domain: str, incarnation: int = 1) -> MemberRecord:
+    return MemberRecord(
+        instance=instance,
+        incarnation=incarnation,
+        state=MemberState.LIVE,
+        address=f"{instance}:80",
+        peer_address=instance,
+        failure_domain=domain,
+    )
+
+
 def fleet_members(count: int) -> tuple[MemberRecord, ...]:
-    return tuple(member(f"entry-{i:04d}", f"d{i % DOMAINS}") for i in range(count))
+    return tuple(_member(f"entry-{i:04d}", f"d{i % DOMAINS}") for i in range(count))
 
 
 def message_bytes() -> tuple[int, int]:
     """Return the bytes of a push and of one exchange, both ways with headers."""
-    sender = member("entry-0000", "d0", 1_790_000_000_000)
+    sender = _member("entry-0000", "d0", 1_790_000_000_000)
     changes = tuple(
         Change(path=("document", "services", 1, "hedging", name), value=95.5)
         for name in ("percentile", "extra_load_share")
--- a/tests/test_fleet_routing.py
+++ b/tests/test_fleet_routing.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from bronzebeam.bench.dissemination import CASES, fleet_members, spread
 from bronzebeam.controllers.membership_view import MembershipView, build_plan
 from bronzebeam.routing.dissemination import (
     PUSH_RINGS,
@@ -30,7 +31,6 @@
     choose_watchers,
 )
 from tests.fixtures_fleet import member
-from tests.fixtures_fleet_dissemination import CASES, fleet_members, spread
 
 REPEATABLE = settings(derandomize=True, database=None, deadline=None)
 FLEET_NODES = 900
