Report each missing setting once

Cause: the check of settings printed a missing setting as many times as there were missing ones, since the validator reports each apart and the check listed all for each. Measured: the new test red before, green after.

--- a/src/bronzebeam/settings.py
+++ b/src/bronzebeam/settings.py
@@ -125,7 +125,8 @@
         findings.extend(_url_findings(value))
         findings.extend(_listen_findings(value))
         findings.extend(_drain_findings(value))
-    return tuple(sorted(findings, key=lambda item: (item.place, item.message)))
+    # The validator reports each missing setting of an object apart.
+    return tuple(sorted(set(findings), key=lambda item: (item.place, item.message)))
 
 
 def _error(subject: str, findings: tuple[Finding, ...]) -> FindingsError:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -168,3 +168,10 @@
     assert isinstance(
         parse_settings(orjson.dumps(changed), subject="test"), EntrySettings
     )
+
+
+def test_each_missing_setting_is_reported_once() -> None:
+    findings = check_settings({})
+    places = [item.place for item in findings]
+    assert "/store_url" in places and "/peer_listen" in places
+    assert len(places) == len(set(places))
