Offer the state as metrics, and keep one budget of extra sub-requests

Change: gauges of revision, members, store and configuration flags, connections, limits, decisions on hedges and retries; one ServiceBudgets for the process. Measured: tests/test_processes.py reads them from running entries.

--- a/src/bronzebeam/controllers/extra_work.py
+++ b/src/bronzebeam/controllers/extra_work.py
@@ -1,5 +1,7 @@
 """Budgets and hedge delays of each service on this entry."""
 
+from collections import Counter
+
 from attrs import define, field, frozen
 
 from bronzebeam.documents.model import HedgingSpec, ServiceSpec
@@ -15,6 +17,19 @@
 )
 
 
+@frozen(kw_only=True)
+class ExtraKind:
+    """
+    A decision on an extra sub-request.
+
+    :ivar kind: `hedge` or `retry`.
+    """
+
+    service: str
+    kind: str
+    verdict: Verdict
+
+
 @frozen(kw_only=True)
 class _ServiceState:
     spec: HedgingSpec
@@ -27,10 +42,12 @@
     """
     Implements `ExtraWork`; a changed hedging policy starts a fresh budget.
 
+    :ivar verdicts: decisions since the start.
     :ivar hedging: False switches hedges off, as the baseline of an experiment.
     """
 
     hedging: bool = True
+    verdicts: Counter[ExtraKind] = field(factory=Counter, init=False)
     _states: dict[str, _ServiceState] = field(factory=dict, init=False)
 
     def hedge_delay_seconds(
@@ -59,7 +76,7 @@
         """Decide on a hedge and take it from the budget."""
         budget = self._state(service).budget
         verdict = allow_hedge(state, budget=budget, now_seconds=now_seconds)
-        return verdict is Verdict.ALLOWED
+        return self._count(service, "hedge", verdict)
 
     def allow_retry(
         self,
@@ -73,6 +90,10 @@
         verdict = allow_retry(
             state, failure=failure, budget=budget, now_seconds=now_seconds
         )
+        return self._count(service, "retry", verdict)
+
+    def _count(self, service: ServiceSpec, kind: str, verdict: Verdict) -> bool:
+        self.verdicts[ExtraKind(service=service.name, kind=kind, verdict=verdict)] += 1
         return verdict is Verdict.ALLOWED
 
     def _state(self, service: ServiceSpec) -> _ServiceState:
--- a/src/bronzebeam/entry/daemon.py
+++ b/src/bronzebeam/entry/daemon.py
@@ -30,6 +30,7 @@
 from bronzebeam.entry.relay import Relay
 from bronzebeam.entry.request_path import Baseline, RequestPath, new_peer_client
 from bronzebeam.entry.server import Application, serve_http
+from bronzebeam.entry.state_metrics import StateMetrics
 from bronzebeam.settings import EntrySettings
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.telemetry.query_metrics import QueryMetrics
@@ -125,6 +126,9 @@
         )
         usage.live_entries = lambda: len(self.fleet.membership.view.members)
         self.path.quarantine.publish = self.fleet.gossip.publish
+        self.metrics.before_render = StateMetrics(
+            registry=self.metrics.registry, fleet=self.fleet, path=self.path
+        ).update
         topic = self._store_view_topic()
         self.path.claims.store_view.on_regression = lambda: self.fleet.gossip.publish(
             store_view_topic.TOPIC, topic.digest()
--- a/src/bronzebeam/entry/request_path.py
+++ b/src/bronzebeam/entry/request_path.py
@@ -56,6 +56,7 @@
     rng: random.Random
     tracing: Tracing
     baseline: Baseline = field(factory=Baseline)
+    extra: ServiceBudgets = field(init=False)
     quarantine: QuarantineController = field(init=False)
     backends: Backends = field(init=False)
     admission: AdmissionController = field(init=False)
@@ -63,6 +64,7 @@
     owned_keys: OwnedKeys = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.extra = ServiceBudgets(hedging=self.baseline.hedging)
         self.quarantine = QuarantineController(clock=self.clock)
         self.backends = Backends(
             clock=self.clock,
@@ -112,7 +114,7 @@
     def _last(self) -> Handler:
         dispatcher = Dispatcher(
             reach=self.backends,
-            extra=ServiceBudgets(hedging=self.baseline.hedging),
+            extra=self.extra,
             killers=self.quarantine,
             clock=self.clock,
             rng=self.rng,
--- /dev/null
+++ b/src/bronzebeam/entry/state_metrics.py
@@ -0,0 +1,87 @@
+"""Metrics of an entry's state, read when they are scraped."""
+
+from attrs import define, field
+
+from bronzebeam.controllers.backends import Backends
+from bronzebeam.entry.fleet import Fleet
+from bronzebeam.entry.request_path import RequestPath
+from bronzebeam.telemetry.metrics import Family, Gauge, MetricRegistry
+
+
+@define(kw_only=True, eq=False)
+class StateMetrics:
+    """Gauges of the configuration in force, the fleet and the request path."""
+
+    registry: MetricRegistry
+    fleet: Fleet
+    path: RequestPath
+    _plain: dict[str, Family[Gauge]] = field(factory=dict, init=False)
+    _connections: Family[Gauge] = field(init=False)
+    _limits: Family[Gauge] = field(init=False)
+    _extra: Family[Gauge] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        for name, help_text in (
+            (
+                "configuration_revision",
+                "Revision of the document in force; 0 for none.",
+            ),
+            ("members_count", "Live entries that this one knows, itself included."),
+            ("store_older_info", "1 if the store holds an older revision."),
+            ("configuration_split_info", "1 if a revision has two contents."),
+            ("store_failing_info", "1 if this entry watches the store in vain."),
+            ("quarantine_records_count", "Suspected and quarantined requests held."),
+            ("claims_pending_count", "Changes of claims not settled in the store."),
+        ):
+            self._plain[name] = self.registry.gauge(
+                name=f"bronzebeam_{name}", help_text=help_text
+            )
+        self._connections = self.registry.gauge(
+            name="bronzebeam_backend_connections_count",
+            help_text="Open connections to backend servers.",
+            label_names=("service",),
+        )
+        self._limits = self.registry.gauge(
+            name="bronzebeam_concurrency_limit_count",
+            help_text="Queries that may run at a time.",
+            label_names=("service",),
+        )
+
+        self._extra = self.registry.gauge(
+            name="bronzebeam_extra_decisions_count",
+            help_text="Decisions on hedges and retries since the start.",
+            label_names=("service", "kind", "verdict"),
+        )
+
+    def update(self) -> None:
+        """Read the state into the gauges."""
+        configuration = self.fleet.configuration
+        view = configuration.view
+        values: dict[str, float] = {
+            "configuration_revision": view.revision,
+            "members_count": len(self.fleet.membership.view.members),
+            "store_older_info": view.store_older,
+            "configuration_split_info": view.split,
+            "store_failing_info": configuration.store_failing,
+            "quarantine_records_count": len(self.path.quarantine.records),
+            "claims_pending_count": self.path.claims.pending_count,
+        }
+        for name, value in values.items():
+            self._plain[name].labels().set(float(value))
+        for extra, count in self.path.extra.verdicts.items():
+            self._extra.labels(
+                service=extra.service, kind=extra.kind, verdict=extra.verdict.value
+            ).set(float(count))
+        if view.current is None:
+            return
+        for service in view.current.document.services:
+            name = service.name
+            opened = _open_connections(self.path.backends, name)
+            self._connections.labels(service=name).set(float(opened))
+            limit = self.path.admission.limit_of(name)
+            self._limits.labels(service=name).set(float(limit))
+
+
+def _open_connections(backends: Backends, service: str) -> int:
+    links = (backends.link(name) for name in backends.members(service))
+    return sum(link.open_connections for link in links if link is not None)
--- a/src/bronzebeam/telemetry/query_metrics.py
+++ b/src/bronzebeam/telemetry/query_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of callers' requests and of the entry as a whole."""
 
+from collections.abc import Callable
+
 from bronzebeam import invariants
 from bronzebeam.outcomes import Answered, Outcome
 from bronzebeam.telemetry.metrics import MetricRegistry
@@ -7,7 +9,11 @@
 
 
 class QueryMetrics:
-    """Counts outcomes and measures latency by service."""
+    """
+    Counts outcomes and measures latency by service.
+
+    :ivar before_render: brings further metrics up to date.
+    """
 
     def __init__(self) -> None:
         self.registry = MetricRegistry()
@@ -27,6 +33,7 @@
             label_names=("service",),
         )
         self.traffic = Traffic()
+        self.before_render: Callable[[], None] = lambda: None
         self._control = self.registry.gauge(
             name="bronzebeam_control_bytes",
             help_text="Bytes of control messages, both ways, since the start.",
@@ -50,6 +57,7 @@
 
     def render(self, *, now_seconds: float) -> str:
         """Render all metrics in the text exposition format."""
+        self.before_render()
         self._violations.labels().set(float(sum(invariants.violations.values())))
         for channel in ControlChannel:
             counted_bytes = float(self.traffic.counted_bytes[channel])
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -50,11 +50,23 @@
         reports = await rig.history()
         rows = [row for report in reports.values() for row in report["runs"]]
         assert sum(row["key"] == key for row in rows) == 1
+        await _check_metrics(rig)
         await _check_stop(rig)
 
     _with_rig(use)
 
 
+async def _check_metrics(rig: Rig) -> None:
+    for entry in rig.entries:
+        reply = await rig.client.get(f"http://{entry.peer_address}/metrics")
+        values = dict(line.rsplit(" ", 1) for line in reply.text.splitlines())
+        assert float(values["bronzebeam_configuration_revision"]) == 1
+        assert float(values["bronzebeam_members_count"]) == len(rig.entries)
+        assert float(values["bronzebeam_invariant_violations_count"]) == 0
+        opened = 'bronzebeam_backend_connections_count{service="guest-search"}'
+        assert float(values[opened]) >= SHARDS * 2
+
+
 async def _check_stop(rig: Rig) -> None:
     """Check that the entries use no io_uring, and that a stop ends well."""
     for entry in rig.entries:
