--- a/src/bronzebeam/bench/suite.py
+++ b/src/bronzebeam/bench/suite.py
@@ -1,8 +1,10 @@
 """The experiments of a bench run, in order."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
+import anyio
+
 from bronzebeam.bench.experiments import (
     bookings,
     departures,
@@ -28,3 +30,27 @@
 
 LONG_EXPERIMENTS: Final[dict[str, Experiment]] = {"slopes": slopes.run}
 """Experiments that a run of all of them leaves out."""
+
+QUICK_GROUPS: Final = (
+    ("fanout",),
+    ("hedging",),
+    ("overload",),
+    ("leaving", "killed", "bookings", "fleet"),
+)
+"""What runs at the same time: only experiments that count, and measure no latency."""
+
+
+async def run_groups(
+    groups: Sequence[Sequence[str]], report: Callable[[Figure], None]
+) -> None:
+    """Run experiments group by group, and report each one's figures together."""
+    known = {**EXPERIMENTS, **LONG_EXPERIMENTS}
+
+    async def run_one(name: str) -> None:
+        for figure in await known[name]():
+            report(figure)
+
+    for names in groups:
+        async with anyio.create_task_group() as group:
+            for name in names:
+                group.start_soon(run_one, name)
--- a/src/bronzebeam/entry/caller_app.py
+++ b/src/bronzebeam/entry/caller_app.py
@@ -68,17 +68,15 @@
         return [("connection", "close")] if self.lifecycle.draining else []
 
     async def _answer_query(self, scope: Scope, receive: Receive, send: Send) -> None:
-        self.lifecycle.in_flight += 1
-        try:
-            answer = await self._query(scope, receive)
-            headers = [*answer.headers, *self._connection_headers()]
-            await send_response(
-                send, status=answer.status, headers=headers, body=answer.body
-            )
-        except CallerLeft:
-            log_event("caller_left", path=scope["path"])
-        finally:
-            self.lifecycle.in_flight -= 1
+        with self.lifecycle.request():
+            try:
+                answer = await self._query(scope, receive)
+                headers = [*answer.headers, *self._connection_headers()]
+                await send_response(
+                    send, status=answer.status, headers=headers, body=answer.body
+                )
+            except CallerLeft:
+                log_event("caller_left", path=scope["path"])
 
     async def _query(self, scope: Scope, receive: Receive) -> RenderedAnswer:
         arrived = self.clock.monotonic_seconds()
--- a/src/bronzebeam/entry/daemon.py
+++ b/src/bronzebeam/entry/daemon.py
@@ -190,6 +190,7 @@
         forwarding = ForwardRoute(
             chain=self.path.chain(None),
             document=self.fleet.document,
+            lifecycle=self.lifecycle,
             clock=self.clock,
         )
         self.fleet.peer_app.routes[("POST", FORWARD_PATH)] = forwarding.answer
--- a/src/bronzebeam/entry/forwarding.py
+++ b/src/bronzebeam/entry/forwarding.py
@@ -8,6 +8,7 @@
 from bronzebeam.clock import Clock
 from bronzebeam.documents.model import AcceptedDocument
 from bronzebeam.entry.intake import fingerprint_of
+from bronzebeam.entry.lifecycle import Lifecycle
 from bronzebeam.entry.peer_app import PeerResponse
 from bronzebeam.filters.chain import CallerRequest, Handler
 from bronzebeam.outcomes import NotRun, Outcome
@@ -28,6 +29,7 @@
 
     chain: Handler
     document: Callable[[], AcceptedDocument | None]
+    lifecycle: Lifecycle
     clock: Clock
 
     async def answer(self, body: bytes) -> PeerResponse:
@@ -45,7 +47,8 @@
                 detail="the owner's document does not have this operation",
             )
         else:
-            outcome = await self.chain(request)
+            with self.lifecycle.request():
+                outcome = await self.chain(request)
         return PeerResponse(body=orjson.dumps(outcome_to_json(outcome)))
 
     def _request(self, forwarded: ForwardedRequest) -> CallerRequest | None:
--- a/src/bronzebeam/entry/lifecycle.py
+++ b/src/bronzebeam/entry/lifecycle.py
@@ -1,5 +1,7 @@
 """The life of an entry process: starting, ready, draining, ended."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum
 from typing import Final
 
@@ -26,7 +28,7 @@
     """
     Counts requests in flight and carries out the planned stop.
 
-    :ivar in_flight: callers' requests taken in and not yet answered.
+    :ivar in_flight: requests of callers and of peers for them, not yet answered.
     :ivar cut_off: requests still in flight when the bound of the stop passed.
     """
 
@@ -41,6 +43,15 @@
     def draining(self) -> bool:
         return self.phase is not Phase.SERVING
 
+    @contextmanager
+    def request(self) -> Iterator[None]:
+        """Count a request as in flight for the time of a `with` block."""
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+
     async def wait_ended(self) -> None:
         """Wait until the servers are to stop."""
         await self._ended.wait()
