--- a/src/bronzebeam/bench/experiments/departures.py
+++ b/src/bronzebeam/bench/experiments/departures.py
@@ -4,10 +4,11 @@
 
 import anyio
 
-from bronzebeam.bench.documents import SEARCH, SEARCH_PATH, rig_document
+from bronzebeam.bench.documents import SEARCH, rig_document
 from bronzebeam.bench.figures import Figure
-from bronzebeam.bench.load import Caller, CallerAnswer, OpenLoop
+from bronzebeam.bench.load import CallerAnswer
 from bronzebeam.bench.rig import Rig, RigSpec, running_rig
+from bronzebeam.bench.searches import run_searches
 
 SHARDS: Final = 6
 RATE_PER_SECOND: Final = 60.0
@@ -91,20 +92,17 @@
 
 
 async def _load(rig: Rig, event: Any) -> list[CallerAnswer]:
-    caller = Caller(addresses=lambda: [entry.caller_address for entry in rig.entries])
-
-    async def send(number: int, due: float) -> CallerAnswer:
-        return await caller.post(
-            SEARCH_PATH, {"q": number}, deadline_ms=DEADLINE_MS, due_seconds=due
-        )
-
     async def later() -> None:
         await anyio.sleep(EVENT_AT_SECONDS)
         await event()
 
     await anyio.sleep(0.5)
-    load = OpenLoop(rate_per_second=RATE_PER_SECOND, seconds=SECONDS, send=send)
     async with anyio.create_task_group() as group:
         group.start_soon(later)
-        answers = await load.run()
+        answers = await run_searches(
+            rig,
+            rate_per_second=RATE_PER_SECOND,
+            seconds=SECONDS,
+            deadline_ms=DEADLINE_MS,
+        )
     return answers
--- a/src/bronzebeam/bench/experiments/hedging.py
+++ b/src/bronzebeam/bench/experiments/hedging.py
@@ -5,10 +5,11 @@
 import anyio
 from attrs import frozen
 
-from bronzebeam.bench.documents import SEARCH, SEARCH_PATH, rig_document
+from bronzebeam.bench.documents import SEARCH, rig_document
 from bronzebeam.bench.figures import Figure
-from bronzebeam.bench.load import Caller, CallerAnswer, OpenLoop, percentile
-from bronzebeam.bench.rig import RigSpec, running_rig
+from bronzebeam.bench.load import CallerAnswer, percentile
+from bronzebeam.bench.rig import Rig, RigSpec, running_rig
+from bronzebeam.bench.searches import run_searches
 
 SHARDS: Final = 20
 RATE_PER_SECOND: Final = 50.0
@@ -59,23 +60,10 @@
         entry_arguments=entry_arguments,
     )
     async with running_rig(spec) as rig:
-        caller = Caller(
-            addresses=lambda: [entry.caller_address for entry in rig.entries]
-        )
-
-        async def send(number: int, due: float) -> CallerAnswer:
-            return await caller.post(
-                SEARCH_PATH, {"q": number}, deadline_ms=DEADLINE_MS, due_seconds=due
-            )
-
         await anyio.sleep(0.5)
-        warm = OpenLoop(
-            rate_per_second=RATE_PER_SECOND, seconds=WARM_SECONDS, send=send
-        )
-        answered = len(await warm.run())
-        load = OpenLoop(rate_per_second=RATE_PER_SECOND, seconds=SECONDS, send=send)
-        answers = await load.run()
-        answered += len(answers)
+        warm = await _search(rig, WARM_SECONDS)
+        answers = await _search(rig, SECONDS)
+        answered = len(warm) + len(answers)
         reports = await rig.history()
     runs = sum(
         len(report["runs"]) for name, report in reports.items() if SEARCH in name
@@ -86,3 +74,12 @@
         p99_ms=percentile(latencies, 0.99),
         extra_share=runs / (answered * SHARDS) - 1,
     )
+
+
+async def _search(rig: Rig, seconds: float) -> list[CallerAnswer]:
+    return await run_searches(
+        rig,
+        rate_per_second=RATE_PER_SECOND,
+        seconds=seconds,
+        deadline_ms=DEADLINE_MS,
+    )
--- a/src/bronzebeam/bench/suite.py
+++ b/src/bronzebeam/bench/suite.py
@@ -7,6 +7,7 @@
 
 from bronzebeam.bench.experiments import (
     bookings,
+    choice,
     departures,
     fanout,
     fleet,
@@ -20,6 +21,7 @@
 
 EXPERIMENTS: Final[dict[str, Experiment]] = {
     "fanout": fanout.run,
+    "choice": choice.run,
     "hedging": hedging.run,
     "overload": overload.run,
     "leaving": departures.run_leaving,
@@ -33,6 +35,7 @@
 
 QUICK_GROUPS: Final = (
     ("fanout",),
+    ("choice",),
     ("hedging",),
     ("overload",),
     ("leaving", "killed", "bookings", "fleet"),
--- a/src/bronzebeam/cli_entry.py
+++ b/src/bronzebeam/cli_entry.py
@@ -25,7 +25,10 @@
 )
 @click.option("--no-hedging", is_flag=True, help="Baseline without hedges.")
 @click.option("--no-admission", is_flag=True, help="Baseline without admission.")
-def entry(path: Path, no_hedging: bool, no_admission: bool) -> None:
+@click.option("--random-choice", is_flag=True, help="Baseline of replica choice.")
+def entry(
+    path: Path, no_hedging: bool, no_admission: bool, random_choice: bool
+) -> None:
     """
     Run the entry daemon until a planned stop.
 
@@ -38,7 +41,9 @@
         for finding in error.findings:
             click.echo(str(finding), err=True)
         sys.exit(EXIT_FINDINGS)
-    baseline = Baseline(hedging=not no_hedging, admission=not no_admission)
+    baseline = Baseline(
+        hedging=not no_hedging, admission=not no_admission, choice=not random_choice
+    )
     sys.exit(run_entry(settings, baseline))
 
 
--- a/src/bronzebeam/entry/request_path.py
+++ b/src/bronzebeam/entry/request_path.py
@@ -23,6 +23,7 @@
 from bronzebeam.filters.resends import ResendGuard
 from bronzebeam.filters.search import SearchHandler
 from bronzebeam.outcomes import Outcome
+from bronzebeam.routing.choice import choose_at_random, choose_replica
 from bronzebeam.settings import EntrySettings
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.telemetry.traces import Tracing
@@ -37,11 +38,13 @@
     Parts switched off, as the baseline of an experiment.
 
     :ivar hedging: send hedges.
+    :ivar choice: choose replicas by load, latency and health; else at random.
     :ivar admission: hold queries off by class, deadline and load.
     """
 
     hedging: bool = True
     admission: bool = True
+    choice: bool = True
 
 
 @define(kw_only=True, eq=False)
@@ -120,6 +123,7 @@
             rng=self.rng,
             failure_domain=self.settings.failure_domain,
             tracing=self.tracing,
+            choose_replica=choose_replica if self.baseline.choice else choose_at_random,
         )
         search = SearchHandler(dispatcher=dispatcher)
         call = CallHandler(dispatcher=dispatcher)
--- a/src/bronzebeam/filters/dispatch.py
+++ b/src/bronzebeam/filters/dispatch.py
@@ -12,7 +12,7 @@
 from bronzebeam.filters.chain import CallerRequest
 from bronzebeam.filters.policy import ExtraWork, KillerWatch
 from bronzebeam.filters.reach import Reach
-from bronzebeam.routing.choice import choose_replica
+from bronzebeam.routing.choice import ChooseReplica, choose_replica
 from bronzebeam.routing.hedging import (
     FailureKind,
     SubRequestState,
@@ -43,6 +43,7 @@
     What the runs of searches and calls share.
 
     :ivar failure_domain: failure domain of this entry, preferred for replicas.
+    :ivar choose_replica: the decision itself.
     :ivar tracing: opens a span for each attempt; None for none.
     """
 
@@ -53,6 +54,7 @@
     rng: random.Random
     failure_domain: str
     tracing: Tracing | None = None
+    choose_replica: ChooseReplica = choose_replica
 
     def open_span(
         self, request: CallerRequest, *, shard: int, replica: str, hedge: bool
@@ -72,7 +74,7 @@
         """Choose a replica for the next attempt; None if none may take it."""
         views = [view for view in map(self.reach.view, replicas) if view is not None]
         usable = sum(not view.leaving for view in views)
-        choice = choose_replica(
+        choice = self.choose_replica(
             candidates=views,
             own_failure_domain=self.failure_domain,
             excluded=replicas_to_exclude(tried=tried, replicas=usable),
--- a/src/bronzebeam/routing/choice.py
+++ b/src/bronzebeam/routing/choice.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Collection, Sequence
-from typing import Final
+from typing import Final, Protocol
 
 from attrs import frozen
 
@@ -80,6 +80,20 @@
         return math.exp(-idle_seconds / LATENCY_TIME_CONSTANT_SECONDS)
 
 
+class ChooseReplica(Protocol):
+    """A decision on the replica of the next attempt."""
+
+    def __call__(
+        self,
+        *,
+        candidates: Sequence[ReplicaView],
+        own_failure_domain: str,
+        excluded: Collection[str],
+        rng: random.Random,
+    ) -> ReplicaView | None:
+        """Choose a replica; None if no candidate may be used."""
+
+
 def choose_replica(
     *,
     candidates: Sequence[ReplicaView],
@@ -109,6 +123,20 @@
     return _better_of_two(pool, own_failure_domain, rng)
 
 
+def choose_at_random(
+    *,
+    candidates: Sequence[ReplicaView],
+    own_failure_domain: str,
+    excluded: Collection[str],
+    rng: random.Random,
+) -> ReplicaView | None:
+    """Choose any usable replica, as the baseline of an experiment."""
+    usable = [
+        view for view in candidates if not view.leaving and view.replica not in excluded
+    ]
+    return rng.choice(usable) if usable else None
+
+
 def score_replica(view: ReplicaView, own_failure_domain: str) -> float:
     """Estimate the reply time of one more sub-request, in milliseconds."""
     own = view.own_in_flight
