Bound the size of a backend server's reply

Change: a reply above 8 MiB closes its connection, as any broken reply does. Ruled out: trusting content-length, which a server need not send. Measured: the test of the bound was red without it (the reply was taken); both tests green.

--- a/src/bronzebeam/transport/channel.py
+++ b/src/bronzebeam/transport/channel.py
@@ -11,6 +11,7 @@
 KEEPALIVE_INTERVAL_SECONDS: Final = 2
 KEEPALIVE_PROBES: Final = 3
 UNACKNOWLEDGED_MS: Final = 5_000
+MOST_REPLY_BYTES: Final = 8 * 1024 * 1024
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -51,9 +52,16 @@
 
 
 class HttpcoreChannel:
-    """A channel over a single `httpcore.AsyncHTTPConnection`."""
+    """
+    A channel over a single `httpcore.AsyncHTTPConnection`.
+
+    :param most_reply_bytes: a longer reply closes the channel.
+    """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self, *, address: str, most_reply_bytes: int = MOST_REPLY_BYTES
+    ) -> None:
+        self._most_reply_bytes = most_reply_bytes
         host, _, port = address.rpartition(":")
         self._origin = httpcore.Origin(b"http", host.encode(), int(port))
         self._host_header = (b"host", address.encode())
@@ -77,7 +85,7 @@
         )
         try:
             response = await self._connection.handle_async_request(request)
-            content = await response.aread()
+            content = await self._read_bounded(response)
             await response.aclose()
         except (
             httpcore.NetworkError,
@@ -91,6 +99,16 @@
     async def aclose(self) -> None:
         await self._connection.aclose()
 
+    async def _read_bounded(self, response: httpcore.Response) -> bytes:
+        parts: list[bytes] = []
+        size_bytes = 0
+        async for part in response.aiter_stream():
+            size_bytes += len(part)
+            if size_bytes > self._most_reply_bytes:
+                raise ChannelClosed(f"a reply above {self._most_reply_bytes} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
     def _url(self, path: str) -> httpcore.URL:
         url = self._urls.get(path)
         if url is None:
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,59 @@
+"""Tests of one connection to a backend server."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from bronzebeam.transport.channel import ChannelClosed, HttpcoreChannel
+
+MOST_REPLY_BYTES = 10_000
+
+
+def _with_reply(
+    body_bytes: int, use: Callable[[HttpcoreChannel], Awaitable[None]]
+) -> None:
+    """Run `use` with a channel whose server answers with `body_bytes` bytes."""
+
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            head = f"HTTP/1.1 200 OK\r\ncontent-length: {body_bytes}\r\n\r\n"
+            await stream.send(head.encode() + b"x" * body_bytes)
+            await anyio.sleep_forever()
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        channel = HttpcoreChannel(
+            address=f"127.0.0.1:{port}", most_reply_bytes=MOST_REPLY_BYTES
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            await use(channel)
+            await channel.aclose()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_reply_within_the_bound_is_read_whole() -> None:
+    async def use(channel: HttpcoreChannel) -> None:
+        response = await channel.exchange(
+            method="GET", path="/status", headers=(), body=b""
+        )
+        assert response.status == 200
+        assert len(response.body) == MOST_REPLY_BYTES
+
+    _with_reply(MOST_REPLY_BYTES, use)
+
+
+def test_reply_above_the_bound_closes_the_channel() -> None:
+    async def use(channel: HttpcoreChannel) -> None:
+        try:
+            await channel.exchange(method="GET", path="/status", headers=(), body=b"")
+        except ChannelClosed:
+            return
+        raise AssertionError("the reply was taken")
+
+    _with_reply(MOST_REPLY_BYTES + 1, use)
