--- a/src/bronzebeam/telemetry/metrics.py
+++ b/src/bronzebeam/telemetry/metrics.py
@@ -98,7 +98,7 @@
         self.name = name
         self.kind = kind
         self._help_text = help_text
-        self._label_names = tuple(label_names)
+        self.label_names = tuple(label_names)
         self._build = build
         self._metrics: dict[tuple[str, ...], MetricT] = {}
 
@@ -109,12 +109,12 @@
         :raises KeyError: if a label is missing.
         :raises ValueError: if there are labels that the family does not have.
         """
-        values = tuple([str(labels[name]) for name in self._label_names])
+        values = tuple([str(labels[name]) for name in self.label_names])
         metric = self._metrics.get(values)
         if metric is not None and len(labels) == len(values):
             return metric
         if len(labels) != len(values):
-            raise ValueError(f"{self.name} has the labels {self._label_names}")
+            raise ValueError(f"{self.name} has the labels {self.label_names}")
         metric = self._metrics[values] = self._build()
         return metric
 
@@ -125,7 +125,7 @@
         for values, metric in self._metrics.items():
             pairs = [
                 f'{name}="{_escape_label(value)}"'
-                for name, value in zip(self._label_names, values)
+                for name, value in zip(self.label_names, values)
             ]
             for suffix, pair, value in metric.samples(now_seconds=now_seconds):
                 labels = ",".join([*pairs, pair] if pair else pairs)
@@ -149,7 +149,6 @@
         :param name: ends in `_total`.
         :raises ValueError: if the name is taken or lacks its unit.
         """
-        self._check(name, label_names, ("_total",))
         family = Family(
             name=name,
             kind="counter",
@@ -157,7 +156,7 @@
             label_names=label_names,
             build=Counter,
         )
-        self._families[name] = family
+        self._add(family, units=("_total",))
         return family
 
     def gauge(
@@ -169,7 +168,6 @@
         :param name: ends in one of `GAUGE_UNITS`.
         :raises ValueError: if the name is taken or lacks its unit.
         """
-        self._check(name, label_names, GAUGE_UNITS)
         family = Family(
             name=name,
             kind="gauge",
@@ -177,7 +175,7 @@
             label_names=label_names,
             build=Gauge,
         )
-        self._families[name] = family
+        self._add(family, units=GAUGE_UNITS)
         return family
 
     def latency(
@@ -189,7 +187,6 @@
         :param name: ends in `_seconds`.
         :raises ValueError: if the name is taken or lacks its unit.
         """
-        self._check(name, label_names, ("_seconds",))
         family = Family(
             name=name,
             kind="summary",
@@ -197,7 +194,7 @@
             label_names=label_names,
             build=Latency,
         )
-        self._families[name] = family
+        self._add(family, units=("_seconds",))
         return family
 
     def render(self, *, now_seconds: float) -> str:
@@ -209,16 +206,21 @@
         ]
         return "".join(f"{line}\n" for line in lines)
 
-    def _check(
-        self, name: str, label_names: Sequence[str], units: Sequence[str]
+    def _add(
+        self,
+        family: "Family[Counter] | Family[Gauge] | Family[Latency]",
+        *,
+        units: Sequence[str],
     ) -> None:
+        name = family.name
         if name in self._families:
             raise ValueError(f"metric {name} is registered twice")
         if not METRIC_NAME.fullmatch(name) or not name.endswith(tuple(units)):
             raise ValueError(f"metric {name} must end in one of {tuple(units)}")
-        for label in label_names:
+        for label in family.label_names:
             if not LABEL_NAME.fullmatch(label) or label == "quantile":
                 raise ValueError(f"metric {name} cannot have the label {label}")
+        self._families[name] = family
 
 
 def _escape_label(value: str) -> str:
