Remove a killer watch that nothing uses

Cause: the thin path's stand-in for the quarantine had no caller left. Change: it is gone; behaviour is the same. Measured: check green, path tests of quarantine and hedges green.

--- a/src/bronzebeam/filters/policy.py
+++ b/src/bronzebeam/filters/policy.py
@@ -48,18 +48,3 @@
 
     async def settle(self) -> None:
         """Wait until every loss reported so far is taken in."""
-
-
-class NoKillerWatch:
-    """Quarantines nothing: the baseline of an experiment."""
-
-    def release_ms(self, fingerprint: str, now_seconds: float) -> int | None:
-        """Return None."""
-        return None
-
-    def is_suspect(self, fingerprint: str, now_seconds: float) -> bool:
-        """Return False."""
-        return False
-
-    async def settle(self) -> None:
-        """Return at once."""
