--- /dev/null
+++ b/src/bronzebeam/gateway/context.py
@@ -0,0 +1,23 @@
+"""What the handling of every request has in common."""
+
+import asyncio
+import random
+
+from attrs import define, field
+
+from bronzebeam.gateway.dialect import Dialect
+from bronzebeam.gateway.fleet_state import FleetState
+from bronzebeam.gateway.gateway_metrics import GatewayMetrics
+from bronzebeam.telemetry.decisions import DecisionLog
+
+
+@define(kw_only=True, eq=False)
+class GatewayContext:
+    """Services that request handlers use."""
+
+    state: FleetState
+    dialect: Dialect
+    loop: asyncio.AbstractEventLoop
+    log: DecisionLog
+    metrics: GatewayMetrics
+    rng: random.Random = field(factory=random.Random)
--- /dev/null
+++ b/src/bronzebeam/gateway/daemon.py
@@ -0,0 +1,187 @@
+"""The gateway process: assembly, timers and signals."""
+
+import asyncio
+import gc
+import signal
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+
+from bronzebeam.findings import FindingsError
+from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.dialect import Dialect
+from bronzebeam.gateway.fleet_state import FleetState
+from bronzebeam.gateway.gateway_metrics import GatewayMetrics
+from bronzebeam.gateway.planned_stop import PlannedStop
+from bronzebeam.gateway.readiness import Readiness
+from bronzebeam.gateway.records import GatewayStore
+from bronzebeam.gateway.replica import Replica
+from bronzebeam.gateway.router import Router
+from bronzebeam.gateway.settings import GatewaySettings
+from bronzebeam.gateway.store_watch import Registration, StoreWatch
+from bronzebeam.listen import ListenSettings
+from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.telemetry.metrics import CONTENT_TYPE
+from bronzebeam.transport.caller_connection import CallerServer
+from bronzebeam.transport.caller_request import CallerRequest
+from bronzebeam.transport.http_reply import ClientConnection
+
+TICK_SECONDS: Final = 0.25  # log lines and replacements of connections wait this long
+BACKLOG: Final = 1_024  # a full queue costs a caller seconds
+METRICS_PATH: Final = b"/metrics"
+FIRST_FREEZE_TICKS: Final = 8
+
+MakeStore = Callable[[GatewaySettings, DecisionLog], GatewayStore]
+ReadSettings = Callable[[], GatewaySettings]
+
+
+async def connect_replica(*, host: str, port: int, owner: Replica) -> ClientConnection:
+    """Open a connection to a replica."""
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(
+        lambda: ClientConnection(owner=owner, loop=loop), host, port
+    )
+    return connection
+
+
+@define(kw_only=True, eq=False)
+class Gateway:
+    """
+    One gateway process.
+
+    :ivar read_settings: reads the settings anew; raises `FindingsError`.
+    :ivar make_store: makes the client of the platform's store.
+    """
+
+    settings: GatewaySettings
+    read_settings: ReadSettings
+    make_store: MakeStore
+    dialect: Dialect
+    log: DecisionLog
+    metrics: GatewayMetrics = field(factory=GatewayMetrics)
+    _loop: asyncio.AbstractEventLoop = field(init=False)
+    _state: FleetState = field(init=False)
+    _server: CallerServer = field(init=False)
+    _readiness: Readiness = field(init=False)
+    _stop: asyncio.Event = field(init=False)
+    _ticks: int = 0
+
+    async def run(self) -> int:
+        """Serve until a planned stop has ended; return the exit code."""
+        self._loop = loop = asyncio.get_running_loop()
+        self._stop = asyncio.Event()
+        self.log.event("started")
+        store = self._build()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        watch = StoreWatch(store=store, state=self._state, loop=loop, log=self.log)
+        registration = Registration(
+            store=store,
+            state=self._state,
+            instance=self.settings.instance,
+            log=self.log,
+            lease_min_seconds=self.settings.lease_min_ms / 1_000.0,
+        )
+        tasks = [
+            loop.create_task(watch.run()),
+            loop.create_task(registration.run()),
+            loop.create_task(self._tick_forever()),
+        ]
+        await self._listen()
+        await self._stop.wait()
+        stop = PlannedStop(
+            server=self._server,
+            loop=loop,
+            log=self.log,
+            bound_seconds=self.settings.stop_bound_seconds,
+        )
+        self._readiness.stopping = True
+        exit_code = await stop.run()
+        for task in tasks:
+            task.cancel()
+        store.close()
+        self.log.event("ended", exit_code=exit_code)
+        self.log.flush()
+        return exit_code
+
+    def _build(self) -> GatewayStore:
+        settings = self.settings
+        loop = self._loop
+        self._state = FleetState(
+            own_domain=settings.failure_domain,
+            instance=settings.instance,
+            loop=loop,
+            connect=connect_replica,
+            log=self.log,
+            limits=settings.repeats,
+            started_at_seconds=loop.time(),
+        )
+        self._readiness = Readiness(state=self._state, loop=loop, log=self.log)
+        context = GatewayContext(
+            state=self._state,
+            dialect=self.dialect,
+            loop=loop,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self._server = CallerServer(handle=Router(context=context).handle, loop=loop)
+        return self.make_store(settings, self.log)
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        internal = CallerServer(handle=self._answer_internal, loop=self._loop)
+        await self._serve(self._server, settings.caller_listen)
+        for listen in (settings.ready_listen, settings.metrics_listen):
+            if listen is not None:
+                await self._serve(internal, listen)
+
+    async def _serve(self, server: CallerServer, listen: ListenSettings) -> None:
+        await self._loop.create_server(
+            server.new_connection, listen.address, listen.port, backlog=BACKLOG
+        )
+
+    def _answer_internal(self, request: CallerRequest) -> None:
+        if request.path == self.settings.ready_path:
+            reason = self._readiness.not_ready_reason()
+            body = f"{reason or 'ready'}\n".encode()
+            request.answer(status=503 if reason else 200, headers=[], body=body)
+        elif request.path == METRICS_PATH:
+            text = self.metrics.registry.render(now_seconds=self._loop.time())
+            request.answer(
+                status=200,
+                headers=[(b"Content-Type", CONTENT_TYPE.encode())],
+                body=text.encode(),
+            )
+        else:
+            request.answer(status=404, headers=[], body=b"no such path\n")
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        if self._ticks == FIRST_FREEZE_TICKS:
+            # What start-up made lives on; collections need not visit it.
+            gc.collect()
+            gc.freeze()
+        if self._state.table is not None:
+            self._server.limits = self._state.table.limits
+        self._state.tend()
+        if self._ticks % 4 == 0:
+            self._server.close_overdue()
+        self.log.flush()
+
+    def _reload(self) -> None:
+        try:
+            settings = self.read_settings()
+        except FindingsError as error:
+            self.log.event("reload_failed", cause=str(error))
+            return
+        changed = settings != self.settings
+        self.settings = settings
+        self._state.take_limits(settings.repeats)
+        self.log.event("reloaded", changed=changed)
--- /dev/null
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -0,0 +1,326 @@
+"""What an instance knows of the configuration, the replicas and its peers."""
+
+import asyncio
+import random
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from attrs import define, field
+
+from bronzebeam.gateway.records import Change, RecordKind, ReplicaRecord, StoreContents
+from bronzebeam.gateway.replica import MS_PER_SECOND, Connect, Replica
+from bronzebeam.routing.pace import TypicalLatency
+from bronzebeam.routing.replica_estimate import estimate_reply_ms
+from bronzebeam.routing.routes import BackendService, Route, RouteTable
+from bronzebeam.routing.second_sends import SecondSendBudget, SecondSendLimits
+from bronzebeam.routing.traffic_split import TrafficSplit
+from bronzebeam.telemetry.decisions import DecisionLog
+
+# Entries that lapsed with the store are back within two seconds of its return.
+REMOVED_LINGER_SECONDS: Final = 2.0
+# A draining replica goes on serving for longer; it is used where no other is left.
+LEAVING_LINGER_SECONDS: Final = 1.5
+LAST_RESORT_MS: Final = 10_000.0  # any listed replica goes before one that leaves
+ESTIMATE_SPREAD: Final = 0.15  # spreads instances over replicas of like estimates
+DEFAULT_CONNECTION_LIMIT: Final = 16  # for a service that the configuration lacks
+SPARE_INSTANCES: Final = 2  # newcomers find room before others have heard of them
+CONNECTIONS_MIN: Final = 2
+CONNECTIONS_MAX: Final = 12  # more would only queue at the replica
+EXCHANGE_SLACK_SECONDS: Final = 1.0  # beyond the longest timeout of a route
+WARM_FAN_OUT: Final = 2  # two fan-outs may meet on a replica
+WARM_OTHER: Final = 1
+
+
+@define(kw_only=True, eq=False)
+class FleetState:
+    """
+    The state that requests read, and that the watch of the store writes.
+
+    :ivar own_domain: failure domain of this instance.
+    :ivar table: configuration in force; None before the first was read.
+    :ivar replicas: all replicas that may still be used, by identifier.
+    :ivar instances: live instances that are registered.
+    """
+
+    own_domain: str
+    instance: str
+    loop: asyncio.AbstractEventLoop
+    connect: Connect
+    log: DecisionLog
+    limits: SecondSendLimits
+    rng: random.Random = field(factory=random.Random)
+    table: RouteTable | None = None
+    replicas: dict[str, Replica] = field(factory=dict)
+    instances: set[str] = field(factory=set)
+    started_at_seconds: float = 0.0
+    _by_service: dict[str, list[Replica]] = field(factory=dict)
+    _leaving_at_seconds: dict[str, float] = field(factory=dict)
+    _typical: dict[str, TypicalLatency] = field(factory=dict)
+    _splits: dict[str, tuple[Route, TrafficSplit]] = field(factory=dict)
+    _budgets: dict[str, SecondSendBudget] = field(factory=dict)
+    _fan_out_services: frozenset[str] = frozenset()
+    _exchange_max_seconds: float = EXCHANGE_SLACK_SECONDS
+
+    @property
+    def live_instances(self) -> int:
+        """Return how many instances share budgets and connections."""
+        return max(1, len(self.instances | {self.instance}))
+
+    # Written by the watch of the store.
+
+    def replace(self, contents: StoreContents) -> None:
+        """Take in everything that the store holds."""
+        if contents.table is not None:
+            self._take_table(contents.table)
+        for record in contents.replicas.values():
+            self._put_replica(record)
+        for name in self.replicas.keys() - contents.replicas.keys():
+            self._remove_replica(name)
+        self.instances = set(contents.instances)
+        self._share_connections()
+
+    def apply(self, changes: Iterable[Change]) -> None:
+        """Take in changes, in the order in which they were made."""
+        for change in changes:
+            value = change.value
+            if change.kind is RecordKind.INSTANCE:
+                self._change_instance(change)
+            elif isinstance(value, RouteTable):
+                self._take_table(value)
+            elif isinstance(value, ReplicaRecord):
+                self._put_replica(value)
+            elif change.kind is RecordKind.REPLICA:
+                self._remove_replica(change.name)
+        self._share_connections()
+
+    def take_limits(self, limits: SecondSendLimits) -> None:
+        """Put changed bounds on repeated sub-requests in force."""
+        self.limits = limits
+        for budget in self._budgets.values():
+            budget.limits = limits
+
+    def tend(self) -> None:
+        """Drop replicas that are gone, and keep connections to the others open."""
+        now_seconds = self.loop.time()
+        for name, replica in list(self.replicas.items()):
+            replica.close_stuck(now_seconds, self._exchange_max_seconds)
+            gone_at = replica.gone_at_seconds
+            if gone_at is not None:
+                if now_seconds - gone_at > REMOVED_LINGER_SECONDS and not replica.busy:
+                    self._forget(name)
+            elif not replica.record.leaving and not replica.mismatched:
+                replica.keep_warm(now_seconds, self._warm_wanted(replica))
+
+    # Read by requests.
+
+    def choose(
+        self, *, service: str, excluded: Collection[Replica], typical_ms: float
+    ) -> Replica | None:
+        """
+        Choose the replica with the least expected reply time.
+
+        :param excluded: replicas that must not be chosen.
+        :param typical_ms: usual reply time of the request's route.
+        :return: None if no replica of the service may be used.
+        """
+        best: Replica | None = None
+        best_ms = 0.0
+        now_seconds = self.loop.time()
+        for replica in self._by_service.get(service, ()):
+            if replica in excluded or not self._usable(replica, now_seconds):
+                continue
+            load = replica.load(now_seconds, self.own_domain)
+            estimate_ms = estimate_reply_ms(load, typical_ms=typical_ms)
+            estimate_ms *= 1.0 + ESTIMATE_SPREAD * self.rng.random()
+            if replica.record.leaving or replica.gone_at_seconds is not None:
+                estimate_ms += LAST_RESORT_MS
+            if best is None or estimate_ms < best_ms:
+                best, best_ms = replica, estimate_ms
+        return best
+
+    def usable_count(self, service: str) -> int:
+        """Return how many replicas of a service may be used."""
+        now_seconds = self.loop.time()
+        replicas = self._by_service.get(service, ())
+        return sum(1 for item in replicas if self._usable(item, now_seconds))
+
+    def typical(self, route: Route) -> TypicalLatency:
+        """Return the usual reply time of a route's sub-requests."""
+        typical = self._typical.get(route.name)
+        if typical is None:
+            typical = TypicalLatency.from_target(route.target_latency_ms)
+            self._typical[route.name] = typical
+        return typical
+
+    def next_service(self, route: Route) -> str:
+        """Return the service that takes the next request of a route."""
+        if len(route.destinations) == 1:
+            return route.destinations[0].service
+        held = self._splits.get(route.name)
+        if held is None or held[0].destinations != route.destinations:
+            held = (route, TrafficSplit(destinations=route.destinations))
+            self._splits[route.name] = held
+        return held[1].next_service()
+
+    def budget(self, service: str) -> SecondSendBudget:
+        """Return the budget of repeated sub-requests to a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = SecondSendBudget(
+                limits=self.limits, started_at_seconds=self.started_at_seconds
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def repeats_left(self, service: str) -> float:
+        """Return how many repeated sub-requests the service's budget allows now."""
+        return self.budget(service).left(
+            self.loop.time(), instances=self.live_instances
+        )
+
+    def connected_services(self) -> frozenset[str]:
+        """Return the services of which a replica has an open connection."""
+        return frozenset(
+            service
+            for service, replicas in self._by_service.items()
+            if any(item.open_connections for item in replicas)
+        )
+
+    def _take_table(self, table: RouteTable) -> None:
+        held = self.table
+        if held is not None and table.version <= held.version:
+            if table.version < held.version:
+                self.log.event(
+                    "older_configuration_ignored",
+                    version=table.version,
+                    version_in_force=held.version,
+                )
+            return
+        self.table = table
+        self._fan_out_services = frozenset(
+            service for route in table.routes for service in route.shards
+        )
+        self._exchange_max_seconds = EXCHANGE_SLACK_SECONDS + max(
+            (route.timeout_ms / MS_PER_SECOND for route in table.routes), default=0.0
+        )
+        self.log.event(
+            "configuration_in_force",
+            version=table.version,
+            earlier_version=held.version if held else None,
+            routes=len(table.routes),
+            services=len(table.services),
+        )
+
+    def _change_instance(self, change: Change) -> None:
+        known = change.name in self.instances
+        removed = change.removed
+        if known is not removed:
+            return
+        if removed:
+            self.instances.discard(change.name)
+        else:
+            self.instances.add(change.name)
+        self.log.event(
+            "instance_removed" if removed else "instance_seen",
+            peer=change.name,
+            live_instances=self.live_instances,
+            revision=change.revision,
+        )
+
+    def _put_replica(self, record: ReplicaRecord) -> None:
+        held = self.replicas.get(record.replica)
+        now_seconds = self.loop.time()
+        if held is not None and _same_place(held.record, record):
+            self._note_state(held, record, now_seconds)
+            held.record = record
+            held.gone_at_seconds = None
+        else:
+            if held is not None:
+                self._forget(record.replica)
+            held = Replica(
+                record=record, loop=self.loop, connect=self.connect, log=self.log
+            )
+            self.replicas[record.replica] = held
+            self._by_service.setdefault(record.service, []).append(held)
+            self.log.event(
+                "replica_seen",
+                replica=record.replica,
+                service=record.service,
+                domain=record.failure_domain,
+                leaving=record.leaving,
+                cold_ms=record.cold_ms,
+            )
+        held.cold_until_seconds = now_seconds + record.cold_ms / MS_PER_SECOND
+        if record.leaving:
+            self._leaving_at_seconds.setdefault(record.replica, now_seconds)
+        else:
+            self._leaving_at_seconds.pop(record.replica, None)
+
+    def _note_state(
+        self, held: Replica, record: ReplicaRecord, now_seconds: float
+    ) -> None:
+        if held.gone_at_seconds is not None:
+            self.log.event(
+                "replica_back",
+                replica=record.replica,
+                service=record.service,
+                absent_ms=round((now_seconds - held.gone_at_seconds) * MS_PER_SECOND),
+            )
+        if record.leaving and not held.record.leaving:
+            self.log.event(
+                "replica_draining", replica=record.replica, service=record.service
+            )
+
+    def _remove_replica(self, name: str) -> None:
+        replica = self.replicas.get(name)
+        if replica is None or replica.gone_at_seconds is not None:
+            return
+        replica.gone_at_seconds = self.loop.time()
+        self.log.event(
+            "replica_gone",
+            replica=name,
+            service=replica.record.service,
+            was_draining=replica.record.leaving,
+        )
+
+    def _forget(self, name: str) -> None:
+        replica = self.replicas.pop(name)
+        replica.close()
+        self._leaving_at_seconds.pop(name, None)
+        members = self._by_service[replica.record.service]
+        members.remove(replica)
+        if not members:
+            del self._by_service[replica.record.service]
+
+    def _usable(self, replica: Replica, now_seconds: float) -> bool:
+        if replica.mismatched or not replica.reachable:
+            return False
+        gone_at = replica.gone_at_seconds
+        if gone_at is not None and now_seconds - gone_at > REMOVED_LINGER_SECONDS:
+            return False
+        if not replica.record.leaving:
+            return True
+        leaving_at = self._leaving_at_seconds.get(replica.record.replica, 0.0)
+        return now_seconds - leaving_at <= LEAVING_LINGER_SECONDS
+
+    def _warm_wanted(self, replica: Replica) -> int:
+        if replica.record.service in self._fan_out_services:
+            return WARM_FAN_OUT
+        return WARM_OTHER
+
+    def _share_connections(self) -> None:
+        sharing = self.live_instances + SPARE_INSTANCES
+        services = self.table.services if self.table is not None else {}
+        for service, replicas in self._by_service.items():
+            limit = _connection_limit(services.get(service))
+            share = min(max(limit // sharing, CONNECTIONS_MIN), CONNECTIONS_MAX)
+            for replica in replicas:
+                replica.connections_max = share
+
+
+def _connection_limit(service: BackendService | None) -> int:
+    return DEFAULT_CONNECTION_LIMIT if service is None else service.connection_limit
+
+
+def _same_place(one: ReplicaRecord, other: ReplicaRecord) -> bool:
+    return (one.service, one.host, one.port) == (other.service, other.host, other.port)
--- /dev/null
+++ b/src/bronzebeam/gateway/forward.py
@@ -0,0 +1,164 @@
+"""Forwarding of a request to one replica of one service."""
+
+import asyncio
+from typing import Final
+
+from attrs import define, field
+
+from bronzebeam.gateway.attempt import Attempt, AttemptResult
+from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_reply
+from bronzebeam.gateway.replica import MS_PER_SECOND, Replica
+from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.routing.hedge_timing import second_send_after_ms
+
+REJECTED_MAX: Final = 4  # replicas that may turn one request away before it is refused
+
+
+@define(kw_only=True, eq=False)
+class Forward:
+    """
+    One request on its way to a replica, with retries and at most one hedge.
+
+    A request that is not idempotent is sent again only if the last replica said that
+    it did not run it, or if no byte of it left.
+    """
+
+    context: GatewayContext
+    routed: RoutedRequest
+    service: str
+    attempts: list[Attempt] = field(factory=list)
+    _tried: set[Replica] = field(factory=set)
+    _last_failed: Attempt | None = None
+    _done: bool = False
+    _timers: list[asyncio.TimerHandle] = field(factory=list)
+
+    def start(self) -> None:
+        """Send the request to the first replica."""
+        loop = self.context.loop
+        routed = self.routed
+        routed.request.on_gone = self._caller_gone
+        self.context.state.budget(self.service).count_first(loop.time())
+        self._timers.append(
+            loop.call_at(routed.deadline_at_seconds, self._deadline_passed)
+        )
+        if routed.route.idempotent:
+            delay_ms = second_send_after_ms(
+                typical_ms=self.context.state.typical(routed.route).typical_ms,
+                target_latency_ms=routed.route.target_latency_ms,
+            )
+            self._timers.append(loop.call_later(delay_ms / MS_PER_SECOND, self._hedge))
+        if not self._send(repeat=False):
+            self._fail("no_replica")
+
+    def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Answer the caller, or try another replica."""
+        if self._done:
+            return
+        if result is AttemptResult.ANSWERED:
+            self._answer(attempt)
+            return
+        if result is AttemptResult.FAILED:
+            self._last_failed = attempt
+        if any(item.under_way for item in self.attempts):
+            return
+        if self._may_repeat(result) and self._send(repeat=attempt.reached_replica):
+            return
+        if self._last_failed is not None:
+            self._answer(self._last_failed)
+        else:
+            self._fail(attempt.cause)
+
+    def _may_repeat(self, result: AttemptResult) -> bool:
+        if result is AttemptResult.NOT_SENT:
+            return True
+        if result.may_have_run and not self.routed.route.idempotent:
+            return False
+        return self._repeats_allowed()
+
+    def _repeats_allowed(self) -> bool:
+        reached = sum(1 for item in self.attempts if item.reached_replica)
+        may_have_run = sum(1 for item in self.attempts if item.may_have_run)
+        return (
+            reached <= REJECTED_MAX
+            and may_have_run < self.routed.route.max_attempts
+            and self.context.state.repeats_left(self.service) >= 1.0
+        )
+
+    def _send(self, *, repeat: bool) -> bool:
+        state = self.context.state
+        replica = state.choose(
+            service=self.service,
+            excluded=self._tried,
+            typical_ms=state.typical(self.routed.route).typical_ms,
+        )
+        if replica is None:
+            return False
+        if repeat:
+            state.budget(self.service).count_repeat(self.context.loop.time())
+        self._tried.add(replica)
+        attempt = Attempt(
+            context=self.context, routed=self.routed, replica=replica, owner=self
+        )
+        self.attempts.append(attempt)
+        attempt.launch()
+        return True
+
+    def _hedge(self) -> None:
+        if self._done or not self._repeats_allowed():
+            return
+        self._send(repeat=True)
+
+    def _answer(self, attempt: Attempt) -> None:
+        assert attempt.reply is not None
+        self._finish()
+        answer_reply(self.context, self.routed, attempt.reply, self._outcome(attempt))
+
+    def _fail(self, cause: str) -> None:
+        self._finish()
+        ran = any(item.may_have_run for item in self.attempts)
+        answer_failure(
+            self.context,
+            self.routed,
+            status=502 if ran else 503,
+            outcome=self._outcome(None, cause=cause),
+        )
+
+    def _deadline_passed(self) -> None:
+        if self._done:
+            return
+        sent = any(item.reached_replica for item in self.attempts)
+        self._finish()
+        answer_failure(
+            self.context,
+            self.routed,
+            status=504 if sent else 503,
+            outcome=self._outcome(None, cause="deadline_passed"),
+        )
+
+    def _caller_gone(self) -> None:
+        if self._done:
+            return
+        self._finish()
+        if self.routed.route.idempotent:
+            for attempt in self.attempts:
+                attempt.abandon()
+        self.context.metrics.caller_left(self.routed.route)
+        self._outcome(None, cause="caller_left").log(
+            self.context, self.routed, status=None, good=False
+        )
+
+    def _finish(self) -> None:
+        self._done = True
+        self.routed.request.on_gone = None
+        for timer in self._timers:
+            timer.cancel()
+        for attempt in self.attempts:
+            if not attempt.ended:
+                attempt.discard()
+
+    def _outcome(self, attempt: Attempt | None, *, cause: str = "") -> Outcome:
+        return Outcome(
+            attempts=self.attempts,
+            cause=cause or (attempt.cause if attempt is not None else ""),
+        )
--- /dev/null
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -0,0 +1,59 @@
+"""Metrics of the gateway."""
+
+from attrs import define, field
+
+from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.routing.routes import Route
+from bronzebeam.telemetry.metrics import Counter, Family, Latency, MetricRegistry
+
+
+@define(kw_only=True, eq=False)
+class GatewayMetrics:
+    """Counters and latency histograms of requests and sub-requests."""
+
+    registry: MetricRegistry = field(factory=MetricRegistry)
+    _requests: Family[Counter] = field(init=False)
+    _latency: Family[Latency] = field(init=False)
+    _left: Family[Counter] = field(init=False)
+    _repeats: Family[Counter] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._requests = self.registry.counter(
+            name="bronzebeam_gateway_requests_total",
+            help_text="Requests answered, by route and status.",
+            label_names=("route", "status"),
+        )
+        self._latency = self.registry.latency(
+            name="bronzebeam_gateway_request_seconds",
+            help_text="Time from the first byte of a request to its answer.",
+            label_names=("route",),
+        )
+        self._left = self.registry.counter(
+            name="bronzebeam_gateway_callers_left_total",
+            help_text="Requests whose caller left before the answer.",
+            label_names=("route",),
+        )
+        self._repeats = self.registry.counter(
+            name="bronzebeam_gateway_repeats_total",
+            help_text="Sub-requests sent once more, by reason.",
+            label_names=("reason",),
+        )
+
+    def answered(self, routed: RoutedRequest, *, status: int, now: float) -> None:
+        """Count an answer."""
+        name = routed.route.name
+        self._requests.labels(route=name, status=str(status)).increment()
+        seconds = now - routed.request.arrived_at_seconds
+        self._latency.labels(route=name).record(seconds=seconds)
+
+    def refused(self, reason: str) -> None:
+        """Count a request that was refused before it had a route."""
+        self._requests.labels(route="none", status=reason).increment()
+
+    def caller_left(self, route: Route) -> None:
+        """Count a caller that left."""
+        self._left.labels(route=route.name).increment()
+
+    def repeated(self, reason: str) -> None:
+        """Count a hedge or a retry."""
+        self._repeats.labels(reason=reason).increment()
--- /dev/null
+++ b/src/bronzebeam/gateway/outcome.py
@@ -0,0 +1,132 @@
+"""Final answers to callers, with their log lines and metrics."""
+
+from collections.abc import Sequence
+from typing import Any, Final
+
+from attrs import define
+
+from bronzebeam.gateway.attempt import Attempt
+from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.replica import MS_PER_SECOND
+from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.routing.refusal import retry_after_seconds
+from bronzebeam.transport.caller_request import end_to_end
+from bronzebeam.transport.http_reply import Headers, HttpReply
+
+RETRY_AFTER: Final = b"Retry-After"
+LOGGED_ATTEMPTS: Final = 8  # a line stays short where many shards failed
+
+
+@define(kw_only=True, eq=False)
+class Outcome:
+    """
+    How a request ended, for its log line.
+
+    :ivar cause: what went wrong; empty if nothing did.
+    :ivar included: shards in the answer; None outside a fan-out.
+    :ivar missing: names of shards that are not in the answer, each with its cause.
+    """
+
+    attempts: Sequence[Attempt]
+    cause: str = ""
+    included: int | None = None
+    missing: Sequence[str] = ()
+
+    def log(
+        self,
+        context: GatewayContext,
+        routed: RoutedRequest,
+        *,
+        status: int | None,
+        good: bool,
+    ) -> None:
+        """Write the request's line; a good one may be left out."""
+        now_seconds = context.loop.time()
+        elapsed_ms = (now_seconds - routed.request.arrived_at_seconds) * MS_PER_SECOND
+        fields: dict[str, Any] = {
+            "request": routed.facts.attempt_id.decode("latin-1"),
+            "route": routed.route.name,
+            "version": routed.version,
+            "status": status,
+            "elapsed_ms": round(elapsed_ms, 1),
+        }
+        if now_seconds > routed.target_at_seconds:
+            fields["late_ms"] = round(
+                (now_seconds - routed.target_at_seconds) * MS_PER_SECOND, 1
+            )
+        if self.cause:
+            fields["cause"] = self.cause
+        if self.included is not None:
+            fields["included"] = self.included
+        if self.missing:
+            fields["missing"] = ",".join(self.missing[:LOGGED_ATTEMPTS])
+        fields["attempts"] = self._describe_attempts(context, routed)
+        context.log.request("request_ended", good=good, **fields)
+
+    def _describe_attempts(self, context: GatewayContext, routed: RoutedRequest) -> str:
+        """Describe the attempts that tell something: all but plain successes."""
+        if self.included is None:
+            chosen = list(self.attempts)
+        else:
+            chosen = [item for item in self.attempts if item.cause or not item.reply]
+        described = []
+        for item in chosen[:LOGGED_ATTEMPTS]:
+            start = item.sent_at_seconds
+            sent = "unsent"
+            if start is not None:
+                offset = (start - routed.request.arrived_at_seconds) * MS_PER_SECOND
+                sent = f"+{offset:.1f}ms"
+            result = item.cause or (item.result.value if item.result else "no_reply")
+            pace = item.replica.pace.at(context.loop.time())
+            described.append(
+                f"{item.replica.record.replica}@{sent}/pace{pace:.2f}:{result}"
+            )
+        return ",".join(described) or str(len(self.attempts))
+
+
+def answer_reply(
+    context: GatewayContext, routed: RoutedRequest, reply: HttpReply, outcome: Outcome
+) -> None:
+    """Pass a replica's reply on to the caller."""
+    good = reply.status < 400 and context.loop.time() <= routed.target_at_seconds
+    outcome.log(context, routed, status=reply.status, good=good)
+    context.metrics.answered(routed, status=reply.status, now=context.loop.time())
+    routed.request.answer(
+        status=reply.status, headers=end_to_end(reply.headers), body=reply.body
+    )
+
+
+def answer_merged(
+    context: GatewayContext,
+    routed: RoutedRequest,
+    *,
+    headers: Headers,
+    body: bytes,
+    outcome: Outcome,
+) -> None:
+    """Answer with the merged replies of shards."""
+    late = context.loop.time() > routed.target_at_seconds
+    outcome.log(context, routed, status=200, good=not late and not outcome.missing)
+    context.metrics.answered(routed, status=200, now=context.loop.time())
+    routed.request.answer(status=200, headers=headers, body=body)
+
+
+def answer_failure(
+    context: GatewayContext, routed: RoutedRequest, *, status: int, outcome: Outcome
+) -> None:
+    """
+    Answer that the request was not served.
+
+    :param status: 503 if it has certainly not run; 502 or 504 otherwise.
+    """
+    headers: Headers = []
+    if status in (502, 503):
+        seconds = retry_after_seconds(
+            target_latency_ms=routed.route.target_latency_ms, rng=context.rng
+        )
+        headers.append((RETRY_AFTER, b"%.3f" % seconds))
+    outcome.log(context, routed, status=status, good=False)
+    context.metrics.answered(routed, status=status, now=context.loop.time())
+    routed.request.answer(
+        status=status, headers=headers, body=outcome.cause.encode() + b"\n"
+    )
--- /dev/null
+++ b/src/bronzebeam/gateway/planned_stop.py
@@ -0,0 +1,55 @@
+"""The planned stop of a gateway: nothing that was accepted is cut off."""
+
+import asyncio
+from typing import Final
+
+from attrs import define
+
+from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.transport.caller_connection import CallerServer
+
+# The balancer asks once a second and takes an instance out after two misses.
+BALANCER_LAG_SECONDS: Final = 2.8
+CLOSE_STEP_SECONDS: Final = 0.1
+QUIET_SECONDS: Final = 0.3  # a request on its way to an idle connection arrives within
+RESERVE_SECONDS: Final = 0.4  # before the process is killed
+
+
+@define(kw_only=True, eq=False)
+class PlannedStop:
+    """
+    Carries out a planned stop.
+
+    The process says at once that it is not ready, and answers with the end of the
+    connection announced. It goes on serving while the balancer still sends callers,
+    then closes connections that are idle and exits when no request is under way.
+    """
+
+    server: CallerServer
+    loop: asyncio.AbstractEventLoop
+    log: DecisionLog
+    bound_seconds: float
+    stopping: bool = False
+
+    async def run(self) -> int:
+        """
+        Stop; return the exit code.
+
+        :returns: 0, or 1 if requests were still under way at the bound.
+        """
+        started_at = self.loop.time()
+        self.stopping = True
+        self.server.closing = True
+        self.log.event("stop_started", in_flight=self.server.in_flight)
+        last_at = started_at + self.bound_seconds - RESERVE_SECONDS
+        await asyncio.sleep(min(BALANCER_LAG_SECONDS, self.bound_seconds / 2))
+        while self.server.connections and self.loop.time() < last_at:
+            self.server.close_idle(quiet_seconds=QUIET_SECONDS)
+            await asyncio.sleep(CLOSE_STEP_SECONDS)
+        cut_off = self.server.in_flight
+        self.log.event(
+            "stop_ended",
+            cut_off=cut_off,
+            elapsed_ms=round(1e3 * (self.loop.time() - started_at)),
+        )
+        return 1 if cut_off else 0
--- /dev/null
+++ b/src/bronzebeam/gateway/readiness.py
@@ -0,0 +1,64 @@
+"""Whether this instance takes callers, and why not."""
+
+import asyncio
+from typing import Final
+
+from attrs import define
+
+from bronzebeam.gateway.fleet_state import FleetState
+from bronzebeam.telemetry.decisions import DecisionLog
+
+WARM_UP_MAX_SECONDS: Final = 1.0  # serving with few connections beats not serving
+ISOLATED_SECONDS: Final = 1.5  # shorter outages of all replicas are ridden out
+
+
+@define(kw_only=True, eq=False)
+class Readiness:
+    """
+    Decides on readiness from the configuration and the connections held.
+
+    An instance is ready once it has a configuration and a connection to a replica of
+    each service on its routes, or has waited long enough for them. It is not ready
+    while it has no connection to any replica: others may have some.
+    """
+
+    state: FleetState
+    loop: asyncio.AbstractEventLoop
+    log: DecisionLog
+    stopping: bool = False
+    _configured_at_seconds: float | None = None
+    _warm: bool = False
+    _connected_at_seconds: float = 0.0
+    _reported: str | None = "starting"
+
+    def not_ready_reason(self) -> str | None:
+        """Return why callers should go elsewhere; None if this instance is ready."""
+        reason = self._reason()
+        if reason != self._reported:
+            self._reported = reason
+            if reason is None:
+                self.log.event("ready")
+            else:
+                self.log.event("not_ready", reason=reason)
+        return reason
+
+    def _reason(self) -> str | None:
+        table = self.state.table
+        now_seconds = self.loop.time()
+        if self.stopping:
+            return "stopping"
+        if table is None:
+            return "no_configuration"
+        if self._configured_at_seconds is None:
+            self._configured_at_seconds = now_seconds
+            self._connected_at_seconds = now_seconds
+        connected = self.state.connected_services()
+        if connected:
+            self._connected_at_seconds = now_seconds
+        elif now_seconds - self._connected_at_seconds > ISOLATED_SECONDS:
+            return "no_replica_reachable"
+        if not self._warm:
+            wanted = {name for route in table.routes for name in route.services}
+            waited_seconds = now_seconds - self._configured_at_seconds
+            self._warm = wanted <= connected or waited_seconds > WARM_UP_MAX_SECONDS
+        return None if self._warm else "connecting"
--- /dev/null
+++ b/src/bronzebeam/gateway/records.py
@@ -0,0 +1,111 @@
+"""What the configuration store says of replicas and instances, decoded."""
+
+from collections.abc import Mapping
+from enum import Enum
+from typing import Protocol
+
+from attrs import field, frozen
+
+from bronzebeam.routing.routes import RouteTable
+
+
+@frozen(kw_only=True)
+class ReplicaRecord:
+    """
+    One life of a backend server, as it registered itself.
+
+    :ivar replica: identifier, mostly new for each start of the process.
+    :ivar slots: sub-requests that it runs at a time.
+    :ivar leaving: it takes no new work.
+    :ivar cold_ms: how much longer it stays slow after its start.
+    """
+
+    replica: str
+    service: str
+    host: str
+    port: int
+    failure_domain: str
+    slots: int
+    leaving: bool
+    cold_ms: float
+
+
+class RecordKind(Enum):
+    """What a change of the store is about."""
+
+    CONFIGURATION = "configuration"
+    REPLICA = "replica"
+    INSTANCE = "instance"
+
+
+@frozen(kw_only=True)
+class Change:
+    """
+    One change of a record.
+
+    :ivar name: replica or instance that the record is of; empty for configuration.
+    :ivar revision: revision of the store at which the change was made.
+    :ivar removed: the record is no longer there, or can no longer be read.
+    :ivar value: the record; None if it was removed, and for instances.
+    """
+
+    kind: RecordKind
+    name: str
+    revision: int
+    removed: bool = False
+    value: RouteTable | ReplicaRecord | None = None
+
+
+@frozen(kw_only=True)
+class StoreContents:
+    """
+    Everything that the store holds for the gateway.
+
+    :ivar revision: watching after this revision misses no change.
+    """
+
+    revision: int
+    table: RouteTable | None
+    replicas: Mapping[str, ReplicaRecord] = field(factory=dict)
+    instances: frozenset[str] = frozenset()
+
+
+class StoreUnavailable(Exception):
+    """The store gave no usable answer; a write may or may not have been done."""
+
+
+class HistoryLost(Exception):
+    """The store no longer has the changes after the given revision."""
+
+
+class GatewayStore(Protocol):
+    """
+    The calls of the platform's store that the gateway makes, each bounded in time.
+
+    Each raises `StoreUnavailable` if no usable answer comes.
+    """
+
+    async def read(self) -> StoreContents:
+        """Read everything."""
+
+    async def watch(
+        self, *, after: int, wait_seconds: float
+    ) -> tuple[int, list[Change]]:
+        """
+        Wait for changes after a revision.
+
+        :return: the revision to go on from, and the changes, which may be none.
+        :raises HistoryLost: if the changes have to be read anew.
+        """
+
+    async def register(self, *, instance: str, ttl_seconds: float) -> str:
+        """Record `instance` under a new lease and return the lease."""
+
+    async def renew(self, *, lease: str) -> bool:
+        """Renew a lease; False if it has ended."""
+
+    async def release(self, *, lease: str) -> None:
+        """End a lease, which removes the record under it."""
+
+    def close(self) -> None:
+        """Close the connections."""
--- /dev/null
+++ b/src/bronzebeam/gateway/routed.py
@@ -0,0 +1,27 @@
+"""A request with the route it takes."""
+
+from attrs import define
+
+from bronzebeam.gateway.dialect import RequestFacts
+from bronzebeam.routing.routes import Route
+from bronzebeam.transport.caller_request import CallerRequest
+
+
+@define(kw_only=True, eq=False)
+class RoutedRequest:
+    """
+    A request with its route, pinned for as long as it takes.
+
+    :ivar version: version of the configuration that the route is from.
+    :ivar deadline_at_seconds: monotonic time after which the caller has left.
+    :ivar target_at_seconds: monotonic time until which an answer is of full use.
+    :ivar head: request line and headers that every attempt carries.
+    """
+
+    request: CallerRequest
+    facts: RequestFacts
+    route: Route
+    version: int
+    deadline_at_seconds: float
+    target_at_seconds: float
+    head: bytes
--- /dev/null
+++ b/src/bronzebeam/gateway/router.py
@@ -0,0 +1,97 @@
+"""The way of a caller's request to its route."""
+
+from typing import Final
+
+from attrs import define, field
+
+from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.forward import Forward
+from bronzebeam.gateway.gather import Gather
+from bronzebeam.gateway.replica import MS_PER_SECOND
+from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.routing.refusal import retry_after_seconds
+from bronzebeam.routing.routes import Route
+from bronzebeam.transport.caller_request import CallerRequest
+from bronzebeam.transport.http_reply import Headers
+
+# Both ways between a caller and this instance, and the caller's own work.
+CALLER_TRIP_MS: Final = 7.0
+DEADLINE_MARGIN_MS: Final = 5.0  # the final answer reaches a caller that still waits
+START_RETRY_MS: Final = 400.0  # a process reads its configuration in less
+
+
+@define(kw_only=True, eq=False)
+class Router:
+    """
+    Finds the route of each request and starts its handling.
+
+    :ivar _longest_ms: longest wait that callers of a route have granted; a retry
+        grants less, which tells how long the first attempt took.
+    """
+
+    context: GatewayContext
+    _longest_ms: dict[str, float] = field(factory=dict)
+
+    def handle(self, request: CallerRequest) -> None:
+        """Route a request; bad ones are answered at once."""
+        table = self.context.state.table
+        if table is None:
+            self._refuse(request, 503, "no_configuration")
+            return
+        facts = self.context.dialect.read_request(request.headers)
+        if not facts.attempt_id:
+            self._refuse(request, 400, "attempt_id_missing")
+            return
+        host = request.header(b"host").decode("latin-1")
+        route = table.find(host=host, path=request.path)
+        if route is None:
+            self._refuse(request, 404, "no_route")
+            return
+        remaining_ms = facts.remaining_ms
+        if remaining_ms is None:
+            remaining_ms = route.timeout_ms
+        elapsed_ms = self._elapsed_before(route, remaining_ms)
+        limit_ms = min(remaining_ms - DEADLINE_MARGIN_MS, route.timeout_ms)
+        target_ms = route.target_latency_ms - elapsed_ms - CALLER_TRIP_MS
+        arrived_at = request.arrived_at_seconds
+        routed = RoutedRequest(
+            request=request,
+            facts=facts,
+            route=route,
+            version=table.version,
+            deadline_at_seconds=arrived_at + limit_ms / MS_PER_SECOND,
+            target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
+            head=self.context.dialect.request_head(request),
+        )
+        if route.shards:
+            Gather(context=self.context, routed=routed).start()
+        else:
+            service = self.context.state.next_service(route)
+            Forward(context=self.context, routed=routed, service=service).start()
+
+    def _elapsed_before(self, route: Route, remaining_ms: float) -> float:
+        longest_ms = max(self._longest_ms.get(route.name, 0.0), remaining_ms)
+        self._longest_ms[route.name] = longest_ms
+        return longest_ms - remaining_ms
+
+    def _refuse(self, request: CallerRequest, status: int, reason: str) -> None:
+        headers: Headers = []
+        if status == 503:
+            seconds = retry_after_seconds(
+                target_latency_ms=START_RETRY_MS, rng=self.context.rng
+            )
+            headers.append((b"Retry-After", b"%.3f" % seconds))
+        facts = self.context.dialect.read_request(request.headers)
+        table = self.context.state.table
+        self.context.log.request(
+            "request_refused",
+            good=False,
+            request=facts.attempt_id.decode("latin-1"),
+            status=status,
+            cause=reason,
+            host=request.header(b"host").decode("latin-1"),
+            path=request.path.decode("latin-1"),
+            version=table.version if table is not None else None,
+        )
+        self.context.metrics.refused(reason)
+        request.answer(status=status, headers=headers, body=reason.encode() + b"\n")
--- /dev/null
+++ b/src/bronzebeam/gateway/settings.py
@@ -0,0 +1,35 @@
+"""Settings of a gateway process."""
+
+from attrs import frozen
+
+from bronzebeam.listen import ListenSettings
+from bronzebeam.routing.second_sends import SecondSendLimits
+
+
+@frozen(kw_only=True)
+class GatewaySettings:
+    """
+    Settings of one gateway process.
+
+    :ivar instance: name of this instance.
+    :ivar caller_listen: where callers connect.
+    :ivar ready_listen: where readiness and metrics are asked for; may be missing.
+    :ivar ready_path: path of the question whether this instance is ready.
+    :ivar metrics_listen: where metrics are offered beside that; may be missing.
+    :ivar store: address of the platform's store.
+    :ivar lease_min_ms: shortest term of a lease that the store grants.
+    :ivar stop_bound_seconds: time from the signal to stop until the process is killed.
+    :ivar repeats: bound on repeated sub-requests, over all instances.
+    """
+
+    instance: str
+    failure_domain: str
+    region: str
+    caller_listen: ListenSettings
+    ready_listen: ListenSettings | None
+    ready_path: bytes
+    metrics_listen: ListenSettings | None
+    store: ListenSettings
+    lease_min_ms: float
+    stop_bound_seconds: float
+    repeats: SecondSendLimits
--- /dev/null
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -0,0 +1,134 @@
+"""Keeps the state of the fleet as the platform's store has it."""
+
+import asyncio
+import random
+from typing import Final
+
+from attrs import define, field
+
+from bronzebeam.gateway.fleet_state import FleetState
+from bronzebeam.gateway.records import GatewayStore, HistoryLost, StoreUnavailable
+from bronzebeam.telemetry.decisions import DecisionLog
+
+WATCH_WAIT_SECONDS: Final = (
+    20.0  # a watch that waits is one call; dead peers show early
+)
+COALESCE_SECONDS: Final = 0.1  # changes come in bursts; bounds on them are seconds
+RETRY_FIRST_SECONDS: Final = 0.1
+RETRY_MAX_SECONDS: Final = 0.8  # a store that returns is found well within its bounds
+RETRY_FACTOR: Final = 2.0
+LEASE_SECONDS: Final = 15.0  # an instance that died counts in shares for this long
+RENEW_SHARE: Final = 0.3  # several renewals may fail before the lease ends
+
+
+@define(kw_only=True, eq=False)
+class Backoff:
+    """Delays between attempts to reach the store."""
+
+    rng: random.Random = field(factory=random.Random)
+    _delay_seconds: float = RETRY_FIRST_SECONDS
+
+    def reset(self) -> None:
+        """Start again after a success."""
+        self._delay_seconds = RETRY_FIRST_SECONDS
+
+    def next_seconds(self) -> float:
+        """Return the next delay, spread so that instances do not call in step."""
+        delay_seconds = self._delay_seconds
+        self._delay_seconds = min(delay_seconds * RETRY_FACTOR, RETRY_MAX_SECONDS)
+        return delay_seconds * (0.5 + self.rng.random())
+
+
+@define(kw_only=True, eq=False)
+class StoreWatch:
+    """
+    Reads the store once and then follows its changes.
+
+    While the store can't be reached, what was last known stays in force.
+
+    :ivar connected: the last call was answered.
+    """
+
+    store: GatewayStore
+    state: FleetState
+    loop: asyncio.AbstractEventLoop
+    log: DecisionLog
+    connected: bool = False
+    _backoff: Backoff = field(factory=Backoff)
+    _lost_at_seconds: float | None = None
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        revision: int | None = None
+        while True:
+            try:
+                if revision is None:
+                    contents = await self.store.read()
+                    self.state.replace(contents)
+                    revision = contents.revision
+                else:
+                    revision, changes = await self.store.watch(
+                        after=revision, wait_seconds=WATCH_WAIT_SECONDS
+                    )
+                    self.state.apply(changes)
+                self._note_answered(revision)
+                await asyncio.sleep(COALESCE_SECONDS)
+            except HistoryLost as error:
+                self.log.event("store_history_lost", cause=str(error))
+                revision = None
+            except StoreUnavailable as error:
+                self._note_lost(error)
+                await asyncio.sleep(self._backoff.next_seconds())
+
+    def _note_answered(self, revision: int) -> None:
+        self._backoff.reset()
+        if self.connected:
+            return
+        self.connected = True
+        lost_at = self._lost_at_seconds
+        self.log.event(
+            "store_connected",
+            revision=revision,
+            away_ms=(
+                None if lost_at is None else round(1e3 * (self.loop.time() - lost_at))
+            ),
+        )
+
+    def _note_lost(self, error: StoreUnavailable) -> None:
+        if self.connected or self._lost_at_seconds is None:
+            self._lost_at_seconds = self.loop.time()
+            self.log.event("store_lost", cause=str(error))
+        self.connected = False
+
+
+@define(kw_only=True, eq=False)
+class Registration:
+    """Keeps this instance registered, so that others count it."""
+
+    store: GatewayStore
+    state: FleetState
+    instance: str
+    log: DecisionLog
+    lease_min_seconds: float
+    _backoff: Backoff = field(factory=Backoff)
+
+    async def run(self) -> None:
+        """Keep the registration until cancelled."""
+        ttl_seconds = max(LEASE_SECONDS, self.lease_min_seconds)
+        lease: str | None = None
+        while True:
+            try:
+                if lease is None:
+                    lease = await self.store.register(
+                        instance=self.instance, ttl_seconds=ttl_seconds
+                    )
+                    self.log.event("instance_registered", lease=lease)
+                elif not await self.store.renew(lease=lease):
+                    self.log.event("lease_ended", lease=lease)
+                    lease = None
+                    continue
+                self._backoff.reset()
+                await asyncio.sleep(ttl_seconds * RENEW_SHARE)
+            except StoreUnavailable as error:
+                self.log.event("registration_delayed", cause=str(error))
+                await asyncio.sleep(self._backoff.next_seconds())
--- /dev/null
+++ b/src/bronzebeam/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the platform that the gateway runs on."""
--- /dev/null
+++ b/src/bronzebeam/platform/headers.py
@@ -0,0 +1,88 @@
+"""Headers of callers' requests and of replicas' replies."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from bronzebeam.gateway.dialect import ReplyFacts, RequestFacts
+from bronzebeam.transport.caller_request import CallerRequest, end_to_end
+from bronzebeam.transport.http_reply import Headers
+
+# Identifies one send of a request by its caller; a retry has another one.
+ATTEMPT_ID: Final = b"x-bronzebeam-attempt-id"
+# Time that is left, from the moment at which the header is sent.
+REMAINING_MS: Final = b"x-bronzebeam-deadline-remaining-ms"
+# Proof that a replica ran this very request; not a signature in the usual sense.
+SIGNATURE: Final = b"x-bronzebeam-replica-signature"
+EXPECTED_REPLICA: Final = b"x-bronzebeam-expected-replica"
+NOT_EXECUTED: Final = b"x-bronzebeam-not-executed"
+PART_SIGNATURES: Final = b"X-Bronzebeam-Shard-Signatures"
+MISSING_PARTS: Final = b"X-Bronzebeam-Missing-Shards"
+# Set anew for each replica, whatever the caller sent.
+REPLACED: Final = frozenset({REMAINING_MS, EXPECTED_REPLICA})
+
+
+class PlatformDialect:
+    """Reads and writes the platform's headers; satisfies `Dialect`."""
+
+    def read_request(self, headers: Headers) -> RequestFacts:
+        """Read what a caller says of its request."""
+        attempt_id = b""
+        remaining_ms = None
+        for name, value in headers:
+            if name == ATTEMPT_ID:
+                attempt_id = value
+            elif name == REMAINING_MS:
+                remaining_ms = _read_number(value)
+        return RequestFacts(attempt_id=attempt_id, remaining_ms=remaining_ms)
+
+    def request_head(self, request: CallerRequest) -> bytes:
+        """Return the request line and the headers that every attempt carries."""
+        lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+        lines.extend(
+            b"%s: %s\r\n" % (name, value)
+            for name, value in end_to_end(request.headers)
+            if name not in REPLACED
+        )
+        if request.body or request.header(b"content-length"):
+            lines.append(b"content-length: %d\r\n" % len(request.body))
+        elif request.header(b"transfer-encoding"):
+            lines.append(b"content-length: 0\r\n")
+        return b"".join(lines)
+
+    def attempt_head(self, *, remaining_ms: float, replica: str | None) -> bytes:
+        """Return the headers of one attempt, with the empty line that ends them."""
+        head = b"%s: %d\r\n" % (REMAINING_MS, remaining_ms)
+        if replica is not None:
+            head += b"%s: %s\r\n" % (EXPECTED_REPLICA, replica.encode())
+        return head + b"\r\n"
+
+    def read_reply(self, headers: Headers) -> ReplyFacts:
+        """Read what a replica says of its reply."""
+        attempt_id = signature = b""
+        not_run = False
+        for name, value in headers:
+            if name == ATTEMPT_ID:
+                attempt_id = value
+            elif name == SIGNATURE:
+                signature = value
+            elif name == NOT_EXECUTED:
+                not_run = True
+        return ReplyFacts(attempt_id=attempt_id, signature=signature, not_run=not_run)
+
+    def merged_headers(
+        self, *, attempt_id: bytes, signatures: Sequence[bytes], missing: int
+    ) -> Headers:
+        """Return the headers of an answer that merges the replies of shards."""
+        return [
+            (ATTEMPT_ID, attempt_id),
+            (PART_SIGNATURES, b", ".join(signatures)),
+            (MISSING_PARTS, b"%d" % missing),
+        ]
+
+
+def _read_number(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0.0 <= number < float("inf") else None
--- /dev/null
+++ b/src/bronzebeam/platform/names.py
@@ -0,0 +1,12 @@
+"""Names of the platform that more than one module of this folder needs."""
+
+from typing import Final
+
+# Keys of the store.
+CONFIGURATION_KEY: Final = "op/config"
+REPLICA_PREFIX: Final = "servers/"
+INSTANCE_PREFIX: Final = "instances/"
+
+READY_PATH: Final = b"/ready"
+SETTINGS_VARIABLE: Final = "BRONZEBEAM_NODE_FILE"
+SETTINGS_PATH: Final = "/etc/bronzebeam/node.conf"
--- /dev/null
+++ b/src/bronzebeam/platform/node_settings.py
@@ -0,0 +1,137 @@
+"""The platform's settings file: lines of the form ``a.b=value``."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Final
+
+from bronzebeam.findings import Finding, FindingsError
+from bronzebeam.gateway.settings import GatewaySettings
+from bronzebeam.listen import ListenSettings
+from bronzebeam.platform.names import READY_PATH, SETTINGS_PATH, SETTINGS_VARIABLE
+from bronzebeam.routing.second_sends import SecondSendLimits
+
+# Used where the file lacks a bound; each is the value of the present deployments.
+STOP_BOUND_SECONDS: Final = 6.0
+REPEAT_RATIO: Final = 0.2
+REPEAT_SLACK: Final = 0.0
+REPEAT_WINDOW_SECONDS: Final = 10.0
+LEASE_MIN_MS: Final = 1_000.0
+
+
+def settings_path() -> Path:
+    """Return where the settings file is."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH))
+
+
+def read_settings(path: Path) -> GatewaySettings:
+    """
+    Read and check the settings file.
+
+    Fields that are not known are ignored, since new ones may come.
+
+    :raises FindingsError: with all findings, an unreadable file included.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        finding = Finding(place="", message=f"The file cannot be read: {error}.")
+        raise FindingsError(subject=str(path), findings=[finding]) from error
+    return parse_settings(text, subject=str(path))
+
+
+def parse_settings(text: str, *, subject: str) -> GatewaySettings:
+    """
+    Check the text of a settings file.
+
+    :raises FindingsError: with all findings.
+    """
+    reader = _Reader(fields=_split_lines(text))
+    ports = reader.optional("internalPortRange").split(",")
+    address = reader.required("ipAddress")
+    settings = GatewaySettings(
+        instance=reader.required("nodeName"),
+        failure_domain=reader.required("zone"),
+        region=reader.optional("region"),
+        caller_listen=reader.address("listenAddresses.frontendAddress"),
+        ready_listen=reader.optional_address("listenAddresses.ready"),
+        ready_path=READY_PATH,
+        metrics_listen=(
+            ListenSettings(address=address, port=int(ports[0]))
+            if ports[0].isdigit()
+            else None
+        ),
+        store=reader.address("platform.address"),
+        lease_min_ms=reader.number("platform.minTtlMs", LEASE_MIN_MS),
+        stop_bound_seconds=reader.number("bounds.gracePeriodS", STOP_BOUND_SECONDS),
+        repeats=SecondSendLimits(
+            ratio=reader.number("bounds.retryBudgetRatio", REPEAT_RATIO),
+            slack_count=reader.number("bounds.retryBudgetSlack", REPEAT_SLACK),
+            window_seconds=reader.number("bounds.budgetWindowS", REPEAT_WINDOW_SECONDS),
+        ),
+    )
+    if reader.findings:
+        raise FindingsError(subject=subject, findings=reader.findings)
+    return settings
+
+
+def _split_lines(text: str) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+class _Reader:
+    """Reads typed fields and collects what is wrong with them."""
+
+    def __init__(self, *, fields: Mapping[str, str]) -> None:
+        self.findings: list[Finding] = []
+        self._fields = fields
+
+    def optional(self, name: str) -> str:
+        """Return a field, or an empty string."""
+        return self._fields.get(name, "")
+
+    def required(self, name: str) -> str:
+        """Return a field that must be there."""
+        value = self.optional(name)
+        if not value:
+            self._add(name, "This field is missing.")
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        """Return a number that is not negative."""
+        text = self.optional(name)
+        if not text:
+            return default
+        try:
+            value = float(text)
+        except ValueError:
+            value = -1.0
+        if not 0.0 <= value < float("inf"):
+            self._add(name, f"A number of at least 0 is needed, not {text!r}.")
+            return default
+        return value
+
+    def address(self, name: str) -> ListenSettings:
+        """Return an address that must be there."""
+        if not self.required(name):
+            return ListenSettings(address="", port=0)
+        return self.optional_address(name) or ListenSettings(address="", port=0)
+
+    def optional_address(self, name: str) -> ListenSettings | None:
+        """Return an address, or None."""
+        text = self.optional(name)
+        if not text:
+            return None
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+            self._add(name, f"An IP number and a port are needed, not {text!r}.")
+            return None
+        return ListenSettings(address=host, port=int(port))
+
+    def _add(self, name: str, message: str) -> None:
+        self.findings.append(Finding(place=name, message=message))
--- /dev/null
+++ b/src/bronzebeam/platform/replicas.py
@@ -0,0 +1,56 @@
+"""Replicas' entries in the store, decoded."""
+
+from typing import Any, Final
+
+import orjson
+
+from bronzebeam.gateway.records import ReplicaRecord
+from bronzebeam.platform.configuration import MalformedRecord
+
+READY: Final = "ready"
+LEAVING: Final = "draining"
+
+
+def decode_replica(replica: str, value: bytes) -> ReplicaRecord:
+    """
+    Decode one entry.
+
+    Others may write under the same keys, so every field is checked.
+
+    :raises MalformedRecord: if the entry names no replica to use.
+    """
+    try:
+        item = orjson.loads(value)
+    except ValueError as error:
+        raise MalformedRecord(f"not JSON: {error}") from error
+    if not isinstance(item, dict):
+        raise MalformedRecord("not an object")
+    state = item.get("state")
+    if state not in (READY, LEAVING):
+        raise MalformedRecord(f"unknown state {state!r}")
+    host, _, port = _text(item, "address").rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise MalformedRecord("address is no IP number with a port")
+    slots = item.get("slots")
+    if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
+        raise MalformedRecord("slots is no positive whole number")
+    cold_ms = item.get("coldRemainingMs", 0)
+    if not isinstance(cold_ms, (int, float)) or isinstance(cold_ms, bool):
+        raise MalformedRecord("coldRemainingMs is no number")
+    return ReplicaRecord(
+        replica=replica,
+        service=_text(item, "service"),
+        host=host,
+        port=int(port),
+        failure_domain=_text(item, "zone"),
+        slots=slots,
+        leaving=state == LEAVING,
+        cold_ms=max(0.0, float(cold_ms)),
+    )
+
+
+def _text(item: dict[str, Any], name: str) -> str:
+    value = item.get(name)
+    if not isinstance(value, str) or not value:
+        raise MalformedRecord(f"{name} is no text")
+    return value
--- /dev/null
+++ b/src/bronzebeam/platform/store.py
@@ -0,0 +1,262 @@
+"""The platform's key-value store."""
+
+import base64
+import binascii
+from collections.abc import Iterable
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+import orjson
+from attrs import define, field
+
+from bronzebeam.gateway.records import (
+    Change,
+    HistoryLost,
+    RecordKind,
+    ReplicaRecord,
+    StoreContents,
+    StoreUnavailable,
+)
+from bronzebeam.platform.configuration import MalformedRecord, decode_configuration
+from bronzebeam.platform.names import (
+    CONFIGURATION_KEY,
+    INSTANCE_PREFIX,
+    REPLICA_PREFIX,
+)
+from bronzebeam.platform.replicas import decode_replica
+from bronzebeam.routing.routes import RouteTable
+from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.transport.http_call import CallFailed, HttpCallClient
+from bronzebeam.transport.http_reply import HttpReply
+
+CALL_SECONDS: Final = 1.5  # a slow store answers within a few hundred milliseconds
+WATCH_SLACK_SECONDS: Final = 1.5  # beyond the wait that the call asks for
+WATCHED_PREFIX: Final = ""  # one watch brings configuration, replicas and instances
+MS_PER_SECOND: Final = 1_000
+OK: Final = 200
+GONE: Final = 410
+NOT_FOUND: Final = 404
+
+
+@define(kw_only=True, eq=False)
+class PlatformStore:
+    """
+    Client of the platform's store; satisfies `GatewayStore`.
+
+    Values that can't be decoded are logged with their reason and left out.
+    """
+
+    client: HttpCallClient
+    log: DecisionLog
+    _malformed: set[str] = field(factory=set)
+
+    async def read(self) -> StoreContents:
+        """Read everything, page by page."""
+        changes: list[Change] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            query = {"pathPrefix": WATCHED_PREFIX}
+            if after:
+                query["after"] = after
+            page = _json(await self._call("GET", "/kv-range", query=query))
+            items = _list(page, "items")
+            changes.extend(self._changes(items))
+            # Pages are no snapshot: what changed since the first is watched for.
+            if revision is None:
+                revision = _int(page, "atRevision")
+            if not page.get("hasMore") or not items:
+                return _contents(revision, changes)
+            after = _key(items[-1])
+
+    async def watch(
+        self, *, after: int, wait_seconds: float
+    ) -> tuple[int, list[Change]]:
+        """Wait for changes after a revision."""
+        query = {
+            "pathPrefix": WATCHED_PREFIX,
+            "after": str(after),
+            "waitTimeoutMs": str(int(wait_seconds * MS_PER_SECOND)),
+        }
+        reply = await self._call(
+            "GET",
+            "/kv-watch",
+            query=query,
+            bound_seconds=wait_seconds + WATCH_SLACK_SECONDS,
+            accepted=(OK, GONE),
+        )
+        if reply.status == GONE:
+            raise HistoryLost(f"no history after revision {after}")
+        answer = _json(reply)
+        changes = list(self._changes(_list(answer, "events")))
+        return max(after, _int(answer, "atRevision")), changes
+
+    async def register(self, *, instance: str, ttl_seconds: float) -> str:
+        """Record `instance` under a new lease and return the lease."""
+        granted = _json(
+            await self._call(
+                "POST", "/kv-lease", body={"ttlMs": int(ttl_seconds * MS_PER_SECOND)}
+            )
+        )
+        lease = _int(granted, "leaseId")
+        put = {
+            "key": INSTANCE_PREFIX + instance,
+            "value": base64.b64encode(b"{}").decode(),
+            "leaseId": lease,
+        }
+        await self._call("POST", "/kv-txn", body={"putOps": [put]})
+        return str(lease)
+
+    async def renew(self, *, lease: str) -> bool:
+        """Renew a lease; False if it has ended."""
+        reply = await self._call("POST", f"/kv-keep/{lease}", accepted=(OK, NOT_FOUND))
+        return reply.status == OK
+
+    async def release(self, *, lease: str) -> None:
+        """End a lease."""
+        await self._call("DELETE", f"/kv-lease-end/{lease}", accepted=(OK, NOT_FOUND))
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.client.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: Any = None,
+        bound_seconds: float = CALL_SECONDS,
+        accepted: tuple[int, ...] = (OK,),
+    ) -> HttpReply:
+        target = f"{path}?{urlencode(query, quote_via=quote)}" if query else path
+        try:
+            reply = await self.client.call(
+                method,
+                target,
+                body=None if body is None else orjson.dumps(body),
+                bound_seconds=bound_seconds,
+            )
+        except CallFailed as error:
+            raise StoreUnavailable(f"{path}: {error}") from error
+        if reply.status not in accepted:
+            raise StoreUnavailable(f"{path}: status {reply.status}")
+        return reply
+
+    def _changes(self, items: Iterable[Any]) -> Iterable[Change]:
+        for item in items:
+            key = _key(item)
+            try:
+                change = _decode(key, item)
+            except MalformedRecord as error:
+                self._note_malformed(key, error)
+                change = _removal(key, item)
+            else:
+                self._malformed.discard(key)
+            if change is not None:
+                yield change
+
+    def _note_malformed(self, key: str, error: MalformedRecord) -> None:
+        if key not in self._malformed:
+            self._malformed.add(key)
+            self.log.event("malformed_record_ignored", key=key, cause=str(error))
+
+
+def _contents(revision: int, changes: list[Change]) -> StoreContents:
+    replicas: dict[str, ReplicaRecord] = {}
+    instances: set[str] = set()
+    table: RouteTable | None = None
+    for change in changes:
+        if isinstance(change.value, ReplicaRecord):
+            replicas[change.name] = change.value
+        elif isinstance(change.value, RouteTable):
+            table = change.value
+        elif change.kind is RecordKind.INSTANCE and not change.removed:
+            instances.add(change.name)
+    return StoreContents(
+        revision=revision,
+        table=table,
+        replicas=replicas,
+        instances=frozenset(instances),
+    )
+
+
+def _decode(key: str, item: dict[str, Any]) -> Change | None:
+    # "compacted" means that the key was removed, not that history was dropped.
+    if item.get("compacted"):
+        return _removal(key, item)
+    if key.startswith(INSTANCE_PREFIX):
+        name = key.removeprefix(INSTANCE_PREFIX)
+        return Change(
+            kind=RecordKind.INSTANCE, name=name, revision=_int(item, "revision")
+        )
+    if key == CONFIGURATION_KEY:
+        return Change(
+            kind=RecordKind.CONFIGURATION,
+            name="",
+            revision=_int(item, "revision"),
+            value=decode_configuration(_value(item)),
+        )
+    if key.startswith(REPLICA_PREFIX):
+        name = key.removeprefix(REPLICA_PREFIX)
+        return Change(
+            kind=RecordKind.REPLICA,
+            name=name,
+            revision=_int(item, "revision"),
+            value=decode_replica(name, _value(item)),
+        )
+    return None
+
+
+def _removal(key: str, item: dict[str, Any]) -> Change | None:
+    for prefix, kind in (
+        (INSTANCE_PREFIX, RecordKind.INSTANCE),
+        (REPLICA_PREFIX, RecordKind.REPLICA),
+    ):
+        if key.startswith(prefix):
+            return Change(
+                kind=kind,
+                name=key.removeprefix(prefix),
+                revision=_int(item, "revision"),
+                removed=True,
+            )
+    return None
+
+
+def _value(item: dict[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(item["value"], validate=True)
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise MalformedRecord(f"value: {error!r}") from error
+
+
+def _json(reply: HttpReply) -> dict[str, Any]:
+    try:
+        value = orjson.loads(reply.body)
+    except ValueError as error:
+        raise StoreUnavailable(f"the reply is no JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise StoreUnavailable("the reply is no object")
+    return value
+
+
+def _list(value: dict[str, Any], name: str) -> list[Any]:
+    items = value.get(name, [])
+    if not isinstance(items, list):
+        raise StoreUnavailable(f"{name} is no list")
+    return items
+
+
+def _int(value: dict[str, Any], name: str) -> int:
+    number = value.get(name)
+    if not isinstance(number, int) or isinstance(number, bool):
+        raise StoreUnavailable(f"{name} is no whole number")
+    return number
+
+
+def _key(item: Any) -> str:
+    key = item.get("key") if isinstance(item, dict) else None
+    if not isinstance(key, str):
+        raise StoreUnavailable("an item has no key")
+    return key
--- /dev/null
+++ b/src/bronzebeam/routing/hedge_timing.py
@@ -0,0 +1,19 @@
+"""When a sub-request that has no reply yet is sent to a second replica."""
+
+from typing import Final
+
+from bronzebeam.routing.replica_estimate import overdue_after_ms
+
+TARGET_SHARE_MAX: Final = 0.4  # a second send still has time to be answered
+DELAY_MIN_MS: Final = 4.0  # below, a busy instance would hedge its own delays
+
+
+def second_send_after_ms(*, typical_ms: float, target_latency_ms: float) -> float:
+    """
+    Return the wait after which a second send is worth its place in the budget.
+
+    Answers the load of replicas that pause: a reply that takes several times the
+    usual is rarely just late, and waiting longer only uses up the target latency.
+    """
+    delay_ms = min(overdue_after_ms(typical_ms), target_latency_ms * TARGET_SHARE_MAX)
+    return max(delay_ms, DELAY_MIN_MS)
--- /dev/null
+++ b/src/bronzebeam/routing/pace.py
@@ -0,0 +1,79 @@
+"""How fast replicas answer, from first-hand reply times."""
+
+import math
+from typing import Final
+
+from attrs import define
+
+SLOWER_STEP: Final = 1.2  # three late replies in a row move traffic elsewhere
+FASTER_STEP: Final = 0.94
+SLOWER_BAND: Final = 1.3  # ratios up to here are ordinary spread
+FACTOR_MIN: Final = 0.5
+FACTOR_MAX: Final = 8.0
+FORGET_SECONDS: Final = 4.0  # a slow replica without traffic is tried again
+TYPICAL_STEP: Final = 0.04
+PRIOR_SHARE_OF_TARGET: Final = 0.1  # work takes about a tenth of the target latency
+TYPICAL_MIN_MS: Final = 0.5
+
+
+@define(kw_only=True, eq=False)
+class ReplicaPace:
+    """
+    Reply time of a replica relative to its peers, as a running median.
+
+    A single pause of the replica moves a median by one step only, while an average
+    would send its traffic elsewhere for seconds.
+
+    :ivar factor: reply time over the typical one, when last observed.
+    """
+
+    factor: float = 1.0
+    observed_at_seconds: float = -math.inf
+
+    def at(self, now_seconds: float) -> float:
+        """Return the factor, which returns to 1 while nothing is observed."""
+        if self.factor == 1.0:
+            return 1.0
+        age_seconds = now_seconds - self.observed_at_seconds
+        if age_seconds < 0.25:
+            return self.factor
+        return 1.0 + (self.factor - 1.0) * math.exp(-age_seconds / FORGET_SECONDS)
+
+    def observe(self, ratio: float, now_seconds: float) -> None:
+        """
+        Take in one reply.
+
+        :param ratio: its time over the typical time of its route.
+        """
+        factor = self.at(now_seconds)
+        if ratio > factor * SLOWER_BAND:
+            factor = min(factor * SLOWER_STEP, FACTOR_MAX)
+        elif ratio < factor:
+            factor = max(factor * FASTER_STEP, FACTOR_MIN)
+        self.factor = factor
+        self.observed_at_seconds = now_seconds
+
+
+@define(kw_only=True, eq=False)
+class TypicalLatency:
+    """
+    Running median of a route's reply times over all replicas.
+
+    :ivar typical_ms: the median in milliseconds.
+    """
+
+    typical_ms: float
+
+    @classmethod
+    def from_target(cls, target_latency_ms: float) -> "TypicalLatency":
+        """Return the estimate before the first reply."""
+        return cls(
+            typical_ms=max(target_latency_ms * PRIOR_SHARE_OF_TARGET, TYPICAL_MIN_MS)
+        )
+
+    def observe(self, latency_ms: float) -> None:
+        """Take in one reply time."""
+        if latency_ms > self.typical_ms:
+            self.typical_ms *= 1.0 + TYPICAL_STEP
+        else:
+            self.typical_ms = max(self.typical_ms * (1 - TYPICAL_STEP), TYPICAL_MIN_MS)
--- /dev/null
+++ b/src/bronzebeam/routing/replica_estimate.py
@@ -0,0 +1,59 @@
+"""Expected reply time of one more sub-request to a replica."""
+
+from typing import Final
+
+from attrs import frozen
+
+OVERDUE_FACTOR: Final = 2.5  # replies this many times the expected time are overdue
+OVERDUE_MIN_MS: Final = 6.0  # scheduling noise of a busy instance stays below
+COLD_FACTOR: Final = 1.6  # reply time of a replica that has just started
+CONNECT_MS: Final = 7.0  # a new connection costs about this before the request runs
+OTHER_DOMAIN_MS: Final = 4.0  # two network hops, and bytes that are paid for
+
+
+@frozen(kw_only=True)
+class ReplicaLoad:
+    """
+    What an instance knows of a replica at the moment of a choice.
+
+    :ivar pace: reply time relative to that of other replicas.
+    :ivar in_flight: sub-requests of this instance that wait for a reply.
+    :ivar oldest_age_ms: time that the oldest of them has waited.
+    :ivar slots: sub-requests that the replica runs at a time.
+    :ivar cold: the replica has just started.
+    :ivar connected: a free connection is at hand.
+    :ivar own_domain: the replica is in the failure domain of this instance.
+    """
+
+    pace: float
+    in_flight: int
+    oldest_age_ms: float
+    slots: int
+    cold: bool
+    connected: bool
+    own_domain: bool
+
+
+def overdue_after_ms(expected_ms: float) -> float:
+    """Return the wait after which a reply counts as overdue."""
+    return max(expected_ms * OVERDUE_FACTOR, expected_ms + OVERDUE_MIN_MS)
+
+
+def estimate_reply_ms(load: ReplicaLoad, *, typical_ms: float) -> float:
+    """
+    Estimate the reply time of one more sub-request, in milliseconds.
+
+    A replica with an overdue reply is taken to stall for as long again as it has
+    done so far: pauses and crashes look alike from outside.
+    """
+    expected_ms = typical_ms * load.pace
+    if load.cold:
+        expected_ms *= COLD_FACTOR
+    estimate_ms = expected_ms * (1.0 + load.in_flight / max(1, load.slots))
+    if load.in_flight and load.oldest_age_ms > overdue_after_ms(expected_ms):
+        estimate_ms += load.oldest_age_ms
+    if not load.connected:
+        estimate_ms += CONNECT_MS
+    if not load.own_domain:
+        estimate_ms += OTHER_DOMAIN_MS
+    return estimate_ms
--- /dev/null
+++ b/src/bronzebeam/routing/routes.py
@@ -0,0 +1,131 @@
+"""Routes by host and longest path prefix, as one version of the configuration."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from attrs import field, frozen
+
+PATH_SEPARATOR: Final = b"/"
+
+
+@frozen(kw_only=True)
+class WeightedService:
+    """
+    A service that takes a share of a route's requests.
+
+    :ivar weight: share of the requests, relative to the other weights.
+    """
+
+    service: str
+    weight: float
+
+
+@frozen(kw_only=True, eq=False)
+class Route:
+    """
+    Where requests of one host and path prefix go, and how.
+
+    :ivar idempotent: whether a request may run more than once.
+    :ivar timeout_ms: longest time that a caller is kept waiting.
+    :ivar target_latency_ms: time within which an answer is of full use.
+    :ivar max_attempts: most replicas that one request may run on, for each shard.
+    :ivar priority: rank of the requests, 0 is served first.
+    :ivar destinations: services that share the requests; empty for a fan-out.
+    :ivar shards: services that each hold a part of the answer; empty otherwise.
+    :ivar top_records: number of records in the merged answer of a fan-out.
+    :ivar least_shard_share: share of the shards (0 to 1) below which a fan-out fails.
+    """
+
+    name: str
+    host: str
+    path_prefix: bytes
+    idempotent: bool
+    timeout_ms: float
+    target_latency_ms: float
+    max_attempts: int
+    priority: int
+    destinations: tuple[WeightedService, ...] = ()
+    shards: tuple[str, ...] = ()
+    top_records: int = 0
+    least_shard_share: float = 0.0
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Return all services that requests of this route may reach."""
+        return self.shards or tuple(item.service for item in self.destinations)
+
+
+@frozen(kw_only=True)
+class BackendService:
+    """
+    A service of backend servers.
+
+    :ivar connection_limit: connections that a replica takes from all callers.
+    """
+
+    name: str
+    connection_limit: int
+
+
+@frozen(kw_only=True)
+class CallerLimits:
+    """
+    What a caller may send, and how long it may take.
+
+    :ivar header_timeout_ms: time from the first byte of a request to its body.
+    :ivar idle_timeout_ms: time that a connection may stay without a request.
+    """
+
+    header_max_bytes: int = 65_536
+    body_max_bytes: int = 1_048_576
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+def _index_routes(routes: Iterable[Route]) -> dict[str, dict[bytes, Route]]:
+    index: dict[str, dict[bytes, Route]] = {}
+    for route in routes:
+        index.setdefault(route.host.lower(), {})[route.path_prefix] = route
+    return index
+
+
+@frozen(kw_only=True, eq=False)
+class RouteTable:
+    """
+    One version of the configuration.
+
+    :ivar version: grows with each change.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, BackendService]
+    limits: CallerLimits = CallerLimits()
+    _index: dict[str, dict[bytes, Route]] = field(init=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        object.__setattr__(self, "_index", _index_routes(self.routes))
+
+    def find(self, *, host: str, path: bytes) -> Route | None:
+        """
+        Return the route with the longest prefix of `path` on `host`.
+
+        :param host: value of the Host header; a port is ignored.
+        :param path: request target without its query.
+        """
+        routes = self._index.get(_host_name(host))
+        if routes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind(PATH_SEPARATOR, 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def _host_name(host: str) -> str:
+    name, separator, port = host.rpartition(":")
+    if separator and port.isdigit():
+        host = name
+    return host.lower()
--- /dev/null
+++ b/src/bronzebeam/routing/traffic_split.py
@@ -0,0 +1,35 @@
+"""Distribution of a route's requests over services by weight."""
+
+from attrs import define, field
+
+from bronzebeam.routing.routes import WeightedService
+
+
+@define(kw_only=True, eq=False)
+class TrafficSplit:
+    """
+    Smooth weighted round-robin over the services of one route.
+
+    Any run of requests is split as the weights say to within one request, so that a
+    short sample of a single instance keeps the shares too.
+    """
+
+    destinations: tuple[WeightedService, ...]
+    _credits: list[float] = field(init=False)
+    _total_weight: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._credits = [0.0] * len(self.destinations)
+        self._total_weight = sum(item.weight for item in self.destinations)
+
+    def next_service(self) -> str:
+        """Return the service of the next request."""
+        if len(self.destinations) == 1:
+            return self.destinations[0].service
+        chosen = 0
+        for index, item in enumerate(self.destinations):
+            self._credits[index] += item.weight
+            if self._credits[index] > self._credits[chosen]:
+                chosen = index
+        self._credits[chosen] -= self._total_weight
+        return self.destinations[chosen].service
--- a/src/bronzebeam/settings.py
+++ b/src/bronzebeam/settings.py
@@ -14,27 +14,13 @@
 from jsonschema.exceptions import ValidationError
 
 from bronzebeam.findings import Finding, FindingsError, json_pointer
+from bronzebeam.listen import ListenSettings
 
 SCHEMA_FILE: Final = "settings_schema.json"
 URL_FIELDS: Final = ("store_url", "instance_list_url")
 LISTEN_FIELDS: Final = ("caller_listen", "peer_listen")
 
 
-@frozen(kw_only=True)
-class ListenSettings:
-    """An IP address and port to listen on."""
-
-    address: str
-    port: int
-
-    @property
-    def bind(self) -> str:
-        """Return `address:port`, with brackets around an IPv6 address."""
-        if ":" in self.address:
-            return f"[{self.address}]:{self.port}"
-        return f"{self.address}:{self.port}"
-
-
 @frozen(kw_only=True)
 class DrainSettings:
     """
--- /dev/null
+++ b/src/bronzebeam/telemetry/decisions.py
@@ -0,0 +1,134 @@
+"""Log of decisions: bounded in volume, and never waited for."""
+
+import os
+import time
+from collections import deque
+from typing import Any, Final, Protocol
+
+from attrs import define, field
+
+from bronzebeam.telemetry.lines import format_pair, format_time
+
+BUFFER_MAX_BYTES: Final = 512 * 1024  # memory that unread lines may take
+WRITE_MAX_BYTES: Final = 64 * 1024  # one write, so that a flush stays short
+REQUEST_LINES_PER_SECOND: Final = 60.0  # keeps logging under 5% of the processor
+REQUEST_LINES_BURST: Final = 200.0  # a fault of some seconds is logged whole
+
+
+class Write(Protocol):
+    """Writes bytes without waiting; returns how many were taken."""
+
+    def __call__(self, data: bytes) -> int:
+        """
+        Write a prefix of `data`.
+
+        :raises BlockingIOError: if nothing can be written now.
+        """
+
+
+def standard_output() -> Write:
+    """Return a writer to standard output that never blocks."""
+    descriptor = 1
+    os.set_blocking(descriptor, False)
+
+    def write(data: bytes) -> int:
+        return os.write(descriptor, data)
+
+    return write
+
+
+@define(kw_only=True, eq=False)
+class DecisionLog:
+    """
+    Collects lines and writes them when the process has a moment.
+
+    Lines on the state of the process are always taken, up to the size of the buffer.
+    Lines on requests are taken from a token bucket; failed and late requests may use
+    all of it, good ones only its upper half. What was left out is counted, and the
+    counts are written with the next line that fits.
+
+    :ivar instance: added to each line.
+    """
+
+    instance: str
+    write: Write
+    left_out_lines: int = 0
+    _lines: deque[bytes] = field(factory=deque, init=False)
+    _bytes: int = field(default=0, init=False)
+    _rest: bytes = field(default=b"", init=False)
+    _tokens: float = field(default=REQUEST_LINES_BURST, init=False)
+    _filled_at_seconds: float = field(factory=time.monotonic, init=False)
+    _reported_left_out: int = field(default=0, init=False)
+
+    def event(self, name: str, /, **fields: Any) -> None:
+        """Log a change of what the process believes, or of its life."""
+        self._append(name, fields)
+
+    def request(self, name: str, /, *, good: bool, **fields: Any) -> None:
+        """
+        Log a decision on a request, as far as the volume allows.
+
+        :param good: the request went well, so that its line may be left out.
+        """
+        now_seconds = time.monotonic()
+        self._tokens = min(
+            REQUEST_LINES_BURST,
+            self._tokens
+            + (now_seconds - self._filled_at_seconds) * REQUEST_LINES_PER_SECOND,
+        )
+        self._filled_at_seconds = now_seconds
+        if self._tokens < (REQUEST_LINES_BURST / 2 if good else 1.0):
+            self.left_out_lines += 1
+            return
+        self._tokens -= 1.0
+        self._append(name, fields)
+
+    def flush(self) -> None:
+        """Write what the output takes now."""
+        self._report_left_out()
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = self._join()
+            try:
+                written = self.write(self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the output any more; serving goes on without it.
+                self._count_lost()
+                return
+            self._bytes -= written
+            self._rest = self._rest[written:]
+            if self._rest:
+                return
+
+    def _join(self) -> bytes:
+        taken: list[bytes] = []
+        size = 0
+        while self._lines and size < WRITE_MAX_BYTES:
+            taken.append(self._lines.popleft())
+            size += len(taken[-1])
+        return b"".join(taken)
+
+    def _append(self, name: str, fields: dict[str, Any]) -> None:
+        if self._bytes > BUFFER_MAX_BYTES:
+            self.left_out_lines += 1
+            return
+        pairs = [f"time={format_time(time.time())}", f"event={name}"]
+        pairs.extend([format_pair(key, value) for key, value in fields.items()])
+        pairs.append(f"instance={self.instance}\n")
+        line = " ".join(pairs).encode()
+        self._lines.append(line)
+        self._bytes += len(line)
+
+    def _report_left_out(self) -> None:
+        count = self.left_out_lines - self._reported_left_out
+        if count and self._bytes <= BUFFER_MAX_BYTES:
+            self._reported_left_out = self.left_out_lines
+            self._append("log_lines_left_out", {"count": count})
+
+    def _count_lost(self) -> None:
+        self.left_out_lines += len(self._lines) + 1
+        self._lines.clear()
+        self._rest = b""
+        self._bytes = 0
--- a/src/bronzebeam/telemetry/logs.py
+++ b/src/bronzebeam/telemetry/logs.py
@@ -1,14 +1,12 @@
 """Logs: one line of key=value pairs for each event."""
 
-import json
-import re
 import sys
 from collections.abc import Mapping
-from datetime import datetime, timezone
 from typing import Any, Final, TextIO
 
 import eliot
-import orjson
+
+from bronzebeam.telemetry.lines import format_key, format_time, format_value
 
 EVENT_FIELD: Final = "message_type"
 TIMESTAMP_FIELD: Final = "timestamp"
@@ -23,8 +21,6 @@
     }
 )
 RENAMED_PREFIX: Final = "field_"
-BARE_VALUE: Final = re.compile(r"[A-Za-z0-9_.:/@+-]+")
-UNSAFE_IN_KEY: Final = re.compile(r"[^A-Za-z0-9_.-]")
 
 
 def log_event(name: str, /, **fields: Any) -> None:
@@ -50,32 +46,17 @@
     :param message: fields with eliot's own `timestamp` and `message_type`.
     """
     pairs = [
-        f"time={_format_time(message.get(TIMESTAMP_FIELD, 0.0))}",
+        f"time={format_time(message.get(TIMESTAMP_FIELD, 0.0))}",
         f"event={format_value(message.get(EVENT_FIELD, 'message'))}",
     ]
     pairs.extend(
-        f"{_format_key(key)}={format_value(value)}"
+        f"{format_key(key)}={format_value(value)}"
         for key, value in message.items()
         if key not in RESERVED_FIELDS
     )
     return " ".join(pairs)
 
 
-def format_value(value: Any) -> str:
-    """Render `value` for a pair; quote it as a JSON string unless it is one word."""
-    if value is None:
-        return "null"
-    if value is True or value is False:
-        return "true" if value else "false"
-    if isinstance(value, (int, float)):
-        return str(value)
-    text = value if isinstance(value, str) else _encode(value)
-    if BARE_VALUE.fullmatch(text):
-        return str(text)
-    # ASCII escapes keep any line separator of Unicode out of the line.
-    return json.dumps(text)
-
-
 class LineDestination:
     """
     An eliot destination that writes each message as one line.
@@ -112,20 +93,3 @@
     def close(self) -> None:
         """Stop sending events to the stream."""
         eliot.remove_destination(self._destination)
-
-
-def _encode(value: Any) -> str:
-    try:
-        encoded = orjson.dumps(value, default=str, option=orjson.OPT_NON_STR_KEYS)
-    except (TypeError, ValueError):
-        return repr(value)
-    return encoded.decode()
-
-
-def _format_key(key: str) -> str:
-    return UNSAFE_IN_KEY.sub("_", key) or "_"
-
-
-def _format_time(timestamp_seconds: float) -> str:
-    moment = datetime.fromtimestamp(timestamp_seconds, timezone.utc)
-    return moment.strftime("%Y-%m-%dT%H:%M:%S.") + f"{moment.microsecond // 1000:03d}Z"
--- /dev/null
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -0,0 +1,261 @@
+"""Connections of callers: HTTP/1.1 on asyncio's transports, parsed by httptools."""
+
+import asyncio
+from collections import deque
+from typing import Any, Final, Protocol, cast
+
+import httptools
+from attrs import define, field
+
+from bronzebeam.routing.routes import CallerLimits
+from bronzebeam.transport.caller_request import CallerRequest, encode_answer
+from bronzebeam.transport.http_reply import Headers, set_socket_options
+
+MS_PER_SECOND: Final = 1_000.0
+PIPELINED_MAX: Final = 16  # requests that are read ahead on one connection
+IDLE_MARGIN_SECONDS: Final = 0.5  # the idle limit is kept by the slower of both ends
+CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Handle(Protocol):
+    """Takes a whole request."""
+
+    def __call__(self, request: CallerRequest) -> None:
+        """Answer it now or later."""
+
+
+@define(kw_only=True, eq=False)
+class CallerServer:
+    """
+    What all connections of callers share.
+
+    :ivar limits: as the configuration in force has them.
+    :ivar closing: answers say that the connection ends with them.
+    """
+
+    handle: Handle
+    loop: asyncio.AbstractEventLoop
+    limits: CallerLimits = field(factory=CallerLimits)
+    closing: bool = False
+    connections: set["CallerConnection"] = field(factory=set)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that have no answer yet."""
+        return sum(1 for item in self.connections if item.request is not None)
+
+    def new_connection(self) -> "CallerConnection":
+        """Return the protocol of a connection just accepted."""
+        return CallerConnection(server=self)
+
+    def close_overdue(self) -> None:
+        """Close connections that are idle, or slow to send, beyond the limits."""
+        now_seconds = self.loop.time()
+        for connection in list(self.connections):
+            connection.close_if_overdue(now_seconds)
+
+    def close_idle(self, *, quiet_seconds: float) -> None:
+        """Close connections on which nothing was received for a while."""
+        now_seconds = self.loop.time()
+        for connection in list(self.connections):
+            if now_seconds - connection.active_at_seconds >= quiet_seconds:
+                connection.close_if_unused()
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller; answers requests in the order they came."""
+
+    def __init__(self, *, server: CallerServer) -> None:
+        self.server = server
+        self.request: CallerRequest | None = None
+        self.active_at_seconds = server.loop.time()
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._ready: deque[CallerRequest] = deque()
+        self._requests = 0
+        self._closing = False
+        self._begun_at_seconds: float | None = None
+        self._rejected: tuple[int, str] | None = None
+        self._clear()
+
+    def _clear(self) -> None:
+        self._target = b""
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        set_socket_options(transport.get_extra_info("socket"))
+        self.server.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; whole requests are handled in turn."""
+        if self._closing:
+            return
+        self.active_at_seconds = self.server.loop.time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request is served as it is; what follows is another protocol.
+            self._last_request()
+        except httptools.HttpParserError as error:
+            if self._rejected is None:
+                self._rejected = (400, f"malformed request: {error}")
+        self._handle_next()
+        if len(self._ready) >= PIPELINED_MAX and self._transport is not None:
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Treat the end of the caller's bytes as its leaving."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the request under way."""
+        self._closing = True
+        self.server.connections.discard(self)
+        self._ready.clear()
+        request, self.request = self.request, None
+        if request is not None:
+            request.caller_left()
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._clear()
+        self._begun_at_seconds = self.server.loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+        self._count_header_bytes(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Ask for the body if the caller waits to be asked."""
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                if self._transport is not None and self.request is None:
+                    self._transport.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self.server.limits.body_max_bytes:
+            self._reject(413, "the body is larger than the limit")
+            self._body = []
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the whole request."""
+        if self._rejected is not None:
+            return
+        self._requests += 1
+        begun_at = self._begun_at_seconds
+        self._begun_at_seconds = None
+        self._ready.append(
+            CallerRequest(
+                method=self._parser.get_method(),
+                target=self._target,
+                headers=self._headers,
+                body=b"".join(self._body),
+                arrived_at_seconds=begun_at or self.active_at_seconds,
+                channel=self,
+                first_on_connection=self._requests == 1,
+                keep_alive=self._parser.should_keep_alive(),
+            )
+        )
+        self._clear()
+
+    # Called by requests and by the server.
+
+    def send_answer(
+        self, request: CallerRequest, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Write an answer, and go on with the next request."""
+        transport = self._transport
+        self.request = None
+        self.active_at_seconds = self.server.loop.time()
+        if transport is None or transport.is_closing():
+            return
+        if self.server.closing:
+            request.keep_alive = False
+        transport.write(encode_answer(request, status, headers, body))
+        if not request.keep_alive:
+            self._closing = True
+            transport.close()
+            return
+        if self._ready:
+            transport.resume_reading()
+            self.server.loop.call_soon(self._handle_next)
+
+    def close_if_overdue(self, now_seconds: float) -> None:
+        """Close the connection if the caller is too slow."""
+        limits = self.server.limits
+        if self.request is not None or self._closing:
+            return
+        if self._begun_at_seconds is not None:
+            waited_ms = (now_seconds - self._begun_at_seconds) * MS_PER_SECOND
+            if waited_ms > limits.header_timeout_ms + MS_PER_SECOND:
+                self._answer_error(408, "the request was not received in time")
+            return
+        idle_seconds = now_seconds - self.active_at_seconds
+        if idle_seconds > limits.idle_timeout_ms / MS_PER_SECOND + IDLE_MARGIN_SECONDS:
+            self.close_if_unused()
+
+    def close_if_unused(self) -> None:
+        """Close the connection unless a request is under way on it."""
+        if self.request is None and not self._ready and self._begun_at_seconds is None:
+            self._closing = True
+            if self._transport is not None:
+                self._transport.close()
+
+    def _count_header_bytes(self, count: int) -> None:
+        self._header_bytes += count
+        if self._header_bytes > self.server.limits.header_max_bytes:
+            self._reject(431, "the headers are larger than the limit")
+
+    def _reject(self, status: int, detail: str) -> None:
+        if self._rejected is None:
+            self._rejected = (status, detail)
+
+    def _last_request(self) -> None:
+        if self._ready:
+            self._ready[-1].keep_alive = False
+
+    def _handle_next(self) -> None:
+        if self.request is not None or self._closing:
+            return
+        if self._ready:
+            request = self._ready.popleft()
+            self.request = request
+            self.server.handle(request)
+        elif self._rejected is not None:
+            self._answer_error(*self._rejected)
+
+    def _answer_error(self, status: int, detail: str) -> None:
+        self._closing = True
+        if self._transport is None:
+            return
+        request = CallerRequest(
+            method=b"GET",
+            target=b"",
+            headers=[],
+            body=b"",
+            arrived_at_seconds=0.0,
+            channel=self,
+            keep_alive=False,
+        )
+        body = f"{detail}\n".encode()
+        self._transport.write(encode_answer(request, status, [], body))
+        self._transport.close()
--- /dev/null
+++ b/src/bronzebeam/transport/caller_request.py
@@ -0,0 +1,128 @@
+"""One request of a caller, and the way back to it."""
+
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from attrs import define, field
+
+from bronzebeam.transport.http_reply import Headers
+
+REASON_PHRASES: Final = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+# RFC 9110 7.6.1: these concern one connection only. Framing is set anew.
+HOP_BY_HOP: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+class AnswerChannel(Protocol):
+    """Writes the answer to the caller of a request."""
+
+    def send_answer(
+        self, request: "CallerRequest", status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Write a whole answer."""
+
+
+@define(kw_only=True, eq=False)
+class CallerRequest:
+    """
+    A whole request.
+
+    :ivar target: request target as received, with its query.
+    :ivar headers: as received, names in lower case.
+    :ivar arrived_at_seconds: monotonic time of its first byte.
+    :ivar on_gone: called once if the caller leaves before the answer.
+    :ivar first_on_connection: the caller opened a connection for it.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    arrived_at_seconds: float
+    channel: AnswerChannel
+    first_on_connection: bool = False
+    keep_alive: bool = True
+    answered: bool = False
+    gone: bool = False
+    on_gone: Callable[[], None] | None = field(default=None)
+
+    @property
+    def path(self) -> bytes:
+        """Return the target without its query."""
+        return self.target.partition(b"?")[0]
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first header called `name`, which is in lower case, or b""."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return b""
+
+    def answer(self, *, status: int, headers: Headers, body: bytes) -> None:
+        """Answer the request; a second answer is ignored."""
+        if self.answered:
+            return
+        self.answered = True
+        self.on_gone = None
+        if not self.gone:
+            self.channel.send_answer(self, status, headers, body)
+
+    def caller_left(self) -> None:
+        """Note that nobody waits for the answer any more."""
+        self.gone = True
+        callback, self.on_gone = self.on_gone, None
+        if callback is not None:
+            callback()
+
+
+def encode_answer(
+    request: CallerRequest, status: int, headers: Headers, body: bytes
+) -> bytes:
+    """Encode a whole answer with its length."""
+    lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b"Status"))]
+    lines.extend([b"%s: %s\r\n" % pair for pair in headers])
+    if not request.keep_alive:
+        lines.append(b"Connection: close\r\n")
+    lines.append(b"Content-Length: %d\r\n\r\n" % len(body))
+    if request.method != b"HEAD":
+        lines.append(body)
+    return b"".join(lines)
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that are passed on."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and name not in named
+    ]
--- /dev/null
+++ b/src/bronzebeam/transport/http_reply.py
@@ -0,0 +1,302 @@
+"""HTTP/1.1 client connections on asyncio's transports, parsed by httptools."""
+
+import asyncio
+import socket
+from enum import Enum
+from typing import Any, Final, Protocol, cast
+
+import httptools
+from attrs import define
+
+REPLY_MAX_BYTES: Final = 16 * 1024 * 1024  # bounds the memory that one reply may take
+KEEPALIVE_IDLE_SECONDS: Final = 1  # a peer that went silent is found in three seconds
+KEEPALIVE_INTERVAL_SECONDS: Final = 1
+KEEPALIVE_PROBES: Final = 2
+UNACKNOWLEDGED_MS: Final = 2_000  # bound of unacknowledged bytes, as for the probes
+KEEP_ALIVE_HEADER: Final = b"keep-alive"
+TIMEOUT_PARAMETER: Final = b"timeout="
+INFORMATIONAL_BELOW: Final = 200
+BODYLESS: Final = (204, 304)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ExchangeFailure(Enum):
+    """
+    Why no usable reply came.
+
+    `NOT_SENT`: no byte of the request left. `LOST`: the connection ended first.
+    `MALFORMED`: the bytes received are no reply. `TRUNCATED`: it ended early.
+    """
+
+    NOT_SENT = "not_sent"
+    LOST = "connection_lost"
+    MALFORMED = "malformed_reply"
+    TRUNCATED = "truncated_reply"
+
+
+@define(kw_only=True, eq=False)
+class HttpReply:
+    """
+    A whole reply.
+
+    :ivar headers: in the order received, names in lower case.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ExchangeObserver(Protocol):
+    """Is told how one exchange on a connection ended."""
+
+    def reply_received(self, connection: "ClientConnection", reply: HttpReply) -> None:
+        """Take the whole reply."""
+
+    def exchange_failed(
+        self, connection: "ClientConnection", failure: ExchangeFailure
+    ) -> None:
+        """Learn that no usable reply comes."""
+
+
+class ConnectionOwner(Protocol):
+    """Keeps connections between exchanges."""
+
+    def connection_idle(self, connection: "ClientConnection") -> None:
+        """Take back a connection that may carry another request."""
+
+    def connection_closed(self, connection: "ClientConnection") -> None:
+        """Learn that a connection is gone."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """
+    One connection to a server; carries one exchange at a time.
+
+    Bytes that arrive outside an exchange, or behind a complete reply, belong to no
+    request; the connection is closed, since what follows could not be told apart.
+    """
+
+    __slots__ = (
+        "owner",
+        "loop",
+        "transport",
+        "observer",
+        "sent_at_seconds",
+        "idle_since_seconds",
+        "keep_alive_seconds",
+        "proven",
+        "closed",
+        "_parser",
+        "_headers",
+        "_body",
+        "_body_bytes",
+        "_status",
+        "_complete",
+        "_trailing",
+        "_keep_alive",
+        "_until_end",
+        "_bodyless",
+        "_head_request",
+    )
+
+    def __init__(
+        self, *, owner: ConnectionOwner, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.owner = owner
+        self.loop = loop
+        self.transport: asyncio.Transport | None = None
+        self.observer: ExchangeObserver | None = None
+        self.sent_at_seconds = 0.0
+        self.idle_since_seconds = 0.0
+        self.keep_alive_seconds: float | None = None
+        # Whether a reply has shown that the server is the one that was meant.
+        self.proven = False
+        self.closed = False
+        self._parser: Any = None
+        self._head_request = False
+        self._reset()
+
+    def _reset(self) -> None:
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._status = 0
+        self._complete = False
+        self._trailing = False
+        self._keep_alive = False
+        self._until_end = False
+        self._bodyless = False
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set up the socket."""
+        self.transport = cast(asyncio.Transport, transport)
+        set_socket_options(transport.get_extra_info("socket"))
+        self.idle_since_seconds = self.loop.time()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser and hand over the reply once it is whole."""
+        if self.observer is None or self._complete:
+            self.close()
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > REPLY_MAX_BYTES:
+            self._fail(ExchangeFailure.MALFORMED)
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(ExchangeFailure.MALFORMED)
+            return
+        except httptools.HttpParserError:
+            # A whole reply followed by bytes that are none is still whole.
+            if not self._complete:
+                self._fail(ExchangeFailure.MALFORMED)
+                return
+            self._trailing = True
+        if self._complete:
+            self._finish()
+
+    def eof_received(self) -> bool:
+        """End a reply whose body lasts until the connection ends."""
+        if self.observer is not None and self._until_end and not self._complete:
+            self._complete = True
+            self._trailing = True
+            self._finish()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the exchange that was under way."""
+        self.closed = True
+        observer, self.observer = self.observer, None
+        if observer is not None:
+            started = self._status or self._headers
+            observer.exchange_failed(
+                self, ExchangeFailure.TRUNCATED if started else ExchangeFailure.LOST
+            )
+        self.owner.connection_closed(self)
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Notice a second reply in the same bytes."""
+        if self._complete:
+            self._trailing = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        if not self._complete:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Find out how the body ends."""
+        if self._complete:
+            return
+        self._status = self._parser.get_status_code()
+        self._until_end = self._status not in BODYLESS and not any(
+            name == b"content-length" or name == b"transfer-encoding"
+            for name, _ in self._headers
+        )
+        if self._head_request:
+            self._complete = True
+            self._trailing = True
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        if not self._complete:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Notice the end of the reply, unless it is an interim one."""
+        if self._complete:
+            return
+        if self._status < INFORMATIONAL_BELOW:
+            self._headers = []
+            self._body = []
+            self._status = 0
+            self._until_end = False
+            return
+        self._complete = True
+        # The parser forgets this once its callback has returned.
+        self._keep_alive = bool(self._parser.should_keep_alive())
+
+    # Called by the owner.
+
+    def send(self, data: bytes, observer: ExchangeObserver, *, head: bool) -> None:
+        """
+        Send a whole request.
+
+        :param observer: told of the reply or the failure, once.
+        :param head: the reply to this request has no body.
+        """
+        if self.closed or self.transport is None or self.transport.is_closing():
+            self.closed = True
+            observer.exchange_failed(self, ExchangeFailure.NOT_SENT)
+            return
+        self._reset()
+        self._head_request = head
+        self._parser = httptools.HttpResponseParser(self)
+        self.observer = observer
+        self.sent_at_seconds = self.loop.time()
+        self.transport.write(data)
+
+    def abandon(self) -> None:
+        """Close the connection without telling the observer."""
+        self.observer = None
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection; an exchange under way fails."""
+        self.closed = True
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.abort()
+
+    def _finish(self) -> None:
+        observer, self.observer = self.observer, None
+        reply = HttpReply(
+            status=self._status, headers=self._headers, body=b"".join(self._body)
+        )
+        reusable = (
+            not self._trailing
+            and self._keep_alive
+            and self.transport is not None
+            and not self.transport.get_write_buffer_size()
+        )
+        if reusable:
+            self._note_keep_alive()
+            self.idle_since_seconds = self.loop.time()
+        else:
+            self.close()
+        # The observer goes first: it may find that the connection can't be trusted.
+        if observer is not None:
+            observer.reply_received(self, reply)
+        if reusable and not self.closed:
+            self.owner.connection_idle(self)
+
+    def _fail(self, failure: ExchangeFailure) -> None:
+        observer, self.observer = self.observer, None
+        self.close()
+        if observer is not None:
+            observer.exchange_failed(self, failure)
+
+    def _note_keep_alive(self) -> None:
+        for name, value in self._headers:
+            if name == KEEP_ALIVE_HEADER and value.startswith(TIMEOUT_PARAMETER):
+                seconds = value[len(TIMEOUT_PARAMETER) :].split(b",")[0].strip()
+                if seconds.isdigit():
+                    self.keep_alive_seconds = float(seconds)
+
+
+def set_socket_options(sock: socket.socket) -> None:
+    """Make a connection whose peer went silent fail within seconds."""
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(level, option, value)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,10 +10,10 @@
 
 from bronzebeam.cli_settings import settings as settings_group
 from bronzebeam.findings import FindingsError
+from bronzebeam.listen import ListenSettings
 from bronzebeam.settings import (
     DrainSettings,
     EntrySettings,
-    ListenSettings,
     check_settings,
     parse_settings,
 )
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -10,12 +10,8 @@
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 
 from bronzebeam.telemetry.histogram import LatencyHistogram
-from bronzebeam.telemetry.logs import (
-    RESERVED_FIELDS,
-    LogOutput,
-    format_value,
-    log_event,
-)
+from bronzebeam.telemetry.lines import format_value
+from bronzebeam.telemetry.logs import RESERVED_FIELDS, LogOutput, log_event
 from bronzebeam.telemetry.metrics import MetricRegistry
 from bronzebeam.telemetry.traces import Tracing
 
