--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -46,7 +46,7 @@
         """Take the result; the attempt holds the reply, if there is one."""
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Attempt:
     """
     One send of a request to one replica.
@@ -181,9 +181,12 @@
         assert self.sent_at_seconds is not None
         latency_ms = (now_seconds - self.sent_at_seconds) * MS_PER_SECOND
         typical = self.context.state.typical(self.routed.route)
-        ratio = latency_ms / typical.typical_ms
+        self.replica.pace.observe(
+            latency_ms=latency_ms,
+            typical_ms=typical.typical_ms,
+            now_seconds=now_seconds,
+        )
         typical.observe(latency_ms)
-        self.replica.pace.observe(ratio, now_seconds)
 
     def _cancel_pending(self) -> None:
         if self._pending is not None:
--- a/src/bronzebeam/gateway/context.py
+++ b/src/bronzebeam/gateway/context.py
@@ -11,7 +11,7 @@
 from bronzebeam.telemetry.decisions import DecisionLog
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class GatewayContext:
     """Services that request handlers use."""
 
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -45,7 +45,7 @@
     return connection
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Gateway:
     """
     One gateway process.
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -30,12 +30,13 @@
 SPARE_INSTANCES: Final = 2  # newcomers find room before others have heard of them
 CONNECTIONS_MIN: Final = 2
 CONNECTIONS_MAX: Final = 12  # more would only queue at the replica
+OPENED_MAX: Final = 64  # in one turn, so that requests do not wait behind them
 EXCHANGE_SLACK_SECONDS: Final = 1.0  # beyond the longest timeout of a route
 WARM_FAN_OUT: Final = 2  # two fan-outs may meet on a replica
 WARM_OTHER: Final = 1
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class FleetState:
     """
     The state that requests read, and that the watch of the store writes.
@@ -82,6 +83,7 @@
             self._remove_replica(name)
         self.instances = set(contents.instances)
         self._share_connections()
+        self.tend()
 
     def apply(self, changes: Iterable[Change]) -> None:
         """Take in changes, in the order in which they were made."""
@@ -106,14 +108,16 @@
     def tend(self) -> None:
         """Drop replicas that are gone, and keep connections to the others open."""
         now_seconds = self.loop.time()
+        opened = 0
         for name, replica in list(self.replicas.items()):
             replica.close_stuck(now_seconds, self._exchange_max_seconds)
             gone_at = replica.gone_at_seconds
             if gone_at is not None:
                 if now_seconds - gone_at > REMOVED_LINGER_SECONDS and not replica.busy:
                     self._forget(name)
-            elif not replica.record.leaving and not replica.mismatched:
-                replica.keep_warm(now_seconds, self._warm_wanted(replica))
+            elif opened < OPENED_MAX and _is_wanted(replica):
+                wanted = self._warm_wanted(replica)
+                opened += replica.keep_warm(now_seconds, wanted)
 
     # Read by requests.
 
@@ -312,9 +316,10 @@
         return now_seconds - leaving_at <= LEAVING_LINGER_SECONDS
 
     def _warm_wanted(self, replica: Replica) -> int:
-        if replica.record.service in self._fan_out_services:
-            return WARM_FAN_OUT
-        return WARM_OTHER
+        if replica.record.service not in self._fan_out_services:
+            return WARM_OTHER
+        # One for each replica first: a process that returns serves at once.
+        return WARM_FAN_OUT if replica.open_connections else 1
 
     def _share_connections(self) -> None:
         sharing = self.live_instances + SPARE_INSTANCES
@@ -330,5 +335,9 @@
     return DEFAULT_CONNECTION_LIMIT if service is None else service.connection_limit
 
 
+def _is_wanted(replica: Replica) -> bool:
+    return not replica.record.leaving and not replica.mismatched
+
+
 def _same_place(one: ReplicaRecord, other: ReplicaRecord) -> bool:
     return (one.service, one.host, one.port) == (other.service, other.host, other.port)
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -15,7 +15,7 @@
 REJECTED_MAX: Final = 4  # replicas that may turn one request away before it is refused
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Forward:
     """
     One request on its way to a replica, with retries and at most one hedge.
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -7,7 +7,7 @@
 from bronzebeam.telemetry.metrics import Counter, Family, Latency, MetricRegistry
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class GatewayMetrics:
     """Counters and latency histograms of requests and sub-requests."""
 
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -17,7 +17,7 @@
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class ShardRun:
     """
     The attempts for one shard.
@@ -45,7 +45,7 @@
         return any(not item.ended for item in self.attempts)
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Gather:
     """One request on its way to one replica of each shard."""
 
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -17,7 +17,7 @@
 LOGGED_ATTEMPTS: Final = 8  # a line stays short where many shards failed
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Outcome:
     """
     How a request ended, for its log line.
--- a/src/bronzebeam/gateway/planned_stop.py
+++ b/src/bronzebeam/gateway/planned_stop.py
@@ -15,7 +15,7 @@
 RESERVE_SECONDS: Final = 0.4  # before the process is killed
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class PlannedStop:
     """
     Carries out a planned stop.
--- a/src/bronzebeam/gateway/readiness.py
+++ b/src/bronzebeam/gateway/readiness.py
@@ -12,7 +12,7 @@
 ISOLATED_SECONDS: Final = 1.5  # shorter outages of all replicas are ridden out
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Readiness:
     """
     Decides on readiness from the configuration and the connections held.
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -35,7 +35,7 @@
         """
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class PendingSend:
     """
     A sub-request that waits for a free connection.
@@ -49,7 +49,7 @@
     cancelled: bool = False
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Replica:
     """
     One life of a backend server, and the connections to it.
@@ -156,14 +156,20 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def keep_warm(self, now_seconds: float, wanted: int) -> None:
-        """Open connections up to `wanted`, unless the replica was just unreachable."""
+    def keep_warm(self, now_seconds: float, wanted: int) -> int:
+        """
+        Open connections up to `wanted`, unless the replica was just unreachable.
+
+        :return: the number of connections that are being opened.
+        """
         self._drop_stale(now_seconds)
         if now_seconds < self._retry_at_seconds:
-            return
-        missing = min(wanted, self.connections_max) - self.open_connections
-        for _ in range(missing - self._opening):
+            return 0
+        held = self.open_connections + self._opening
+        missing = max(0, min(wanted, self.connections_max) - held)
+        for _ in range(missing):
             self.open()
+        return missing
 
     def close(self) -> None:
         """Close idle connections; those that carry an exchange finish it first."""
--- a/src/bronzebeam/gateway/routed.py
+++ b/src/bronzebeam/gateway/routed.py
@@ -7,7 +7,7 @@
 from bronzebeam.transport.caller_request import CallerRequest
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class RoutedRequest:
     """
     A request with its route, pinned for as long as it takes.
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -19,7 +19,7 @@
 START_RETRY_MS: Final = 400.0  # a process reads its configuration in less
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Router:
     """
     Finds the route of each request and starts its handling.
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -13,7 +13,7 @@
 WATCH_WAIT_SECONDS: Final = (
     20.0  # a watch that waits is one call; dead peers show early
 )
-COALESCE_SECONDS: Final = 0.7  # changes come in bursts; bounds on them are seconds
+COALESCE_SECONDS: Final = 1.0  # changes come in bursts; bounds on them are seconds
 RETRY_FIRST_SECONDS: Final = 0.1
 RETRY_MAX_SECONDS: Final = 0.8  # a store that returns is found well within its bounds
 RETRY_FACTOR: Final = 2.0
@@ -21,7 +21,7 @@
 RENEW_SHARE: Final = 0.3  # several renewals may fail before the lease ends
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Backoff:
     """Delays between attempts to reach the store."""
 
@@ -39,7 +39,7 @@
         return delay_seconds * (0.5 + self.rng.random())
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class StoreWatch:
     """
     Reads the store once and then follows its changes.
@@ -102,7 +102,7 @@
         self.connected = False
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class Registration:
     """Keeps this instance registered, so that others count it."""
 
--- a/src/bronzebeam/platform/__main__.py
+++ b/src/bronzebeam/platform/__main__.py
@@ -1,50 +1,12 @@
 """Runs a gateway on the platform: ``python3 -m bronzebeam.platform``."""
 
-import asyncio
 import sys
 
-from bronzebeam.findings import FindingsError
-from bronzebeam.gateway.daemon import Gateway
-from bronzebeam.gateway.records import GatewayStore
-from bronzebeam.gateway.settings import GatewaySettings
-from bronzebeam.platform.headers import PlatformDialect
-from bronzebeam.platform.node_settings import read_settings, settings_path
-from bronzebeam.platform.store import PlatformStore
-from bronzebeam.telemetry.decisions import DecisionLog, standard_output
-from bronzebeam.transport.http_call import HttpCallClient
-
-EXIT_FINDINGS = 2
-
-
-def make_store(settings: GatewaySettings, log: DecisionLog) -> GatewayStore:
-    """Make the client of the store that the settings name."""
-    client = HttpCallClient(host=settings.store.address, port=settings.store.port)
-    return PlatformStore(client=client, log=log)
-
-
-def main() -> int:
-    """
-    Run the gateway until a planned stop.
-
-    Exit codes: 0 after a planned stop, 1 if requests were cut off at its bound,
-    2 if the settings have findings.
-    """
-    path = settings_path()
-    try:
-        settings = read_settings(path)
-    except FindingsError as error:
-        for finding in error.findings:
-            print(f"{error.subject}: {finding}", file=sys.stderr)
-        return EXIT_FINDINGS
-    gateway = Gateway(
-        settings=settings,
-        read_settings=lambda: read_settings(path),
-        make_store=make_store,
-        dialect=PlatformDialect(),
-        log=DecisionLog(instance=settings.instance, write=standard_output()),
-    )
-    return asyncio.run(gateway.run())
+if __name__ == "__main__":
+    # The gateway speaks no TLS. Without this module asyncio starts a tenth faster, and
+    # a process that returns after a loss of power serves that much sooner.
+    sys.modules["ssl"] = None  # type: ignore[assignment]
 
+    from bronzebeam.platform.role import main
 
-if __name__ == "__main__":
     sys.exit(main())
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -2,7 +2,6 @@
 
 import os
 from collections.abc import Mapping
-from pathlib import Path
 from typing import Final
 
 from bronzebeam.findings import Finding, FindingsError
@@ -19,12 +18,12 @@
 LEASE_MIN_MS: Final = 1_000.0
 
 
-def settings_path() -> Path:
+def settings_path() -> str:
     """Return where the settings file is."""
-    return Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH))
+    return os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
 
 
-def read_settings(path: Path) -> GatewaySettings:
+def read_settings(path: str) -> GatewaySettings:
     """
     Read and check the settings file.
 
@@ -33,11 +32,12 @@
     :raises FindingsError: with all findings, an unreadable file included.
     """
     try:
-        text = path.read_text(encoding="utf-8")
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         finding = Finding(place="", message=f"The file cannot be read: {error}.")
-        raise FindingsError(subject=str(path), findings=[finding]) from error
-    return parse_settings(text, subject=str(path))
+        raise FindingsError(subject=path, findings=[finding]) from error
+    return parse_settings(text, subject=path)
 
 
 def parse_settings(text: str, *, subject: str) -> GatewaySettings:
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -4,7 +4,6 @@
 import binascii
 from collections.abc import Iterable
 from typing import Any, Final
-from urllib.parse import quote, urlencode
 
 import orjson
 from attrs import define, field
@@ -38,7 +37,7 @@
 NOT_FOUND: Final = 404
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class PlatformStore:
     """
     Client of the platform's store; satisfies `GatewayStore`.
@@ -56,10 +55,10 @@
         revision: int | None = None
         after = ""
         while True:
-            query = {"pathPrefix": WATCHED_PREFIX}
+            query = f"pathPrefix={WATCHED_PREFIX}"
             if after:
-                query["after"] = after
-            page = _json(await self._call("GET", "/kv-range", query=query))
+                query += f"&after={_encode(after)}"
+            page = _json(await self._call("GET", f"/kv-range?{query}"))
             items = _list(page, "items")
             changes.extend(self._changes(items))
             # Pages are no snapshot: what changed since the first is watched for.
@@ -73,15 +72,11 @@
         self, *, after: int, wait_seconds: float
     ) -> tuple[int, list[Change]]:
         """Wait for changes after a revision."""
-        query = {
-            "pathPrefix": WATCHED_PREFIX,
-            "after": str(after),
-            "waitTimeoutMs": str(int(wait_seconds * MS_PER_SECOND)),
-        }
+        wait_ms = int(wait_seconds * MS_PER_SECOND)
+        query = f"pathPrefix={WATCHED_PREFIX}&after={after}&waitTimeoutMs={wait_ms}"
         reply = await self._call(
             "GET",
-            "/kv-watch",
-            query=query,
+            f"/kv-watch?{query}",
             bound_seconds=wait_seconds + WATCH_SLACK_SECONDS,
             accepted=(OK, GONE),
         )
@@ -123,14 +118,12 @@
     async def _call(
         self,
         method: str,
-        path: str,
+        target: str,
         *,
-        query: dict[str, str] | None = None,
         body: Any = None,
         bound_seconds: float = CALL_SECONDS,
         accepted: tuple[int, ...] = (OK,),
     ) -> HttpReply:
-        target = f"{path}?{urlencode(query, quote_via=quote)}" if query else path
         try:
             reply = await self.client.call(
                 method,
@@ -139,9 +132,9 @@
                 bound_seconds=bound_seconds,
             )
         except CallFailed as error:
-            raise StoreUnavailable(f"{path}: {error}") from error
+            raise StoreUnavailable(f"{target}: {error}") from error
         if reply.status not in accepted:
-            raise StoreUnavailable(f"{path}: status {reply.status}")
+            raise StoreUnavailable(f"{target}: status {reply.status}")
         return reply
 
     def _changes(self, items: Iterable[Any]) -> Iterable[Change]:
@@ -231,6 +224,13 @@
         raise MalformedRecord(f"value: {error!r}") from error
 
 
+def _encode(key: str) -> str:
+    # Imported here, since few stores need a second page and every start counts.
+    from urllib.parse import quote
+
+    return quote(key, safe="")
+
+
 def _json(reply: HttpReply) -> dict[str, Any]:
     try:
         value = orjson.loads(reply.body)
--- a/src/bronzebeam/routing/pace.py
+++ b/src/bronzebeam/routing/pace.py
@@ -8,6 +8,8 @@
 SLOWER_STEP: Final = 1.2  # three late replies in a row move traffic elsewhere
 FASTER_STEP: Final = 0.94
 SLOWER_BAND: Final = 1.3  # ratios up to here are ordinary spread
+PAUSE_MAX_MS: Final = 200.0  # twice the pauses that the users' replicas make
+SURE_SHARE: Final = 0.6  # part of one reply's ratio that is taken as the pace
 FACTOR_MIN: Final = 0.5
 FACTOR_MAX: Final = 8.0
 FORGET_SECONDS: Final = 4.0  # a slow replica without traffic is tried again
@@ -19,7 +21,7 @@
 TYPICAL_MIN_MS: Final = 0.5
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class ReplicaPace:
     """
     Reply time of a replica relative to its peers, as a running median.
@@ -42,14 +44,22 @@
             return self.factor
         return 1.0 + (self.factor - 1.0) * math.exp(-age_seconds / FORGET_SECONDS)
 
-    def observe(self, ratio: float, now_seconds: float) -> None:
+    def observe(
+        self, *, latency_ms: float, typical_ms: float, now_seconds: float
+    ) -> None:
         """
         Take in one reply.
 
-        :param ratio: its time over the typical time of its route.
+        One that took longer than any pause shows a slow replica by itself: where
+        requests are long and few, several would have to be late otherwise.
+
+        :param typical_ms: usual reply time of its route.
         """
         factor = self.at(now_seconds)
-        if ratio > factor * SLOWER_BAND:
+        ratio = latency_ms / typical_ms
+        if latency_ms - typical_ms > PAUSE_MAX_MS and ratio > factor:
+            factor = min(max(factor * SLOWER_STEP, ratio * SURE_SHARE), FACTOR_MAX)
+        elif ratio > factor * SLOWER_BAND:
             factor = min(factor * SLOWER_STEP, FACTOR_MAX)
         elif ratio < factor:
             factor = max(factor * FASTER_STEP, FACTOR_MIN)
@@ -57,7 +67,7 @@
         self.observed_at_seconds = now_seconds
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class FailureRate:
     """
     Share of a replica's replies that were rejections or failures, lately.
@@ -84,7 +94,7 @@
         self.observed_at_seconds = now_seconds
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class TypicalLatency:
     """
     Running median of a route's reply times over all replicas.
--- a/src/bronzebeam/routing/second_sends.py
+++ b/src/bronzebeam/routing/second_sends.py
@@ -26,7 +26,7 @@
     window_seconds: float
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class SecondSendBudget:
     """
     This instance's part of the budget of one service.
--- a/src/bronzebeam/routing/traffic_split.py
+++ b/src/bronzebeam/routing/traffic_split.py
@@ -5,7 +5,7 @@
 from bronzebeam.routing.routes import WeightedService
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class TrafficSplit:
     """
     Smooth weighted round-robin over the services of one route.
--- a/src/bronzebeam/telemetry/decisions.py
+++ b/src/bronzebeam/telemetry/decisions.py
@@ -37,7 +37,7 @@
     return write
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class DecisionLog:
     """
     Collects lines and writes them when the process has a moment.
--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -31,7 +31,7 @@
         """Answer it now or later."""
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class CallerServer:
     """
     What all connections of callers share.
--- a/src/bronzebeam/transport/caller_request.py
+++ b/src/bronzebeam/transport/caller_request.py
@@ -48,7 +48,7 @@
         """Write a whole answer."""
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class CallerRequest:
     """
     A whole request.
--- a/src/bronzebeam/transport/http_call.py
+++ b/src/bronzebeam/transport/http_call.py
@@ -19,7 +19,7 @@
     """No whole reply came; the call may have been carried out."""
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class _Waiter:
     """Hands the end of an exchange to a task."""
 
@@ -36,7 +36,7 @@
             self.future.set_exception(CallFailed(failure.value))
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class HttpCallClient:
     """
     One connection to a server, opened when it is needed.
--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -35,7 +35,7 @@
     TRUNCATED = "truncated_reply"
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, repr=False)
 class HttpReply:
     """
     A whole reply.
