Leave out sub-requests that would come too late anyway

Change: a shard whose expected reply is past the target is left out, as far as the route's least share of shards allows; store calls give up a connection after 0.4 s and are retried every 0.6 s at most.

--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -36,6 +36,18 @@
 WARM_OTHER: Final = 1
 
 
+@define(kw_only=True, eq=False, repr=False)
+class Choice:
+    """
+    A replica for the next attempt.
+
+    :ivar estimate_ms: expected time to its reply.
+    """
+
+    replica: Replica
+    estimate_ms: float
+
+
 @define(kw_only=True, eq=False, repr=False)
 class FleetState:
     """
@@ -123,7 +135,7 @@
 
     def choose(
         self, *, service: str, excluded: Collection[Replica], route: Route
-    ) -> Replica | None:
+    ) -> Choice | None:
         """
         Choose the replica with the least expected reply time.
 
@@ -148,7 +160,7 @@
                 estimate_ms += LAST_RESORT_MS
             if best is None or estimate_ms < best_ms:
                 best, best_ms = replica, estimate_ms
-        return best
+        return None if best is None else Choice(replica=best, estimate_ms=best_ms)
 
     def usable_count(self, service: str) -> int:
         """Return how many replicas of a service may be used."""
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -87,18 +87,21 @@
 
     def _send(self, *, repeat: bool) -> bool:
         state = self.context.state
-        replica = state.choose(
+        choice = state.choose(
             service=self.service,
             excluded=self._tried,
             route=self.routed.route,
         )
-        if replica is None:
+        if choice is None:
             return False
         if repeat:
             state.budget(self.service).count_repeat(self.context.loop.time())
-        self._tried.add(replica)
+        self._tried.add(choice.replica)
         attempt = Attempt(
-            context=self.context, routed=self.routed, replica=replica, owner=self
+            context=self.context,
+            routed=self.routed,
+            replica=choice.replica,
+            owner=self,
         )
         self.attempts.append(attempt)
         attempt.launch()
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -10,10 +10,15 @@
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_merged
 from bronzebeam.gateway.replica import MS_PER_SECOND, Replica
 from bronzebeam.gateway.routed import RoutedRequest
-from bronzebeam.routing.gather_timing import answer_without_missing_at
+from bronzebeam.routing.gather_timing import (
+    answer_without_missing_at,
+    is_not_worth_sending,
+)
 from bronzebeam.routing.hedge_timing import second_send_after_ms
 from bronzebeam.routing.record_merge import merge_greatest
 
+NO_REPLICA: Final = "no_replica"
+NO_REPLY: Final = "no_reply"
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
 
 
@@ -32,7 +37,7 @@
     excluded: set[Replica] = field(factory=set)
     part: Attempt | None = None
     failed: bool = False
-    cause: str = "no_reply"
+    cause: str = NO_REPLICA
 
     @property
     def may_have_run(self) -> int:
@@ -73,7 +78,7 @@
         for run in self._shards:
             self.context.state.budget(run.service).count_first(now_seconds)
             if not self._send(run, repeat=False):
-                self._give_up(run, "no_replica")
+                self._give_up(run, run.cause)
             if self._done:
                 return
         self._timers = [
@@ -125,27 +130,45 @@
         self, run: ShardRun, *, repeat: bool, excluded: set[Replica] | None = None
     ) -> bool:
         state = self.context.state
-        replica = state.choose(
+        choice = state.choose(
             service=run.service,
             excluded=run.excluded if excluded is None else excluded,
             route=self.routed.route,
         )
-        if replica is None:
+        if choice is None:
+            return False
+        if self._is_hopeless(choice.estimate_ms, repeat=repeat):
+            run.cause = "too_slow"
             return False
         if repeat:
             state.budget(run.service).count_repeat(self.context.loop.time())
-        run.excluded.add(replica)
+        run.excluded.add(choice.replica)
         attempt = Attempt(
             context=self.context,
             routed=self.routed,
-            replica=replica,
+            replica=choice.replica,
             owner=self,
             shard=run.index,
         )
         run.attempts.append(attempt)
+        run.cause = NO_REPLY
         attempt.launch()
         return True
 
+    def _is_hopeless(self, estimate_ms: float, *, repeat: bool) -> bool:
+        """Whether a reply would come too late to be of use."""
+        left_ms = (
+            self.routed.target_at_seconds - self.context.loop.time()
+        ) * MS_PER_SECOND
+        skippable = len(self._shards) * (1.0 - self.routed.route.least_shard_share)
+        return is_not_worth_sending(
+            estimate_ms=estimate_ms,
+            left_ms=left_ms,
+            repeat=repeat,
+            missing=sum(1 for run in self._shards if run.failed),
+            skippable=int(skippable),
+        )
+
     def _give_up(self, run: ShardRun, cause: str) -> None:
         if not run.failed:
             run.failed = True
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -15,7 +15,7 @@
 )
 COALESCE_SECONDS: Final = 1.0  # changes come in bursts; bounds on them are seconds
 RETRY_FIRST_SECONDS: Final = 0.1
-RETRY_MAX_SECONDS: Final = 0.8  # a store that returns is found well within its bounds
+RETRY_MAX_SECONDS: Final = 0.6  # a store that returns is found well within its bounds
 RETRY_FACTOR: Final = 2.0
 LEASE_SECONDS: Final = 15.0  # an instance that died counts in shares for this long
 RENEW_SHARE: Final = 0.3  # several renewals may fail before the lease ends
--- a/src/bronzebeam/routing/gather_timing.py
+++ b/src/bronzebeam/routing/gather_timing.py
@@ -4,6 +4,7 @@
 
 MS_PER_SECOND: Final = 1_000.0
 ANSWER_MARGIN_MS: Final = 1.5  # merging and sending the answer
+HOPELESS_FACTOR: Final = 1.15  # estimates are medians; half of all replies are faster
 LATE_WAIT_FACTOR: Final = 4.0  # past the target, a part is worth a few usual replies
 
 
@@ -19,3 +20,29 @@
     at_seconds = target_at_seconds - ANSWER_MARGIN_MS / MS_PER_SECOND
     latest_seconds = now_seconds + typical_ms * LATE_WAIT_FACTOR / MS_PER_SECOND
     return max(at_seconds, latest_seconds)
+
+
+def is_not_worth_sending(
+    *,
+    estimate_ms: float,
+    left_ms: float,
+    repeat: bool,
+    missing: int,
+    skippable: int,
+) -> bool:
+    """
+    Whether a sub-request is better left out than sent.
+
+    Answers the load of a shard whose replicas are all slow: what is sent there in
+    spite of that comes too late for its own request, and delays the requests that
+    the shard could still answer in time.
+
+    :param estimate_ms: expected time to the reply.
+    :param left_ms: time to the target latency; negative if it has passed.
+    :param repeat: the shard has been sent the request already.
+    :param missing: shards that are missing already.
+    :param skippable: shards that an answer may lack.
+    """
+    if left_ms <= 0.0 or estimate_ms <= left_ms * HOPELESS_FACTOR:
+        return False
+    return repeat or missing < skippable
--- a/src/bronzebeam/transport/http_call.py
+++ b/src/bronzebeam/transport/http_call.py
@@ -11,7 +11,7 @@
     HttpReply,
 )
 
-CONNECT_SECONDS: Final = 1.0  # as for the fastest calls; a cut shows as a hang
+CONNECT_SECONDS: Final = 0.4  # many round trips; a cut shows as a hang
 IDLE_MAX_SECONDS: Final = 5.0  # idle longer, a connection may have gone silent
 
 
