Open the callers' port before the program is loaded

Change: the port is opened first, and requests wait up to 150 ms for the first read of the configuration.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import socket
 from collections.abc import Callable
 from typing import Final
 
@@ -50,11 +51,13 @@
     """
     One gateway process.
 
+    :ivar callers_socket: listens for callers already; None if it does not.
     :ivar read_settings: reads the settings anew; raises `FindingsError`.
     :ivar make_store: makes the client of the platform's store.
     """
 
     settings: GatewaySettings
+    callers_socket: socket.socket | None
     read_settings: ReadSettings
     make_store: MakeStore
     dialect: Dialect
@@ -126,13 +129,20 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self._server = CallerServer(handle=Router(context=context).handle, loop=loop)
+        router = Router(context=context, started_at_seconds=loop.time())
+        self._state.on_first_table = router.configuration_taken
+        self._server = CallerServer(handle=router.handle, loop=loop)
         return self.make_store(settings, self.log)
 
     async def _listen(self) -> None:
         settings = self.settings
         internal = CallerServer(handle=self._answer_internal, loop=self._loop)
-        await self._serve(self._server, settings.caller_listen)
+        if self.callers_socket is not None:
+            await self._loop.create_server(
+                self._server.new_connection, sock=self.callers_socket, backlog=BACKLOG
+            )
+        else:
+            await self._serve(self._server, settings.caller_listen)
         for listen in (settings.ready_listen, settings.metrics_listen):
             if listen is not None:
                 await self._serve(internal, listen)
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from attrs import define, field
@@ -55,6 +55,7 @@
 
     :ivar own_domain: failure domain of this instance.
     :ivar table: configuration in force; None before the first was read.
+    :ivar on_first_table: called once everything was read for the first time.
     :ivar replicas: all replicas that may still be used, by identifier.
     :ivar instances: live instances that are registered.
     """
@@ -67,6 +68,7 @@
     limits: SecondSendLimits
     rng: random.Random = field(factory=random.Random)
     table: RouteTable | None = None
+    on_first_table: Callable[[], None] | None = None
     replicas: dict[str, Replica] = field(factory=dict)
     instances: set[str] = field(factory=set)
     started_at_seconds: float = 0.0
@@ -94,7 +96,7 @@
         for name in self.replicas.keys() - contents.replicas.keys():
             self._remove_replica(name)
         self.instances = set(contents.instances)
-        self._share_connections()
+        self._settle()
         self.tend()
 
     def apply(self, changes: Iterable[Change]) -> None:
@@ -109,7 +111,7 @@
                 self._put_replica(value)
             elif change.kind is RecordKind.REPLICA:
                 self._remove_replica(change.name)
-        self._share_connections()
+        self._settle()
 
     def take_limits(self, limits: SecondSendLimits) -> None:
         """Put changed bounds on repeated sub-requests in force."""
@@ -210,6 +212,13 @@
             if any(item.open_connections for item in replicas)
         )
 
+    def _settle(self) -> None:
+        self._share_connections()
+        callback = self.on_first_table
+        if self.table is not None and callback is not None:
+            self.on_first_table = None
+            callback()
+
     def _take_table(self, table: RouteTable) -> None:
         held = self.table
         if held is not None and table.version <= held.version:
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -16,6 +16,7 @@
 
 CALLER_WORK_MS: Final = 1.5  # the caller's and this instance's own share of the time
 DEADLINE_MARGIN_MS: Final = 5.0  # the final answer reaches a caller that still waits
+START_WAIT_SECONDS: Final = 0.15  # the store is read in a tenth of this
 START_RETRY_MS: Final = 400.0  # a process reads its configuration in less
 
 
@@ -24,18 +25,22 @@
     """
     Finds the route of each request and starts its handling.
 
+    :ivar started_at_seconds: monotonic time at which the process started.
+    :ivar _waiting: requests that came before the first configuration was read.
     :ivar _longest_ms: longest wait that callers of a route have granted; a retry
         grants less, which tells how long the first attempt took.
     """
 
     context: GatewayContext
+    started_at_seconds: float
+    _waiting: list[CallerRequest] = field(factory=list)
     _longest_ms: dict[str, float] = field(factory=dict)
 
     def handle(self, request: CallerRequest) -> None:
         """Route a request; bad ones are answered at once."""
         table = self.context.state.table
         if table is None:
-            self._refuse(request, 503, "no_configuration")
+            self._wait_for_configuration(request)
             return
         facts = self.context.dialect.read_request(request.headers)
         if not facts.attempt_id:
@@ -69,6 +74,30 @@
             service = self.context.state.next_service(route)
             Forward(context=self.context, routed=routed, service=service).start()
 
+    def configuration_taken(self) -> None:
+        """Handle the requests that waited for the first configuration."""
+        waiting, self._waiting = self._waiting, []
+        for request in waiting:
+            if not request.gone:
+                self.handle(request)
+
+    def _wait_for_configuration(self, request: CallerRequest) -> None:
+        loop = self.context.loop
+        if loop.time() - self.started_at_seconds > START_WAIT_SECONDS:
+            self._refuse(request, 503, "no_configuration")
+            return
+        if not self._waiting:
+            loop.call_at(
+                self.started_at_seconds + START_WAIT_SECONDS, self._refuse_waiting
+            )
+        self._waiting.append(request)
+
+    def _refuse_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for request in waiting:
+            if not request.gone:
+                self._refuse(request, 503, "no_configuration")
+
     def _elapsed_before(self, route: Route, remaining_ms: float) -> float:
         longest_ms = max(self._longest_ms.get(route.name, 0.0), remaining_ms)
         self._longest_ms[route.name] = longest_ms
--- a/src/bronzebeam/platform/__main__.py
+++ b/src/bronzebeam/platform/__main__.py
@@ -2,11 +2,15 @@
 
 import sys
 
+from bronzebeam.platform.settings_lines import listen_for_callers
+
 if __name__ == "__main__":
+    callers_socket = listen_for_callers()
+
     # The gateway speaks no TLS. Without this module asyncio starts a tenth faster, and
     # a process that returns after a loss of power serves that much sooner.
     sys.modules["ssl"] = None  # type: ignore[assignment]
 
     from bronzebeam.platform.role import main
 
-    sys.exit(main())
+    sys.exit(main(callers_socket))
--- a/src/bronzebeam/platform/names.py
+++ b/src/bronzebeam/platform/names.py
@@ -8,5 +8,3 @@
 INSTANCE_PREFIX: Final = "instances/"
 
 READY_PATH: Final = b"/ready"
-SETTINGS_VARIABLE: Final = "BRONZEBEAM_NODE_FILE"
-SETTINGS_PATH: Final = "/etc/bronzebeam/node.conf"
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -1,13 +1,13 @@
 """The platform's settings file: lines of the form ``a.b=value``."""
 
-import os
 from collections.abc import Mapping
 from typing import Final
 
 from bronzebeam.findings import Finding, FindingsError
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.listen import ListenSettings
-from bronzebeam.platform.names import READY_PATH, SETTINGS_PATH, SETTINGS_VARIABLE
+from bronzebeam.platform.names import READY_PATH
+from bronzebeam.platform.settings_lines import CALLER_ADDRESS, split_lines
 from bronzebeam.routing.second_sends import SecondSendLimits
 
 # Used where the file lacks a bound; each is the value of the present deployments.
@@ -18,11 +18,6 @@
 LEASE_MIN_MS: Final = 1_000.0
 
 
-def settings_path() -> str:
-    """Return where the settings file is."""
-    return os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
-
-
 def read_settings(path: str) -> GatewaySettings:
     """
     Read and check the settings file.
@@ -46,14 +41,14 @@
 
     :raises FindingsError: with all findings.
     """
-    reader = _Reader(fields=_split_lines(text))
+    reader = _Reader(fields=split_lines(text))
     ports = reader.optional("internalPortRange").split(",")
     address = reader.required("ipAddress")
     settings = GatewaySettings(
         instance=reader.required("nodeName"),
         failure_domain=reader.required("zone"),
         region=reader.optional("region"),
-        caller_listen=reader.address("listenAddresses.frontendAddress"),
+        caller_listen=reader.address(CALLER_ADDRESS),
         ready_listen=reader.optional_address("listenAddresses.ready"),
         ready_path=READY_PATH,
         metrics_listen=(
@@ -75,15 +70,6 @@
     return settings
 
 
-def _split_lines(text: str) -> dict[str, str]:
-    fields: dict[str, str] = {}
-    for line in text.splitlines():
-        name, separator, value = line.partition("=")
-        if separator:
-            fields[name.strip()] = value.strip()
-    return fields
-
-
 class _Reader:
     """Reads typed fields and collects what is wrong with them."""
 
--- a/src/bronzebeam/platform/role.py
+++ b/src/bronzebeam/platform/role.py
@@ -1,6 +1,7 @@
 """The gateway's role on the platform, assembled."""
 
 import asyncio
+import socket
 import sys
 
 from bronzebeam.findings import FindingsError
@@ -8,7 +9,8 @@
 from bronzebeam.gateway.records import GatewayStore
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.platform.headers import PlatformDialect
-from bronzebeam.platform.node_settings import read_settings, settings_path
+from bronzebeam.platform.node_settings import read_settings
+from bronzebeam.platform.settings_lines import settings_path
 from bronzebeam.platform.store import PlatformStore
 from bronzebeam.telemetry.decisions import DecisionLog, standard_output
 from bronzebeam.transport.http_call import HttpCallClient
@@ -22,12 +24,14 @@
     return PlatformStore(client=client, log=log)
 
 
-def main() -> int:
+def main(callers_socket: socket.socket | None) -> int:
     """
     Run the gateway until a planned stop.
 
     Exit codes: 0 after a planned stop, 1 if requests were cut off at its bound,
     2 if the settings have findings.
+
+    :param callers_socket: listens for callers already; None if it does not.
     """
     path = settings_path()
     try:
@@ -38,6 +42,7 @@
         return EXIT_FINDINGS
     gateway = Gateway(
         settings=settings,
+        callers_socket=callers_socket,
         read_settings=lambda: read_settings(path),
         make_store=make_store,
         dialect=PlatformDialect(),
