--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -5,9 +5,10 @@
 
 from attrs import define
 
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND, PendingSend
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.dialect import ReplyFacts
-from bronzebeam.gateway.replica import MS_PER_SECOND, PendingSend, Replica
+from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.transport.http_reply import (
     ClientConnection,
@@ -75,7 +76,7 @@
     def launch(self) -> None:
         """Send the request as soon as the replica has a free connection."""
         self._pending = PendingSend(start=self._start, refuse=self._refuse)
-        self.replica.take(self._pending, fresh=not self.routed.route.idempotent)
+        self.replica.pool.take(self._pending, fresh=not self.routed.route.idempotent)
 
     def discard(self) -> None:
         """Let a send that is under way finish, but ignore its reply."""
@@ -118,7 +119,7 @@
             replica=None if connection.proven else self.replica.record.replica,
         )
         request = self.routed.request
-        self.replica.note_sent(connection, now_seconds)
+        self.replica.pool.note_sent(connection, now_seconds)
         connection.send(
             self.routed.head + head + request.body,
             self,
@@ -134,7 +135,7 @@
         """Tell the reply of this request from what must not be used."""
         now_seconds = self.context.loop.time()
         assert self.sent_at_seconds is not None
-        self.replica.note_answered(self.sent_at_seconds)
+        self.replica.pool.note_answered(self.sent_at_seconds)
         facts = self.context.dialect.read_reply(reply.headers)
         if facts.attempt_id and facts.attempt_id != self.routed.facts.attempt_id:
             connection.close()
@@ -160,7 +161,7 @@
         self, connection: ClientConnection, failure: ExchangeFailure
     ) -> None:
         """Take the end of the connection."""
-        self.replica.busy.pop(connection, None)
+        self.replica.pool.busy.pop(connection, None)
         if failure is ExchangeFailure.NOT_SENT:
             self.sent_at_seconds = None
             self._end(AttemptResult.NOT_SENT, failure.value)
--- /dev/null
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -0,0 +1,266 @@
+"""Connections to one server, opened ahead of need and shared by requests."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from attrs import define, field
+
+from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.transport.http_reply import ClientConnection
+
+MS_PER_SECOND: Final = 1_000.0
+CONNECT_SECONDS: Final = 0.4  # many round trips, and far below a deadline
+RECONNECT_FIRST_SECONDS: Final = 0.1  # a restarted server is found soon
+RECONNECT_MAX_SECONDS: Final = 1.0  # a server that stays away is tried each second
+KEEP_ALIVE_MARGIN_SECONDS: Final = 0.4  # a request must not cross the server's close
+KEEP_ALIVE_DEFAULT_SECONDS: Final = 20.0  # where a server states no timeout
+FRESH_SECONDS: Final = 4.0  # idle longer, a connection may have gone silent
+
+
+class Connect(Protocol):
+    """Opens a connection, and reports to its owner when it ends."""
+
+    async def __call__(
+        self, *, host: str, port: int, owner: "ConnectionPool"
+    ) -> ClientConnection:
+        """
+        Open a connection.
+
+        :raises OSError: if the server does not accept it.
+        """
+
+
+@define(kw_only=True, eq=False, repr=False)
+class PendingSend:
+    """
+    A request that waits for a free connection.
+
+    :ivar start: sends it on the connection.
+    :ivar refuse: tells it that the server can't be reached.
+    """
+
+    start: Callable[[ClientConnection], None]
+    refuse: Callable[[], None]
+    cancelled: bool = False
+
+
+@define(kw_only=True, eq=False, repr=False)
+class ConnectionPool:
+    """
+    The connections to one server.
+
+    :ivar name: what the server is called in log lines.
+    :ivar connections_max: connections that may be open at a time.
+    :ivar closing: connections are closed as soon as they are idle.
+    :ivar busy: when the request on each busy connection was sent, the oldest first.
+    """
+
+    name: str
+    host: str
+    port: int
+    loop: asyncio.AbstractEventLoop
+    connect: Connect
+    log: DecisionLog
+    connections_max: int = 2
+    closing: bool = False
+    idle: list[ClientConnection] = field(factory=list)
+    busy: dict[ClientConnection, float] = field(factory=dict)
+    waiting: deque[PendingSend] = field(factory=deque)
+    _answered_sent_at_seconds: float = 0.0
+    _opening: int = 0
+    _connect_failures: int = 0
+    _retry_at_seconds: float = 0.0
+    _tasks: set[asyncio.Task[None]] = field(factory=set)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the connections that are open."""
+        return len(self.idle) + len(self.busy)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that wait for a reply, or for a connection."""
+        return len(self.busy) + len(self.waiting)
+
+    @property
+    def reachable(self) -> bool:
+        """Whether a request has a connection, or is likely to get one."""
+        return bool(self.idle or self.busy) or not self._connect_failures
+
+    def silence_ms(self, now_seconds: float) -> float:
+        """Return how long the oldest request sent after the last answered waits."""
+        for sent_at in self.busy.values():
+            if sent_at > self._answered_sent_at_seconds:
+                return (now_seconds - sent_at) * MS_PER_SECOND
+        return 0.0
+
+    def take(self, pending: PendingSend, *, fresh: bool) -> None:
+        """
+        Give `pending` a connection now, or as soon as there is one.
+
+        :param fresh: use no connection that was idle for long; a request that may
+            not be repeated would be lost on one that has gone silent.
+        """
+        connection = self._take_idle(fresh=fresh)
+        if connection is not None:
+            pending.start(connection)
+            return
+        self.waiting.append(pending)
+        if self.open_connections + self._opening < self.connections_max:
+            self.open()
+        elif not self.busy and not self._opening:
+            self._refuse_waiting()
+
+    def note_sent(self, connection: ClientConnection, now_seconds: float) -> None:
+        """Count an exchange as under way."""
+        self.busy[connection] = now_seconds
+
+    def note_answered(self, sent_at_seconds: float) -> None:
+        """Note that a request sent at this time has its reply."""
+        self._answered_sent_at_seconds = max(
+            self._answered_sent_at_seconds, sent_at_seconds
+        )
+
+    def close_stuck(self, now_seconds: float, most_seconds: float) -> None:
+        """Close connections whose exchange has lasted longer than any may."""
+        for connection, sent_at in list(self.busy.items()):
+            if now_seconds - sent_at <= most_seconds:
+                break
+            self.log.event(
+                "exchange_stuck",
+                server=self.name,
+                waited_ms=round((now_seconds - sent_at) * MS_PER_SECOND),
+            )
+            connection.close()
+
+    def open(self) -> None:
+        """Open one more connection in the background."""
+        self._opening += 1
+        task = self.loop.create_task(self._open())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def keep_warm(self, now_seconds: float, wanted: int) -> int:
+        """
+        Open connections up to `wanted`, unless the replica was just unreachable.
+
+        :return: the number of connections that are being opened.
+        """
+        self._drop_stale(now_seconds)
+        if now_seconds < self._retry_at_seconds:
+            return 0
+        held = self.open_connections + self._opening
+        missing = max(0, min(wanted, self.connections_max) - held)
+        for _ in range(missing):
+            self.open()
+        return missing
+
+    def close(self) -> None:
+        """Close idle connections; those that carry an exchange finish it first."""
+        for connection in self.idle:
+            connection.close()
+        self.idle.clear()
+        self._refuse_waiting()
+
+    # Called by connections.
+
+    def connection_idle(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next sub-request."""
+        self.busy.pop(connection, None)
+        if self.closing and not self.waiting:
+            connection.close()
+            return
+        pending = self._next_waiting()
+        if pending is not None:
+            pending.start(connection)
+        else:
+            self.idle.append(connection)
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Forget a connection."""
+        self.busy.pop(connection, None)
+        if not connection.proven:
+            # A server over its connection limit accepts and resets at once.
+            now_seconds = self.loop.time()
+            self._retry_at_seconds = now_seconds + RECONNECT_MAX_SECONDS
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if self.waiting and not self.open_connections and not self._opening:
+            if connection.proven:
+                self.open()
+            else:
+                self._refuse_waiting()
+
+    def _take_idle(self, *, fresh: bool) -> ClientConnection | None:
+        now_seconds = self.loop.time()
+        while self.idle:
+            connection = self.idle.pop()
+            idle_seconds = now_seconds - connection.idle_since_seconds
+            if connection.closed or _is_stale(connection, idle_seconds):
+                connection.close()
+            elif fresh and idle_seconds > FRESH_SECONDS:
+                connection.close()
+            else:
+                return connection
+        return None
+
+    def _drop_stale(self, now_seconds: float) -> None:
+        for connection in list(self.idle):
+            if _is_stale(connection, now_seconds - connection.idle_since_seconds):
+                self.idle.remove(connection)
+                connection.close()
+
+    def _next_waiting(self) -> PendingSend | None:
+        while self.waiting:
+            pending = self.waiting.popleft()
+            if not pending.cancelled:
+                return pending
+        return None
+
+    def _refuse_waiting(self) -> None:
+        while (pending := self._next_waiting()) is not None:
+            pending.refuse()
+
+    async def _open(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                connection = await self.connect(
+                    host=self.host, port=self.port, owner=self
+                )
+        except (OSError, TimeoutError) as error:
+            self._opening -= 1
+            self._note_unreachable(error)
+            return
+        self._opening -= 1
+        if self._connect_failures:
+            self.log.event("server_reachable", server=self.name)
+        self._connect_failures = 0
+        self._retry_at_seconds = 0.0
+        if not connection.closed:
+            self.connection_idle(connection)
+
+    def _note_unreachable(self, error: Exception) -> None:
+        self._connect_failures += 1
+        delay_seconds = min(
+            RECONNECT_FIRST_SECONDS * 2 ** (self._connect_failures - 1),
+            RECONNECT_MAX_SECONDS,
+        )
+        self._retry_at_seconds = self.loop.time() + delay_seconds
+        if self._connect_failures == 1:
+            self.log.event(
+                "server_unreachable",
+                server=self.name,
+                cause=str(error) or type(error).__name__,
+                open_connections=self.open_connections,
+            )
+        if not self.open_connections and not self._opening:
+            self._refuse_waiting()
+
+
+def _is_stale(connection: ClientConnection, idle_seconds: float) -> bool:
+    keep_alive_seconds = connection.keep_alive_seconds
+    if keep_alive_seconds is None:
+        keep_alive_seconds = KEEP_ALIVE_DEFAULT_SECONDS
+    return idle_seconds > keep_alive_seconds - KEEP_ALIVE_MARGIN_SECONDS
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -10,14 +10,16 @@
 from attrs import define, field
 
 from bronzebeam.findings import FindingsError
+from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.dialect import Dialect
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.gateway_metrics import GatewayMetrics
+from bronzebeam.gateway.peer_codec import ORDER_HEADER
+from bronzebeam.gateway.peer_gathers import PeerGathers
 from bronzebeam.gateway.planned_stop import PlannedStop
 from bronzebeam.gateway.readiness import Readiness
-from bronzebeam.gateway.records import GatewayStore
-from bronzebeam.gateway.replica import Replica
+from bronzebeam.gateway.records import GatewayStore, InstanceRecord
 from bronzebeam.gateway.router import Router
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.gateway.store_watch import Registration, StoreWatch
@@ -37,8 +39,10 @@
 ReadSettings = Callable[[], GatewaySettings]
 
 
-async def connect_replica(*, host: str, port: int, owner: Replica) -> ClientConnection:
-    """Open a connection to a replica."""
+async def open_connection(
+    *, host: str, port: int, owner: ConnectionPool
+) -> ClientConnection:
+    """Open a connection to a backend server or a peer."""
     loop = asyncio.get_running_loop()
     _, connection = await loop.create_connection(
         lambda: ClientConnection(owner=owner, loop=loop), host, port
@@ -66,6 +70,8 @@
     _loop: asyncio.AbstractEventLoop = field(init=False)
     _state: FleetState = field(init=False)
     _server: CallerServer = field(init=False)
+    _peer_server: CallerServer = field(init=False)
+    _peer_gathers: PeerGathers = field(init=False)
     _readiness: Readiness = field(init=False)
     _stop: asyncio.Event = field(init=False)
     _ticks: int = 0
@@ -82,25 +88,26 @@
         watch = StoreWatch(store=store, state=self._state, loop=loop, log=self.log)
         registration = Registration(
             store=store,
-            state=self._state,
-            instance=self.settings.instance,
+            record=self._own_record(),
             log=self.log,
             lease_min_seconds=self.settings.lease_min_ms / 1_000.0,
         )
+        registering = loop.create_task(registration.run())
         tasks = [
             loop.create_task(watch.run()),
-            loop.create_task(registration.run()),
             loop.create_task(self._tick_forever()),
         ]
         await self._listen()
         await self._stop.wait()
         stop = PlannedStop(
-            server=self._server,
+            servers=(self._server, self._peer_server),
             loop=loop,
             log=self.log,
             bound_seconds=self.settings.stop_bound_seconds,
         )
         self._readiness.stopping = True
+        tasks.append(loop.create_task(registration.end()))
+        registering.cancel()
         exit_code = await stop.run()
         for task in tasks:
             task.cancel()
@@ -109,6 +116,16 @@
         self.log.flush()
         return exit_code
 
+    def _own_record(self) -> InstanceRecord:
+        settings = self.settings
+        listen = settings.peer_listen
+        return InstanceRecord(
+            instance=settings.instance,
+            failure_domain=settings.failure_domain,
+            host=listen.address if listen is not None else "",
+            port=listen.port if listen is not None else 0,
+        )
+
     def _build(self) -> GatewayStore:
         settings = self.settings
         loop = self._loop
@@ -116,7 +133,7 @@
             own_domain=settings.failure_domain,
             instance=settings.instance,
             loop=loop,
-            connect=connect_replica,
+            connect=open_connection,
             log=self.log,
             limits=settings.repeats,
             started_at_seconds=loop.time(),
@@ -132,6 +149,8 @@
         router = Router(context=context, started_at_seconds=loop.time())
         self._state.on_first_table = router.configuration_taken
         self._server = CallerServer(handle=router.handle, loop=loop)
+        self._peer_gathers = PeerGathers(context=context)
+        self._peer_server = CallerServer(handle=self._answer_internal, loop=loop)
         return self.make_store(settings, self.log)
 
     async def _listen(self) -> None:
@@ -143,7 +162,7 @@
             )
         else:
             await self._serve(self._server, settings.caller_listen)
-        for listen in (settings.ready_listen, settings.metrics_listen):
+        for listen in (settings.ready_listen, settings.peer_listen):
             if listen is not None:
                 await self._serve(internal, listen)
 
@@ -153,7 +172,9 @@
         )
 
     def _answer_internal(self, request: CallerRequest) -> None:
-        if request.path == self.settings.ready_path:
+        if request.header(ORDER_HEADER):
+            self._peer_gathers.handle(request)
+        elif request.path == self.settings.ready_path:
             reason = self._readiness.not_ready_reason()
             body = f"{reason or 'ready'}\n".encode()
             request.answer(status=503 if reason else 200, headers=[], body=body)
--- /dev/null
+++ b/src/bronzebeam/gateway/delegation.py
@@ -0,0 +1,180 @@
+"""A group of shards that a peer gathers for a request of this instance."""
+
+from enum import Enum
+from typing import Final, Protocol
+
+from attrs import define, field
+
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND, PendingSend
+from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.peer_codec import (
+    ORDER_HEADER,
+    RESULT_HEADER,
+    GatherOrder,
+    decode_result,
+    encode_order,
+)
+from bronzebeam.gateway.peers import Peer
+from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.transport.http_reply import (
+    ClientConnection,
+    ExchangeFailure,
+    HttpReply,
+)
+
+HOP_MS: Final = 3.0  # to the peer and back, and the merge there
+REFUSED_STATUS: Final = 409  # the peer has another configuration in force
+
+
+class DelegationResult(Enum):
+    """
+    How a delegation ended.
+
+    `ANSWERED`: with some of the shards. `NOT_RUN`: the peer has sent nothing.
+    `UNKNOWN`: it may have sent the request to replicas.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class DelegationOwner(Protocol):
+    """Decides what follows the end of a delegation."""
+
+    def delegation_ended(
+        self, delegation: "Delegation", result: DelegationResult
+    ) -> None:
+        """Take the result; the delegation holds the records, if there are any."""
+
+
+@define(kw_only=True, eq=False, repr=False)
+class Delegation:
+    """
+    One order to one peer.
+
+    :ivar shards: positions of the shards within the route.
+    :ivar signatures: of the shards in the reply, in the same order.
+    :ivar body: greatest records of those shards.
+    :ivar late: the owner no longer waits for it alone.
+    """
+
+    context: GatewayContext
+    routed: RoutedRequest
+    peer: Peer
+    owner: DelegationOwner
+    shards: tuple[int, ...]
+    cutoff_at_seconds: float
+    signatures: list[bytes | None] = field(factory=list)
+    body: bytes = b""
+    cause: str = ""
+    late: bool = False
+    ended: bool = False
+    _pending: PendingSend | None = None
+    _connection: ClientConnection | None = None
+
+    def launch(self) -> None:
+        """Send the order."""
+        self._pending = PendingSend(start=self._start, refuse=self._refuse)
+        self.peer.pool.take(self._pending, fresh=False)
+
+    def note_late(self) -> None:
+        """Avoid the peer for a while, since its reply is overdue."""
+        if self.late or self.ended:
+            return
+        self.late = True
+        self._avoid_peer("late")
+
+    def discard(self) -> None:
+        """Ignore the reply."""
+        self.ended = True
+        if self._pending is not None:
+            self._pending.cancelled = True
+
+    def abandon(self) -> None:
+        """Have the peer stop its work by closing the connection."""
+        self.discard()
+        if self._connection is not None and self._connection.observer is self:
+            self._connection.abandon()
+
+    def _start(self, connection: ClientConnection) -> None:
+        now_seconds = self.context.loop.time()
+        self._connection = connection
+        routed = self.routed
+        order = GatherOrder(
+            version=routed.version,
+            route=routed.route.name,
+            shards=self.shards,
+            cutoff_ms=max(
+                1.0, (self.cutoff_at_seconds - now_seconds) * MS_PER_SECOND - HOP_MS
+            ),
+        )
+        remaining_ms = (routed.deadline_at_seconds - now_seconds) * MS_PER_SECOND
+        head = self.context.dialect.attempt_head(
+            remaining_ms=max(1.0, remaining_ms), replica=None
+        )
+        self.peer.pool.note_sent(connection, now_seconds)
+        connection.send(
+            b"%s%s:%s\r\n%s%s"
+            % (
+                routed.head,
+                ORDER_HEADER,
+                encode_order(order),
+                head,
+                routed.request.body,
+            ),
+            self,
+            head=False,
+        )
+
+    def _refuse(self) -> None:
+        self._avoid_peer("unreachable")
+        self._end(DelegationResult.NOT_RUN, "peer_unreachable")
+
+    # Called by the connection.
+
+    def reply_received(self, connection: ClientConnection, reply: HttpReply) -> None:
+        """Take the peer's records."""
+        connection.proven = True
+        self.peer.pool.note_answered(connection.sent_at_seconds)
+        if reply.status == REFUSED_STATUS:
+            self._end(DelegationResult.NOT_RUN, "peer_has_another_configuration")
+            return
+        value = next((v for n, v in reply.headers if n == RESULT_HEADER), b"")
+        signatures = decode_result(value, count=len(self.shards))
+        if reply.status != 200 or signatures is None:
+            self._avoid_peer(f"status_{reply.status}")
+            self._end(DelegationResult.UNKNOWN, f"peer_status_{reply.status}")
+            return
+        if not self.late:
+            self.peer.note_answered()
+        self.signatures, self.body = signatures, reply.body
+        self._end(DelegationResult.ANSWERED, "")
+
+    def exchange_failed(
+        self, connection: ClientConnection, failure: ExchangeFailure
+    ) -> None:
+        """Take the end of the connection."""
+        self.peer.pool.busy.pop(connection, None)
+        if failure is ExchangeFailure.NOT_SENT:
+            self._end(DelegationResult.NOT_RUN, failure.value)
+        else:
+            self._avoid_peer(failure.value)
+            self._end(DelegationResult.UNKNOWN, failure.value)
+
+    def _avoid_peer(self, cause: str) -> None:
+        seconds = self.peer.note_failed(self.context.loop.time())
+        self.context.log.event(
+            "peer_avoided",
+            peer=self.peer.record.instance,
+            cause=cause,
+            avoided_ms=round(seconds * MS_PER_SECOND),
+        )
+
+    def _end(self, result: DelegationResult, cause: str) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        self.cause = cause
+        self.context.metrics.delegated(cause or result.value)
+        self.owner.delegation_ended(self, result)
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -7,8 +7,16 @@
 
 from attrs import define, field
 
-from bronzebeam.gateway.records import Change, RecordKind, ReplicaRecord, StoreContents
-from bronzebeam.gateway.replica import MS_PER_SECOND, Connect, Replica
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND, Connect, ConnectionPool
+from bronzebeam.gateway.peers import PeerSet
+from bronzebeam.gateway.records import (
+    Change,
+    InstanceRecord,
+    RecordKind,
+    ReplicaRecord,
+    StoreContents,
+)
+from bronzebeam.gateway.replica import Replica
 from bronzebeam.routing.pace import TypicalLatency
 from bronzebeam.routing.replica_estimate import (
     FAILURE_MS,
@@ -25,6 +33,7 @@
 # A draining replica goes on serving for longer; it is used where no other is left.
 LEAVING_LINGER_SECONDS: Final = 1.5
 LAST_RESORT_MS: Final = 10_000.0  # any listed replica goes before one that leaves
+ABOUT_AS_GOOD: Final = 1.6  # ratio of estimates within which either replica will do
 ESTIMATE_SPREAD: Final = 0.15  # spreads instances over replicas of like estimates
 DEFAULT_CONNECTION_LIMIT: Final = 16  # for a service that the configuration lacks
 SPARE_INSTANCES: Final = 2  # newcomers find room before others have heard of them
@@ -33,6 +42,7 @@
 OPENED_MAX: Final = 64  # in one turn, so that requests do not wait behind them
 EXCHANGE_SLACK_SECONDS: Final = 1.0  # beyond the longest timeout of a route
 WARM_FAN_OUT: Final = 2  # two fan-outs may meet on a replica
+WARM_FAN_OUT_ELSEWHERE: Final = 1  # peers there do most of the work
 WARM_OTHER: Final = 1
 
 
@@ -42,10 +52,12 @@
     A replica for the next attempt.
 
     :ivar estimate_ms: expected time to its reply.
+    :ivar domains: failure domains with a replica that is about as good.
     """
 
     replica: Replica
     estimate_ms: float
+    domains: tuple[str, ...]
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -57,7 +69,7 @@
     :ivar table: configuration in force; None before the first was read.
     :ivar on_first_table: called once everything was read for the first time.
     :ivar replicas: all replicas that may still be used, by identifier.
-    :ivar instances: live instances that are registered.
+    :ivar peers: live instances that are registered.
     """
 
     own_domain: str
@@ -70,7 +82,7 @@
     table: RouteTable | None = None
     on_first_table: Callable[[], None] | None = None
     replicas: dict[str, Replica] = field(factory=dict)
-    instances: set[str] = field(factory=set)
+    peers: PeerSet = field(init=False)
     started_at_seconds: float = 0.0
     _by_service: dict[str, list[Replica]] = field(factory=dict)
     _leaving_at_seconds: dict[str, float] = field(factory=dict)
@@ -80,10 +92,14 @@
     _fan_out_services: frozenset[str] = frozenset()
     _exchange_max_seconds: float = EXCHANGE_SLACK_SECONDS
 
-    @property
-    def live_instances(self) -> int:
-        """Return how many instances share budgets and connections."""
-        return max(1, len(self.instances | {self.instance}))
+    def __attrs_post_init__(self) -> None:
+        self.peers = PeerSet(
+            instance=self.instance,
+            own_domain=self.own_domain,
+            loop=self.loop,
+            connect=self.connect,
+            log=self.log,
+        )
 
     # Written by the watch of the store.
 
@@ -95,7 +111,7 @@
             self._put_replica(record)
         for name in self.replicas.keys() - contents.replicas.keys():
             self._remove_replica(name)
-        self.instances = set(contents.instances)
+        self.peers.replace(contents.instances)
         self._settle()
         self.tend()
 
@@ -103,8 +119,10 @@
         """Take in changes, in the order in which they were made."""
         for change in changes:
             value = change.value
-            if change.kind is RecordKind.INSTANCE:
-                self._change_instance(change)
+            if isinstance(value, InstanceRecord):
+                self.peers.put(value)
+            elif change.kind is RecordKind.INSTANCE:
+                self.peers.remove(change.name)
             elif isinstance(value, RouteTable):
                 self._take_table(value)
             elif isinstance(value, ReplicaRecord):
@@ -122,16 +140,20 @@
     def tend(self) -> None:
         """Drop replicas that are gone, and keep connections to the others open."""
         now_seconds = self.loop.time()
+        self.peers.tend(now_seconds, self._exchange_max_seconds)
         opened = 0
         for name, replica in list(self.replicas.items()):
-            replica.close_stuck(now_seconds, self._exchange_max_seconds)
+            replica.pool.close_stuck(now_seconds, self._exchange_max_seconds)
             gone_at = replica.gone_at_seconds
             if gone_at is not None:
-                if now_seconds - gone_at > REMOVED_LINGER_SECONDS and not replica.busy:
+                if (
+                    now_seconds - gone_at > REMOVED_LINGER_SECONDS
+                    and not replica.pool.busy
+                ):
                     self._forget(name)
             elif opened < OPENED_MAX and _is_wanted(replica):
                 wanted = self._warm_wanted(replica)
-                opened += replica.keep_warm(now_seconds, wanted)
+                opened += replica.pool.keep_warm(now_seconds, wanted)
 
     # Read by requests.
 
@@ -147,6 +169,7 @@
         """
         best: Replica | None = None
         best_ms = 0.0
+        estimates: list[tuple[float, str]] = []
         now_seconds = self.loop.time()
         typical_ms = self.typical(route).typical_ms
         failure_ms = FAILURE_MS if route.idempotent else UNREPEATABLE_FAILURE_MS
@@ -160,9 +183,17 @@
             estimate_ms *= 1.0 + ESTIMATE_SPREAD * self.rng.random()
             if replica.record.leaving or replica.gone_at_seconds is not None:
                 estimate_ms += LAST_RESORT_MS
+            estimates.append((estimate_ms, replica.record.failure_domain))
             if best is None or estimate_ms < best_ms:
                 best, best_ms = replica, estimate_ms
-        return None if best is None else Choice(replica=best, estimate_ms=best_ms)
+        if best is None:
+            return None
+        limit_ms = best_ms * ABOUT_AS_GOOD
+        return Choice(
+            replica=best,
+            estimate_ms=best_ms,
+            domains=tuple(name for estimate, name in estimates if estimate <= limit_ms),
+        )
 
     def usable_count(self, service: str) -> int:
         """Return how many replicas of a service may be used."""
@@ -201,15 +232,19 @@
     def repeats_left(self, service: str) -> float:
         """Return how many repeated sub-requests the service's budget allows now."""
         return self.budget(service).left(
-            self.loop.time(), instances=self.live_instances
+            self.loop.time(), instances=self.peers.live_count
         )
 
+    def listed_count(self, service: str) -> int:
+        """Return how many replicas of a service there are, leaving ones included."""
+        return len(self._by_service.get(service, ()))
+
     def connected_services(self) -> frozenset[str]:
         """Return the services of which a replica has an open connection."""
         return frozenset(
             service
             for service, replicas in self._by_service.items()
-            if any(item.open_connections for item in replicas)
+            if any(item.pool.open_connections for item in replicas)
         )
 
     def _settle(self) -> None:
@@ -244,22 +279,6 @@
             services=len(table.services),
         )
 
-    def _change_instance(self, change: Change) -> None:
-        known = change.name in self.instances
-        removed = change.removed
-        if known is not removed:
-            return
-        if removed:
-            self.instances.discard(change.name)
-        else:
-            self.instances.add(change.name)
-        self.log.event(
-            "instance_removed" if removed else "instance_seen",
-            peer=change.name,
-            live_instances=self.live_instances,
-            revision=change.revision,
-        )
-
     def _put_replica(self, record: ReplicaRecord) -> None:
         held = self.replicas.get(record.replica)
         now_seconds = self.loop.time()
@@ -267,12 +286,19 @@
             self._note_state(held, record, now_seconds)
             held.record = record
             held.gone_at_seconds = None
+            held.pool.closing = False
         else:
             if held is not None:
                 self._forget(record.replica)
-            held = Replica(
-                record=record, loop=self.loop, connect=self.connect, log=self.log
+            pool = ConnectionPool(
+                name=record.replica,
+                host=record.host,
+                port=record.port,
+                loop=self.loop,
+                connect=self.connect,
+                log=self.log,
             )
+            held = Replica(record=record, pool=pool)
             self.replicas[record.replica] = held
             self._by_service.setdefault(record.service, []).append(held)
             self.log.event(
@@ -309,6 +335,7 @@
         if replica is None or replica.gone_at_seconds is not None:
             return
         replica.gone_at_seconds = self.loop.time()
+        replica.pool.closing = True
         self.log.event(
             "replica_gone",
             replica=name,
@@ -318,7 +345,7 @@
 
     def _forget(self, name: str) -> None:
         replica = self.replicas.pop(name)
-        replica.close()
+        replica.pool.close()
         self._leaving_at_seconds.pop(name, None)
         members = self._by_service[replica.record.service]
         members.remove(replica)
@@ -326,7 +353,7 @@
             del self._by_service[replica.record.service]
 
     def _usable(self, replica: Replica, now_seconds: float) -> bool:
-        if replica.mismatched or not replica.reachable:
+        if replica.mismatched or not replica.pool.reachable:
             return False
         gone_at = replica.gone_at_seconds
         if gone_at is not None and now_seconds - gone_at > REMOVED_LINGER_SECONDS:
@@ -339,17 +366,19 @@
     def _warm_wanted(self, replica: Replica) -> int:
         if replica.record.service not in self._fan_out_services:
             return WARM_OTHER
+        if replica.record.failure_domain != self.own_domain:
+            return WARM_FAN_OUT_ELSEWHERE
         # One for each replica first: a process that returns serves at once.
-        return WARM_FAN_OUT if replica.open_connections else 1
+        return WARM_FAN_OUT if replica.pool.open_connections else 1
 
     def _share_connections(self) -> None:
-        sharing = self.live_instances + SPARE_INSTANCES
+        sharing = self.peers.live_count + SPARE_INSTANCES
         services = self.table.services if self.table is not None else {}
         for service, replicas in self._by_service.items():
             limit = _connection_limit(services.get(service))
             share = min(max(limit // sharing, CONNECTIONS_MIN), CONNECTIONS_MAX)
             for replica in replicas:
-                replica.connections_max = share
+                replica.pool.connections_max = share
 
 
 def _connection_limit(service: BackendService | None) -> int:
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -6,9 +6,10 @@
 from attrs import define, field
 
 from bronzebeam.gateway.attempt import Attempt, AttemptResult
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_reply
-from bronzebeam.gateway.replica import MS_PER_SECOND, Replica
+from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.routing.hedge_timing import second_send_after_ms
 
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -16,6 +16,7 @@
     _latency: Family[Latency] = field(init=False)
     _left: Family[Counter] = field(init=False)
     _repeats: Family[Counter] = field(init=False)
+    _delegations: Family[Counter] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._requests = self.registry.counter(
@@ -39,6 +40,16 @@
             label_names=("reason",),
         )
 
+        self._delegations = self.registry.counter(
+            name="bronzebeam_gateway_delegations_total",
+            help_text="Groups of shards handed to peers, by result.",
+            label_names=("result",),
+        )
+
+    def delegated(self, result: str) -> None:
+        """Count the end of a delegation."""
+        self._delegations.labels(result=result).increment()
+
     def answered(self, routed: RoutedRequest, *, status: int, now: float) -> None:
         """Count an answer."""
         name = routed.route.name
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -6,178 +6,265 @@
 from attrs import define, field
 
 from bronzebeam.gateway.attempt import Attempt, AttemptResult
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
-from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_merged
-from bronzebeam.gateway.replica import MS_PER_SECOND, Replica
+from bronzebeam.gateway.delegation import Delegation, DelegationResult
+from bronzebeam.gateway.fleet_state import Choice
+from bronzebeam.gateway.gather_answers import GatherAnswers
+from bronzebeam.gateway.outcome import Outcome
+from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.gateway.shard_run import NO_REPLY, ShardRun
+from bronzebeam.routing.domain_groups import group_by_domain
 from bronzebeam.routing.gather_timing import (
     answer_without_missing_at,
     is_not_worth_sending,
 )
-from bronzebeam.routing.hedge_timing import second_send_after_ms
+from bronzebeam.routing.hedge_timing import (
+    delegation_late_after_ms,
+    second_send_after_ms,
+)
 from bronzebeam.routing.record_merge import merge_greatest
 
-NO_REPLICA: Final = "no_replica"
-NO_REPLY: Final = "no_reply"
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
+DELEGATED_MIN: Final = 2  # a single shard costs a peer as much as it saves
+TOO_SLOW: Final = "too_slow"
 
 
 @define(kw_only=True, eq=False, repr=False)
-class ShardRun:
-    """
-    The attempts for one shard.
-
-    :ivar part: the reply that is in the answer.
-    :ivar failed: no further attempt may be made.
+class Gather:
     """
+    One request on its way to one replica of each shard.
 
-    index: int
-    service: str
-    attempts: list[Attempt] = field(factory=list)
-    excluded: set[Replica] = field(factory=set)
-    part: Attempt | None = None
-    failed: bool = False
-    cause: str = NO_REPLICA
+    Shards whose replica is in another failure domain are handed in groups to a peer
+    there, which merges their records: less crosses between the domains. The peer's
+    failure or delay sends the request to their replicas from here.
 
-    @property
-    def may_have_run(self) -> int:
-        """Return on how many replicas the request ran, or may have."""
-        return sum(1 for item in self.attempts if item.may_have_run)
-
-    @property
-    def under_way(self) -> bool:
-        """Whether an attempt has no end yet."""
-        return any(not item.ended for item in self.attempts)
-
-
-@define(kw_only=True, eq=False, repr=False)
-class Gather:
-    """One request on its way to one replica of each shard."""
+    :ivar may_delegate: whether peers may be asked; not for what a peer has asked.
+    """
 
     context: GatewayContext
     routed: RoutedRequest
+    answers: GatherAnswers
+    may_delegate: bool
     _shards: list[ShardRun] = field(factory=list)
+    _delegations: list[Delegation] = field(factory=list)
     _open: int = 0
     _included: int = 0
     _done: bool = False
     _overdue: bool = False
+    _cutoff_at_seconds: float = 0.0
+    _peers_late_at: float = 0.0
     _hedge_timer: asyncio.TimerHandle | None = None
     _timers: list[asyncio.TimerHandle] = field(factory=list)
 
     def start(self) -> None:
-        """Send the request to one replica of each shard."""
+        """Send the request to one replica of each shard, or to peers."""
         routed = self.routed
         loop = self.context.loop
-        now_seconds = loop.time()
         routed.request.on_gone = self._caller_gone
+        self._cutoff_at_seconds = answer_without_missing_at(
+            target_at_seconds=routed.target_at_seconds,
+            now_seconds=loop.time(),
+            typical_ms=self._typical_ms(),
+        )
+        late_after_ms = delegation_late_after_ms(
+            typical_ms=self._typical_ms(),
+            target_latency_ms=routed.route.target_latency_ms,
+        )
+        self._peers_late_at = loop.time() + late_after_ms / MS_PER_SECOND
         self._shards = [
             ShardRun(index=index, service=service)
             for index, service in enumerate(routed.route.shards)
         ]
         self._open = len(self._shards)
-        for run in self._shards:
-            self.context.state.budget(run.service).count_first(now_seconds)
-            if not self._send(run, repeat=False):
-                self._give_up(run, run.cause)
-            if self._done:
-                return
+        self._send_all()
+        if self._done:
+            return
         self._timers = [
             loop.call_at(routed.deadline_at_seconds, self._deadline_passed),
-            loop.call_at(self._cutoff_at(now_seconds), self._cutoff_passed),
+            loop.call_at(self._cutoff_at_seconds, self._cutoff_passed),
         ]
+        if self._delegations:
+            self._timers.append(
+                loop.call_at(self._peers_late_at, self._delegations_late)
+            )
         self._schedule_hedges()
         self._settle()
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
         """Take a part into the answer, or try another replica."""
         run = self._shards[attempt.shard]
-        if self._done or run.part is not None:
+        if self._done or run.signature is not None:
             return
         if result is AttemptResult.ANSWERED:
-            run.part = attempt
-            self._open -= 1
-            self._included += 1
+            assert attempt.reply is not None and attempt.facts is not None
+            self._include(run, attempt.facts.signature, attempt.reply.body)
         else:
             self._retry(run, attempt, result)
         self._settle()
 
-    def _retry(self, run: ShardRun, attempt: Attempt, result: AttemptResult) -> None:
-        run.cause = attempt.cause
-        if run.under_way or run.failed:
+    def delegation_ended(
+        self, delegation: Delegation, result: DelegationResult
+    ) -> None:
+        """Take a peer's records into the answer, or send to the replicas."""
+        if self._done:
             return
-        if result is AttemptResult.NOT_RUN:
-            # It may be free again in a moment, where there is no other replica.
-            run.excluded.discard(attempt.replica)
-            others = run.excluded | {attempt.replica}
-        else:
-            others = run.excluded
-        free = result is AttemptResult.NOT_SENT
-        if not free and not self._repeat_allowed(run):
-            self._give_up(run, attempt.cause)
-        elif not self._send(run, repeat=not free, excluded=others):
-            if others is run.excluded or not self._send(run, repeat=not free):
-                self._give_up(run, attempt.cause)
+        signatures: list[bytes | None] = [None] * len(delegation.shards)
+        if result is DelegationResult.ANSWERED:
+            signatures = delegation.signatures
+        for index, signature in zip(delegation.shards, signatures):
+            run = self._shards[index]
+            if signature is not None:
+                self._include(run, signature, None)
+            elif not run.settled and not run.under_way:
+                repeat = result is not DelegationResult.NOT_RUN
+                if not self._send_again(run, repeat=repeat):
+                    self._give_up(run, delegation.cause or "missing_at_peer")
+            if self._done:
+                return
+        self._settle()
 
-    def _repeat_allowed(self, run: ShardRun) -> bool:
-        reached = sum(1 for item in run.attempts if item.reached_replica)
+    # Sending.
+
+    def _send_all(self) -> None:
+        elsewhere: dict[int, Choice] = {}
+        for run in self._shards:
+            choice = self._choose(run, run.excluded, repeat=False)
+            if choice is None:
+                self._give_up(run, run.cause)
+            elif self._may_hand_over(run, choice):
+                elsewhere[run.index] = choice
+            else:
+                self._send_first(run, choice)
+            if self._done:
+                return
+        groups = group_by_domain(
+            {index: choice.domains for index, choice in elsewhere.items()},
+            rng=self.context.rng,
+        )
+        for domain, shards in groups:
+            if len(shards) >= DELEGATED_MIN and self._delegate(domain, shards):
+                continue
+            for index in shards:
+                self._send_first(self._shards[index], elsewhere[index])
+            if self._done:
+                return
+
+    def _may_hand_over(self, run: ShardRun, choice: Choice) -> bool:
+        # With more replicas than a request may run on, a peer and this instance
+        # together could use too many of them.
+        state = self.context.state
         return (
-            reached <= REJECTED_MAX
-            and run.may_have_run < self.routed.route.max_attempts
-            and self.context.state.repeats_left(run.service) >= 1.0
+            self.may_delegate
+            and choice.replica.record.failure_domain != state.own_domain
+            and state.listed_count(run.service) <= self.routed.route.max_attempts
+        )
+
+    def _delegate(self, domain: str, shards: tuple[int, ...]) -> bool:
+        peer = self.context.state.peers.choose(domain)
+        if peer is None:
+            return False
+        delegation = Delegation(
+            context=self.context,
+            routed=self.routed,
+            peer=peer,
+            owner=self,
+            shards=shards,
+            cutoff_at_seconds=min(self._cutoff_at_seconds, self._peers_late_at),
         )
+        for index in shards:
+            self._shards[index].delegation = delegation
+            self._shards[index].cause = NO_REPLY
+        self._delegations.append(delegation)
+        delegation.launch()
+        return True
 
-    def _send(
+    def _send_first(self, run: ShardRun, choice: Choice) -> None:
+        # A first sub-request counts where it is sent, so that the sum is right.
+        self.context.state.budget(run.service).count_first(self.context.loop.time())
+        self._launch(run, choice.replica)
+
+    def _send_again(
         self, run: ShardRun, *, repeat: bool, excluded: set[Replica] | None = None
     ) -> bool:
-        state = self.context.state
-        choice = state.choose(
-            service=run.service,
-            excluded=run.excluded if excluded is None else excluded,
-            route=self.routed.route,
+        if repeat and not self._repeat_allowed(run):
+            return False
+        choice = self._choose(
+            run, run.excluded if excluded is None else excluded, repeat=True
         )
         if choice is None:
             return False
-        if self._is_hopeless(choice.estimate_ms, repeat=repeat):
-            run.cause = "too_slow"
-            return False
+        now_seconds = self.context.loop.time()
+        budget = self.context.state.budget(run.service)
         if repeat:
-            state.budget(run.service).count_repeat(self.context.loop.time())
-        run.excluded.add(choice.replica)
+            budget.count_repeat(now_seconds)
+        elif not run.sends:
+            budget.count_first(now_seconds)
+        self._launch(run, choice.replica)
+        return True
+
+    def _launch(self, run: ShardRun, replica: Replica) -> None:
+        run.excluded.add(replica)
+        run.cause = NO_REPLY
         attempt = Attempt(
             context=self.context,
             routed=self.routed,
-            replica=choice.replica,
+            replica=replica,
             owner=self,
             shard=run.index,
         )
         run.attempts.append(attempt)
-        run.cause = NO_REPLY
         attempt.launch()
-        return True
 
-    def _is_hopeless(self, estimate_ms: float, *, repeat: bool) -> bool:
-        """Whether a reply would come too late to be of use."""
-        left_ms = (
-            self.routed.target_at_seconds - self.context.loop.time()
-        ) * MS_PER_SECOND
+    def _choose(
+        self, run: ShardRun, excluded: set[Replica], *, repeat: bool
+    ) -> Choice | None:
+        choice = self.context.state.choose(
+            service=run.service, excluded=excluded, route=self.routed.route
+        )
+        if choice is None:
+            return None
+        left_seconds = self.routed.target_at_seconds - self.context.loop.time()
         skippable = len(self._shards) * (1.0 - self.routed.route.least_shard_share)
-        return is_not_worth_sending(
-            estimate_ms=estimate_ms,
-            left_ms=left_ms,
+        if is_not_worth_sending(
+            estimate_ms=choice.estimate_ms,
+            left_ms=left_seconds * MS_PER_SECOND,
             repeat=repeat,
-            missing=sum(1 for run in self._shards if run.failed),
+            missing=sum(1 for item in self._shards if item.failed),
             skippable=int(skippable),
+        ):
+            run.cause = TOO_SLOW
+            return None
+        return choice
+
+    def _repeat_allowed(self, run: ShardRun) -> bool:
+        return (
+            run.sends <= REJECTED_MAX
+            and run.may_have_run < self.routed.route.max_attempts
+            and self.context.state.repeats_left(run.service) >= 1.0
         )
 
-    def _give_up(self, run: ShardRun, cause: str) -> None:
-        if not run.failed:
-            run.failed = True
-            run.cause = cause
-            self._open -= 1
+    def _retry(self, run: ShardRun, attempt: Attempt, result: AttemptResult) -> None:
+        run.cause = attempt.cause
+        if run.under_way or run.failed:
+            return
+        repeat = result is not AttemptResult.NOT_SENT
+        others = set(run.excluded)
+        if result is AttemptResult.NOT_RUN:
+            # It may be free again in a moment, where there is no other replica.
+            run.excluded.discard(attempt.replica)
+        if not self._send_again(run, repeat=repeat, excluded=others):
+            if len(others) == len(run.excluded) or not self._send_again(
+                run, repeat=repeat
+            ):
+                self._give_up(run, attempt.cause)
+
+    # Time.
 
     def _schedule_hedges(self) -> None:
         delay_ms = second_send_after_ms(
-            typical_ms=self.context.state.typical(self.routed.route).typical_ms,
+            typical_ms=self._typical_ms(),
             target_latency_ms=self.routed.route.target_latency_ms,
         )
         self._hedge_timer = self.context.loop.call_later(
@@ -189,67 +276,22 @@
         if self._done:
             return
         for run in self._shards:
-            if run.part is not None or run.failed or len(run.attempts) > 1:
+            if run.settled or run.delegation is not None or len(run.attempts) > 1:
                 continue
-            if self._repeat_allowed(run) and self._send(run, repeat=True):
+            if self._send_again(run, repeat=True):
                 self.context.metrics.repeated("hedge")
         self._schedule_hedges()
 
-    def _cutoff_at(self, now_seconds: float) -> float:
-        state = self.context.state
-        return answer_without_missing_at(
-            target_at_seconds=self.routed.target_at_seconds,
-            now_seconds=now_seconds,
-            typical_ms=state.typical(self.routed.route).typical_ms,
-        )
-
-    def _settle(self) -> None:
-        """Answer if nothing is worth waiting for any more."""
-        if self._done:
-            return
-        total = len(self._shards)
-        least = self.routed.route.least_shard_share * total
-        if self._open == 0:
-            if self._included and self._included >= least:
-                self._answer()
-            else:
-                self._fail()
-        elif self._overdue and self._included and self._included >= least:
-            self._answer()
-        elif self._included + self._open < least:
-            self._fail()
-
-    def _answer(self) -> None:
-        self._finish()
-        parts = [run.part for run in self._shards if run.part is not None]
-        missing = [run for run in self._shards if run.part is None]
-        body = merge_greatest(
-            [part.reply.body for part in parts if part.reply is not None],
-            count=self.routed.route.top_records,
-        )
-        headers = self.context.dialect.merged_headers(
-            attempt_id=self.routed.facts.attempt_id,
-            signatures=[part.facts.signature for part in parts if part.facts],
-            missing=len(missing),
-        )
-        answer_merged(
-            self.context,
-            self.routed,
-            headers=headers,
-            body=body,
-            outcome=self._outcome(missing),
-        )
-
-    def _fail(self, cause: str = "too_few_shards", status: int = 502) -> None:
-        self._finish()
-        sent = any(item.may_have_run for run in self._shards for item in run.attempts)
-        missing = [run for run in self._shards if run.part is None]
-        answer_failure(
-            self.context,
-            self.routed,
-            status=status if sent else 503,
-            outcome=self._outcome(missing, cause=cause),
-        )
+    def _delegations_late(self) -> None:
+        """Send to the replicas of shards that a peer does not tell of."""
+        for delegation in self._delegations:
+            if self._done or delegation.ended:
+                continue
+            delegation.note_late()
+            for index in delegation.shards:
+                run = self._shards[index]
+                if not run.settled and self._send_again(run, repeat=True):
+                    self.context.metrics.repeated("late_peer")
 
     def _cutoff_passed(self) -> None:
         self._overdue = True
@@ -266,12 +308,59 @@
         for run in self._shards:
             for attempt in run.attempts:
                 attempt.abandon()
+        for delegation in self._delegations:
+            delegation.abandon()
         self.context.metrics.caller_left(self.routed.route)
-        missing = [run for run in self._shards if run.part is None]
-        self._outcome(missing, cause="caller_left").log(
+        self._outcome(cause="caller_left").log(
             self.context, self.routed, status=None, good=False
         )
 
+    # The end.
+
+    def _include(self, run: ShardRun, signature: bytes, body: bytes | None) -> None:
+        if run.failed:
+            run.failed = False
+            self._open += 1
+        if run.signature is None:
+            self._open -= 1
+            self._included += 1
+        # The peer's records hold this shard's, so its own reply must not count too.
+        run.signature, run.body = signature, body
+
+    def _give_up(self, run: ShardRun, cause: str) -> None:
+        if not run.failed:
+            run.failed = True
+            run.cause = cause
+            self._open -= 1
+
+    def _settle(self) -> None:
+        """Answer if nothing is worth waiting for any more."""
+        if self._done:
+            return
+        least = self.routed.route.least_shard_share * len(self._shards)
+        enough = self._included >= least and (
+            self._included > 0 or self.answers.empty_allowed
+        )
+        if enough and (self._open == 0 or self._overdue):
+            self._answer()
+        elif self._open == 0 or self._included + self._open < least:
+            self._fail(cause="too_few_shards", status=502)
+
+    def _answer(self) -> None:
+        self._finish()
+        bodies = [run.body for run in self._shards if run.body is not None]
+        bodies.extend(item.body for item in self._delegations if item.body)
+        records = merge_greatest(bodies, count=self.routed.route.top_records)
+        self.answers.answer(self._shards, records=records, outcome=self._outcome())
+
+    def _fail(self, *, cause: str, status: int) -> None:
+        self._finish()
+        may_have_run = any(run.may_have_run for run in self._shards)
+        self.answers.fail(
+            status=status if may_have_run else 503,
+            outcome=self._outcome(cause=cause),
+        )
+
     def _finish(self) -> None:
         self._done = True
         self.routed.request.on_gone = None
@@ -283,11 +372,27 @@
             for attempt in run.attempts:
                 if not attempt.ended:
                     attempt.discard()
+        for delegation in self._delegations:
+            if not delegation.ended:
+                delegation.discard()
+
+    def _typical_ms(self) -> float:
+        return self.context.state.typical(self.routed.route).typical_ms
 
-    def _outcome(self, missing: list[ShardRun], *, cause: str = "") -> Outcome:
+    def _outcome(self, *, cause: str = "") -> Outcome:
         return Outcome(
             attempts=[item for run in self._shards for item in run.attempts],
             cause=cause,
             included=self._included,
-            missing=[f"{run.service}:{run.cause}" for run in missing],
+            missing=[
+                f"{run.service}:{run.cause}"
+                for run in self._shards
+                if run.signature is None
+            ],
+            peers=[
+                f"{item.peer.record.instance}:{len(item.shards)}"
+                f":{item.cause or ('ok' if item.body else 'no_reply')}"
+                for item in self._delegations
+                if not item.body or item.late
+            ],
         )
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -6,8 +6,8 @@
 from attrs import define
 
 from bronzebeam.gateway.attempt import Attempt
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
-from bronzebeam.gateway.replica import MS_PER_SECOND
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.routing.refusal import retry_after_seconds
 from bronzebeam.transport.caller_request import end_to_end
@@ -24,6 +24,7 @@
 
     :ivar cause: what went wrong; empty if nothing did.
     :ivar included: shards in the answer; None outside a fan-out.
+    :ivar peers: peers whose part of the work was late or failed.
     :ivar missing: names of shards that are not in the answer, each with its cause.
     """
 
@@ -31,6 +32,7 @@
     cause: str = ""
     included: int | None = None
     missing: Sequence[str] = ()
+    peers: Sequence[str] = ()
 
     def log(
         self,
@@ -60,6 +62,8 @@
             fields["included"] = self.included
         if self.missing:
             fields["missing"] = ",".join(self.missing[:LOGGED_ATTEMPTS])
+        if self.peers:
+            fields["peers"] = ",".join(self.peers)
         fields["attempts"] = self._describe_attempts(context, routed)
         context.log.request("request_ended", good=good, **fields)
 
--- /dev/null
+++ b/src/bronzebeam/gateway/peers.py
@@ -0,0 +1,135 @@
+"""Other instances of the gateway, and the choice among them."""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from typing import Final
+
+from attrs import define, field
+
+from bronzebeam.gateway.connection_pool import Connect, ConnectionPool
+from bronzebeam.gateway.records import InstanceRecord
+from bronzebeam.telemetry.decisions import DecisionLog
+
+CONNECTIONS_MAX: Final = 4  # fan-outs that are handed to one peer at a time
+WARM_CONNECTIONS: Final = 1
+AVOIDED_FIRST_SECONDS: Final = 1.0  # after a reply that came too late
+AVOIDED_MAX_SECONDS: Final = 8.0
+SILENCE_MAX_MS: Final = 30.0  # beyond the usual reply of a peer that is well
+
+
+@define(kw_only=True, eq=False, repr=False)
+class Peer:
+    """
+    Another instance.
+
+    :ivar avoided_until_seconds: monotonic time until which it is handed nothing.
+    """
+
+    record: InstanceRecord
+    pool: ConnectionPool
+    avoided_until_seconds: float = 0.0
+    _failures: int = 0
+
+    def note_failed(self, now_seconds: float) -> float:
+        """Avoid the peer for a while; return for how many seconds."""
+        seconds: float = min(
+            AVOIDED_FIRST_SECONDS * 2.0**self._failures, AVOIDED_MAX_SECONDS
+        )
+        self._failures += 1
+        self.avoided_until_seconds = now_seconds + seconds
+        return seconds
+
+    def note_answered(self) -> None:
+        """Note that the peer has answered in time."""
+        self._failures = 0
+
+
+@define(kw_only=True, eq=False, repr=False)
+class PeerSet:
+    """
+    The live instances that are registered, this one included.
+
+    :ivar instance: name of this instance.
+    """
+
+    instance: str
+    own_domain: str
+    loop: asyncio.AbstractEventLoop
+    connect: Connect
+    log: DecisionLog
+    rng: random.Random = field(factory=random.Random)
+    records: dict[str, InstanceRecord] = field(factory=dict)
+    _peers: dict[str, Peer] = field(factory=dict)
+
+    @property
+    def live_count(self) -> int:
+        """Return the number of live instances, this one included."""
+        return len(self.records.keys() | {self.instance})
+
+    def replace(self, records: Mapping[str, InstanceRecord]) -> None:
+        """Take in all registered instances."""
+        for name in self.records.keys() - records.keys():
+            self.remove(name)
+        for record in records.values():
+            self.put(record)
+
+    def put(self, record: InstanceRecord) -> None:
+        """Take in one instance, new or changed."""
+        name = record.instance
+        known = self.records.get(name)
+        if known == record:
+            return
+        if known is not None:
+            self.remove(name)
+        self.records[name] = record
+        self.log.event(
+            "peer_seen",
+            peer=name,
+            domain=record.failure_domain,
+            live_instances=self.live_count,
+        )
+        if name == self.instance or not record.host:
+            return
+        pool = ConnectionPool(
+            name=name,
+            host=record.host,
+            port=record.port,
+            loop=self.loop,
+            connect=self.connect,
+            log=self.log,
+            connections_max=CONNECTIONS_MAX,
+        )
+        self._peers[name] = Peer(record=record, pool=pool)
+
+    def remove(self, name: str) -> None:
+        """Forget an instance."""
+        if self.records.pop(name, None) is None:
+            return
+        peer = self._peers.pop(name, None)
+        if peer is not None:
+            peer.pool.closing = True
+            peer.pool.close()
+        self.log.event("peer_gone", peer=name, live_instances=self.live_count)
+
+    def tend(self, now_seconds: float, exchange_max_seconds: float) -> None:
+        """Keep connections to the peers of other failure domains open."""
+        for peer in self._peers.values():
+            peer.pool.close_stuck(now_seconds, exchange_max_seconds)
+            if peer.record.failure_domain != self.own_domain:
+                peer.pool.keep_warm(now_seconds, WARM_CONNECTIONS)
+
+    def choose(self, failure_domain: str) -> Peer | None:
+        """Return the least busy peer of a failure domain that is well, or None."""
+        now_seconds = self.loop.time()
+        well = [
+            peer
+            for peer in self._peers.values()
+            if peer.record.failure_domain == failure_domain
+            and peer.pool.idle
+            and now_seconds >= peer.avoided_until_seconds
+            and peer.pool.silence_ms(now_seconds) <= SILENCE_MAX_MS
+        ]
+        if not well:
+            return None
+        return min(well, key=lambda peer: (peer.pool.in_flight, self.rng.random()))
--- a/src/bronzebeam/gateway/planned_stop.py
+++ b/src/bronzebeam/gateway/planned_stop.py
@@ -1,6 +1,7 @@
 """The planned stop of a gateway: nothing that was accepted is cut off."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Final
 
 from attrs import define
@@ -25,7 +26,7 @@
     then closes connections that are idle and exits when no request is under way.
     """
 
-    server: CallerServer
+    servers: Sequence[CallerServer]
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
     bound_seconds: float
@@ -39,17 +40,25 @@
         """
         started_at = self.loop.time()
         self.stopping = True
-        self.server.closing = True
-        self.log.event("stop_started", in_flight=self.server.in_flight)
+        for server in self.servers:
+            server.closing = True
+        self.log.event("stop_started", in_flight=self._in_flight())
         last_at = started_at + self.bound_seconds - RESERVE_SECONDS
         await asyncio.sleep(min(BALANCER_LAG_SECONDS, self.bound_seconds / 2))
-        while self.server.connections and self.loop.time() < last_at:
-            self.server.close_idle(quiet_seconds=QUIET_SECONDS)
+        while self._has_connections() and self.loop.time() < last_at:
+            for server in self.servers:
+                server.close_idle(quiet_seconds=QUIET_SECONDS)
             await asyncio.sleep(CLOSE_STEP_SECONDS)
-        cut_off = self.server.in_flight
+        cut_off = self._in_flight()
         self.log.event(
             "stop_ended",
             cut_off=cut_off,
             elapsed_ms=round(1e3 * (self.loop.time() - started_at)),
         )
         return 1 if cut_off else 0
+
+    def _in_flight(self) -> int:
+        return sum(server.in_flight for server in self.servers)
+
+    def _has_connections(self) -> bool:
+        return any(server.connections for server in self.servers)
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -30,6 +30,20 @@
     cold_ms: float
 
 
+@frozen(kw_only=True)
+class InstanceRecord:
+    """
+    A live instance of the gateway, as it registered itself.
+
+    :ivar host: IP number at which it serves its peers; empty if it does not.
+    """
+
+    instance: str
+    failure_domain: str
+    host: str
+    port: int
+
+
 class RecordKind(Enum):
     """What a change of the store is about."""
 
@@ -46,14 +60,14 @@
     :ivar name: replica or instance that the record is of; empty for configuration.
     :ivar revision: revision of the store at which the change was made.
     :ivar removed: the record is no longer there, or can no longer be read.
-    :ivar value: the record; None if it was removed, and for instances.
+    :ivar value: the record; None if it was removed.
     """
 
     kind: RecordKind
     name: str
     revision: int
     removed: bool = False
-    value: RouteTable | ReplicaRecord | None = None
+    value: RouteTable | ReplicaRecord | InstanceRecord | None = None
 
 
 @frozen(kw_only=True)
@@ -67,7 +81,7 @@
     revision: int
     table: RouteTable | None
     replicas: Mapping[str, ReplicaRecord] = field(factory=dict)
-    instances: frozenset[str] = frozenset()
+    instances: Mapping[str, InstanceRecord] = field(factory=dict)
 
 
 class StoreUnavailable(Exception):
@@ -98,8 +112,8 @@
         :raises HistoryLost: if the changes have to be read anew.
         """
 
-    async def register(self, *, instance: str, ttl_seconds: float) -> str:
-        """Record `instance` under a new lease and return the lease."""
+    async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> str:
+        """Record an instance under a new lease and return the lease."""
 
     async def renew(self, *, lease: str) -> bool:
         """Renew a lease; False if it has ended."""
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -4,10 +4,11 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.forward import Forward
 from bronzebeam.gateway.gather import Gather
-from bronzebeam.gateway.replica import MS_PER_SECOND
+from bronzebeam.gateway.gather_answers import CallerAnswers
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.routing.refusal import retry_after_seconds
 from bronzebeam.routing.routes import Route
@@ -69,7 +70,12 @@
             head=self.context.dialect.request_head(request),
         )
         if route.shards:
-            Gather(context=self.context, routed=routed).start()
+            Gather(
+                context=self.context,
+                routed=routed,
+                answers=CallerAnswers(context=self.context, routed=routed),
+                may_delegate=True,
+            ).start()
         else:
             service = self.context.state.next_service(route)
             Forward(context=self.context, routed=routed, service=service).start()
--- a/src/bronzebeam/gateway/settings.py
+++ b/src/bronzebeam/gateway/settings.py
@@ -15,7 +15,7 @@
     :ivar caller_listen: where callers connect.
     :ivar ready_listen: where readiness and metrics are asked for; may be missing.
     :ivar ready_path: path of the question whether this instance is ready.
-    :ivar metrics_listen: where metrics are offered beside that; may be missing.
+    :ivar peer_listen: where peers connect, and metrics are offered; may be missing.
     :ivar store: address of the platform's store.
     :ivar lease_min_ms: shortest term of a lease that the store grants.
     :ivar stop_bound_seconds: time from the signal to stop until the process is killed.
@@ -28,7 +28,7 @@
     caller_listen: ListenSettings
     ready_listen: ListenSettings | None
     ready_path: bytes
-    metrics_listen: ListenSettings | None
+    peer_listen: ListenSettings | None
     store: ListenSettings
     lease_min_ms: float
     stop_bound_seconds: float
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -7,7 +7,12 @@
 from attrs import define, field
 
 from bronzebeam.gateway.fleet_state import FleetState
-from bronzebeam.gateway.records import GatewayStore, HistoryLost, StoreUnavailable
+from bronzebeam.gateway.records import (
+    GatewayStore,
+    HistoryLost,
+    InstanceRecord,
+    StoreUnavailable,
+)
 from bronzebeam.telemetry.decisions import DecisionLog
 
 WATCH_WAIT_SECONDS: Final = (
@@ -107,26 +112,36 @@
     """Keeps this instance registered, so that others count it."""
 
     store: GatewayStore
-    state: FleetState
-    instance: str
+    record: InstanceRecord
     log: DecisionLog
     lease_min_seconds: float
     _backoff: Backoff = field(factory=Backoff)
+    _lease: str | None = None
+
+    async def end(self) -> None:
+        """End the registration, so that peers hand nothing more to this instance."""
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await self.store.release(lease=lease)
+        except StoreUnavailable as error:
+            self.log.event("registration_not_ended", lease=lease, cause=str(error))
 
     async def run(self) -> None:
         """Keep the registration until cancelled."""
         ttl_seconds = max(LEASE_SECONDS, self.lease_min_seconds)
-        lease: str | None = None
         while True:
+            lease = self._lease
             try:
                 if lease is None:
-                    lease = await self.store.register(
-                        instance=self.instance, ttl_seconds=ttl_seconds
+                    self._lease = lease = await self.store.register(
+                        record=self.record, ttl_seconds=ttl_seconds
                     )
                     self.log.event("instance_registered", lease=lease)
                 elif not await self.store.renew(lease=lease):
                     self.log.event("lease_ended", lease=lease)
-                    lease = None
+                    self._lease = None
                     continue
                 self._backoff.reset()
                 await asyncio.sleep(ttl_seconds * RENEW_SHARE)
--- /dev/null
+++ b/src/bronzebeam/platform/instances.py
@@ -0,0 +1,35 @@
+"""Instances' own entries in the store."""
+
+import orjson
+
+from bronzebeam.gateway.records import InstanceRecord
+from bronzebeam.platform.configuration import MalformedRecord
+
+
+def encode_instance(record: InstanceRecord) -> bytes:
+    """Encode the entry of an instance."""
+    return orjson.dumps(
+        {
+            "failure_domain": record.failure_domain,
+            "host": record.host,
+            "port": record.port,
+        }
+    )
+
+
+def decode_instance(instance: str, value: bytes) -> InstanceRecord:
+    """
+    Decode the entry of an instance.
+
+    :raises MalformedRecord: if it can't be read.
+    """
+    try:
+        item = orjson.loads(value)
+        return InstanceRecord(
+            instance=instance,
+            failure_domain=str(item["failure_domain"]),
+            host=str(item["host"]),
+            port=int(item["port"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedRecord(f"instance: {error!r}") from error
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -51,7 +51,7 @@
         caller_listen=reader.address(CALLER_ADDRESS),
         ready_listen=reader.optional_address("listenAddresses.ready"),
         ready_path=READY_PATH,
-        metrics_listen=(
+        peer_listen=(
             ListenSettings(address=address, port=int(ports[0]))
             if ports[0].isdigit()
             else None
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -11,12 +11,14 @@
 from bronzebeam.gateway.records import (
     Change,
     HistoryLost,
+    InstanceRecord,
     RecordKind,
     ReplicaRecord,
     StoreContents,
     StoreUnavailable,
 )
 from bronzebeam.platform.configuration import MalformedRecord, decode_configuration
+from bronzebeam.platform.instances import decode_instance, encode_instance
 from bronzebeam.platform.names import (
     CONFIGURATION_KEY,
     INSTANCE_PREFIX,
@@ -86,8 +88,8 @@
         changes = list(self._changes(_list(answer, "events")))
         return max(after, _int(answer, "atRevision")), changes
 
-    async def register(self, *, instance: str, ttl_seconds: float) -> str:
-        """Record `instance` under a new lease and return the lease."""
+    async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> str:
+        """Record an instance under a new lease and return the lease."""
         granted = _json(
             await self._call(
                 "POST", "/kv-lease", body={"ttlMs": int(ttl_seconds * MS_PER_SECOND)}
@@ -95,8 +97,8 @@
         )
         lease = _int(granted, "leaseId")
         put = {
-            "key": INSTANCE_PREFIX + instance,
-            "value": base64.b64encode(b"{}").decode(),
+            "key": INSTANCE_PREFIX + record.instance,
+            "value": base64.b64encode(encode_instance(record)).decode(),
             "leaseId": lease,
         }
         await self._call("POST", "/kv-txn", body={"putOps": [put]})
@@ -158,20 +160,20 @@
 
 def _contents(revision: int, changes: list[Change]) -> StoreContents:
     replicas: dict[str, ReplicaRecord] = {}
-    instances: set[str] = set()
+    instances: dict[str, InstanceRecord] = {}
     table: RouteTable | None = None
     for change in changes:
         if isinstance(change.value, ReplicaRecord):
             replicas[change.name] = change.value
         elif isinstance(change.value, RouteTable):
             table = change.value
-        elif change.kind is RecordKind.INSTANCE and not change.removed:
-            instances.add(change.name)
+        elif isinstance(change.value, InstanceRecord):
+            instances[change.name] = change.value
     return StoreContents(
         revision=revision,
         table=table,
         replicas=replicas,
-        instances=frozenset(instances),
+        instances=instances,
     )
 
 
@@ -182,7 +184,10 @@
     if key.startswith(INSTANCE_PREFIX):
         name = key.removeprefix(INSTANCE_PREFIX)
         return Change(
-            kind=RecordKind.INSTANCE, name=name, revision=_int(item, "revision")
+            kind=RecordKind.INSTANCE,
+            name=name,
+            revision=_int(item, "revision"),
+            value=decode_instance(name, _value(item)),
         )
     if key == CONFIGURATION_KEY:
         return Change(
--- a/src/bronzebeam/routing/hedge_timing.py
+++ b/src/bronzebeam/routing/hedge_timing.py
@@ -5,6 +5,8 @@
 from bronzebeam.routing.replica_estimate import overdue_after_ms
 
 TARGET_SHARE_MAX: Final = 0.4  # a second send still has time to be answered
+DELEGATION_WAITS: Final = 1.6  # the peer's second send, and its reply
+DELEGATION_SHARE_MAX: Final = 0.6  # what follows still has two usual replies' time
 DELAY_MIN_MS: Final = 4.0  # below, a busy instance would hedge its own delays
 
 
@@ -17,3 +19,18 @@
     """
     delay_ms = min(overdue_after_ms(typical_ms), target_latency_ms * TARGET_SHARE_MAX)
     return max(delay_ms, DELAY_MIN_MS)
+
+
+def delegation_late_after_ms(*, typical_ms: float, target_latency_ms: float) -> float:
+    """
+    Return the wait after which a peer's records count as late.
+
+    A peer hedges its own stragglers first. What is sent to the replicas after that
+    still has to be answered within the target latency.
+    """
+    own_ms = second_send_after_ms(
+        typical_ms=typical_ms, target_latency_ms=target_latency_ms
+    )
+    return min(
+        own_ms * DELEGATION_WAITS + typical_ms, target_latency_ms * DELEGATION_SHARE_MAX
+    )
--- a/src/bronzebeam/routing/routes.py
+++ b/src/bronzebeam/routing/routes.py
@@ -102,9 +102,15 @@
     services: Mapping[str, BackendService]
     limits: CallerLimits = CallerLimits()
     _index: dict[str, dict[bytes, Route]] = field(init=False, repr=False)
+    _named: dict[str, Route] = field(init=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
         object.__setattr__(self, "_index", _index_routes(self.routes))
+        object.__setattr__(self, "_named", {item.name: item for item in self.routes})
+
+    def named(self, name: str) -> Route | None:
+        """Return the route called `name`."""
+        return self._named.get(name)
 
     def find(self, *, host: str, path: bytes) -> Route | None:
         """
