Tell a lost peer from one that waits for a straggler

Cause: peers answered early with what they had, or were taken for late while both replicas of a shard were slow; their own second sends counted as hopeless against the short cutoff, and the cost of another failure domain was taken for reply time.

Change: a peer sends a 102 when it sends again for its stragglers, at the time that the order states; only a peer that has said nothing after that is lost. It works until the asker's own cutoff. Costs other than time no longer count in estimates of reply time.

--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -64,6 +64,7 @@
     peer: Peer
     owner: DelegationOwner
     shards: tuple[int, ...]
+    hedge_after_ms: float
     cutoff_at_seconds: float
     signatures: list[bytes | None] = field(factory=list)
     body: bytes = b""
@@ -73,6 +74,11 @@
     _pending: PendingSend | None = None
     _connection: ClientConnection | None = None
 
+    @property
+    def at_work(self) -> bool:
+        """Whether the peer has told that it is at work."""
+        return self._connection is not None and self._connection.interim_seen
+
     def launch(self) -> None:
         """Send the order."""
         self._pending = PendingSend(start=self._start, refuse=self._refuse)
@@ -105,6 +111,7 @@
             version=routed.version,
             route=routed.route.name,
             shards=self.shards,
+            hedge_after_ms=max(1.0, self.hedge_after_ms),
             cutoff_ms=max(
                 1.0, (self.cutoff_at_seconds - now_seconds) * MS_PER_SECOND - HOP_MS
             ),
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -21,6 +21,7 @@
 from bronzebeam.routing.replica_estimate import (
     FAILURE_MS,
     UNREPEATABLE_FAILURE_MS,
+    cost_ms,
     estimate_reply_ms,
 )
 from bronzebeam.routing.routes import BackendService, Route, RouteTable
@@ -167,9 +168,7 @@
         :param route: route of the request.
         :return: None if no replica of the service may be used.
         """
-        best: Replica | None = None
-        best_ms = 0.0
-        estimates: list[tuple[float, str]] = []
+        candidates: list[tuple[float, float, Replica]] = []
         now_seconds = self.loop.time()
         typical_ms = self.typical(route).typical_ms
         failure_ms = FAILURE_MS if route.idempotent else UNREPEATABLE_FAILURE_MS
@@ -177,22 +176,24 @@
             if replica in excluded or not self._usable(replica, now_seconds):
                 continue
             load = replica.load(now_seconds, self.own_domain)
-            estimate_ms = estimate_reply_ms(
-                load, typical_ms=typical_ms, failure_ms=failure_ms
-            )
-            estimate_ms *= 1.0 + ESTIMATE_SPREAD * self.rng.random()
+            estimate_ms = estimate_reply_ms(load, typical_ms=typical_ms)
+            score_ms = estimate_ms * (1.0 + ESTIMATE_SPREAD * self.rng.random())
+            score_ms += cost_ms(load, failure_ms=failure_ms)
             if replica.record.leaving or replica.gone_at_seconds is not None:
-                estimate_ms += LAST_RESORT_MS
-            estimates.append((estimate_ms, replica.record.failure_domain))
-            if best is None or estimate_ms < best_ms:
-                best, best_ms = replica, estimate_ms
-        if best is None:
+                score_ms += LAST_RESORT_MS
+            candidates.append((score_ms, estimate_ms, replica))
+        if not candidates:
             return None
+        best_ms, estimate_ms, best = min(candidates, key=_score)
         limit_ms = best_ms * ABOUT_AS_GOOD
         return Choice(
             replica=best,
-            estimate_ms=best_ms,
-            domains=tuple(name for estimate, name in estimates if estimate <= limit_ms),
+            estimate_ms=estimate_ms,
+            domains=tuple(
+                replica.record.failure_domain
+                for score_ms, _, replica in candidates
+                if score_ms <= limit_ms
+            ),
         )
 
     def usable_count(self, service: str) -> int:
@@ -381,6 +382,10 @@
                 replica.pool.connections_max = share
 
 
+def _score(candidate: tuple[float, float, Replica]) -> float:
+    return candidate[0]
+
+
 def _connection_limit(service: BackendService | None) -> int:
     return DEFAULT_CONNECTION_LIMIT if service is None else service.connection_limit
 
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -20,10 +20,7 @@
     answer_without_missing_at,
     is_not_worth_sending,
 )
-from bronzebeam.routing.hedge_timing import (
-    delegation_late_after_ms,
-    second_send_after_ms,
-)
+from bronzebeam.routing.hedge_timing import peer_lost_after_ms
 from bronzebeam.routing.record_merge import merge_greatest
 
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
@@ -41,12 +38,14 @@
     failure or delay sends the request to their replicas from here.
 
     :ivar may_delegate: whether peers may be asked; not for what a peer has asked.
+    :ivar hedge_after_ms: wait before shards without a reply are sent to again.
     """
 
     context: GatewayContext
     routed: RoutedRequest
     answers: GatherAnswers
     may_delegate: bool
+    hedge_after_ms: float
     _shards: list[ShardRun] = field(factory=list)
     _delegations: list[Delegation] = field(factory=list)
     _open: int = 0
@@ -54,7 +53,7 @@
     _done: bool = False
     _overdue: bool = False
     _cutoff_at_seconds: float = 0.0
-    _peers_late_at: float = 0.0
+    _peers_lost_at: float = 0.0
     _hedge_timer: asyncio.TimerHandle | None = None
     _timers: list[asyncio.TimerHandle] = field(factory=list)
 
@@ -68,11 +67,9 @@
             now_seconds=loop.time(),
             typical_ms=self._typical_ms(),
         )
-        late_after_ms = delegation_late_after_ms(
-            typical_ms=self._typical_ms(),
-            target_latency_ms=routed.route.target_latency_ms,
+        self._peers_lost_at = loop.time() + (
+            peer_lost_after_ms(self.hedge_after_ms) / MS_PER_SECOND
         )
-        self._peers_late_at = loop.time() + late_after_ms / MS_PER_SECOND
         self._shards = [
             ShardRun(index=index, service=service)
             for index, service in enumerate(routed.route.shards)
@@ -87,7 +84,7 @@
         ]
         if self._delegations:
             self._timers.append(
-                loop.call_at(self._peers_late_at, self._delegations_late)
+                loop.call_at(self._peers_lost_at, self._find_lost_peers)
             )
         self._schedule_hedges()
         self._settle()
@@ -171,7 +168,8 @@
             peer=peer,
             owner=self,
             shards=shards,
-            cutoff_at_seconds=min(self._cutoff_at_seconds, self._peers_late_at),
+            hedge_after_ms=self.hedge_after_ms,
+            cutoff_at_seconds=self._cutoff_at_seconds,
         )
         for index in shards:
             self._shards[index].delegation = delegation
@@ -263,18 +261,15 @@
     # Time.
 
     def _schedule_hedges(self) -> None:
-        delay_ms = second_send_after_ms(
-            typical_ms=self._typical_ms(),
-            target_latency_ms=self.routed.route.target_latency_ms,
-        )
         self._hedge_timer = self.context.loop.call_later(
-            delay_ms / MS_PER_SECOND, self._hedge
+            self.hedge_after_ms / MS_PER_SECOND, self._hedge
         )
 
     def _hedge(self) -> None:
         """Send once more for each shard that has no reply yet."""
         if self._done:
             return
+        self.answers.still_working()
         for run in self._shards:
             if run.settled or run.delegation is not None or len(run.attempts) > 1:
                 continue
@@ -282,10 +277,10 @@
                 self.context.metrics.repeated("hedge")
         self._schedule_hedges()
 
-    def _delegations_late(self) -> None:
-        """Send to the replicas of shards that a peer does not tell of."""
+    def _find_lost_peers(self) -> None:
+        """Send to the replicas of shards whose peer has said nothing."""
         for delegation in self._delegations:
-            if self._done or delegation.ended:
+            if self._done or delegation.ended or delegation.at_work:
                 continue
             delegation.note_late()
             for index in delegation.shards:
--- a/src/bronzebeam/gateway/gather_answers.py
+++ b/src/bronzebeam/gateway/gather_answers.py
@@ -21,6 +21,9 @@
 
     empty_allowed: bool
 
+    def still_working(self) -> None:
+        """Tell that the answer takes longer than usual."""
+
     def answer(
         self, shards: Sequence[ShardRun], *, records: bytes, outcome: Outcome
     ) -> None:
@@ -38,6 +41,9 @@
     routed: RoutedRequest
     empty_allowed: bool = False
 
+    def still_working(self) -> None:
+        """Leave a caller alone."""
+
     def answer(
         self, shards: Sequence[ShardRun], *, records: bytes, outcome: Outcome
     ) -> None:
@@ -65,6 +71,10 @@
     routed: RoutedRequest
     empty_allowed: bool = True
 
+    def still_working(self) -> None:
+        """Tell the peer that this instance lives, so that it waits."""
+        self.routed.request.tell_processing()
+
     def answer(
         self, shards: Sequence[ShardRun], *, records: bytes, outcome: Outcome
     ) -> None:
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -26,22 +26,26 @@
 
     :ivar version: version of the configuration.
     :ivar shards: positions of the shards within the route.
+    :ivar hedge_after_ms: time after which the peer sends again for its stragglers,
+        and tells that it is at work.
     :ivar cutoff_ms: time after which shards that have not replied are left out.
     """
 
     version: int
     route: str
     shards: tuple[int, ...]
+    hedge_after_ms: float
     cutoff_ms: float
 
 
 def encode_order(order: GatherOrder) -> bytes:
     """Encode an order as the value of `ORDER_HEADER`."""
     bitmap = sum(1 << index for index in order.shards)
-    return b"%d;%s;%x;%d" % (
+    return b"%d;%s;%x;%d;%d" % (
         order.version,
         order.route.encode(),
         bitmap,
+        order.hedge_after_ms,
         order.cutoff_ms,
     )
 
@@ -53,12 +57,13 @@
     :raises MalformedOrder: if it can't be read.
     """
     try:
-        version, route, bitmap, cutoff_ms = value.split(SEPARATOR)
+        version, route, bitmap, hedge_after_ms, cutoff_ms = value.split(SEPARATOR)
         bits = int(bitmap, 16)
         return GatherOrder(
             version=int(version),
             route=route.decode(),
             shards=tuple(i for i in range(bits.bit_length()) if bits >> i & 1),
+            hedge_after_ms=float(hedge_after_ms),
             cutoff_ms=float(cutoff_ms),
         )
     except ValueError as error:
--- a/src/bronzebeam/gateway/peer_gathers.py
+++ b/src/bronzebeam/gateway/peer_gathers.py
@@ -54,6 +54,7 @@
             routed=routed,
             answers=PeerAnswers(context=self.context, routed=routed),
             may_delegate=False,
+            hedge_after_ms=order.hedge_after_ms,
         ).start()
 
     def _find(self, order: GatherOrder) -> Route | None:
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -10,6 +10,7 @@
 from bronzebeam.gateway.gather import Gather
 from bronzebeam.gateway.gather_answers import CallerAnswers
 from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.routing.hedge_timing import second_send_after_ms
 from bronzebeam.routing.refusal import retry_after_seconds
 from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import CallerRequest
@@ -75,6 +76,10 @@
                 routed=routed,
                 answers=CallerAnswers(context=self.context, routed=routed),
                 may_delegate=True,
+                hedge_after_ms=second_send_after_ms(
+                    typical_ms=self.context.state.typical(route).typical_ms,
+                    target_latency_ms=route.target_latency_ms,
+                ),
             ).start()
         else:
             service = self.context.state.next_service(route)
--- a/src/bronzebeam/routing/hedge_timing.py
+++ b/src/bronzebeam/routing/hedge_timing.py
@@ -5,8 +5,7 @@
 from bronzebeam.routing.replica_estimate import overdue_after_ms
 
 TARGET_SHARE_MAX: Final = 0.4  # a second send still has time to be answered
-DELEGATION_WAITS: Final = 1.6  # the peer's second send, and its reply
-DELEGATION_SHARE_MAX: Final = 0.6  # what follows still has two usual replies' time
+PEER_SLACK_MS: Final = 8.0  # two hops, and the peer's own queue of events
 DELAY_MIN_MS: Final = 4.0  # below, a busy instance would hedge its own delays
 
 
@@ -21,16 +20,11 @@
     return max(delay_ms, DELAY_MIN_MS)
 
 
-def delegation_late_after_ms(*, typical_ms: float, target_latency_ms: float) -> float:
+def peer_lost_after_ms(hedge_after_ms: float) -> float:
     """
-    Return the wait after which a peer's records count as late.
+    Return the wait after which a peer that has said nothing counts as lost.
 
-    A peer hedges its own stragglers first. What is sent to the replicas after that
-    still has to be answered within the target latency.
+    :param hedge_after_ms: wait after which the peer sends again for its stragglers,
+        and tells that it is at work.
     """
-    own_ms = second_send_after_ms(
-        typical_ms=typical_ms, target_latency_ms=target_latency_ms
-    )
-    return min(
-        own_ms * DELEGATION_WAITS + typical_ms, target_latency_ms * DELEGATION_SHARE_MAX
-    )
+    return hedge_after_ms + PEER_SLACK_MS
--- a/src/bronzebeam/routing/replica_estimate.py
+++ b/src/bronzebeam/routing/replica_estimate.py
@@ -12,7 +12,7 @@
 CONNECT_MS: Final = 7.0  # a new connection costs about this before the request runs
 FAILURE_MS: Final = 40.0  # another round trip, and a repeat out of the budget
 UNREPEATABLE_FAILURE_MS: Final = 1_000.0  # the request is lost
-OTHER_DOMAIN_MS: Final = 4.0  # two network hops, and bytes that are paid for
+OTHER_DOMAIN_MS: Final = 4.0  # hops of the network, and bytes that are paid for
 
 
 @frozen(kw_only=True)
@@ -45,16 +45,12 @@
     return max(expected_ms * OVERDUE_FACTOR, expected_ms + OVERDUE_MIN_MS)
 
 
-def estimate_reply_ms(
-    load: ReplicaLoad, *, typical_ms: float, failure_ms: float
-) -> float:
+def estimate_reply_ms(load: ReplicaLoad, *, typical_ms: float) -> float:
     """
     Estimate the reply time of one more sub-request, in milliseconds.
 
     A replica with an overdue reply is taken to stall for as long again as it has
     done so far: pauses and crashes look alike from outside.
-
-    :param failure_ms: what a failed attempt costs the request.
     """
     expected_ms = typical_ms * max(1.0, load.pace / ORDINARY_PACE)
     if load.cold:
@@ -65,9 +61,16 @@
     )
     if load.in_flight and load.oldest_age_ms > overdue_after_ms(expected_ms):
         estimate_ms += load.oldest_age_ms
-    estimate_ms += load.failure_share * failure_ms
     if not load.connected:
         estimate_ms += CONNECT_MS
-    if not load.own_domain:
-        estimate_ms += OTHER_DOMAIN_MS
     return estimate_ms
+
+
+def cost_ms(load: ReplicaLoad, *, failure_ms: float) -> float:
+    """
+    Return what speaks against a replica beside its reply time, as milliseconds.
+
+    :param failure_ms: what a failed attempt costs the request.
+    """
+    cost = load.failure_share * failure_ms
+    return cost if load.own_domain else cost + OTHER_DOMAIN_MS
--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -21,6 +21,7 @@
 TCP_INFO_BYTES: Final = 104
 TCP_INFO_RTT_OFFSET: Final = 68
 US_PER_MS: Final = 1_000.0
+PROCESSING: Final = b"HTTP/1.1 102 Processing\r\n\r\n"
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -205,6 +206,11 @@
             transport.resume_reading()
             self.server.loop.call_soon(self._handle_next)
 
+    def send_interim(self, request: CallerRequest) -> None:
+        """Write an interim answer to the request under way."""
+        if self._transport is not None and self.request is request:
+            self._transport.write(PROCESSING)
+
     def close_if_overdue(self, now_seconds: float) -> None:
         """Close the connection if the caller is too slow."""
         limits = self.server.limits
--- a/src/bronzebeam/transport/caller_request.py
+++ b/src/bronzebeam/transport/caller_request.py
@@ -47,6 +47,9 @@
     ) -> None:
         """Write a whole answer."""
 
+    def send_interim(self, request: "CallerRequest") -> None:
+        """Write an interim answer."""
+
 
 @define(kw_only=True, eq=False, repr=False)
 class CallerRequest:
@@ -71,6 +74,7 @@
     answered: bool = False
     gone: bool = False
     on_gone: Callable[[], None] | None = field(default=None)
+    _processing_told: bool = False
 
     @property
     def path(self) -> bytes:
@@ -93,6 +97,12 @@
         if not self.gone:
             self.channel.send_answer(self, status, headers, body)
 
+    def tell_processing(self) -> None:
+        """Tell the caller once that the answer takes longer than usual."""
+        if not self.answered and not self.gone and not self._processing_told:
+            self._processing_told = True
+            self.channel.send_interim(self)
+
     def caller_left(self) -> None:
         """Note that nobody waits for the answer any more."""
         self.gone = True
--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -87,6 +87,7 @@
         "idle_since_seconds",
         "keep_alive_seconds",
         "proven",
+        "interim_seen",
         "closed",
         "_parser",
         "_headers",
@@ -123,6 +124,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._status = 0
+        # Whether an interim reply (1xx) came for the exchange under way.
+        self.interim_seen = False
         self._complete = False
         self._trailing = False
         self._keep_alive = False
@@ -214,6 +217,7 @@
         if self._complete:
             return
         if self._status < INFORMATIONAL_BELOW:
+            self.interim_seen = True
             self._headers = []
             self._body = []
             self._status = 0
