--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -145,6 +145,7 @@
         connection.proven = True
         self.peer.pool.note_answered(connection.sent_at_seconds)
         if reply.status == REFUSED_STATUS:
+            self._avoid_peer("another_configuration")
             self._end(DelegationResult.NOT_RUN, "peer_has_another_configuration")
             return
         value = next((v for n, v in reply.headers if n == RESULT_HEADER), b"")
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -13,7 +13,7 @@
 
 CONNECTIONS_MAX: Final = 4  # fan-outs that are handed to one peer at a time
 WARM_CONNECTIONS: Final = 1
-AVOIDED_FIRST_SECONDS: Final = 1.0  # after a reply that came too late
+AVOIDED_FIRST_SECONDS: Final = 0.5  # after a refusal, or a reply that came too late
 AVOIDED_MAX_SECONDS: Final = 8.0
 SILENCE_MAX_MS: Final = 30.0  # beyond the usual reply of a peer that is well
 
