--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -4,8 +4,8 @@
 import gc
 import signal
 import socket
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 from attrs import define, field
 
@@ -32,6 +32,7 @@
 
 TICK_SECONDS: Final = 0.25  # log lines and replacements of connections wait this long
 BACKLOG: Final = 1_024  # a full queue costs a caller seconds
+RESTART_SECONDS: Final = 0.5  # before a task that failed is run again
 METRICS_PATH: Final = b"/metrics"
 FIRST_FREEZE_TICKS: Final = 8
 
@@ -57,6 +58,7 @@
 
     :ivar callers_socket: listens for callers already; None if it does not.
     :ivar read_settings: reads the settings anew; raises `FindingsError`.
+    :ivar background_tasks: run as long as the process.
     :ivar make_store: makes the client of the platform's store.
     """
 
@@ -74,6 +76,7 @@
     _peer_gathers: PeerGathers = field(init=False)
     _readiness: Readiness = field(init=False)
     _stop: asyncio.Event = field(init=False)
+    background_tasks: list[asyncio.Task[None]] = field(factory=list, init=False)
     _ticks: int = 0
 
     async def run(self) -> int:
@@ -92,10 +95,13 @@
             log=self.log,
             lease_min_seconds=self.settings.lease_min_ms / 1_000.0,
         )
-        registering = loop.create_task(registration.run())
-        tasks = [
-            loop.create_task(watch.run()),
-            loop.create_task(self._tick_forever()),
+        registering = loop.create_task(
+            self._keep_running("registration", registration.run)
+        )
+        self.background_tasks = [
+            registering,
+            loop.create_task(self._keep_running("store_watch", watch.run)),
+            loop.create_task(self._keep_running("timers", self._tick_forever)),
         ]
         await self._listen()
         await self._stop.wait()
@@ -106,10 +112,10 @@
             bound_seconds=self.settings.stop_bound_seconds,
         )
         self._readiness.stopping = True
-        tasks.append(loop.create_task(registration.end()))
+        self.background_tasks.append(loop.create_task(registration.end()))
         registering.cancel()
         exit_code = await stop.run()
-        for task in tasks:
+        for task in self.background_tasks:
             task.cancel()
         store.close()
         self.log.event("ended", exit_code=exit_code)
@@ -188,6 +194,17 @@
         else:
             request.answer(status=404, headers=[], body=b"no such path\n")
 
+    async def _keep_running(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a task again if it ends by a fault of the program."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self.log.event("task_failed", task=name, cause=repr(error))
+            await asyncio.sleep(RESTART_SECONDS)
+
     async def _tick_forever(self) -> None:
         while True:
             self._tick()
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -112,6 +112,9 @@
         :raises HistoryLost: if the changes have to be read anew.
         """
 
+    async def latest_revision(self) -> int:
+        """Return the store's revision, which may be a few seconds old."""
+
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> str:
         """Record an instance under a new lease and return the lease."""
 
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -8,6 +8,7 @@
 
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.records import (
+    Change,
     GatewayStore,
     HistoryLost,
     InstanceRecord,
@@ -15,9 +16,10 @@
 )
 from bronzebeam.telemetry.decisions import DecisionLog
 
-WATCH_WAIT_SECONDS: Final = (
-    20.0  # a watch that waits is one call; dead peers show early
-)
+WATCH_WAIT_SECONDS: Final = 20.0  # a watch that waits is one call
+PROVING_WAIT_SECONDS: Final = 1.0  # after a failure, until a watch has been answered
+CHECK_SECONDS: Final = 2.0  # a watch that was lost in silence is found in time
+CHECK_SLACK_SECONDS: Final = 0.4  # a change that is on its way arrives within
 COALESCE_SECONDS: Final = 1.0  # changes come in bursts; bounds on them are seconds
 RETRY_FIRST_SECONDS: Final = 0.1
 RETRY_MAX_SECONDS: Final = 0.6  # a store that returns is found well within its bounds
@@ -60,6 +62,7 @@
     log: DecisionLog
     connected: bool = False
     _backoff: Backoff = field(factory=Backoff)
+    _proven: bool = False
     _lost_at_seconds: float | None = None
 
     async def run(self) -> None:
@@ -72,9 +75,8 @@
                     self.state.replace(contents)
                     revision = contents.revision
                 else:
-                    revision, changes = await self.store.watch(
-                        after=revision, wait_seconds=WATCH_WAIT_SECONDS
-                    )
+                    revision, changes = await self._watch(revision)
+                    self._proven = True
                     self.state.apply(changes)
                     if changes:
                         await asyncio.sleep(COALESCE_SECONDS)
@@ -83,9 +85,27 @@
                 self.log.event("store_history_lost", cause=str(error))
                 revision = None
             except StoreUnavailable as error:
+                self._proven = False
                 self._note_lost(error)
                 await asyncio.sleep(self._backoff.next_seconds())
 
+    async def _watch(self, revision: int) -> tuple[int, list[Change]]:
+        """Watch, and make sure meanwhile that the watch has not been forgotten."""
+        wait_seconds = WATCH_WAIT_SECONDS if self._proven else PROVING_WAIT_SECONDS
+        watch = self.loop.create_task(
+            self.store.watch(after=revision, wait_seconds=wait_seconds)
+        )
+        try:
+            while not (await asyncio.wait({watch}, timeout=CHECK_SECONDS))[0]:
+                if not self._proven or await self.store.latest_revision() <= revision:
+                    continue
+                done, _ = await asyncio.wait({watch}, timeout=CHECK_SLACK_SECONDS)
+                if not done:
+                    raise StoreUnavailable("the watch does not tell of newer changes")
+            return watch.result()
+        finally:
+            watch.cancel()
+
     def _note_answered(self, revision: int) -> None:
         self._backoff.reset()
         if self.connected:
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -33,6 +33,7 @@
 CALL_SECONDS: Final = 1.5  # a slow store answers within a few hundred milliseconds
 WATCH_SLACK_SECONDS: Final = 1.5  # beyond the wait that the call asks for
 WATCHED_PREFIX: Final = ""  # one watch brings configuration, replicas and instances
+PROBED_PREFIX: Final = "none/"  # holds nothing, so that the answer is short
 MS_PER_SECOND: Final = 1_000
 OK: Final = 200
 GONE: Final = 410
@@ -88,6 +89,12 @@
         changes = list(self._changes(_list(answer, "events")))
         return max(after, _int(answer, "atRevision")), changes
 
+    async def latest_revision(self) -> int:
+        """Return the store's revision, which may be a few seconds old."""
+        # A stale read costs a tenth and does not count towards the store's rates.
+        query = f"pathPrefix={PROBED_PREFIX}&staleOk=1"
+        return _int(_json(await self._call("GET", f"/kv-range?{query}")), "atRevision")
+
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> str:
         """Record an instance under a new lease and return the lease."""
         granted = _json(
--- a/src/bronzebeam/routing/pace.py
+++ b/src/bronzebeam/routing/pace.py
@@ -9,9 +9,9 @@
 FASTER_STEP: Final = 0.94
 SLOWER_BAND: Final = 1.3  # ratios up to here are ordinary spread
 PAUSE_MAX_MS: Final = 200.0  # twice the pauses that the users' replicas make
-SURE_SHARE: Final = 0.6  # part of one reply's ratio that is taken as the pace
+SURE_SHARE: Final = 0.9  # part of one reply's ratio that is taken as the pace
 FACTOR_MIN: Final = 0.5
-FACTOR_MAX: Final = 8.0
+FACTOR_MAX: Final = 100.0
 FORGET_SECONDS: Final = 4.0  # a slow replica without traffic is tried again
 FAILURE_STEP: Final = 0.2  # three rejections in a row move traffic elsewhere
 FAILURE_SHARE_MIN: Final = 0.01
@@ -42,7 +42,8 @@
         age_seconds = now_seconds - self.observed_at_seconds
         if age_seconds < 0.25:
             return self.factor
-        return 1.0 + (self.factor - 1.0) * math.exp(-age_seconds / FORGET_SECONDS)
+        # The logarithm decays, so that a very slow replica is not shunned for longer.
+        return float(self.factor ** math.exp(-age_seconds / FORGET_SECONDS))
 
     def observe(
         self, *, latency_ms: float, typical_ms: float, now_seconds: float
--- a/src/bronzebeam/routing/replica_estimate.py
+++ b/src/bronzebeam/routing/replica_estimate.py
@@ -52,7 +52,7 @@
     A replica with an overdue reply is taken to stall for as long again as it has
     done so far: pauses and crashes look alike from outside.
     """
-    expected_ms = typical_ms * max(1.0, load.pace / ORDINARY_PACE)
+    expected_ms = typical_ms * (load.pace if load.pace > ORDINARY_PACE else 1.0)
     if load.cold:
         expected_ms *= COLD_FACTOR
     queued = max(0, load.in_flight + 1 - load.slots)
--- /dev/null
+++ b/tests/fixtures_gateway.py
@@ -0,0 +1,405 @@
+"""A fleet of gateways over stand-ins of the platform, in virtual time."""
+
+import asyncio
+import contextvars
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+import httptools
+import orjson
+from attrs import define, field
+
+from bronzebeam.gateway.daemon import Gateway
+from bronzebeam.gateway.settings import GatewaySettings
+from bronzebeam.platform.headers import PlatformDialect
+from bronzebeam.platform.node_settings import parse_settings
+from bronzebeam.platform.role import make_store
+from bronzebeam.telemetry.decisions import DecisionLog
+from tests.standin_replica import ID_HEADER, Fault, StandinReplica
+from tests.standin_store import StandinStore
+from tests.virtual_net import OWN_HOST, VirtualLoop, run_virtual
+
+ResultT = TypeVar("ResultT")
+CALLER_PORT = 8_104
+READY_PORT = 8_108
+PEER_PORT = 7_380
+HOST = "app.example"
+GATHER_PATH = "/find/"
+CALL_PATH = "/book/"
+READ_PATH = "/read/"
+CALL_SERVICE = "booking"
+SETTLE_SECONDS = 3.0
+
+
+@define(kw_only=True, eq=False)
+class Answer:
+    """What a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    elapsed_seconds: float
+
+    @property
+    def signatures(self) -> list[str]:
+        text = self.headers.get("x-bronzebeam-shard-signatures", "")
+        return [item.strip() for item in text.split(",") if item.strip()]
+
+    @property
+    def missing(self) -> int:
+        return int(self.headers.get("x-bronzebeam-missing-shards", "0"))
+
+
+@define(kw_only=True, eq=False)
+class Caller:
+    """One connection of a caller; an asyncio protocol."""
+
+    loop: Any
+    transport: Any = None
+    ended: bool = False
+    answers: "asyncio.Queue[Answer | None]" = field(factory=asyncio.Queue)
+    _parser: Any = None
+    _headers: dict[str, str] = field(factory=dict)
+    _body: bytes = b""
+    _sent_at: float = 0.0
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self._parser = httptools.HttpResponseParser(self)
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.ended = True
+        self.answers.put_nowait(None)
+
+    def on_message_begin(self) -> None:
+        self._headers, self._body = {}, b""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self.answers.put_nowait(
+            Answer(
+                status=self._parser.get_status_code(),
+                headers=self._headers,
+                body=self._body,
+                elapsed_seconds=self.loop.time() - self._sent_at,
+            )
+        )
+
+    def send(self, data: bytes) -> None:
+        self._sent_at = self.loop.time()
+        self.transport.write(data)
+
+
+def encode_request(
+    path: str,
+    *,
+    attempt_id: str = "a-1",
+    method: str = "GET",
+    body: bytes = b"",
+    remaining_ms: float | None = 800.0,
+    host: str = HOST,
+    headers: dict[str, str] | None = None,
+) -> bytes:
+    fields = {"Host": host, ID_HEADER: attempt_id, **(headers or {})}
+    if remaining_ms is not None:
+        fields["X-Bronzebeam-Deadline-Remaining-Ms"] = str(int(remaining_ms))
+    if body:
+        fields["Content-Length"] = str(len(body))
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def route(name: str, prefix: str, **changed: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeKind": "idempotent",
+        "timeoutMs": 800,
+        "targetLatencyMs": 90,
+        "priority": 1,
+        "maxAttempts": 2,
+        **changed,
+    }
+
+
+def settings_text(name: str, host: str, domain: str, **changed: str) -> str:
+    fields = {
+        "nodeName": name,
+        "ipAddress": host,
+        "zone": domain,
+        "region": "region-1",
+        "listenAddresses.frontendAddress": f"{host}:{CALLER_PORT}",
+        "listenAddresses.ready": f"{host}:{READY_PORT}",
+        "internalPortRange": f"{PEER_PORT},{PEER_PORT + 15}",
+        "bounds.gracePeriodS": "6",
+        "bounds.retryBudgetRatio": "0.2",
+        "bounds.budgetWindowS": "10",
+        "bounds.retryBudgetSlack": "50",
+        "platform.address": "10.200.0.1:8100",
+        "platform.minTtlMs": "1000",
+        **changed,
+    }
+    return "".join(f"{key}={value}\n" for key, value in fields.items())
+
+
+@define(kw_only=True, eq=False)
+class RunningGateway:
+    """
+    One gateway of the fleet.
+
+    :ivar lines: its log so far.
+    :ivar task: ends with the exit code.
+    """
+
+    name: str
+    host: str
+    gateway: Gateway
+    lines: list[str]
+    task: "asyncio.Task[int]"
+
+    def log(self, event: str) -> list[str]:
+        """Return the lines of one event, those not yet written included."""
+        self.gateway.log.flush()
+        return [line for line in self.lines if f" event={event} " in line]
+
+    def stop(self) -> None:
+        """Do what the signal to stop does."""
+        self.gateway._stop.set()
+
+    def kill(self, cluster: "Cluster") -> None:
+        """End at once, without a word to anybody."""
+        self.task.cancel()
+        for task in self.gateway.background_tasks:
+            task.cancel()
+        for port in (CALLER_PORT, READY_PORT, PEER_PORT):
+            cluster.loop.net.listeners.pop((self.host, port), None)
+        cluster.loop.net.reset_connections(self.host)
+
+
+@define(kw_only=True, eq=False)
+class Cluster:
+    """Gateways, replicas and the store on one network."""
+
+    loop: VirtualLoop
+    store: StandinStore = field(init=False)
+    replicas: dict[str, StandinReplica] = field(factory=dict)
+    gateways: dict[str, RunningGateway] = field(factory=dict)
+    routes: list[dict[str, Any]] = field(factory=list)
+    version: int = 0
+    _attempts: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.store = StandinStore(loop=self.loop)
+        self.store.listen()
+
+    def add_replica(self, service: str, **changed: Any) -> StandinReplica:
+        number = len(self.replicas) + 1
+        replica = StandinReplica(
+            loop=self.loop,
+            replica=f"i-{number}",
+            service=service,
+            host=f"10.1.0.{number}",
+            **changed,
+        )
+        replica.listen()
+        self.replicas[replica.replica] = replica
+        self.register(replica)
+        return replica
+
+    def register(self, replica: StandinReplica, **changed: Any) -> None:
+        self.store.put(f"servers/{replica.replica}", replica.entry(**changed))
+
+    def unregister(self, replica: StandinReplica) -> None:
+        self.store.remove(f"servers/{replica.replica}")
+
+    def configure(self, *routes: dict[str, Any], **changed: Any) -> None:
+        """Write the next version of the configuration."""
+        self.version += 3
+        self.routes = list(routes)
+        services = {item.service for item in self.replicas.values()}
+        document = {
+            "version": self.version,
+            "routes": self.routes,
+            "services": [
+                {"name": name, "healthPath": "/health", "connectionLimit": 25}
+                for name in sorted(services)
+            ],
+            "limits": {
+                "maxHeaderBytes": 4_096,
+                "maxBodyBytes": 65_536,
+                "headerTimeoutMs": 2_000,
+                "idleTimeoutMs": 10_000,
+            },
+            **changed,
+        }
+        self.store.put("op/config", document)
+
+    def start_gateway(
+        self, name: str, *, domain: str = "zone-a", **changed: str
+    ) -> RunningGateway:
+        number = len(self.gateways) + 1
+        known = self.gateways.get(name)
+        host = known.host if known is not None else f"10.9.0.{number}"
+        text = settings_text(name, host, domain, **changed)
+        lines: list[str] = []
+
+        def write(data: bytes) -> int:
+            lines.extend(data.decode().splitlines())
+            return len(data)
+
+        def read() -> GatewaySettings:
+            return parse_settings(text, subject="test")
+
+        gateway = Gateway(
+            settings=read(),
+            callers_socket=None,
+            read_settings=read,
+            make_store=make_store,
+            dialect=PlatformDialect(),
+            log=DecisionLog(instance=name, write=write),
+        )
+        context = contextvars.copy_context()
+        context.run(OWN_HOST.set, host)
+        task = self.loop.create_task(gateway.run(), context=context)
+        running = RunningGateway(
+            name=name, host=host, gateway=gateway, lines=lines, task=task
+        )
+        self.gateways[name] = running
+        return running
+
+    async def connect(
+        self, gateway: RunningGateway, *, port: int = CALLER_PORT
+    ) -> Caller:
+        await asyncio.sleep(0.001)
+        caller = Caller(loop=self.loop)
+        self.loop.net.open(lambda: caller, (gateway.host, port), "caller")
+        return caller
+
+    async def ask(
+        self, gateway: RunningGateway, path: str, **changed: Any
+    ) -> Answer | None:
+        """Send one request on a connection of its own; None if it was cut."""
+        self._attempts += 1
+        changed.setdefault("attempt_id", f"a-{self._attempts}")
+        caller = await self.connect(gateway)
+        caller.send(encode_request(path, **changed))
+        async with asyncio.timeout(20.0):
+            answer = await caller.answers.get()
+        caller.transport.close()
+        return answer
+
+    async def is_ready(self, gateway: RunningGateway) -> bool:
+        caller = await self.connect(gateway, port=READY_PORT)
+        caller.send(encode_request("/ready", remaining_ms=None))
+        answer = await caller.answers.get()
+        caller.transport.close()
+        return answer is not None and answer.status == 200
+
+    def runs_of(self, attempt_id: str) -> int:
+        """Return how often a request ran, over all replicas."""
+        return sum(
+            run.attempt_id == attempt_id
+            for replica in self.replicas.values()
+            for run in replica.runs
+        )
+
+
+def record(value: int) -> bytes:
+    return value.to_bytes(16, "big")
+
+
+def with_cluster(
+    scenario: Callable[[Cluster], Coroutine[Any, Any, ResultT]],
+) -> ResultT:
+    """Run `scenario` with a cluster, in virtual time."""
+
+    async def main(loop: VirtualLoop) -> ResultT:
+        return await scenario(Cluster(loop=loop))
+
+    return run_virtual(main)
+
+
+async def small_cluster(cluster: Cluster, **route_changes: Any) -> RunningGateway:
+    """Start one gateway over two replicas of one call service."""
+    cluster.add_replica(CALL_SERVICE)
+    cluster.add_replica(CALL_SERVICE)
+    cluster.configure(
+        route("r-read", READ_PATH, service=CALL_SERVICE),
+        route(
+            "r-book",
+            CALL_PATH,
+            service=CALL_SERVICE,
+            routeKind="non_idempotent",
+            **route_changes,
+        ),
+    )
+    gateway = cluster.start_gateway("g-1")
+    await asyncio.sleep(SETTLE_SECONDS)
+    return gateway
+
+
+async def search_cluster(
+    cluster: Cluster,
+    *,
+    shards: int = 4,
+    domains: tuple[str, str] = ("zone-a", "zone-a"),
+    least: float = 0.75,
+    top: int = 5,
+    **route_changes: Any,
+) -> RunningGateway:
+    """Start one gateway over two replicas of each shard; each holds three records."""
+    names = [f"shard-{index}" for index in range(shards)]
+    for index, name in enumerate(names):
+        records = [record(10 * index + offset) for offset in (3, 9, 1)]
+        for domain in domains:
+            cluster.add_replica(name, domain=domain, records=records)
+    cluster.configure(
+        route(
+            "r-find",
+            GATHER_PATH,
+            fanoutServices=names,
+            topK=top,
+            minShardFraction=least,
+            **route_changes,
+        )
+    )
+    gateway = cluster.start_gateway("g-1")
+    await asyncio.sleep(SETTLE_SECONDS)
+    return gateway
+
+
+def replicas_of(cluster: Cluster, service: str) -> list[StandinReplica]:
+    return [item for item in cluster.replicas.values() if item.service == service]
+
+
+def once(fault: Fault) -> Callable[[Any], Fault]:
+    """Return a choice of faults that strikes the first request only."""
+    left = [fault]
+
+    def choose(request: Any) -> Fault:
+        return left.pop() if left else Fault.NONE
+
+    return choose
+
+
+def every(fault: Fault) -> Callable[[Any], Fault]:
+    return lambda request: fault
+
+
+def configuration_of(cluster: Cluster) -> dict[str, Any]:
+    value: dict[str, Any] = orjson.loads(cluster.store.items["op/config"].value)
+    return value
--- /dev/null
+++ b/tests/standin_http.py
@@ -0,0 +1,99 @@
+"""The HTTP side of the stand-ins that the gateway's tests use."""
+
+from typing import Any, Protocol
+
+import httptools
+from attrs import define, field
+
+
+@define(kw_only=True, eq=False)
+class StandinRequest:
+    """A whole request as a stand-in received it; header names in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    connection: "StandinConnection"
+
+    def respond(
+        self,
+        status: int,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        framed: bool = True,
+    ) -> None:
+        """Send a whole response, with its length unless `framed` is false."""
+        lines = [f"HTTP/1.1 {status} Stand-in"]
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        if framed:
+            lines.append(f"Content-Length: {len(body)}")
+        self.connection.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+class StandinServer(Protocol):
+    """Takes whole requests, and connections that end."""
+
+    def handle(self, request: StandinRequest) -> None: ...
+
+    def connection_ended(self, connection: "StandinConnection") -> None: ...
+
+
+@define(kw_only=True, eq=False)
+class StandinConnection:
+    """One accepted connection; an asyncio protocol."""
+
+    server: StandinServer
+    ended: bool = False
+    _transport: Any = None
+    _parser: Any = None
+    _target: bytes = b""
+    _headers: dict[str, str] = field(factory=dict)
+    _body: bytes = b""
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        self._parser = httptools.HttpRequestParser(self)
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.ended = True
+        self.server.connection_ended(self)
+
+    def on_message_begin(self) -> None:
+        self._target, self._headers, self._body = b"", {}, b""
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self.server.handle(
+            StandinRequest(
+                method=self._parser.get_method().decode(),
+                target=self._target.decode(),
+                headers=self._headers,
+                body=self._body,
+                connection=self,
+            )
+        )
+
+    def write(self, data: bytes) -> None:
+        self._transport.write(data)
+
+    def close(self) -> None:
+        self._transport.close()
+
+    def abort(self) -> None:
+        self._transport.abort()
--- /dev/null
+++ b/tests/standin_replica.py
@@ -0,0 +1,207 @@
+"""A replica that speaks the platform's protocol."""
+
+import hashlib
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from attrs import define, field
+
+from tests.standin_http import StandinConnection, StandinRequest
+
+ID_HEADER = "X-Bronzebeam-Attempt-Id"
+SIGNATURE_HEADER = "X-Bronzebeam-Replica-Signature"
+NOT_RUN_HEADER = "X-Bronzebeam-Not-Executed"
+
+
+class Fault(Enum):
+    """What a replica does with one request."""
+
+    NONE = "none"
+    SHED = "shed"
+    ERROR = "error"
+    RESET = "reset_after_run"
+    SILENT = "silent"
+    TRUNCATED = "truncated"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed_reset"
+    EXTRA = "extra_reply"
+    EXTRA_LATE = "extra_late_reply"
+    GARBAGE = "garbage"
+    OTHER_ID = "other_id"
+    NO_SIGNATURE = "no_signature"
+
+
+def no_fault(request: StandinRequest) -> Fault:
+    return Fault.NONE
+
+
+@define(kw_only=True, eq=False)
+class Run:
+    """A request that the replica began to run."""
+
+    attempt_id: str
+    method: str
+    target: str
+    body: bytes
+    remaining_ms: float
+    at_seconds: float
+    aborted: bool = False
+
+
+@define(kw_only=True, eq=False)
+class StandinReplica:
+    """
+    One life of a replica.
+
+    :ivar work_seconds: time that a request takes.
+    :ivar paused_until_seconds: no request makes progress before.
+    :ivar arrivals: ids of all requests received, those rejected included.
+    """
+
+    loop: Any
+    replica: str
+    service: str
+    host: str
+    port: int = 8_000
+    domain: str = "zone-a"
+    slots: int = 2
+    work_seconds: float = 0.005
+    records: list[bytes] = field(factory=list)
+    fault: Callable[[StandinRequest], Fault] = no_fault
+    connections_max: int = 25
+    paused_until_seconds: float = 0.0
+    runs: list[Run] = field(factory=list)
+    arrivals: list[str] = field(factory=list)
+    accepted: int = 0
+    connections: set[StandinConnection] = field(factory=set)
+    _busy: int = 0
+    _queue: list[StandinRequest] = field(factory=list)
+    _running: dict[StandinConnection, Run] = field(factory=dict)
+
+    def listen(self) -> None:
+        self.loop.net.listeners[(self.host, self.port)] = self._accept
+
+    def stop(self) -> None:
+        """Die: refuse connections and reset those that are open."""
+        self.loop.net.listeners.pop((self.host, self.port), None)
+        for connection in list(self.connections):
+            connection.abort()
+
+    def entry(self, *, state: str = "ready", **changed: Any) -> dict[str, Any]:
+        """Return the entry that the replica writes about itself."""
+        return {
+            "service": self.service,
+            "address": f"{self.host}:{self.port}",
+            "zone": self.domain,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+            **changed,
+        }
+
+    def signature(self, attempt_id: str) -> str:
+        text = f"{self.service}/{self.replica}/{attempt_id}"
+        return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+    def handle(self, request: StandinRequest) -> None:
+        expected = request.headers.get("x-bronzebeam-expected-replica")
+        attempt_id = request.headers.get("x-bronzebeam-attempt-id", "")
+        self.arrivals.append(attempt_id)
+        if expected not in (None, self.replica):
+            request.respond(421, headers={NOT_RUN_HEADER: "1"})
+            return
+        fault = self.fault(request)
+        if fault is Fault.SHED:
+            request.respond(503, headers={ID_HEADER: attempt_id, NOT_RUN_HEADER: "1"})
+        elif self._busy >= self.slots:
+            self._queue.append(request)
+        else:
+            self._run(request, fault)
+
+    def connection_ended(self, connection: StandinConnection) -> None:
+        self.connections.discard(connection)
+        run = self._running.get(connection)
+        if run is not None:
+            run.aborted = True
+
+    def _accept(self) -> StandinConnection:
+        self.accepted += 1
+        connection = StandinConnection(server=self)
+        if len(self.connections) >= self.connections_max:
+            self.loop.call_soon(connection.abort)
+        self.connections.add(connection)
+        return connection
+
+    def _run(self, request: StandinRequest, fault: Fault) -> None:
+        self._busy += 1
+        run = Run(
+            attempt_id=request.headers.get("x-bronzebeam-attempt-id", ""),
+            method=request.method,
+            target=request.target,
+            body=request.body,
+            remaining_ms=float(
+                request.headers.get("x-bronzebeam-deadline-remaining-ms", "nan")
+            ),
+            at_seconds=self.loop.time(),
+        )
+        self.runs.append(run)
+        self._running[request.connection] = run
+        pause = max(0.0, self.paused_until_seconds - self.loop.time())
+        self.loop.call_later(
+            self.work_seconds + pause, self._finish, request, run, fault
+        )
+
+    def _finish(self, request: StandinRequest, run: Run, fault: Fault) -> None:
+        self._busy -= 1
+        self._running.pop(request.connection, None)
+        if not request.connection.ended:
+            self._reply(request, run, fault)
+        if self._queue:
+            following = self._queue.pop(0)
+            self._run(following, self.fault(following))
+
+    def _reply(self, request: StandinRequest, run: Run, fault: Fault) -> None:
+        headers = {
+            ID_HEADER: run.attempt_id,
+            SIGNATURE_HEADER: self.signature(run.attempt_id),
+        }
+        body = b"".join(self.records) or f"{self.replica}/{run.attempt_id}".encode()
+        if fault is Fault.SILENT:
+            return
+        if fault is Fault.ERROR:
+            request.respond(500, headers=headers, body=b"failed")
+        elif fault is Fault.RESET:
+            request.connection.abort()
+        elif fault is Fault.GARBAGE:
+            request.connection.write(b"\x00\x01 this is no reply\r\n\r\n")
+        elif fault is Fault.TRUNCATED:
+            lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            head = f"HTTP/1.1 200 OK\r\n{lines}Content-Length: {len(body) + 9}\r\n\r\n"
+            request.connection.write(head.encode() + body)
+            request.connection.close()
+        elif fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
+            request.respond(200, headers=headers, body=body, framed=False)
+            if fault is Fault.UNFRAMED:
+                request.connection.close()
+            else:
+                request.connection.abort()
+        elif fault is Fault.OTHER_ID:
+            headers[ID_HEADER] = "another-request"
+            request.respond(200, headers=headers, body=body)
+        elif fault is Fault.NO_SIGNATURE:
+            del headers[SIGNATURE_HEADER]
+            request.respond(200, headers=headers, body=body)
+        else:
+            request.respond(200, headers=headers, body=body)
+            if fault is Fault.EXTRA:
+                request.respond(200, headers=headers, body=b"extra")
+            elif fault is Fault.EXTRA_LATE:
+                self.loop.call_later(0.05, self._extra, request, headers)
+
+    def _extra(self, request: StandinRequest, headers: dict[str, str]) -> None:
+        if not request.connection.ended:
+            request.respond(200, headers=headers, body=b"extra")
--- /dev/null
+++ b/tests/standin_store.py
@@ -0,0 +1,300 @@
+"""The platform's store: items, ranges with pages, watches, transactions, leases."""
+
+import base64
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+from attrs import define, field
+
+from tests.standin_http import StandinConnection, StandinRequest
+
+PAGE_ITEMS = 50
+ANSWER_SECONDS = 0.004
+MS_PER_SECOND = 1_000.0
+
+
+class StoreFault(Enum):
+    """What the store does with calls."""
+
+    NONE = "none"
+    BUSY = "busy"
+    TOO_MANY = "too_many"
+    RESET = "reset"
+    SILENT = "silent"
+    LOST = "lost"
+    GARBAGE = "garbage"
+
+
+def always(fault: StoreFault) -> Callable[[StandinRequest], StoreFault]:
+    return lambda request: fault
+
+
+@define(kw_only=True, eq=False)
+class Item:
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+@define(kw_only=True, eq=False)
+class Lease:
+    ttl_ms: float
+    keys: set[str] = field(factory=set)
+    timer: Any = None
+
+
+@define(kw_only=True, eq=False)
+class Watcher:
+    request: StandinRequest
+    prefix: str
+    after: int
+    timer: Any
+
+
+@define(kw_only=True, eq=False)
+class StandinStore:
+    """
+    A store in memory.
+
+    :ivar fault: chooses what to do with a call.
+    :ivar calls: paths of all calls received.
+    :ivar slow_seconds: time of an answer.
+    """
+
+    loop: Any
+    host: str = "10.200.0.1"
+    port: int = 8_100
+    fault: Callable[[StandinRequest], StoreFault] = always(StoreFault.NONE)
+    slow_seconds: float = ANSWER_SECONDS
+    revision: int = 1
+    items: dict[str, Item] = field(factory=dict)
+    history: list[dict[str, Any]] = field(factory=list)
+    oldest: int = 0
+    leases: dict[int, Lease] = field(factory=dict)
+    calls: list[str] = field(factory=list)
+    _watchers: list[Watcher] = field(factory=list)
+    _next_lease: int = 100
+
+    def listen(self) -> None:
+        self.loop.net.listeners[(self.host, self.port)] = lambda: StandinConnection(
+            server=self
+        )
+
+    # Used by tests in place of the operator and of replicas.
+
+    def put(self, key: str, value: Any, *, lease: int = 0) -> int:
+        raw = value if isinstance(value, bytes) else orjson.dumps(value)
+        self.revision += 1
+        held = self.items.get(key)
+        created = held.created if held else self.revision
+        item = Item(value=raw, revision=self.revision, created=created, lease=lease)
+        self.items[key] = item
+        if lease:
+            self.leases[lease].keys.add(key)
+        self._record(_encode(key, item))
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record({"key": key, "revision": self.revision, "compacted": True})
+
+    def compact(self) -> None:
+        """Forget the history and cut the watches."""
+        self.history.clear()
+        self.oldest = self.revision
+        for watcher in self._watchers:
+            watcher.timer.cancel()
+            watcher.request.connection.close()
+        self._watchers.clear()
+
+    def forget_watches(self) -> None:
+        """Never answer the watches that wait now."""
+        for watcher in self._watchers:
+            watcher.timer.cancel()
+        self._watchers.clear()
+
+    def cut_watches(self) -> None:
+        """Reset the connections of all waiting watches."""
+        for watcher in self._watchers:
+            watcher.timer.cancel()
+            watcher.request.connection.abort()
+        self._watchers.clear()
+
+    # Called by connections.
+
+    def handle(self, request: StandinRequest) -> None:
+        parts = urlsplit(request.target)
+        self.calls.append(f"{request.method} {parts.path}")
+        fault = self.fault(request)
+        if fault is StoreFault.SILENT:
+            return
+        if fault is StoreFault.RESET:
+            request.connection.abort()
+        elif fault in (StoreFault.BUSY, StoreFault.TOO_MANY):
+            status = 503 if fault is StoreFault.BUSY else 429
+            request.respond(status, body=b'{"error":"busy"}')
+        elif fault is StoreFault.GARBAGE:
+            request.respond(200, body=b"[1, 2")
+        else:
+            query = {
+                name: values[0]
+                for name, values in parse_qs(
+                    parts.query, keep_blank_values=True
+                ).items()
+            }
+            self.loop.call_later(
+                self.slow_seconds, self._serve, request, parts.path, query, fault
+            )
+
+    def connection_ended(self, connection: StandinConnection) -> None:
+        for watcher in list(self._watchers):
+            if watcher.request.connection is connection:
+                watcher.timer.cancel()
+                self._watchers.remove(watcher)
+
+    def _serve(
+        self,
+        request: StandinRequest,
+        path: str,
+        query: dict[str, str],
+        fault: StoreFault,
+    ) -> None:
+        if request.connection.ended:
+            return
+        name = path.strip("/").split("/")[0].replace("-", "_")
+        answer = getattr(self, f"_{name}")(request, path, query)
+        if answer is None:
+            return
+        status, body = answer
+        if fault is StoreFault.LOST:
+            return
+        request.respond(status, body=orjson.dumps(body))
+
+    def _kv_range(
+        self, request: StandinRequest, path: str, query: dict[str, str]
+    ) -> Any:
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["pathPrefix"]) and key > query.get("after", "")
+        )
+        page = keys[:PAGE_ITEMS]
+        return 200, {
+            "items": [_encode(key, self.items[key]) for key in page],
+            "hasMore": len(keys) > len(page),
+            "atRevision": self.revision,
+        }
+
+    def _kv_watch(
+        self, request: StandinRequest, path: str, query: dict[str, str]
+    ) -> Any:
+        after = int(query["after"])
+        if after < self.oldest:
+            return 410, {"error": "history is gone"}
+        events = self._events(query["pathPrefix"], after)
+        if events:
+            return 200, {"events": events, "atRevision": self.revision}
+        timer = self.loop.call_later(
+            float(query["waitTimeoutMs"]) / MS_PER_SECOND, self._watch_over, request
+        )
+        self._watchers.append(
+            Watcher(
+                request=request, prefix=query["pathPrefix"], after=after, timer=timer
+            )
+        )
+        return None
+
+    def _kv_txn(self, request: StandinRequest, path: str, query: dict[str, str]) -> Any:
+        body = orjson.loads(request.body)
+        puts = body.get("putOps", [])
+        if any(put.get("leaseId", 0) not in {0, *self.leases} for put in puts):
+            return 404, {"error": "no such lease"}
+        for put in puts:
+            if put["key"].startswith(("op/", "servers/")):
+                return 403, {"error": "not yours"}
+        for put in puts:
+            value = base64.b64decode(put["value"], validate=True)
+            self.put(put["key"], value, lease=put.get("leaseId", 0))
+        return 200, {"revision": self.revision}
+
+    def _kv_lease(
+        self, request: StandinRequest, path: str, query: dict[str, str]
+    ) -> Any:
+        self._next_lease += 1
+        lease = Lease(ttl_ms=orjson.loads(request.body)["ttlMs"])
+        self.leases[self._next_lease] = lease
+        self._restart(self._next_lease)
+        return 200, {"leaseId": self._next_lease, "ttlMs": lease.ttl_ms}
+
+    def _kv_keep(
+        self, request: StandinRequest, path: str, query: dict[str, str]
+    ) -> Any:
+        number = int(path.rsplit("/", 1)[1])
+        if number not in self.leases:
+            return 404, {"error": "no such lease"}
+        self._restart(number)
+        return 200, {"leaseId": number}
+
+    def _kv_lease_end(
+        self, request: StandinRequest, path: str, query: dict[str, str]
+    ) -> Any:
+        number = int(path.rsplit("/", 1)[1])
+        if number not in self.leases:
+            return 404, {"error": "no such lease"}
+        self.end_lease(number)
+        return 200, {}
+
+    def end_lease(self, number: int) -> None:
+        lease = self.leases.pop(number)
+        lease.timer.cancel()
+        for key in lease.keys:
+            held = self.items.get(key)
+            if held is not None and held.lease == number:
+                self.remove(key)
+
+    def _restart(self, number: int) -> None:
+        lease = self.leases[number]
+        if lease.timer is not None:
+            lease.timer.cancel()
+        lease.timer = self.loop.call_later(
+            lease.ttl_ms / MS_PER_SECOND, self.end_lease, number
+        )
+
+    def _record(self, event: dict[str, Any]) -> None:
+        self.history.append(event)
+        for watcher in list(self._watchers):
+            events = self._events(watcher.prefix, watcher.after)
+            if events:
+                self._watchers.remove(watcher)
+                watcher.timer.cancel()
+                body = orjson.dumps({"events": events, "atRevision": self.revision})
+                watcher.request.respond(200, body=body)
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self.history
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+
+    def _watch_over(self, request: StandinRequest) -> None:
+        for watcher in list(self._watchers):
+            if watcher.request is request:
+                self._watchers.remove(watcher)
+                body = {"events": [], "atRevision": self.revision}
+                request.respond(200, body=orjson.dumps(body))
+
+
+def _encode(key: str, item: Item) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "createdRevision": item.created,
+        "leaseId": item.lease,
+    }
--- /dev/null
+++ b/tests/test_gateway_gather.py
@@ -0,0 +1,317 @@
+"""Tests of fan-outs over the shards of an index, in virtual time."""
+
+import asyncio
+
+from tests.fixtures_gateway import (
+    GATHER_PATH,
+    Answer,
+    Cluster,
+    encode_request,
+    every,
+    once,
+    record,
+    replicas_of,
+    route,
+    search_cluster,
+    with_cluster,
+)
+from tests.standin_replica import Fault
+
+SHARDS = 4
+GREATEST = [39, 33, 31, 29, 23]
+
+
+def greatest(*values: int) -> bytes:
+    return b"".join(record(value) for value in values)
+
+
+def check_signatures(cluster: Cluster, answer: Answer, attempt_id: str) -> set[str]:
+    """Check that each signature is of another shard; return the shards."""
+    owners = {
+        replica.signature(attempt_id): replica.service
+        for replica in cluster.replicas.values()
+    }
+    services = [owners[item] for item in answer.signatures]
+    assert len(set(services)) == len(services)
+    return set(services)
+
+
+def test_answer_holds_the_greatest_records_and_names_all_parts() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        answer = await cluster.ask(gateway, GATHER_PATH, attempt_id="f-1")
+        assert answer is not None and answer.status == 200
+        assert answer.body == greatest(*GREATEST)
+        assert answer.missing == 0
+        assert len(check_signatures(cluster, answer, "f-1")) == SHARDS
+        assert cluster.runs_of("f-1") == SHARDS
+
+    with_cluster(scenario)
+
+
+def test_dead_shard_is_counted_as_missing_and_not_waited_for() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for replica in replicas_of(cluster, "shard-3"):
+            replica.stop()
+        await asyncio.sleep(0.3)
+        answer = await cluster.ask(gateway, GATHER_PATH, attempt_id="f-1")
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 1
+        assert answer.body == greatest(29, 23, 21, 19, 13)
+        assert answer.elapsed_seconds < 0.03
+        services = check_signatures(cluster, answer, "f-1")
+        assert services == {"shard-0", "shard-1", "shard-2"}
+
+    with_cluster(scenario)
+
+
+def test_too_few_shards_are_no_answer_and_said_at_once() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for service in ("shard-2", "shard-3"):
+            for replica in replicas_of(cluster, service):
+                replica.stop()
+        await asyncio.sleep(0.3)
+        answer = await cluster.ask(gateway, GATHER_PATH, attempt_id="f-1")
+        assert answer is not None
+        ran = cluster.runs_of("f-1")
+        assert answer.status == (502 if ran else 503)
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert answer.elapsed_seconds < 0.03
+        assert answer.signatures == []
+
+    with_cluster(scenario)
+
+
+def test_nothing_sent_is_said_to_have_not_run() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.stop()
+        await asyncio.sleep(0.3)
+        answer = await cluster.ask(gateway, GATHER_PATH, attempt_id="f-1")
+        assert answer is not None and answer.status == 503
+        assert cluster.runs_of("f-1") == 0
+
+    with_cluster(scenario)
+
+
+def test_paused_replica_is_made_up_for_by_the_other_within_the_target() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for number in range(10):
+            paused = replicas_of(cluster, "shard-1")[number % 2]
+            paused.paused_until_seconds = cluster.loop.time() + 0.1
+            answer = await cluster.ask(gateway, GATHER_PATH)
+            assert answer is not None and answer.status == 200
+            assert answer.missing == 0
+            assert answer.elapsed_seconds < 0.06
+            await asyncio.sleep(0.5)
+
+    with_cluster(scenario)
+
+
+def test_straggling_shard_is_left_out_at_the_target_latency() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.fault = every(Fault.SILENT)
+        answer = await cluster.ask(gateway, GATHER_PATH, attempt_id="f-1")
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 1
+        assert 0.07 < answer.elapsed_seconds < 0.09
+
+    with_cluster(scenario)
+
+
+def test_late_shard_completes_an_answer_that_lacks_its_least_share() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, least=1.0)
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.work_seconds = 0.2
+        answer = await cluster.ask(gateway, GATHER_PATH)
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 0
+        assert 0.19 < answer.elapsed_seconds < 0.22
+
+    with_cluster(scenario)
+
+
+def test_failures_are_no_parts() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=8)
+        faults = (
+            Fault.ERROR,
+            Fault.RESET,
+            Fault.TRUNCATED,
+            Fault.OTHER_ID,
+            Fault.NO_SIGNATURE,
+            Fault.GARBAGE,
+            Fault.UNFRAMED_RESET,
+        )
+        for fault in faults:
+            for replica in replicas_of(cluster, "shard-7"):
+                replica.fault = every(fault)
+            name = f"f-{fault.value}"
+            answer = await cluster.ask(gateway, GATHER_PATH, attempt_id=name)
+            assert answer is not None and answer.status == 200, fault
+            assert answer.missing == 1, fault
+            assert answer.body == greatest(69, 63, 61, 59, 53), fault
+            assert len(check_signatures(cluster, answer, name)) == 7, fault
+            await asyncio.sleep(6.0)
+
+    with_cluster(scenario)
+
+
+def test_rejected_part_is_sent_again_within_the_budget() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.fault = once(Fault.SHED)
+        answer = await cluster.ask(gateway, GATHER_PATH, attempt_id="f-1")
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 0
+        assert cluster.runs_of("f-1") == SHARDS
+
+    with_cluster(scenario)
+
+
+def test_one_attempt_runs_on_no_more_replicas_than_the_route_allows() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for _ in range(3):
+            cluster.add_replica("shard-0", records=[record(5)])
+        await asyncio.sleep(2.0)
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.fault = every(Fault.ERROR)
+        for number in range(5):
+            name = f"f-{number}"
+            answer = await cluster.ask(gateway, GATHER_PATH, attempt_id=name)
+            assert answer is not None and answer.status == 200
+            ran = [
+                replica
+                for replica in replicas_of(cluster, "shard-0")
+                if any(run.attempt_id == name for run in replica.runs)
+            ]
+            assert len(ran) <= 2
+
+    with_cluster(scenario)
+
+
+def test_repeats_of_a_storm_stay_within_the_budget() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.fault = every(Fault.SHED)
+        for _ in range(300):
+            await cluster.ask(gateway, GATHER_PATH)
+            await asyncio.sleep(0.005)
+        for index in range(SHARDS):
+            replicas = replicas_of(cluster, f"shard-{index}")
+            arrivals = sum(len(item.arrivals) for item in replicas)
+            assert arrivals <= 300 + 0.2 * 300 + 50
+
+    with_cluster(scenario)
+
+
+def test_shard_whose_replicas_are_all_slow_is_not_waited_for_again() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for _ in range(30):
+            await cluster.ask(gateway, GATHER_PATH)
+        slow = replicas_of(cluster, "shard-0")
+        for replica in slow:
+            replica.work_seconds = 0.25
+        for _ in range(20):
+            await cluster.ask(gateway, GATHER_PATH)
+            await asyncio.sleep(0.1)
+        elapsed = []
+        for _ in range(10):
+            answer = await cluster.ask(gateway, GATHER_PATH)
+            assert answer is not None and answer.status == 200
+            elapsed.append(answer.elapsed_seconds)
+            await asyncio.sleep(0.1)
+        assert sorted(elapsed)[5] < 0.03
+        for replica in slow:
+            replica.work_seconds = 0.005
+        await asyncio.sleep(10.0)
+        for _ in range(10):
+            answer = await cluster.ask(gateway, GATHER_PATH)
+        assert answer is not None and answer.missing == 0
+
+    with_cluster(scenario)
+
+
+def test_parts_of_an_answer_are_of_one_configuration() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        names = [f"next-{index}" for index in range(3)]
+        for index, name in enumerate(names):
+            cluster.add_replica(name, records=[record(100 + index)])
+        await asyncio.sleep(1.5)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.03
+        asking = [
+            asyncio.ensure_future(
+                cluster.ask(gateway, GATHER_PATH, attempt_id=f"p-{number}")
+            )
+            for number in range(3)
+        ]
+        cluster.configure(
+            route(
+                "r-find",
+                GATHER_PATH,
+                fanoutServices=names,
+                topK=5,
+                minShardFraction=0.75,
+            )
+        )
+        for number in range(60):
+            await asyncio.sleep(0.02)
+            asking.append(
+                asyncio.ensure_future(
+                    cluster.ask(gateway, GATHER_PATH, attempt_id=f"q-{number}")
+                )
+            )
+        sets = [{f"shard-{index}" for index in range(SHARDS)}, set(names)]
+        names_of = [f"p-{i}" for i in range(3)] + [f"q-{i}" for i in range(60)]
+        seen = set()
+        for name, answer in zip(names_of, await asyncio.gather(*asking)):
+            assert answer is not None and answer.status == 200
+            services = check_signatures(cluster, answer, name)
+            [whole] = [item for item in sets if services <= item]
+            assert len(services) + answer.missing == len(whole)
+            seen.add(len(whole))
+        assert seen == {3, 4}
+
+    with_cluster(scenario)
+
+
+def test_work_on_all_shards_is_stopped_once_the_caller_has_left() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, targetLatencyMs=700)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.7
+        caller = await cluster.connect(gateway)
+        caller.send(encode_request(GATHER_PATH, attempt_id="g-1"))
+        await asyncio.sleep(0.1)
+        caller.transport.close()
+        await asyncio.sleep(0.1)
+        runs = [run for item in cluster.replicas.values() for run in item.runs]
+        assert len(runs) >= SHARDS and all(run.aborted for run in runs)
+
+    with_cluster(scenario)
+
+
+def test_retry_of_a_caller_is_answered_in_what_is_left_of_its_target() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        await cluster.ask(gateway, GATHER_PATH, remaining_ms=800)
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.fault = every(Fault.SILENT)
+        answer = await cluster.ask(gateway, GATHER_PATH, remaining_ms=750)
+        assert answer is not None and answer.status == 200
+        assert answer.elapsed_seconds < 0.04
+
+    with_cluster(scenario)
--- /dev/null
+++ b/tests/test_gateway_peers.py
@@ -0,0 +1,244 @@
+"""Tests of groups of shards that a peer gathers, in virtual time."""
+
+import asyncio
+
+from tests.fixtures_gateway import (
+    GATHER_PATH,
+    Cluster,
+    RunningGateway,
+    encode_request,
+    every,
+    replicas_of,
+    route,
+    search_cluster,
+    with_cluster,
+)
+from tests.standin_replica import Fault
+from tests.test_gateway_gather import GREATEST, check_signatures, greatest
+from tests.virtual_net import FakeTransport
+
+SHARDS = 4
+
+
+async def two_domains(cluster: Cluster) -> tuple[RunningGateway, RunningGateway]:
+    """Start one gateway without local replicas, and one beside them."""
+    near = cluster.start_gateway("near", domain="zone-b")
+    await search_cluster(cluster, domains=("zone-b", "zone-b"))
+    await asyncio.sleep(2.0)
+    return cluster.gateways["g-1"], near
+
+
+def delegated(cluster: Cluster) -> int:
+    text = cluster.gateways["g-1"].gateway.metrics.registry.render(now_seconds=0.0)
+    lines = [
+        line
+        for line in text.splitlines()
+        if line.startswith("bronzebeam_gateway_delegations_total{")
+    ]
+    return sum(int(line.rsplit(" ", 1)[1]) for line in lines)
+
+
+def withhold(
+    cluster: Cluster, sender: RunningGateway, receiver: RunningGateway, marked: bytes
+) -> None:
+    """Let writes that contain `marked` get lost on the way."""
+
+    def wrap(transport: FakeTransport) -> None:
+        write = transport.write
+
+        def write_others(data: bytes) -> None:
+            if marked not in data:
+                write(data)
+
+        transport.write = write_others  # type: ignore[method-assign]
+
+    for transport in cluster.loop.net.transports:
+        if (transport.own, transport.other_host) == (sender.host, receiver.host):
+            wrap(transport)
+
+
+def test_peer_merges_the_shards_of_its_domain() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert answer.body == greatest(*GREATEST)
+        assert answer.missing == 0
+        assert len(check_signatures(cluster, answer, "d-1")) == SHARDS
+        assert delegated(cluster) == 1
+        assert cluster.runs_of("d-1") == SHARDS
+        remaining = [
+            run.remaining_ms for item in cluster.replicas.values() for run in item.runs
+        ]
+        assert all(700 < value <= 800 for value in remaining)
+
+    with_cluster(scenario)
+
+
+def test_silent_peer_is_passed_over_within_the_target_and_then_avoided() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        cluster.loop.net.cut_pairs.add(frozenset((asker.host, near.host)))
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert answer.body == greatest(*GREATEST)
+        assert answer.elapsed_seconds < 0.08
+        assert len(asker.log("peer_avoided")) == 1
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-2")
+        assert answer is not None and answer.elapsed_seconds < 0.03
+        assert cluster.runs_of("d-2") == SHARDS
+
+    with_cluster(scenario)
+
+
+def test_killed_peer_costs_no_answer() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.02
+        asking = asyncio.ensure_future(
+            cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        )
+        await asyncio.sleep(0.015)
+        near.kill(cluster)
+        answer = await asking
+        assert answer is not None and answer.status == 200
+        assert answer.body == greatest(*GREATEST)
+        assert answer.missing == 0
+
+    with_cluster(scenario)
+
+
+def test_late_reply_of_a_peer_counts_no_record_twice() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        straggler = replicas_of(cluster, "shard-0")
+        for replica in straggler:
+            replica.work_seconds = 0.075
+        asking = asyncio.ensure_future(
+            cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        )
+        await asyncio.sleep(0.004)
+        withhold(cluster, near, asker, b"102 Processing")
+        answer = await asking
+        assert answer is not None and answer.status == 200
+        services = check_signatures(cluster, answer, "d-1")
+        expected = sorted(
+            (
+                10 * index + offset
+                for index in range(SHARDS)
+                if f"shard-{index}" in services
+                for offset in (1, 3, 9)
+            ),
+            reverse=True,
+        )
+        assert answer.body == greatest(*expected[:5])
+        assert len(services) + answer.missing == SHARDS
+
+    with_cluster(scenario)
+
+
+def test_peer_with_a_straggler_tells_that_it_is_at_work() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.work_seconds = 0.06
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 0
+        assert asker.log("peer_avoided") == []
+        assert cluster.runs_of("d-1") <= SHARDS + 1
+
+    with_cluster(scenario)
+
+
+def test_shard_missing_at_the_peer_is_missing_in_the_answer() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        for replica in replicas_of(cluster, "shard-3"):
+            replica.fault = every(Fault.ERROR)
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 1
+        assert answer.body == greatest(29, 23, 21, 19, 13)
+
+    with_cluster(scenario)
+
+
+def test_peer_with_another_configuration_refuses_and_nothing_is_mixed() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        cluster.loop.net.cut_pairs.add(frozenset((near.host, cluster.store.host)))
+        names = ["shard-0", "shard-1", "shard-2"]
+        cluster.configure(
+            route(
+                "r-find",
+                GATHER_PATH,
+                fanoutServices=names,
+                topK=5,
+                minShardFraction=0.5,
+            )
+        )
+        await asyncio.sleep(2.0)
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert check_signatures(cluster, answer, "d-1") == set(names)
+        assert answer.missing == 0
+        [line] = asker.log("peer_avoided")
+        assert "cause=another_configuration" in line
+
+    with_cluster(scenario)
+
+
+def test_peer_stops_its_work_once_the_caller_has_left() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.7
+        caller = await cluster.connect(asker)
+        caller.send(encode_request(GATHER_PATH, attempt_id="g-1"))
+        await asyncio.sleep(0.02)
+        caller.transport.close()
+        await asyncio.sleep(0.1)
+        runs = [run for item in cluster.replicas.values() for run in item.runs]
+        assert len(runs) >= SHARDS and all(run.aborted for run in runs)
+
+    with_cluster(scenario)
+
+
+def test_shard_with_more_replicas_than_attempts_is_not_handed_over() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        for index in range(SHARDS):
+            cluster.add_replica(f"shard-{index}", domain="zone-b")
+        await asyncio.sleep(2.0)
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert delegated(cluster) == 0
+
+    with_cluster(scenario)
+
+
+def test_stopping_instance_is_handed_nothing_soon_after() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        near.stop()
+        await asyncio.sleep(1.3)
+        before = delegated(cluster)
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert delegated(cluster) == before
+        assert len(asker.log("peer_gone")) == 1
+
+    with_cluster(scenario)
+
+
+def test_callers_cannot_give_orders_to_an_instance() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        answer = await cluster.ask(
+            asker, "/elsewhere/", headers={"bb-gather": "3;r-find;1;5;50"}
+        )
+        assert answer is not None and answer.status == 404
+
+    with_cluster(scenario)
--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,159 @@
+"""Tests of readiness, planned stops and reloads, in virtual time."""
+
+import asyncio
+import signal
+
+from tests.fixtures_gateway import (
+    READ_PATH,
+    Caller,
+    Cluster,
+    RunningGateway,
+    encode_request,
+    small_cluster,
+    with_cluster,
+)
+
+GRACE_SECONDS = 6.0
+BALANCER_SECONDS = 2.5
+
+
+async def asked_on(caller: Caller, attempt_id: str) -> int | None:
+    caller.send(encode_request(READ_PATH, attempt_id=attempt_id))
+    answer = await caller.answers.get()
+    return None if answer is None else answer.status
+
+
+async def ended(gateway: RunningGateway, cluster: Cluster) -> float:
+    started_at = cluster.loop.time()
+    async with asyncio.timeout(GRACE_SECONDS + 1.0):
+        assert await gateway.task == 0
+    return cluster.loop.time() - started_at
+
+
+def test_instance_is_ready_with_a_configuration_only() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = cluster.start_gateway("g-1")
+        await asyncio.sleep(1.0)
+        assert not await cluster.is_ready(gateway)
+        gateway.kill(cluster)
+        gateway = await small_cluster(cluster)
+        assert await cluster.is_ready(gateway)
+
+    with_cluster(scenario)
+
+
+def test_instance_without_any_replica_is_not_ready_until_one_is_back() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        hosts = {replica.host for replica in cluster.replicas.values()}
+        for host in hosts:
+            cluster.loop.net.cut_pairs.add(frozenset((gateway.host, host)))
+            for transport in list(cluster.loop.net.transports):
+                if {transport.own, transport.other_host} == {gateway.host, host}:
+                    transport._receive_end(reset=True)
+                    transport.closed = True
+                    transport.protocol.connection_lost(None)
+        for _ in range(4):
+            await asyncio.sleep(1.0)
+            ready = await cluster.is_ready(gateway)
+        assert not ready
+        cluster.loop.net.cut_pairs.clear()
+        await asyncio.sleep(3.0)
+        assert await cluster.is_ready(gateway)
+
+    with_cluster(scenario)
+
+
+def test_stopping_instance_is_not_ready_and_serves_while_callers_still_come() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        gateway.stop()
+        await asyncio.sleep(0.01)
+        assert not await cluster.is_ready(gateway)
+        for _ in range(int(BALANCER_SECONDS / 0.1)):
+            answer = await cluster.ask(gateway, READ_PATH)
+            assert answer is not None and answer.status == 200
+            assert answer.headers["connection"] == "close"
+            await asyncio.sleep(0.1)
+        assert await ended(gateway, cluster) < GRACE_SECONDS - BALANCER_SECONDS
+
+    with_cluster(scenario)
+
+
+def test_request_under_way_at_the_signal_is_answered() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 2.4
+        asking = [
+            asyncio.ensure_future(
+                cluster.ask(gateway, READ_PATH, remaining_ms=2_500, attempt_id="s-1")
+            )
+        ]
+        cluster.configure(*[{**item, "timeoutMs": 2_500} for item in cluster.routes])
+        await asyncio.sleep(2.0)
+        gateway.stop()
+        await asyncio.sleep(2.9)
+        asking.append(
+            asyncio.ensure_future(
+                cluster.ask(gateway, READ_PATH, remaining_ms=2_500, attempt_id="s-2")
+            )
+        )
+        await asyncio.sleep(0.1)
+        await ended(gateway, cluster)
+        answers = await asyncio.gather(*asking)
+        assert answers[1] is not None and answers[1].status == 200
+
+    with_cluster(scenario)
+
+
+def test_kept_connections_are_used_to_the_end_without_a_lost_request() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        callers = [await cluster.connect(gateway) for _ in range(4)]
+        for number, caller in enumerate(callers):
+            assert await asked_on(caller, f"k-{number}") == 200
+        gateway.stop()
+        lost = []
+        for step in range(60):
+            await asyncio.sleep(0.1)
+            for number, caller in enumerate(callers):
+                if caller.ended or (step + number) % 7:
+                    continue
+                if await asked_on(caller, f"k-{number}-{step}") is None:
+                    lost.append((step, number))
+            if gateway.task.done():
+                break
+        assert lost == []
+        assert gateway.task.done() and gateway.task.result() == 0
+
+    with_cluster(scenario)
+
+
+def test_idle_instance_ends_soon_after_the_balancer_has_noticed() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        gateway.stop()
+        assert 2.0 < await ended(gateway, cluster) < 4.0
+        assert "instances/g-1" not in cluster.store.items
+        for name in ("stop_started", "stop_ended", "ended"):
+            assert len(gateway.log(name)) == 1
+
+    with_cluster(scenario)
+
+
+def test_reload_changes_bounds_and_cuts_nothing() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.3
+        asking = asyncio.ensure_future(cluster.ask(gateway, READ_PATH))
+        await asyncio.sleep(0.1)
+        for handler in cluster.loop.handlers[signal.SIGHUP]:
+            handler()
+        answer = await asking
+        assert answer is not None and answer.status == 200
+        [line] = gateway.log("reloaded")
+        assert "changed=false" in line
+
+    with_cluster(scenario)
--- /dev/null
+++ b/tests/virtual_net.py
@@ -0,0 +1,237 @@
+"""An event loop in virtual time, with a network in memory."""
+
+import asyncio
+import contextvars
+import selectors
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+from attrs import define, field
+
+ResultT = TypeVar("ResultT")
+Address = tuple[str, int]
+ONE_WAY_SECONDS = 0.0005
+START_SECONDS = 1_000.0
+OWN_HOST: contextvars.ContextVar[str] = contextvars.ContextVar(
+    "own_host", default="tester"
+)
+
+
+class Deadlock(Exception):
+    """Nothing is left that could happen."""
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Advances a clock in place of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_seconds = START_SECONDS
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise Deadlock("no timer is set")
+        self.now_seconds += max(0.0, timeout)
+        return []
+
+
+class FakeSocket:
+    """Accepts options and knows nothing."""
+
+    def setsockopt(self, *args: Any) -> None:
+        pass
+
+    def getsockopt(self, *args: Any) -> bytes:
+        raise OSError("not a real socket")
+
+
+class FakeTransport(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, *, net: "VirtualNet", own: str, other: str) -> None:
+        super().__init__()
+        self.net = net
+        self.own = own
+        self.other_host = other
+        self.peer: FakeTransport | None = None
+        self.protocol: Any = None
+        self.closed = False
+        self.paused = False
+        self.held: list[bytes] = []
+        self.written = b""
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return FakeSocket() if name == "socket" else default
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+        held, self.held = self.held, []
+        for data in held:
+            self._receive(data)
+
+    def write(self, data: Any) -> None:
+        if self.closed:
+            return
+        self.written += bytes(data)
+        self._send(lambda end: end._receive(bytes(data)))
+
+    def close(self) -> None:
+        self._end(reset=False)
+
+    def abort(self) -> None:
+        self._end(reset=True)
+
+    def _end(self, *, reset: bool) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self._send(lambda end: end._receive_end(reset))
+        self.net.loop.call_soon(self.protocol.connection_lost, None)
+
+    def _send(self, deliver: Callable[["FakeTransport"], None]) -> None:
+        peer = self.peer
+        if peer is None or self.net.is_cut(self.own, self.other_host):
+            return
+        self.net.loop.call_later(ONE_WAY_SECONDS, deliver, peer)
+
+    def _receive(self, data: bytes) -> None:
+        if self.closed or self.net.is_cut(self.own, self.other_host):
+            return
+        if self.paused:
+            self.held.append(data)
+            return
+        self.protocol.data_received(data)
+
+    def _receive_end(self, reset: bool) -> None:
+        if self.closed or self.net.is_cut(self.own, self.other_host):
+            return
+        self.closed = True
+        if reset:
+            error: Exception | None = ConnectionResetError("reset")
+        else:
+            error = None
+            self.protocol.eof_received()
+        self.protocol.connection_lost(error)
+
+
+@define(kw_only=True, eq=False)
+class FakeListener:
+    """What `create_server` returns."""
+
+    net: "VirtualNet"
+    address: Address
+
+    def close(self) -> None:
+        self.net.listeners.pop(self.address, None)
+
+
+@define(kw_only=True, eq=False)
+class VirtualNet:
+    """
+    Hosts in memory, reached by address.
+
+    :ivar listeners: factories of the protocols that accept connections.
+    :ivar cut_hosts: hosts that exchange nothing with any other host, in silence.
+    :ivar cut_pairs: pairs of hosts that exchange nothing.
+    """
+
+    loop: "VirtualLoop"
+    listeners: dict[Address, Callable[[], Any]] = field(factory=dict)
+    cut_hosts: set[str] = field(factory=set)
+    cut_pairs: set[frozenset[str]] = field(factory=set)
+    transports: list[FakeTransport] = field(factory=list)
+    connects: list[Address] = field(factory=list)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        if one in self.cut_hosts or other in self.cut_hosts:
+            return True
+        return frozenset((one, other)) in self.cut_pairs
+
+    def reset_connections(self, host: str) -> None:
+        """End all connections of a host at both ends."""
+        for transport in list(self.transports):
+            if transport.own == host:
+                transport.abort()
+
+    def open(
+        self, factory: Callable[[], Any], address: Address, own: str
+    ) -> tuple[FakeTransport, Any]:
+        """Connect at once, without a handshake."""
+        accept = self.listeners.get(address)
+        if accept is None:
+            raise ConnectionRefusedError(111, "Connection refused")
+        client = FakeTransport(net=self, own=own, other=address[0])
+        server = FakeTransport(net=self, own=address[0], other=own)
+        client.peer, server.peer = server, client
+        client.protocol, server.protocol = factory(), accept()
+        self.transports = [t for t in self.transports if not t.closed]
+        self.transports += [client, server]
+        server.protocol.connection_made(server)
+        client.protocol.connection_made(client)
+        return client, client.protocol
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """
+    An event loop whose time passes at once, and whose network is in memory.
+
+    Code that opens connections says from which host by `OWN_HOST`, which is part of
+    the context that each host's tasks inherit.
+    """
+
+    def __init__(self) -> None:
+        self.virtual_selector = VirtualSelector()
+        super().__init__(self.virtual_selector)
+        self.net = VirtualNet(loop=self)
+        self.handlers: dict[int, list[Callable[[], None]]] = {}
+
+    def time(self) -> float:
+        return self.virtual_selector.now_seconds
+
+    async def create_connection(  # type: ignore[override]
+        self, protocol_factory: Callable[[], Any], host: str, port: int
+    ) -> tuple[FakeTransport, Any]:
+        own = OWN_HOST.get()
+        self.net.connects.append((host, port))
+        if self.net.is_cut(own, host):
+            await asyncio.sleep(3_600.0)
+        await asyncio.sleep(2 * ONE_WAY_SECONDS)
+        return self.net.open(protocol_factory, (host, port), own)
+
+    async def create_server(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], Any],
+        host: str,
+        port: int,
+        backlog: int = 100,
+    ) -> FakeListener:
+        self.net.listeners[(host, port)] = protocol_factory
+        return FakeListener(net=self.net, address=(host, port))
+
+    def add_signal_handler(  # type: ignore[override]
+        self, sig: int, callback: Callable[..., Any], *args: Any
+    ) -> None:
+        self.handlers.setdefault(sig, []).append(lambda: callback(*args))
+
+
+def run_virtual(
+    main: Callable[[VirtualLoop], Coroutine[Any, Any, ResultT]],
+) -> ResultT:
+    """Run `main` in a loop of its own."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(main(loop))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
