Test the gateway's decisions, formats, log and callers' connections

Found by them and mended: lines left out of the log were not counted when the buffer was full; an address that is no IP number passed the check of the settings. The settings file is also taken when it changes without a signal, and a store that moves is followed. Every random choice of a process comes from one source, so that tests repeat.

--- a/src/bronzebeam/cli.py
+++ b/src/bronzebeam/cli.py
@@ -7,6 +7,7 @@
 from bronzebeam.cli_demo import demo
 from bronzebeam.cli_document import document
 from bronzebeam.cli_entry import entry
+from bronzebeam.cli_gateway import gateway
 from bronzebeam.cli_settings import settings
 from bronzebeam.cli_soak import soak
 from bronzebeam.cli_standin import standin
@@ -20,5 +21,5 @@
 
 
 standin.add_command(run_backends)
-for command in (bench, demo, document, entry, settings, soak, standin):
+for command in (bench, demo, document, entry, gateway, settings, soak, standin):
     main.add_command(command)
--- a/src/bronzebeam/cli_settings.py
+++ b/src/bronzebeam/cli_settings.py
@@ -6,6 +6,7 @@
 import click
 
 from bronzebeam.findings import FindingsError
+from bronzebeam.platform.node_settings import read_settings
 from bronzebeam.settings import load_settings
 
 EXIT_FINDINGS: Final = 2
@@ -13,21 +14,29 @@
 
 @click.group()
 def settings() -> None:
-    """Work on the settings file of an entry instance."""
+    """Work on the settings files of instances."""
 
 
 @settings.command()
 @click.argument("file", type=click.Path(path_type=Path))
-def check(file: Path) -> None:
+@click.option(
+    "--platform",
+    is_flag=True,
+    help="FILE is the platform's settings file, which a gateway reads.",
+)
+def check(file: Path, platform: bool) -> None:
     """
     Check the settings in FILE.
 
     Exits with 0 if there is nothing to report, with 2 after printing all findings.
     """
     try:
-        checked = load_settings(file)
+        if platform:
+            instance = read_settings(str(file)).instance
+        else:
+            instance = load_settings(file).instance
     except FindingsError as error:
         for finding in error.findings:
             click.echo(f"{error.subject}: {finding}", err=True)
         raise SystemExit(EXIT_FINDINGS) from error
-    click.echo(f"{file}: settings of instance {checked.instance} are in order")
+    click.echo(f"{file}: settings of instance {instance} are in order")
--- a/src/bronzebeam/gateway/context.py
+++ b/src/bronzebeam/gateway/context.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from attrs import define, field
+from attrs import define
 
 from bronzebeam.gateway.dialect import Dialect
 from bronzebeam.gateway.fleet_state import FleetState
@@ -20,4 +20,4 @@
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
     metrics: GatewayMetrics
-    rng: random.Random = field(factory=random.Random)
+    rng: random.Random
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import random
 import signal
 import socket
 from collections.abc import Callable, Coroutine
@@ -34,6 +35,7 @@
 BACKLOG: Final = 1_024  # a full queue costs a caller seconds
 RESTART_SECONDS: Final = 0.5  # before a task that failed is run again
 METRICS_PATH: Final = b"/metrics"
+SLOW_TICKS: Final = 4  # of each so many turns one looks at callers and settings
 FIRST_FREEZE_TICKS: Final = 8
 
 MakeStore = Callable[[GatewaySettings, DecisionLog], GatewayStore]
@@ -58,6 +60,9 @@
 
     :ivar callers_socket: listens for callers already; None if it does not.
     :ivar read_settings: reads the settings anew; raises `FindingsError`.
+    :ivar rng: source of every random choice of the process.
+    :ivar settings_stamp: returns another number once the settings have changed; 0
+        if that is not known at the moment.
     :ivar background_tasks: run as long as the process.
     :ivar make_store: makes the client of the platform's store.
     """
@@ -65,9 +70,11 @@
     settings: GatewaySettings
     callers_socket: socket.socket | None
     read_settings: ReadSettings
+    settings_stamp: Callable[[], int]
     make_store: MakeStore
     dialect: Dialect
     log: DecisionLog
+    rng: random.Random = field(factory=random.Random)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     _loop: asyncio.AbstractEventLoop = field(init=False)
     _state: FleetState = field(init=False)
@@ -77,6 +84,8 @@
     _readiness: Readiness = field(init=False)
     _stop: asyncio.Event = field(init=False)
     background_tasks: list[asyncio.Task[None]] = field(factory=list, init=False)
+    _store: GatewayStore = field(init=False)
+    _stamp: int = 0
     _ticks: int = 0
 
     async def run(self) -> int:
@@ -84,15 +93,19 @@
         self._loop = loop = asyncio.get_running_loop()
         self._stop = asyncio.Event()
         self.log.event("started")
-        store = self._build()
+        self._stamp = self.settings_stamp()
+        self._store = store = self._build()
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        watch = StoreWatch(store=store, state=self._state, loop=loop, log=self.log)
+        watch = StoreWatch(
+            store=store, state=self._state, loop=loop, log=self.log, rng=self.rng
+        )
         registration = Registration(
             store=store,
             record=self._own_record(),
             log=self.log,
+            rng=self.rng,
             lease_min_seconds=self.settings.lease_min_ms / 1_000.0,
         )
         registering = loop.create_task(
@@ -142,6 +155,7 @@
             connect=open_connection,
             log=self.log,
             limits=settings.repeats,
+            rng=self.rng,
             started_at_seconds=loop.time(),
         )
         self._readiness = Readiness(state=self._state, loop=loop, log=self.log)
@@ -151,6 +165,7 @@
             loop=loop,
             log=self.log,
             metrics=self.metrics,
+            rng=self.rng,
         )
         router = Router(context=context, started_at_seconds=loop.time())
         self._state.on_first_table = router.configuration_taken
@@ -219,17 +234,26 @@
         if self._state.table is not None:
             self._server.limits = self._state.table.limits
         self._state.tend()
-        if self._ticks % 4 == 0:
+        if self._ticks % SLOW_TICKS == 0:
             self._server.close_overdue()
+            self._look_at_settings()
         self.log.flush()
 
+    def _look_at_settings(self) -> None:
+        # The settings may change without a signal.
+        stamp = self.settings_stamp()
+        if stamp and stamp != self._stamp:
+            self._reload()
+
     def _reload(self) -> None:
+        self._stamp = self.settings_stamp()
         try:
             settings = self.read_settings()
         except FindingsError as error:
             self.log.event("reload_failed", cause=str(error))
             return
-        changed = settings != self.settings
-        self.settings = settings
+        earlier, self.settings = self.settings, settings
         self._state.take_limits(settings.repeats)
-        self.log.event("reloaded", changed=changed)
+        if settings.store != earlier.store:
+            self._store.redirect(settings.store)
+        self.log.event("reloaded", changed=settings != earlier)
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -26,7 +26,7 @@
 )
 from bronzebeam.routing.routes import BackendService, Route, RouteTable
 from bronzebeam.routing.second_sends import SecondSendBudget, SecondSendLimits
-from bronzebeam.routing.traffic_split import TrafficSplit
+from bronzebeam.routing.weighted_split import WeightedSplit
 from bronzebeam.telemetry.decisions import DecisionLog
 
 # Entries that lapsed with the store are back within two seconds of its return.
@@ -79,7 +79,7 @@
     connect: Connect
     log: DecisionLog
     limits: SecondSendLimits
-    rng: random.Random = field(factory=random.Random)
+    rng: random.Random
     table: RouteTable | None = None
     on_first_table: Callable[[], None] | None = None
     replicas: dict[str, Replica] = field(factory=dict)
@@ -88,7 +88,7 @@
     _by_service: dict[str, list[Replica]] = field(factory=dict)
     _leaving_at_seconds: dict[str, float] = field(factory=dict)
     _typical: dict[str, TypicalLatency] = field(factory=dict)
-    _splits: dict[str, tuple[Route, TrafficSplit]] = field(factory=dict)
+    _splits: dict[str, tuple[Route, WeightedSplit]] = field(factory=dict)
     _budgets: dict[str, SecondSendBudget] = field(factory=dict)
     _fan_out_services: frozenset[str] = frozenset()
     _exchange_max_seconds: float = EXCHANGE_SLACK_SECONDS
@@ -100,6 +100,7 @@
             loop=self.loop,
             connect=self.connect,
             log=self.log,
+            rng=self.rng,
         )
 
     # Written by the watch of the store.
@@ -216,7 +217,7 @@
             return route.destinations[0].service
         held = self._splits.get(route.name)
         if held is None or held[0].destinations != route.destinations:
-            held = (route, TrafficSplit(destinations=route.destinations))
+            held = (route, WeightedSplit(destinations=route.destinations))
             self._splits[route.name] = held
         return held[1].next_service()
 
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -58,7 +58,7 @@
     loop: asyncio.AbstractEventLoop
     connect: Connect
     log: DecisionLog
-    rng: random.Random = field(factory=random.Random)
+    rng: random.Random
     records: dict[str, InstanceRecord] = field(factory=dict)
     _peers: dict[str, Peer] = field(factory=dict)
 
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -6,6 +6,7 @@
 
 from attrs import field, frozen
 
+from bronzebeam.listen import ListenSettings
 from bronzebeam.routing.routes import RouteTable
 
 
@@ -124,5 +125,8 @@
     async def release(self, *, lease: str) -> None:
         """End a lease, which removes the record under it."""
 
+    def redirect(self, address: ListenSettings) -> None:
+        """Use another address for all further calls."""
+
     def close(self) -> None:
         """Close the connections."""
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -32,7 +32,7 @@
 class Backoff:
     """Delays between attempts to reach the store."""
 
-    rng: random.Random = field(factory=random.Random)
+    rng: random.Random
     _delay_seconds: float = RETRY_FIRST_SECONDS
 
     def reset(self) -> None:
@@ -60,11 +60,15 @@
     state: FleetState
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
+    rng: random.Random
     connected: bool = False
-    _backoff: Backoff = field(factory=Backoff)
+    _backoff: Backoff = field(init=False)
     _proven: bool = False
     _lost_at_seconds: float | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self._backoff = Backoff(rng=self.rng)
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         revision: int | None = None
@@ -134,10 +138,14 @@
     store: GatewayStore
     record: InstanceRecord
     log: DecisionLog
+    rng: random.Random
     lease_min_seconds: float
-    _backoff: Backoff = field(factory=Backoff)
+    _backoff: Backoff = field(init=False)
     _lease: str | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self._backoff = Backoff(rng=self.rng)
+
     async def end(self) -> None:
         """End the registration, so that peers hand nothing more to this instance."""
         lease, self._lease = self._lease, None
--- a/src/bronzebeam/platform/__main__.py
+++ b/src/bronzebeam/platform/__main__.py
@@ -2,10 +2,11 @@
 
 import sys
 
-from bronzebeam.platform.settings_lines import listen_for_callers
+from bronzebeam.platform.settings_lines import listen_for_callers, settings_path
 
 if __name__ == "__main__":
-    callers_socket = listen_for_callers()
+    path = settings_path()
+    callers_socket = listen_for_callers(path)
 
     # The gateway speaks no TLS. Without this module asyncio starts a tenth faster, and
     # a process that returns after a loss of power serves that much sooner.
@@ -13,4 +14,4 @@
 
     from bronzebeam.platform.role import main
 
-    sys.exit(main(callers_socket))
+    sys.exit(main(path, callers_socket))
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file: lines of the form ``a.b=value``."""
 
+import socket
 from collections.abc import Mapping
 from typing import Final
 
@@ -114,10 +115,18 @@
         if not text:
             return None
         host, _, port = text.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        if not _is_ip_number(host) or not port.isdigit() or not 0 < int(port) < 65_536:
             self._add(name, f"An IP number and a port are needed, not {text!r}.")
             return None
         return ListenSettings(address=host, port=int(port))
 
     def _add(self, name: str, message: str) -> None:
         self.findings.append(Finding(place=name, message=message))
+
+
+def _is_ip_number(text: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except OSError:
+        return False
+    return True
--- a/src/bronzebeam/platform/role.py
+++ b/src/bronzebeam/platform/role.py
@@ -1,6 +1,7 @@
 """The gateway's role on the platform, assembled."""
 
 import asyncio
+import os
 import socket
 import sys
 
@@ -10,7 +11,6 @@
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.platform.headers import PlatformDialect
 from bronzebeam.platform.node_settings import read_settings
-from bronzebeam.platform.settings_lines import settings_path
 from bronzebeam.platform.store import PlatformStore
 from bronzebeam.telemetry.decisions import DecisionLog, standard_output
 from bronzebeam.transport.http_call import HttpCallClient
@@ -24,16 +24,16 @@
     return PlatformStore(client=client, log=log)
 
 
-def main(callers_socket: socket.socket | None) -> int:
+def main(path: str, callers_socket: socket.socket | None) -> int:
     """
     Run the gateway until a planned stop.
 
     Exit codes: 0 after a planned stop, 1 if requests were cut off at its bound,
     2 if the settings have findings.
 
+    :param path: the platform's settings file.
     :param callers_socket: listens for callers already; None if it does not.
     """
-    path = settings_path()
     try:
         settings = read_settings(path)
     except FindingsError as error:
@@ -44,8 +44,17 @@
         settings=settings,
         callers_socket=callers_socket,
         read_settings=lambda: read_settings(path),
+        settings_stamp=lambda: _changed_at_ns(path),
         make_store=make_store,
         dialect=PlatformDialect(),
         log=DecisionLog(instance=settings.instance, write=standard_output()),
     )
     return asyncio.run(gateway.run())
+
+
+def _changed_at_ns(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        # The file is being replaced; the next look finds it.
+        return 0
--- a/src/bronzebeam/platform/settings_lines.py
+++ b/src/bronzebeam/platform/settings_lines.py
@@ -28,7 +28,7 @@
     return fields
 
 
-def listen_for_callers() -> socket.socket | None:
+def listen_for_callers(path: str) -> socket.socket | None:
     """
     Open the callers' port.
 
@@ -39,7 +39,7 @@
         start that follows reports what is wrong with them.
     """
     try:
-        with open(settings_path(), encoding="utf-8") as file:
+        with open(path, encoding="utf-8") as file:
             address = split_lines(file.read()).get(CALLER_ADDRESS, "")
         host, _, port = address.rpartition(":")
         return socket.create_server((host, int(port)), backlog=BACKLOG)
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -17,6 +17,7 @@
     StoreContents,
     StoreUnavailable,
 )
+from bronzebeam.listen import ListenSettings
 from bronzebeam.platform.configuration import MalformedRecord, decode_configuration
 from bronzebeam.platform.instances import decode_instance, encode_instance
 from bronzebeam.platform.names import (
@@ -120,6 +121,11 @@
         """End a lease."""
         await self._call("DELETE", f"/kv-lease-end/{lease}", accepted=(OK, NOT_FOUND))
 
+    def redirect(self, address: ListenSettings) -> None:
+        """Use another address for all further calls."""
+        self.client.host, self.client.port = address.address, address.port
+        self.client.close()
+
     def close(self) -> None:
         """Close the connections."""
         self.client.close()
--- a/src/bronzebeam/routing/traffic_split.py
+++ b/src/bronzebeam/routing/weighted_split.py
@@ -6,7 +6,7 @@
 
 
 @define(kw_only=True, eq=False, repr=False)
-class TrafficSplit:
+class WeightedSplit:
     """
     Smooth weighted round-robin over the services of one route.
 
--- a/src/bronzebeam/telemetry/decisions.py
+++ b/src/bronzebeam/telemetry/decisions.py
@@ -85,22 +85,27 @@
 
     def flush(self) -> None:
         """Write what the output takes now."""
-        self._report_left_out()
+        if self._drain() and self._report_left_out():
+            self._drain()
+
+    def _drain(self) -> bool:
+        """Write; return whether the output took everything."""
         while self._rest or self._lines:
             if not self._rest:
                 self._rest = self._join()
             try:
                 written = self.write(self._rest)
             except BlockingIOError:
-                return
+                return False
             except OSError:
                 # Nobody reads the output any more; serving goes on without it.
                 self._count_lost()
-                return
+                return False
             self._bytes -= written
             self._rest = self._rest[written:]
             if self._rest:
-                return
+                return False
+        return True
 
     def _join(self) -> bytes:
         taken: list[bytes] = []
@@ -121,11 +126,12 @@
         self._lines.append(line)
         self._bytes += len(line)
 
-    def _report_left_out(self) -> None:
+    def _report_left_out(self) -> bool:
         count = self.left_out_lines - self._reported_left_out
-        if count and self._bytes <= BUFFER_MAX_BYTES:
+        if count:
             self._reported_left_out = self.left_out_lines
             self._append("log_lines_left_out", {"count": count})
+        return count > 0
 
     def _count_lost(self) -> None:
         self.left_out_lines += len(self._lines) + 1
--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextvars
+import random
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
@@ -163,6 +164,7 @@
 
     :ivar lines: its log so far.
     :ivar task: ends with the exit code.
+    :ivar text: its settings file; `stamp` changes with it.
     """
 
     name: str
@@ -170,6 +172,8 @@
     gateway: Gateway
     lines: list[str]
     task: "asyncio.Task[int]"
+    text: str
+    stamp: int = 1
 
     def log(self, event: str) -> list[str]:
         """Return the lines of one event, those not yet written included."""
@@ -254,7 +258,6 @@
         number = len(self.gateways) + 1
         known = self.gateways.get(name)
         host = known.host if known is not None else f"10.9.0.{number}"
-        text = settings_text(name, host, domain, **changed)
         lines: list[str] = []
 
         def write(data: bytes) -> int:
@@ -262,21 +265,24 @@
             return len(data)
 
         def read() -> GatewaySettings:
-            return parse_settings(text, subject="test")
+            return parse_settings(running.text, subject="test")
 
+        text = settings_text(name, host, domain, **changed)
         gateway = Gateway(
-            settings=read(),
+            settings=parse_settings(text, subject="test"),
             callers_socket=None,
             read_settings=read,
+            settings_stamp=lambda: running.stamp,
             make_store=make_store,
             dialect=PlatformDialect(),
             log=DecisionLog(instance=name, write=write),
+            rng=random.Random(number),
         )
         context = contextvars.copy_context()
         context.run(OWN_HOST.set, host)
         task = self.loop.create_task(gateway.run(), context=context)
         running = RunningGateway(
-            name=name, host=host, gateway=gateway, lines=lines, task=task
+            name=name, host=host, gateway=gateway, lines=lines, task=task, text=text
         )
         self.gateways[name] = running
         return running
--- a/tests/standin_http.py
+++ b/tests/standin_http.py
@@ -25,11 +25,24 @@
         framed: bool = True,
     ) -> None:
         """Send a whole response, with its length unless `framed` is false."""
+        self.connection.write(
+            self.encode(status, headers=headers, body=body, framed=framed)
+        )
+
+    def encode(
+        self,
+        status: int,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        framed: bool = True,
+    ) -> bytes:
+        """Return the bytes of a response."""
         lines = [f"HTTP/1.1 {status} Stand-in"]
         lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
         if framed:
             lines.append(f"Content-Length: {len(body)}")
-        self.connection.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
 class StandinServer(Protocol):
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -26,6 +26,7 @@
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed_reset"
     EXTRA = "extra_reply"
+    EXTRA_JOINED = "extra_joined_reply"
     EXTRA_LATE = "extra_late_reply"
     GARBAGE = "garbage"
     OTHER_ID = "other_id"
@@ -195,6 +196,10 @@
         elif fault is Fault.NO_SIGNATURE:
             del headers[SIGNATURE_HEADER]
             request.respond(200, headers=headers, body=body)
+        elif fault is Fault.EXTRA_JOINED:
+            whole = request.encode(200, headers=headers, body=body)
+            extra = request.encode(200, headers=headers, body=b"extra")
+            request.connection.write(whole + extra)
         else:
             request.respond(200, headers=headers, body=body)
             if fault is Fault.EXTRA:
--- /dev/null
+++ b/tests/test_gateway_callers.py
@@ -0,0 +1,150 @@
+"""Tests of callers' connections: framing, limits, pipelining."""
+
+import asyncio
+
+from tests.fixtures_gateway import (
+    CALL_PATH,
+    READ_PATH,
+    Cluster,
+    encode_request,
+    small_cluster,
+    with_cluster,
+)
+
+
+def runs(cluster: Cluster) -> list[tuple[str, str, bytes]]:
+    return [
+        (run.method, run.target, run.body)
+        for replica in cluster.replicas.values()
+        for run in replica.runs
+    ]
+
+
+def test_requests_sent_ahead_are_answered_in_their_order() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        cluster.replicas["i-1"].work_seconds = 0.05
+        caller = await cluster.connect(gateway)
+        names = [f"p-{number}" for number in range(40)]
+        caller.send(
+            b"".join(encode_request(READ_PATH, attempt_id=name) for name in names)
+        )
+        for name in names:
+            answer = await caller.answers.get()
+            assert answer is not None and answer.body.endswith(f"/{name}".encode())
+
+    with_cluster(scenario)
+
+
+def test_body_is_no_request_whatever_it_looks_like() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        inner = encode_request("/read/inner", attempt_id="smuggled")
+        answer = await cluster.ask(gateway, CALL_PATH, method="POST", body=inner)
+        assert answer is not None and answer.status == 200
+        assert runs(cluster) == [("POST", CALL_PATH, inner)]
+
+    with_cluster(scenario)
+
+
+def test_ambiguous_framing_is_rejected_and_nothing_runs() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        inner = encode_request("/read/inner", attempt_id="smuggled")
+        for headers in (
+            {"Transfer-Encoding": "chunked", "Content-Length": "5"},
+            {"Content-Length": "x"},
+            {"Transfer-Encoding": "chunked, identity"},
+        ):
+            head = encode_request(CALL_PATH, method="POST", headers=headers)
+            caller = await cluster.connect(gateway)
+            caller.send(head + b"0\r\n\r\n" + inner)
+            answer = await caller.answers.get()
+            assert answer is not None and answer.status == 400, headers
+            assert await caller.answers.get() is None
+        assert runs(cluster) == []
+
+    with_cluster(scenario)
+
+
+def test_limits_of_the_configuration_are_kept() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        answer = await cluster.ask(gateway, READ_PATH, headers={"X-Long": "x" * 5_000})
+        assert answer is not None and answer.status == 431
+        answer = await cluster.ask(
+            gateway, CALL_PATH, method="POST", body=b"x" * 70_000
+        )
+        assert answer is not None and answer.status == 413
+        answer = await cluster.ask(
+            gateway, CALL_PATH, method="POST", body=b"x" * 60_000
+        )
+        assert answer is not None and answer.status == 200
+
+    with_cluster(scenario)
+
+
+def test_slow_and_idle_callers_are_let_go_in_time() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        slow, idle = await cluster.connect(gateway), await cluster.connect(gateway)
+        slow.send(b"GET /read/ HTTP/1.1\r\nHost: app")
+        idle.send(encode_request(READ_PATH))
+        assert (await idle.answers.get()) is not None
+        await asyncio.sleep(1.9)
+        assert not slow.ended
+        await asyncio.sleep(2.5)
+        answer = await slow.answers.get()
+        assert answer is not None and answer.status == 408
+        await asyncio.sleep(4.0)
+        idle.send(encode_request(READ_PATH, attempt_id="again"))
+        answer = await idle.answers.get()
+        assert answer is not None and answer.status == 200
+        await asyncio.sleep(12.5)
+        assert idle.ended
+
+    with_cluster(scenario)
+
+
+def test_caller_that_waits_to_send_its_body_is_told_to_go_on() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        caller = await cluster.connect(gateway)
+        head = encode_request(
+            CALL_PATH,
+            method="POST",
+            headers={"Expect": "100-continue", "Content-Length": "3"},
+        )
+        caller.send(head)
+        interim = await caller.answers.get()
+        assert interim is not None and interim.status == 100
+        caller.send(b"abc")
+        answer = await caller.answers.get()
+        assert answer is not None and answer.status == 200
+        assert runs(cluster) == [("POST", CALL_PATH, b"abc")]
+
+    with_cluster(scenario)
+
+
+def test_request_without_an_identifier_is_rejected() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        caller = await cluster.connect(gateway)
+        caller.send(b"GET /read/x HTTP/1.1\r\nHost: app.example\r\n\r\n")
+        answer = await caller.answers.get()
+        assert answer is not None and answer.status == 400
+        assert runs(cluster) == []
+
+    with_cluster(scenario)
+
+
+def test_end_of_connection_asked_for_is_kept() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        caller = await cluster.connect(gateway)
+        caller.send(encode_request(READ_PATH, headers={"Connection": "close"}))
+        answer = await caller.answers.get()
+        assert answer is not None and answer.headers["connection"] == "close"
+        assert await caller.answers.get() is None
+
+    with_cluster(scenario)
--- a/tests/test_gateway_forward.py
+++ b/tests/test_gateway_forward.py
@@ -140,7 +140,7 @@
 def test_bytes_behind_a_reply_reach_no_caller() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await small_cluster(cluster)
-        for fault in (Fault.EXTRA, Fault.EXTRA_LATE):
+        for fault in (Fault.EXTRA, Fault.EXTRA_JOINED, Fault.EXTRA_LATE):
             faults_on_all(cluster, fault)
             for number in range(6):
                 name = f"{fault.value}-{number}"
@@ -180,6 +180,7 @@
             answer = await cluster.ask(gateway, CALL_PATH, method="POST")
             assert answer is not None and answer.status == 200, number
         assert other.runs == []
+        assert len(other.arrivals) <= 1
 
     with_cluster(scenario)
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -142,6 +142,50 @@
     with_cluster(scenario)
 
 
+def test_settings_that_change_without_a_signal_are_taken() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        gateway.text = gateway.text.replace("Slack=50", "Slack=7")
+        gateway.stamp += 1
+        await asyncio.sleep(1.5)
+        [line] = gateway.log("reloaded")
+        assert "changed=true" in line
+        assert gateway.gateway._state.budget("any").limits.slack_count == 7.0
+
+    with_cluster(scenario)
+
+
+def test_settings_with_findings_change_nothing() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        gateway.text = gateway.text.replace("platform.address=", "platform.address=x")
+        gateway.stamp += 1
+        await asyncio.sleep(3.0)
+        assert len(gateway.log("reload_failed")) == 1
+        answer = await cluster.ask(gateway, READ_PATH)
+        assert answer is not None and answer.status == 200
+
+    with_cluster(scenario)
+
+
+def test_store_that_moves_is_followed() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        store = cluster.store
+        listener = cluster.loop.net.listeners.pop((store.host, store.port))
+        cluster.loop.net.listeners[("10.200.0.2", 8_200)] = listener
+        cluster.loop.net.reset_connections(store.host)
+        gateway.text = gateway.text.replace("10.200.0.1:8100", "10.200.0.2:8200")
+        gateway.stamp += 1
+        await asyncio.sleep(4.0)
+        cluster.configure(*cluster.routes)
+        await asyncio.sleep(3.0)
+        table = gateway.gateway._state.table
+        assert table is not None and table.version == cluster.version
+
+    with_cluster(scenario)
+
+
 def test_reload_changes_bounds_and_cuts_nothing() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await small_cluster(cluster)
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -18,6 +18,8 @@
 from tests.standin_store import PAGE_ITEMS, StoreFault, always
 
 IN_FORCE_SECONDS = 3.0
+# The users hold an instance to that bound once the store has been well for so long.
+STABLE_SECONDS = 4.0
 LEAVING_SECONDS = 3.0
 
 
@@ -225,6 +227,7 @@
             await asyncio.sleep(10.0)
             assert len(cluster.store.calls) - calls < 60, fault
             cluster.store.fault = always(StoreFault.NONE)
+            await asyncio.sleep(STABLE_SECONDS)
             cluster.configure(*cluster.routes)
             await asyncio.sleep(IN_FORCE_SECONDS)
             assert version_of(gateway) == cluster.version, fault
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,230 @@
+"""Tests of the platform's settings file, records and headers."""
+
+import re
+from pathlib import Path
+
+import orjson
+from hypothesis import given, strategies as st
+
+from bronzebeam.findings import FindingsError
+from bronzebeam.platform.configuration import MalformedRecord, decode_configuration
+from bronzebeam.platform.headers import PlatformDialect
+from bronzebeam.platform.instances import decode_instance
+from bronzebeam.platform.node_settings import parse_settings, read_settings
+from bronzebeam.platform.replicas import decode_replica
+from bronzebeam.transport.caller_request import CallerRequest
+from bronzebeam.transport.http_reply import Headers
+from tests.fixtures_gateway import route, settings_text
+from tests.fixtures_routing import COMMON
+
+SOURCES = Path(__file__).parent.parent / "src" / "bronzebeam"
+PLATFORM_NAMES = re.compile(
+    r"x-bronzebeam|fanoutServices|trafficSplit|routeKind|pathPrefix|minShardFraction"
+    r"|topK|kv-[a-z]+|op/config|(?<!/)servers/|coldRemainingMs|BRONZEBEAM_NODE_FILE"
+    r"|frontendAddress|internalPortRange|retryBudget|gracePeriodS|nodeName",
+    re.IGNORECASE,
+)
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 5) | st.floats() | st.text(max_size=6),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    max_leaves=6,
+)
+ENTRY_FIELDS = ("service", "address", "zone", "slots", "state", "coldRemainingMs")
+
+
+def replica_entry() -> dict[str, object]:
+    return {
+        "service": "s",
+        "address": "10.1.0.1:80",
+        "zone": "z",
+        "slots": 2,
+        "state": "ready",
+        "coldRemainingMs": 40,
+    }
+
+
+def request_with(headers: Headers, *, body: bytes = b"") -> CallerRequest:
+    class NoChannel:
+        def send_answer(
+            self, request: CallerRequest, status: int, headers: Headers, body: bytes
+        ) -> None:
+            raise AssertionError("no answer is expected")
+
+        def send_interim(self, request: CallerRequest) -> None:
+            raise AssertionError("no answer is expected")
+
+    return CallerRequest(
+        method=b"POST",
+        target=b"/p/x?y",
+        headers=headers,
+        body=body,
+        arrived_at_seconds=0.0,
+        channel=NoChannel(),
+    )
+
+
+def test_names_of_the_platform_stay_in_its_folder() -> None:
+    outside = [
+        f"{path.relative_to(SOURCES)}:{number}: {line.strip()}"
+        for path in SOURCES.rglob("*.py")
+        if "platform" not in path.relative_to(SOURCES).parts
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if PLATFORM_NAMES.search(line)
+    ]
+    assert outside == []
+
+
+def test_settings_are_read_and_unknown_fields_ignored() -> None:
+    text = settings_text("n-1", "10.0.0.1", "zone-a", **{"bounds.new": "1,2"})
+    settings = parse_settings(text + "no separator\n\n", subject="file")
+    assert settings.instance == "n-1"
+    assert settings.caller_listen.bind == "10.0.0.1:8104"
+    assert settings.store.bind == "10.200.0.1:8100"
+    assert settings.stop_bound_seconds == 6.0
+    assert settings.repeats.slack_count == 50.0
+
+
+def test_all_findings_of_the_settings_are_told_with_their_place() -> None:
+    text = settings_text(
+        "",
+        "10.0.0.1",
+        "zone-a",
+        **{"platform.address": "here", "bounds.gracePeriodS": "-1"},
+    )
+    try:
+        parse_settings(text, subject="file")
+    except FindingsError as error:
+        places = [item.place for item in error.findings]
+    assert places == ["nodeName", "platform.address", "bounds.gracePeriodS"]
+
+
+def test_settings_file_that_cannot_be_read_is_a_finding() -> None:
+    try:
+        read_settings("/nowhere/node.conf")
+    except FindingsError as error:
+        assert "cannot be read" in str(error)
+    else:
+        raise AssertionError("a finding is expected")
+
+
+@COMMON
+@given(text=st.text(max_size=200))
+def test_any_settings_text_is_settings_or_findings(text: str) -> None:
+    try:
+        parse_settings(text, subject="file")
+    except FindingsError as error:
+        assert error.findings
+
+
+@COMMON
+@given(field=st.sampled_from(ENTRY_FIELDS), value=json_values, drop=st.booleans())
+def test_any_replica_entry_is_usable_or_malformed(
+    field: str, value: object, drop: bool
+) -> None:
+    entry = replica_entry()
+    entry[field] = value
+    if drop:
+        del entry[field]
+    try:
+        record = decode_replica("i-1", orjson.dumps(entry))
+    except MalformedRecord:
+        return
+    assert record.slots >= 1 and 0 < record.port < 65_536
+    assert record.service and record.host and record.failure_domain
+    assert record.cold_ms >= 0.0
+
+
+@COMMON
+@given(
+    value=json_values,
+    field=st.sampled_from(
+        ["name", "host", "pathPrefix", "timeoutMs", "maxAttempts", "topK"]
+        + ["fanoutServices", "trafficSplit", "minShardFraction", "service"]
+    ),
+)
+def test_any_configuration_is_a_table_or_malformed(value: object, field: str) -> None:
+    document = {"version": 3, "routes": [route("r", "/p/", service="s")]}
+    document["routes"][0][field] = value  # type: ignore[index]
+    for text in (orjson.dumps(document), orjson.dumps(value)):
+        try:
+            table = decode_configuration(text)
+        except MalformedRecord:
+            continue
+        table.find(host="app.example", path=b"/p/x")
+
+
+def test_configuration_with_unknown_fields_is_read() -> None:
+    document = {
+        "version": 9,
+        "routes": [
+            route("a", "/p/", service="s", future={"x": 1}),
+            route(
+                "b",
+                "/g/",
+                fanoutServices=["s", "t"],
+                topK=5,
+                minShardFraction=0.5,
+                routeKind="non_idempotent",
+            ),
+            route("c", "/w/", trafficSplit=[{"service": "s", "weight": 2}]),
+        ],
+        "services": [{"name": "s", "connectionLimit": 25, "protocol": "h1"}],
+        "limits": {"maxBodyBytes": 7, "other": 1},
+    }
+    table = decode_configuration(orjson.dumps(document))
+    plain, gather, split = table.routes
+    assert plain.idempotent and plain.services == ("s",)
+    assert not gather.idempotent and gather.shards == ("s", "t")
+    assert split.destinations[0].weight == 2.0
+    assert table.services["s"].connection_limit == 25
+    assert table.limits.body_max_bytes == 7
+
+
+@COMMON
+@given(value=st.binary(max_size=60))
+def test_any_instance_entry_is_read_or_malformed(value: bytes) -> None:
+    try:
+        decode_instance("g-1", value)
+    except MalformedRecord:
+        pass
+
+
+def test_only_headers_of_the_connection_are_left_out_and_none_is_spoofed() -> None:
+    request = request_with(
+        [
+            (b"host", b"app.example"),
+            (b"x-bronzebeam-attempt-id", b"a-1"),
+            (b"x-bronzebeam-deadline-remaining-ms", b"900"),
+            (b"x-bronzebeam-expected-replica", b"i-9"),
+            (b"connection", b"keep-alive, x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-other", b"2"),
+            (b"content-length", b"3"),
+        ],
+        body=b"abc",
+    )
+    dialect = PlatformDialect()
+    head = dialect.request_head(request)
+    head += dialect.attempt_head(remaining_ms=512.9, replica="i-7")
+    lines = head.decode().split("\r\n")
+    assert lines[0] == "POST /p/x?y HTTP/1.1"
+    assert sorted(lines[1:]) == sorted(
+        [
+            "host:app.example",
+            "x-bronzebeam-attempt-id:a-1",
+            "x-other:2",
+            "content-length:3",
+            "x-bronzebeam-deadline-remaining-ms:512",
+            "x-bronzebeam-expected-replica:i-7",
+            "",
+            "",
+        ]
+    )
+
+
+def test_unreadable_deadline_counts_as_none() -> None:
+    dialect = PlatformDialect()
+    for value in (b"soon", b"-3", b"inf", b"nan", b""):
+        facts = dialect.read_request([(b"x-bronzebeam-deadline-remaining-ms", value)])
+        assert facts.remaining_ms is None
--- /dev/null
+++ b/tests/test_routing_gateway.py
@@ -0,0 +1,334 @@
+"""Tests of the gateway's decisions, each without a network."""
+
+import math
+import random
+
+from hypothesis import given, strategies as st
+
+from bronzebeam.routing.domain_groups import group_by_domain
+from bronzebeam.routing.gather_timing import (
+    answer_without_missing_at,
+    is_not_worth_sending,
+)
+from bronzebeam.routing.hedge_timing import peer_lost_after_ms, second_send_after_ms
+from bronzebeam.routing.pace import FailureRate, ReplicaPace, TypicalLatency
+from bronzebeam.routing.record_merge import RECORD_BYTES, merge_greatest
+from bronzebeam.routing.refusal import retry_after_seconds
+from bronzebeam.routing.replica_estimate import (
+    FAILURE_MS,
+    UNREPEATABLE_FAILURE_MS,
+    ReplicaLoad,
+    cost_ms,
+    estimate_reply_ms,
+)
+from bronzebeam.routing.routes import Route, RouteTable, WeightedService
+from bronzebeam.routing.second_sends import SecondSendBudget, SecondSendLimits
+from bronzebeam.routing.weighted_split import WeightedSplit
+from tests.fixtures_routing import COMMON
+
+WINDOW_SECONDS = 10.0
+LIMITS = SecondSendLimits(ratio=0.2, slack_count=52.0, window_seconds=WINDOW_SECONDS)
+segments = st.lists(st.sampled_from(["a", "b", "ab"]), max_size=4)
+
+
+def a_route(name: str, host: str, prefix: str) -> Route:
+    return Route(
+        name=name,
+        host=host,
+        path_prefix=prefix.encode(),
+        idempotent=True,
+        timeout_ms=800.0,
+        target_latency_ms=90.0,
+        max_attempts=2,
+        priority=1,
+    )
+
+
+def load(**changed: object) -> ReplicaLoad:
+    fields: dict[str, object] = {
+        "pace": 1.0,
+        "in_flight": 0,
+        "oldest_age_ms": 0.0,
+        "slots": 2,
+        "cold": False,
+        "connected": True,
+        "failure_share": 0.0,
+        "own_domain": True,
+    }
+    return ReplicaLoad(**{**fields, **changed})  # type: ignore[arg-type]
+
+
+def path_of(parts: list[str]) -> str:
+    return "/" + "".join(f"{part}/" for part in parts)
+
+
+@COMMON
+@given(
+    prefixes=st.lists(st.tuples(st.sampled_from(["h", "k"]), segments), max_size=8),
+    host=st.sampled_from(["h", "k", "H:80", "other"]),
+    path=segments,
+    rest=st.sampled_from(["", "leaf"]),
+)
+def test_longest_prefix_of_the_host_is_found(
+    prefixes: list[tuple[str, list[str]]], host: str, path: list[str], rest: str
+) -> None:
+    routes = [
+        a_route(f"{index}", name, path_of(parts))
+        for index, (name, parts) in enumerate(prefixes)
+    ]
+    table = RouteTable(version=1, routes=tuple(routes), services={})
+    target = path_of(path) + rest
+    wanted = host.split(":")[0].lower()
+    fitting = [
+        len(item.path_prefix)
+        for item in routes
+        if item.host == wanted and target.startswith(item.path_prefix.decode())
+    ]
+    found = table.find(host=host, path=target.encode())
+    assert (len(found.path_prefix) if found else None) == max(fitting, default=None)
+
+
+@COMMON
+@given(
+    parts=st.lists(st.binary(max_size=5 * RECORD_BYTES + 7), max_size=6),
+    count=st.integers(0, 12),
+)
+def test_merge_is_the_head_of_all_whole_records_sorted(
+    parts: list[bytes], count: int
+) -> None:
+    records = [
+        part[index * RECORD_BYTES : (index + 1) * RECORD_BYTES]
+        for part in parts
+        for index in range(len(part) // RECORD_BYTES)
+    ]
+    expected = b"".join(sorted(records, reverse=True)[:count])
+    assert merge_greatest(parts, count=count) == expected
+
+
+@COMMON
+@given(
+    groups=st.lists(st.binary(max_size=6 * RECORD_BYTES), max_size=6),
+    count=st.integers(1, 8),
+    cut=st.integers(0, 6),
+)
+def test_merge_of_merges_is_the_merge_of_all(
+    groups: list[bytes], count: int, cut: int
+) -> None:
+    near = merge_greatest(groups[:cut], count=count)
+    assert merge_greatest([near, *groups[cut:]], count=count) == merge_greatest(
+        groups, count=count
+    )
+
+
+@COMMON
+@given(
+    events=st.lists(
+        st.tuples(st.floats(0.0, 0.4), st.integers(0, 5), st.booleans()), max_size=400
+    ),
+    instances=st.integers(1, 6),
+    restarts=st.sets(st.integers(0, 399), max_size=1),
+)
+def test_repeats_of_all_instances_stay_within_the_bound(
+    events: list[tuple[float, int, bool]], instances: int, restarts: set[int]
+) -> None:
+    """Answers the load of a storm: every failed sub-request asks for a repeat."""
+
+    def new(now_seconds: float) -> SecondSendBudget:
+        return SecondSendBudget(limits=LIMITS, started_at_seconds=now_seconds)
+
+    budgets = [new(-WINDOW_SECONDS) for _ in range(instances)]
+    firsts: list[float] = []
+    repeats: list[float] = []
+    now = 0.0
+    for index, (pause, chosen, busy) in enumerate(events):
+        now += pause
+        if index in restarts:
+            budgets = [new(now) for _ in range(instances)]
+        budget = budgets[chosen % instances]
+        budget.count_first(now)
+        firsts.append(now)
+        for _ in range(5 if busy else 1):
+            if budget.left(now, instances=instances) >= 1.0:
+                budget.count_repeat(now)
+                repeats.append(now)
+        in_window = [at for at in repeats if at > now - WINDOW_SECONDS]
+        # The users count the fullest of this window and the ones before it.
+        spans = [(0.0, 10.0), (10.0, 20.0), (5.0, 15.0)]
+        counted = max(
+            sum(1 for at in firsts if now - end < at <= now - start)
+            for start, end in spans
+        )
+        assert len(in_window) <= LIMITS.ratio * counted + LIMITS.slack_count
+
+
+def test_whole_slack_can_be_spent_once_the_window_has_passed() -> None:
+    budget = SecondSendBudget(limits=LIMITS, started_at_seconds=0.0)
+    assert budget.left(0.0, instances=1) < budget.left(5.0, instances=1)
+    assert budget.left(20.0, instances=1) > 0.8 * LIMITS.slack_count
+    assert budget.left(20.0, instances=4) < 0.25 * LIMITS.slack_count
+
+
+def test_one_pause_moves_no_traffic_and_three_slow_replies_do() -> None:
+    typical_ms = 10.0
+    pace = ReplicaPace()
+    pace.observe(latency_ms=110.0, typical_ms=typical_ms, now_seconds=1.0)
+    other = load(own_domain=False)
+    other_ms = estimate_reply_ms(other, typical_ms=typical_ms)
+    other_ms += cost_ms(other, failure_ms=FAILURE_MS)
+    near = load(pace=pace.at(1.0))
+    assert estimate_reply_ms(near, typical_ms=typical_ms) < other_ms
+    for at in (1.1, 1.2):
+        pace.observe(latency_ms=110.0, typical_ms=typical_ms, now_seconds=at)
+    near = load(pace=pace.at(1.2))
+    assert estimate_reply_ms(near, typical_ms=typical_ms) > other_ms
+
+
+def test_one_very_long_reply_shows_a_slow_replica() -> None:
+    pace = ReplicaPace()
+    pace.observe(latency_ms=800.0, typical_ms=80.0, now_seconds=0.0)
+    assert pace.at(0.0) > 5.0
+
+
+@COMMON
+@given(
+    ratios=st.lists(st.floats(0.1, 50.0), min_size=1, max_size=40),
+    typical_ms=st.floats(0.5, 100.0),
+)
+def test_pace_is_forgotten_whatever_it_was(
+    ratios: list[float], typical_ms: float
+) -> None:
+    pace = ReplicaPace()
+    for index, ratio in enumerate(ratios):
+        pace.observe(
+            latency_ms=ratio * typical_ms,
+            typical_ms=typical_ms,
+            now_seconds=index * 0.05,
+        )
+    end = len(ratios) * 0.05
+    assert abs(math.log(pace.at(end + 12.0))) < 0.25
+    assert abs(math.log(pace.at(end + 40.0))) < 0.01
+
+
+def test_failures_count_more_where_nothing_may_be_repeated() -> None:
+    rate = FailureRate()
+    for at in range(3):
+        rate.observe(True, float(at) / 10)
+    failing = load(failure_share=rate.at(0.3))
+    assert cost_ms(failing, failure_ms=FAILURE_MS) > cost_ms(
+        load(own_domain=False), failure_ms=FAILURE_MS
+    )
+    assert cost_ms(failing, failure_ms=UNREPEATABLE_FAILURE_MS) > 100.0
+    assert rate.at(30.0) < 0.01
+
+
+def test_typical_latency_settles_at_the_median() -> None:
+    typical = TypicalLatency.from_target(100.0)
+    rng = random.Random(1)
+    for _ in range(600):
+        typical.observe(rng.choice([4.0, 5.0, 6.0, 100.0]))
+    assert 4.0 < typical.typical_ms < 8.0
+
+
+@COMMON
+@given(typical_ms=st.floats(0.1, 500.0), target_ms=st.floats(1.0, 5_000.0))
+def test_second_send_leaves_time_for_its_reply(
+    typical_ms: float, target_ms: float
+) -> None:
+    delay_ms = second_send_after_ms(typical_ms=typical_ms, target_latency_ms=target_ms)
+    assert delay_ms <= max(0.4 * target_ms, 4.0)
+    assert peer_lost_after_ms(delay_ms) > delay_ms
+
+
+def test_a_straggler_is_waited_for_until_the_target_and_briefly_past_it() -> None:
+    at = answer_without_missing_at(
+        target_at_seconds=10.09, now_seconds=10.0, typical_ms=10.0
+    )
+    assert 10.08 < at < 10.09
+    late = answer_without_missing_at(
+        target_at_seconds=9.5, now_seconds=10.0, typical_ms=10.0
+    )
+    assert late == 10.04
+
+
+@COMMON
+@given(
+    estimate_ms=st.floats(0.0, 1_000.0),
+    left_ms=st.floats(-100.0, 1_000.0),
+    repeat=st.booleans(),
+    missing=st.integers(0, 5),
+    skippable=st.integers(0, 5),
+)
+def test_no_shard_is_skipped_that_the_answer_needs(
+    estimate_ms: float, left_ms: float, repeat: bool, missing: int, skippable: int
+) -> None:
+    skipped = is_not_worth_sending(
+        estimate_ms=estimate_ms,
+        left_ms=left_ms,
+        repeat=repeat,
+        missing=missing,
+        skippable=skippable,
+    )
+    if skipped:
+        assert repeat or missing < skippable
+        assert estimate_ms > left_ms > 0.0
+
+
+@COMMON
+@given(
+    domains=st.dictionaries(
+        st.integers(0, 40),
+        st.lists(st.sampled_from("abcd"), min_size=1, max_size=3, unique=True),
+        max_size=30,
+    ),
+    seed=st.integers(0, 9),
+)
+def test_each_shard_is_in_one_group_of_a_domain_that_holds_it(
+    domains: dict[int, list[str]], seed: int
+) -> None:
+    groups = group_by_domain(domains, rng=random.Random(seed))
+    grouped = [shard for _, shards in groups for shard in shards]
+    assert sorted(grouped) == sorted(domains)
+    assert all(name in domains[shard] for name, shards in groups for shard in shards)
+    assert len({name for name, _ in groups}) == len(groups)
+
+
+def test_shards_that_one_domain_holds_make_one_group() -> None:
+    domains = {index: ["b", "c"] if index % 2 else ["c", "d"] for index in range(8)}
+    [(name, shards)] = group_by_domain(domains, rng=random.Random(1))
+    assert name == "c" and len(shards) == 8
+
+
+@COMMON
+@given(
+    weights=st.lists(st.integers(1, 9), min_size=2, max_size=4),
+    requests=st.integers(1, 300),
+)
+def test_split_keeps_its_weights_at_every_moment(
+    weights: list[int], requests: int
+) -> None:
+    split = WeightedSplit(
+        destinations=tuple(
+            WeightedService(service=str(index), weight=float(weight))
+            for index, weight in enumerate(weights)
+        )
+    )
+    counts = [0] * len(weights)
+    for _ in range(requests):
+        counts[int(split.next_service())] += 1
+    for count, weight in zip(counts, weights):
+        assert abs(count - requests * weight / sum(weights)) <= len(weights)
+
+
+def test_refused_callers_come_back_spread_and_the_urgent_first() -> None:
+    rng = random.Random(3)
+
+    def returns(target_ms: float) -> list[float]:
+        return [
+            retry_after_seconds(target_latency_ms=target_ms, rng=rng)
+            for _ in range(200)
+        ]
+
+    urgent, patient = returns(44.0), returns(346.0)
+    assert max(urgent) < min(patient)
+    assert max(urgent) - min(urgent) > 0.5 * min(urgent)
+    assert max(patient) <= 346.0 / 2 / 1_000.0
