--- a/tests/test_gateway_gather.py
+++ b/tests/test_gateway_gather.py
@@ -84,6 +84,21 @@
     with_cluster(scenario)
 
 
+def test_too_few_shards_are_told_while_others_still_work() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.3
+        for service in ("shard-2", "shard-3"):
+            for replica in replicas_of(cluster, service):
+                replica.fault = every(Fault.SHED)
+        answer = await cluster.ask(gateway, GATHER_PATH)
+        assert answer is not None and answer.status == 502
+        assert answer.elapsed_seconds < 0.03
+
+    with_cluster(scenario)
+
+
 def test_nothing_sent_is_said_to_have_not_run() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await search_cluster(cluster)
