--- a/src/bronzebeam/telemetry/decisions.py
+++ b/src/bronzebeam/telemetry/decisions.py
@@ -10,7 +10,7 @@
 from bronzebeam.telemetry.lines import format_pair, format_time
 
 BUFFER_MAX_BYTES: Final = 512 * 1024  # memory that unread lines may take
-WRITE_MAX_BYTES: Final = 64 * 1024  # one write, so that a flush stays short
+WRITE_MAX_BYTES: Final = 4096  # PIPE_BUF: up to this size a pipe takes all or nothing
 REQUEST_LINES_PER_SECOND: Final = 60.0  # keeps logging under 5% of the processor
 REQUEST_LINES_BURST: Final = 200.0  # a fault of some seconds is logged whole
 
@@ -110,7 +110,9 @@
     def _join(self) -> bytes:
         taken: list[bytes] = []
         size = 0
-        while self._lines and size < WRITE_MAX_BYTES:
+        while self._lines and (
+            not taken or size + len(self._lines[0]) <= WRITE_MAX_BYTES
+        ):
             taken.append(self._lines.popleft())
             size += len(taken[-1])
         return b"".join(taken)
