Bound the requests in flight while the replicas are overloaded

Change: an adaptive bound on requests in flight for each set of services, which looks at the time at which enough shards have replied, not at single slow shards; the more urgent rank and callers that were refused before go first; what does not fit is refused at once and may come back. A caller that comes back after its first target has passed is served like a new one. Single requests are bounded by their median, since one may take long by its own work (a bound by each request refused some without cause).

--- /dev/null
+++ b/src/bronzebeam/gateway/admission.py
@@ -0,0 +1,86 @@
+"""Admission of requests while the replicas they need are overloaded."""
+
+import random
+
+from attrs import define, field
+
+from bronzebeam.routing.overload import AdaptiveLimit
+from bronzebeam.routing.routes import Route, RouteTable
+from bronzebeam.telemetry.decisions import DecisionLog
+
+ServiceSet = frozenset[str]
+
+
+@define(kw_only=True, eq=False, repr=False)
+class Ticket:
+    """The place of one admitted request."""
+
+    limit: AdaptiveLimit
+    route: Route
+
+    def leave(self, *, elapsed_ms: float | None, now_seconds: float) -> None:
+        """
+        Give the place back.
+
+        :param elapsed_ms: time until the request could be answered, or its whole
+            time if that never was; None if it says nothing of the load.
+        """
+        self.limit.leave()
+        if elapsed_ms is not None:
+            self.limit.observe(
+                elapsed_ms=elapsed_ms,
+                target_latency_ms=self.route.target_latency_ms,
+                now_seconds=now_seconds,
+            )
+
+
+@define(kw_only=True, eq=False, repr=False)
+class Admission:
+    """Bounds on requests in flight, one for each set of services."""
+
+    rng: random.Random
+    log: DecisionLog
+    _limits: dict[ServiceSet, AdaptiveLimit] = field(factory=dict)
+    _ranks: dict[str, int] = field(factory=dict)
+    _version: int = 0
+
+    def enter(
+        self, *, table: RouteTable, route: Route, returning: bool
+    ) -> Ticket | None:
+        """
+        Admit a request, or return None if it has to be refused.
+
+        :param returning: its caller was refused before.
+        """
+        if table.version != self._version:
+            self._take_table(table)
+        services = frozenset(route.services)
+        limit = self._limits.get(services)
+        if limit is None:
+            limit = self._limits[services] = AdaptiveLimit()
+        rank = self._ranks.get(route.name, 0)
+        if not limit.admits(rank=rank, returning=returning, rng=self.rng):
+            return None
+        limit.enter()
+        return Ticket(limit=limit, route=route)
+
+    def limit_of(self, route: Route) -> AdaptiveLimit | None:
+        """Return the bound that a route's requests share, if there is one."""
+        return self._limits.get(frozenset(route.services))
+
+    def _take_table(self, table: RouteTable) -> None:
+        """Rank the routes to each set of services, and forget sets without a route."""
+        self._version = table.version
+        priorities: dict[ServiceSet, set[int]] = {}
+        for route in table.routes:
+            services = frozenset(route.services)
+            priorities.setdefault(services, set()).add(route.priority)
+        self._ranks = {
+            route.name: sorted(priorities[frozenset(route.services)]).index(
+                route.priority
+            )
+            for route in table.routes
+        }
+        for services in self._limits.keys() - priorities.keys():
+            if not self._limits[services].in_flight:
+                del self._limits[services]
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 
 from bronzebeam.findings import FindingsError
+from bronzebeam.gateway.admission import Admission
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.dialect import Dialect
@@ -167,7 +168,11 @@
             metrics=self.metrics,
             rng=self.rng,
         )
-        router = Router(context=context, started_at_seconds=loop.time())
+        router = Router(
+            context=context,
+            admission=Admission(rng=self.rng, log=self.log),
+            started_at_seconds=loop.time(),
+        )
         self._state.on_first_table = router.configuration_taken
         self._server = CallerServer(handle=router.handle, loop=loop)
         self._peer_gathers = PeerGathers(context=context)
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.admission import Ticket
 from bronzebeam.gateway.attempt import Attempt, AttemptResult
 from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
@@ -13,6 +14,7 @@
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.routing.hedge_timing import second_send_after_ms
 
+MEDIAN_MARGIN: Final = 1.3  # most replies are in by this multiple of the median
 REJECTED_MAX: Final = 4  # replicas that may turn one request away before it is refused
 
 
@@ -28,6 +30,7 @@
     context: GatewayContext
     routed: RoutedRequest
     service: str
+    ticket: Ticket
     attempts: list[Attempt] = field(factory=list)
     _tried: set[Replica] = field(factory=set)
     _last_failed: Attempt | None = None
@@ -154,6 +157,12 @@
 
     def _finish(self) -> None:
         self._done = True
+        state = self.context.state
+        # One request may take long by its own work; the median tells of queues.
+        self.ticket.leave(
+            elapsed_ms=state.typical(self.routed.route).typical_ms * MEDIAN_MARGIN,
+            now_seconds=self.context.loop.time(),
+        )
         self.routed.request.on_gone = None
         for timer in self._timers:
             timer.cancel()
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.admission import Ticket
 from bronzebeam.gateway.attempt import Attempt, AttemptResult
 from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
@@ -25,6 +26,7 @@
 
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
 DELEGATED_MIN: Final = 2  # a single shard costs a peer as much as it saves
+TIMEOUT_STATUS: Final = 504
 TOO_SLOW: Final = "too_slow"
 
 
@@ -38,6 +40,7 @@
     failure or delay sends the request to their replicas from here.
 
     :ivar may_delegate: whether peers may be asked; not for what a peer has asked.
+    :ivar ticket: place among the requests in flight; None for what a peer has asked.
     :ivar hedge_after_ms: wait before shards without a reply are sent to again.
     """
 
@@ -46,6 +49,8 @@
     answers: GatherAnswers
     may_delegate: bool
     hedge_after_ms: float
+    ticket: Ticket | None = None
+    _enough_at_seconds: float | None = None
     _shards: list[ShardRun] = field(factory=list)
     _delegations: list[Delegation] = field(factory=list)
     _open: int = 0
@@ -294,12 +299,12 @@
 
     def _deadline_passed(self) -> None:
         if not self._done:
-            self._fail(cause="deadline_passed", status=504)
+            self._fail(cause="deadline_passed", status=TIMEOUT_STATUS)
 
     def _caller_gone(self) -> None:
         if self._done:
             return
-        self._finish()
+        self._finish(telling=False)
         for run in self._shards:
             for attempt in run.attempts:
                 attempt.abandon()
@@ -321,6 +326,9 @@
             self._included += 1
         # The peer's records hold this shard's, so its own reply must not count too.
         run.signature, run.body = signature, body
+        least = self.routed.route.least_shard_share * len(self._shards)
+        if self._enough_at_seconds is None and self._included >= least:
+            self._enough_at_seconds = self.context.loop.time()
 
     def _give_up(self, run: ShardRun, cause: str) -> None:
         if not run.failed:
@@ -342,22 +350,36 @@
             self._fail(cause="too_few_shards", status=502)
 
     def _answer(self) -> None:
-        self._finish()
+        self._finish(telling=True)
         bodies = [run.body for run in self._shards if run.body is not None]
         bodies.extend(item.body for item in self._delegations if item.body)
         records = merge_greatest(bodies, count=self.routed.route.top_records)
         self.answers.answer(self._shards, records=records, outcome=self._outcome())
 
     def _fail(self, *, cause: str, status: int) -> None:
-        self._finish()
+        # Too few shards at once are dead ones; a deadline that passes shows queues.
+        self._finish(telling=status == TIMEOUT_STATUS)
         may_have_run = any(run.may_have_run for run in self._shards)
         self.answers.fail(
             status=status if may_have_run else 503,
             outcome=self._outcome(cause=cause),
         )
 
-    def _finish(self) -> None:
+    def _finish(self, *, telling: bool) -> None:
+        """
+        End all work.
+
+        :param telling: the time until now tells of the load, if too few shards replied.
+        """
         self._done = True
+        if self.ticket is not None:
+            now_seconds = self.context.loop.time()
+            end_at = self._enough_at_seconds or (now_seconds if telling else None)
+            elapsed_ms = None
+            if end_at is not None:
+                start_at = self.routed.request.arrived_at_seconds
+                elapsed_ms = (end_at - start_at) * MS_PER_SECOND
+            self.ticket.leave(elapsed_ms=elapsed_ms, now_seconds=now_seconds)
         self.routed.request.on_gone = None
         if self._hedge_timer is not None:
             self._hedge_timer.cancel()
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -4,12 +4,15 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.admission import Admission
 from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.forward import Forward
 from bronzebeam.gateway.gather import Gather
 from bronzebeam.gateway.gather_answers import CallerAnswers
+from bronzebeam.gateway.outcome import Outcome, answer_failure
 from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.routing.gather_timing import time_to_target_ms
 from bronzebeam.routing.hedge_timing import second_send_after_ms
 from bronzebeam.routing.refusal import retry_after_seconds
 from bronzebeam.routing.routes import Route
@@ -18,6 +21,7 @@
 
 CALLER_WORK_MS: Final = 1.5  # the caller's and this instance's own share of the time
 DEADLINE_MARGIN_MS: Final = 5.0  # the final answer reaches a caller that still waits
+RETURNING_AFTER_MS: Final = 15.0  # more than a caller needs to open a connection
 START_WAIT_SECONDS: Final = 0.15  # the store is read in a tenth of this
 START_RETRY_MS: Final = 400.0  # a process reads its configuration in less
 
@@ -34,6 +38,7 @@
     """
 
     context: GatewayContext
+    admission: Admission
     started_at_seconds: float
     _waiting: list[CallerRequest] = field(factory=list)
     _longest_ms: dict[str, float] = field(factory=dict)
@@ -58,8 +63,13 @@
             remaining_ms = route.timeout_ms
         elapsed_ms = self._elapsed_before(route, remaining_ms)
         limit_ms = min(remaining_ms - DEADLINE_MARGIN_MS, route.timeout_ms)
-        used_ms = elapsed_ms + request.round_trip_ms + CALLER_WORK_MS
-        target_ms = route.target_latency_ms - used_ms
+        target_ms = time_to_target_ms(
+            target_latency_ms=route.target_latency_ms
+            - request.round_trip_ms
+            - CALLER_WORK_MS,
+            elapsed_ms=elapsed_ms,
+            typical_ms=self.context.state.typical(route).typical_ms,
+        )
         arrived_at = request.arrived_at_seconds
         routed = RoutedRequest(
             request=request,
@@ -70,20 +80,30 @@
             target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
             head=self.context.dialect.request_head(request),
         )
-        if route.shards:
+        ticket = self.admission.enter(
+            table=table, route=route, returning=elapsed_ms > RETURNING_AFTER_MS
+        )
+        if ticket is None:
+            self._refuse_overload(routed)
+        elif route.shards:
             Gather(
                 context=self.context,
                 routed=routed,
                 answers=CallerAnswers(context=self.context, routed=routed),
                 may_delegate=True,
+                ticket=ticket,
                 hedge_after_ms=second_send_after_ms(
                     typical_ms=self.context.state.typical(route).typical_ms,
                     target_latency_ms=route.target_latency_ms,
                 ),
             ).start()
         else:
-            service = self.context.state.next_service(route)
-            Forward(context=self.context, routed=routed, service=service).start()
+            Forward(
+                context=self.context,
+                routed=routed,
+                service=self.context.state.next_service(route),
+                ticket=ticket,
+            ).start()
 
     def configuration_taken(self) -> None:
         """Handle the requests that waited for the first configuration."""
@@ -114,6 +134,16 @@
         self._longest_ms[route.name] = longest_ms
         return longest_ms - remaining_ms
 
+    def _refuse_overload(self, routed: RoutedRequest) -> None:
+        limit = self.admission.limit_of(routed.route)
+        in_flight = limit.in_flight if limit is not None else 0
+        answer_failure(
+            self.context,
+            routed,
+            status=503,
+            outcome=Outcome(attempts=(), cause=f"overload_in_flight_{in_flight}"),
+        )
+
     def _refuse(self, request: CallerRequest, status: int, reason: str) -> None:
         headers: Headers = []
         if status == 503:
--- a/src/bronzebeam/routing/gather_timing.py
+++ b/src/bronzebeam/routing/gather_timing.py
@@ -5,9 +5,27 @@
 MS_PER_SECOND: Final = 1_000.0
 ANSWER_MARGIN_MS: Final = 1.5  # merging and sending the answer
 HOPELESS_FACTOR: Final = 1.15  # estimates are medians; half of all replies are faster
+REACHABLE_FACTOR: Final = 3.0  # the slowest of many usual replies
 LATE_WAIT_FACTOR: Final = 4.0  # past the target, a part is worth a few usual replies
 
 
+def time_to_target_ms(
+    *, target_latency_ms: float, elapsed_ms: float, typical_ms: float
+) -> float:
+    """
+    Return the time from its arrival within which an answer is of most use.
+
+    Answers the load of callers that were refused and come back: where the target of
+    their first attempt can no longer be met, they are served like a new request,
+    and not hurried past shards that would have replied.
+
+    :param elapsed_ms: time that earlier attempts of the caller have taken.
+    :param typical_ms: usual reply time of a sub-request.
+    """
+    left_ms = target_latency_ms - elapsed_ms
+    return left_ms if left_ms >= typical_ms * REACHABLE_FACTOR else target_latency_ms
+
+
 def answer_without_missing_at(
     *, target_at_seconds: float, now_seconds: float, typical_ms: float
 ) -> float:
--- a/tests/test_gateway_gather.py
+++ b/tests/test_gateway_gather.py
@@ -319,6 +319,19 @@
     with_cluster(scenario)
 
 
+def test_retry_whose_target_has_passed_is_served_like_a_new_request() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster)
+        await cluster.ask(gateway, GATHER_PATH, remaining_ms=800)
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.work_seconds = 0.06
+        answer = await cluster.ask(gateway, GATHER_PATH, remaining_ms=650)
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 0
+
+    with_cluster(scenario)
+
+
 def test_retry_of_a_caller_is_answered_in_what_is_left_of_its_target() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await search_cluster(cluster)
