Read everything anew when a watch tells of a revision without its event

The store cut its watches and dropped its history a moment later; one instance had asked again in between, 50 ms after the cut, and waited 5.6 s for the next change.

Ruled out: the coalescing pause (the instance was in a watch), the clock, the peers.

Change: no event with a newer revision counts as lost history. The test plays cut and drop with pauses of 0 to 0.2 s and fails without the change.

--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -87,8 +87,12 @@
         if reply.status == GONE:
             raise HistoryLost(f"no history after revision {after}")
         answer = _json(reply)
-        changes = list(self._changes(_list(answer, "events")))
-        return max(after, _int(answer, "atRevision")), changes
+        events = _list(answer, "events")
+        revision = _int(answer, "atRevision")
+        if not events and revision > after:
+            # The watch covers every key, so each revision has an event.
+            raise HistoryLost(f"no event between revisions {after} and {revision}")
+        return max(after, revision), list(self._changes(events))
 
     async def latest_revision(self) -> int:
         """Return the store's revision, which may be a few seconds old."""
--- a/tests/standin_store.py
+++ b/tests/standin_store.py
@@ -112,6 +112,11 @@
             watcher.request.connection.close()
         self._watchers.clear()
 
+    def drop_history(self) -> None:
+        """Forget the history and leave the watches as they are."""
+        self.history.clear()
+        self.oldest = self.revision
+
     def forget_watches(self) -> None:
         """Never answer the watches that wait now."""
         for watcher in self._watchers:
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -76,6 +76,25 @@
     with_cluster(scenario)
 
 
+def test_watch_made_just_before_the_history_is_dropped_loses_nothing() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        for pause_seconds in (0.0, 0.03, 0.06, 0.09, 0.12, 0.2):
+            # The store tells its watches nothing of a change, cuts them, and drops
+            # its history a moment later.
+            cluster.store.forget_watches()
+            cluster.configure(*cluster.routes)
+            cluster.store.history.clear()
+            cluster.loop.net.reset_connections(cluster.store.host)
+            await asyncio.sleep(pause_seconds)
+            cluster.store.drop_history()
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            assert version_of(gateway) == cluster.version, pause_seconds
+            await asyncio.sleep(5.0)
+
+    with_cluster(scenario)
+
+
 def test_older_configuration_never_takes_the_place_of_a_newer_one() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await small_cluster(cluster)
