Play overloads in virtual time and check what callers get

Searches at 1.5 times what the replicas can serve, with one retry each: at least 60% of the capacity is answered in time, every refusal comes within 10 ms and has not run. Half the load is not refused at all; after the burst service is whole; urgent routes are served no less often; one slow shard is no overload.

--- a/src/bronzebeam/gateway/admission.py
+++ b/src/bronzebeam/gateway/admission.py
@@ -6,7 +6,6 @@
 
 from bronzebeam.routing.overload import AdaptiveLimit
 from bronzebeam.routing.routes import Route, RouteTable
-from bronzebeam.telemetry.decisions import DecisionLog
 
 ServiceSet = frozenset[str]
 
@@ -39,7 +38,6 @@
     """Bounds on requests in flight, one for each set of services."""
 
     rng: random.Random
-    log: DecisionLog
     _limits: dict[ServiceSet, AdaptiveLimit] = field(factory=dict)
     _ranks: dict[str, int] = field(factory=dict)
     _version: int = 0
--- /dev/null
+++ b/tests/test_gateway_overload.py
@@ -0,0 +1,236 @@
+"""Tests that play an overload against the gateway, and look at what callers get."""
+
+import asyncio
+import random
+import zlib
+from collections import Counter
+from typing import Any
+
+from attrs import define, field
+
+from bronzebeam.gateway.admission import Admission
+from bronzebeam.routing.overload import LIMIT_MIN, START_LIMIT, AdaptiveLimit
+from bronzebeam.routing.routes import Route, RouteTable
+from tests.fixtures_gateway import (
+    GATHER_PATH,
+    SETTLE_SECONDS,
+    Answer,
+    Cluster,
+    record,
+    replicas_of,
+    route,
+    with_cluster,
+)
+
+SHARDS = 4
+WORK_SECONDS = 0.02
+TARGET_SECONDS = 0.1
+CAPACITY_PER_SECOND = 2 * 2 / WORK_SECONDS
+QUICK_PATH = "/quick/"
+
+
+@define(kw_only=True, eq=False)
+class Load:
+    """Callers that each send one request, and come back once if they are refused."""
+
+    cluster: Cluster
+    answers: list[tuple[str, str, Answer, float]] = field(factory=list)
+    _number: int = 0
+
+    async def play(
+        self, *, rate_per_second: float, seconds: float, path: str = GATHER_PATH
+    ) -> None:
+        rng = random.Random(5)
+        callers = []
+        end_at = self.cluster.loop.time() + seconds
+        while self.cluster.loop.time() < end_at:
+            await asyncio.sleep(rng.expovariate(rate_per_second))
+            self._number += 1
+            callers.append(
+                asyncio.ensure_future(self._call(path, f"{path}-{self._number}"))
+            )
+        await asyncio.gather(*callers)
+
+    async def _call(self, path: str, name: str) -> None:
+        gateways = list(self.cluster.gateways.values())
+        started_at = self.cluster.loop.time()
+        for attempt in range(2):
+            remaining_ms = 800 - 1e3 * (self.cluster.loop.time() - started_at)
+            attempt_id = f"{name}-{attempt}"
+            answer = await self.cluster.ask(
+                gateways[zlib.crc32(attempt_id.encode()) % len(gateways)],
+                path,
+                attempt_id=attempt_id,
+                remaining_ms=remaining_ms,
+            )
+            assert answer is not None
+            elapsed = self.cluster.loop.time() - started_at
+            self.answers.append((path, attempt_id, answer, elapsed))
+            if answer.status != 503:
+                return
+            await asyncio.sleep(float(answer.headers["retry-after"]))
+
+    def in_time(self, path: str = GATHER_PATH) -> int:
+        return sum(
+            answer.status == 200 and answer.elapsed_seconds <= TARGET_SECONDS
+            for asked, _, answer, _ in self.answers
+            if asked == path
+        )
+
+
+async def loaded_cluster(cluster: Cluster, *, instances: int = 2) -> None:
+    names = [f"shard-{index}" for index in range(SHARDS)]
+    for name in names:
+        for _ in range(2):
+            cluster.add_replica(name, records=[record(1)], work_seconds=WORK_SECONDS)
+    fan_out: dict[str, Any] = {
+        "fanoutServices": names,
+        "topK": 3,
+        "minShardFraction": 0.75,
+        "targetLatencyMs": 1e3 * TARGET_SECONDS,
+    }
+    cluster.configure(
+        route("r-find", GATHER_PATH, priority=1, **fan_out),
+        route("r-quick", QUICK_PATH, priority=2, **fan_out),
+    )
+    for number in range(instances):
+        cluster.start_gateway(f"g-{number}")
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+def test_overload_is_refused_at_once_and_the_rest_served_in_time() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await loaded_cluster(cluster)
+        load = Load(cluster=cluster)
+        seconds = 4.0
+        await load.play(rate_per_second=1.5 * CAPACITY_PER_SECOND, seconds=seconds)
+        assert load.in_time() >= 0.6 * CAPACITY_PER_SECOND * seconds
+        refused = [item for item in load.answers if item[2].status == 503]
+        assert refused
+        for _, attempt_id, answer, _ in refused:
+            assert answer.elapsed_seconds < 0.01
+            assert cluster.runs_of(attempt_id) == 0
+
+    with_cluster(scenario)
+
+
+def test_load_within_capacity_is_not_refused() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await loaded_cluster(cluster)
+        load = Load(cluster=cluster)
+        await load.play(rate_per_second=0.5 * CAPACITY_PER_SECOND, seconds=4.0)
+        statuses = Counter(answer.status for _, _, answer, _ in load.answers)
+        assert set(statuses) == {200}
+        assert load.in_time() >= 0.98 * len(load.answers)
+
+    with_cluster(scenario)
+
+
+def test_service_is_whole_again_soon_after_the_overload() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await loaded_cluster(cluster)
+        load = Load(cluster=cluster)
+        await load.play(rate_per_second=2.0 * CAPACITY_PER_SECOND, seconds=2.0)
+        await load.play(rate_per_second=0.4 * CAPACITY_PER_SECOND, seconds=1.0)
+        load.answers.clear()
+        await load.play(rate_per_second=0.4 * CAPACITY_PER_SECOND, seconds=2.0)
+        assert load.in_time() >= 0.97 * len(load.answers)
+
+    with_cluster(scenario)
+
+
+def test_more_urgent_requests_are_served_no_less_often() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await loaded_cluster(cluster)
+        load = Load(cluster=cluster)
+        rate = 0.75 * CAPACITY_PER_SECOND
+        await asyncio.gather(
+            load.play(rate_per_second=rate, seconds=4.0, path=GATHER_PATH),
+            load.play(rate_per_second=rate, seconds=4.0, path=QUICK_PATH),
+        )
+        served: Counter[str] = Counter()
+        asked: Counter[str] = Counter()
+        for path, attempt_id, answer, _ in load.answers:
+            asked[path] += attempt_id.endswith("-0")
+            served[path] += answer.status == 200
+        urgent = served[GATHER_PATH] / asked[GATHER_PATH]
+        assert urgent >= served[QUICK_PATH] / asked[QUICK_PATH] - 0.05
+
+    with_cluster(scenario)
+
+
+def test_one_slow_shard_is_no_overload() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await loaded_cluster(cluster)
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.work_seconds = 8 * WORK_SECONDS
+        load = Load(cluster=cluster)
+        await load.play(rate_per_second=0.3 * CAPACITY_PER_SECOND, seconds=4.0)
+        assert {answer.status for _, _, answer, _ in load.answers} == {200}
+        assert load.in_time() >= 0.95 * len(load.answers)
+
+    with_cluster(scenario)
+
+
+def test_limit_falls_with_late_answers_and_grows_back() -> None:
+    limit = AdaptiveLimit()
+    now = 0.0
+    for _ in range(60):
+        limit.enter()
+    for _ in range(20):
+        now += 0.2
+        limit.observe(elapsed_ms=150.0, target_latency_ms=100.0, now_seconds=now)
+    assert limit.limit < START_LIMIT
+    for _ in range(60):
+        limit.leave()
+    for _ in range(100):
+        now += 0.2
+        limit.observe(elapsed_ms=150.0, target_latency_ms=100.0, now_seconds=now)
+    assert limit.limit == LIMIT_MIN
+    for _ in range(100):
+        now += 0.02
+        limit.observe(elapsed_ms=30.0, target_latency_ms=100.0, now_seconds=now)
+    assert limit.limit >= START_LIMIT
+
+
+def test_answers_of_one_moment_lower_the_limit_once() -> None:
+    limit = AdaptiveLimit()
+    for _ in range(20):
+        limit.enter()
+    limit.observe(elapsed_ms=150.0, target_latency_ms=100.0, now_seconds=10.0)
+    once = limit.limit
+    for _ in range(10):
+        limit.observe(elapsed_ms=150.0, target_latency_ms=100.0, now_seconds=10.05)
+    assert limit.limit == once
+
+
+def test_returning_and_urgent_requests_find_more_room() -> None:
+    rng = random.Random(1)
+    limit = AdaptiveLimit(limit=10.0, in_flight=9)
+    assert limit.admits(rank=0, returning=True, rng=rng)
+    assert not limit.admits(rank=1, returning=False, rng=rng)
+
+
+def test_ranks_are_those_of_the_routes_to_the_same_services() -> None:
+    def of(name: str, priority: int, *shards: str) -> Route:
+        return Route(
+            name=name,
+            host="h",
+            path_prefix=f"/{name}/".encode(),
+            idempotent=True,
+            timeout_ms=800.0,
+            target_latency_ms=90.0,
+            max_attempts=2,
+            priority=priority,
+            shards=shards,
+        )
+
+    routes = (of("a", 5, "s", "t"), of("b", 2, "t", "s"), of("c", 9, "u"))
+    table = RouteTable(version=1, routes=routes, services={})
+    admission = Admission(rng=random.Random(1))
+    for item in routes:
+        assert admission.enter(table=table, route=item, returning=False) is not None
+    assert admission._ranks == {"a": 1, "b": 0, "c": 0}
+    shared = admission.limit_of(routes[0])
+    assert shared is admission.limit_of(routes[1])
+    assert shared is not None and shared.in_flight == 2
