--- a/src/bronzebeam/routing/overload.py
+++ b/src/bronzebeam/routing/overload.py
@@ -10,6 +10,8 @@
 LIMIT_MAX: Final = 200.0
 LATE_SHARE: Final = 0.85  # of the target latency; a later answer misses it
 EARLY_SHARE: Final = 0.6  # of the target latency; there is room for more
+LATE_ANSWERS_MAX: Final = 0.35  # of the last answers; slow shards make fewer late
+LATE_STEP: Final = 0.15  # weight of one answer among the last ones
 DECREASE: Final = 0.8
 INCREASE: Final = 0.35  # for each answer in time while the limit is in use
 RETURNING_FACTOR: Final = 1.3  # callers that were refused before go first
@@ -23,7 +25,7 @@
 
     Answers the load of a burst that the replicas can't serve: without a bound, every
     request waits in their queues until all of them are late. The bound falls while
-    answers that would do come too late for their target, and grows while they come
+    many answers that would do come too late for their target, and grows while they come
     early and the bound is in use. It does not follow single slow shards, since it
     looks at the time at which enough shards have replied.
 
@@ -33,6 +35,7 @@
 
     limit: float = START_LIMIT
     in_flight: int = 0
+    _late_share: float = 0.0
     _decreased_at_seconds: float = 0.0
 
     def admits(self, *, rank: int, returning: bool, rng: random.Random) -> bool:
@@ -65,9 +68,12 @@
         :param elapsed_ms: time until enough shards had replied; the whole time of
             one that was never answered.
         """
-        if elapsed_ms > LATE_SHARE * target_latency_ms:
+        late = elapsed_ms > LATE_SHARE * target_latency_ms
+        self._late_share += LATE_STEP * (late - self._late_share)
+        if late:
             # Answers under way when the limit fell do not show its effect yet.
-            if now_seconds - self._decreased_at_seconds > elapsed_ms / 1_000.0:
+            settled = now_seconds - self._decreased_at_seconds > elapsed_ms / 1_000.0
+            if settled and self._late_share > LATE_ANSWERS_MAX:
                 in_use = min(self.limit, float(max(self.in_flight, 1)))
                 self.limit = max(LIMIT_MIN, in_use * DECREASE)
                 self._decreased_at_seconds = now_seconds
