--- a/src/bronzebeam/gateway/admission.py
+++ b/src/bronzebeam/gateway/admission.py
@@ -6,6 +6,7 @@
 
 from bronzebeam.routing.overload import AdaptiveLimit
 from bronzebeam.routing.routes import Route, RouteTable
+from bronzebeam.telemetry.decisions import DecisionLog
 
 ServiceSet = frozenset[str]
 
@@ -16,6 +17,7 @@
 
     limit: AdaptiveLimit
     route: Route
+    log: DecisionLog
 
     def leave(self, *, elapsed_ms: float | None, now_seconds: float) -> None:
         """
@@ -25,11 +27,22 @@
             time if that never was; None if it says nothing of the load.
         """
         self.limit.leave()
-        if elapsed_ms is not None:
-            self.limit.observe(
-                elapsed_ms=elapsed_ms,
-                target_latency_ms=self.route.target_latency_ms,
-                now_seconds=now_seconds,
+        if elapsed_ms is None:
+            return
+        bounded = self.limit.bounded
+        self.limit.observe(
+            elapsed_ms=elapsed_ms,
+            target_latency_ms=self.route.target_latency_ms,
+            now_seconds=now_seconds,
+        )
+        if self.limit.bounded is not bounded:
+            self.log.event(
+                "overload_over" if bounded else "overload_found",
+                route=self.route.name,
+                limit=round(self.limit.limit, 1),
+                in_flight=self.limit.in_flight,
+                elapsed_ms=round(elapsed_ms, 1),
+                target_ms=self.route.target_latency_ms,
             )
 
 
@@ -38,6 +51,7 @@
     """Bounds on requests in flight, one for each set of services."""
 
     rng: random.Random
+    log: DecisionLog
     _limits: dict[ServiceSet, AdaptiveLimit] = field(factory=dict)
     _ranks: dict[str, int] = field(factory=dict)
     _version: int = 0
@@ -60,7 +74,7 @@
         if not limit.admits(rank=rank, returning=returning, rng=self.rng):
             return None
         limit.enter()
-        return Ticket(limit=limit, route=route)
+        return Ticket(limit=limit, route=route, log=self.log)
 
     def limit_of(self, route: Route) -> AdaptiveLimit | None:
         """Return the bound that a route's requests share, if there is one."""
--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -182,7 +182,7 @@
         assert self.sent_at_seconds is not None
         latency_ms = (now_seconds - self.sent_at_seconds) * MS_PER_SECOND
         typical = self.context.state.typical(self.routed.route)
-        self.replica.pace.observe(
+        self.replica.observe_reply(
             latency_ms=latency_ms,
             typical_ms=typical.typical_ms,
             now_seconds=now_seconds,
@@ -197,10 +197,8 @@
         if self.ended:
             return
         self.ended = True
-        if self.sent_at_seconds is not None:
-            self.replica.failures.observe(
-                result is not AttemptResult.ANSWERED, self.context.loop.time()
-            )
+        if result is not AttemptResult.ANSWERED and self.reached_replica:
+            self.replica.observe_failure(self.context.loop.time())
         self.result = result
         self.cause = cause
         self.owner.attempt_ended(self, result)
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -170,7 +170,7 @@
         )
         router = Router(
             context=context,
-            admission=Admission(rng=self.rng),
+            admission=Admission(rng=self.rng, log=self.log),
             started_at_seconds=loop.time(),
         )
         self._state.on_first_table = router.configuration_taken
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -1,5 +1,7 @@
 """A replica as one instance sees it: its connections, pace and failures."""
 
+from typing import Final
+
 from attrs import define, field
 
 from bronzebeam.gateway.connection_pool import ConnectionPool
@@ -7,6 +9,9 @@
 from bronzebeam.routing.pace import FailureRate, ReplicaPace
 from bronzebeam.routing.replica_estimate import ReplicaLoad
 
+SLOW_PACE: Final = 2.0  # such a replica is chosen only if the others stall
+FAILING_SHARE: Final = 0.4
+
 
 @define(kw_only=True, eq=False, repr=False)
 class Replica:
@@ -29,6 +34,42 @@
     gone_at_seconds: float | None = None
     last_resort_until_seconds: float = 0.0
     mismatched: bool = False
+    _shunned_for: str = ""
+
+    def observe_reply(
+        self, *, latency_ms: float, typical_ms: float, now_seconds: float
+    ) -> None:
+        """Take in the time of a success."""
+        self.pace.observe(
+            latency_ms=latency_ms, typical_ms=typical_ms, now_seconds=now_seconds
+        )
+        self.failures.observe(False, now_seconds)
+        self._note_standing(now_seconds)
+
+    def observe_failure(self, now_seconds: float) -> None:
+        """Take in a rejection, a failure or a loss."""
+        self.failures.observe(True, now_seconds)
+        self._note_standing(now_seconds)
+
+    def _note_standing(self, now_seconds: float) -> None:
+        """Log when other replicas begin or end to be preferred by far."""
+        pace, share = self.pace.at(now_seconds), self.failures.at(now_seconds)
+        cause = ""
+        if pace > SLOW_PACE:
+            cause = "slow"
+        elif share > FAILING_SHARE:
+            cause = "failing"
+        if cause == self._shunned_for:
+            return
+        self._shunned_for = cause
+        self.pool.log.event(
+            "replica_shunned" if cause else "replica_trusted",
+            replica=self.record.replica,
+            service=self.record.service,
+            cause=cause,
+            pace=round(pace, 2),
+            failure_share=round(share, 2),
+        )
 
     def load(self, now_seconds: float, own_domain: str) -> ReplicaLoad:
         """Return what a choice between replicas depends on."""
--- a/src/bronzebeam/routing/overload.py
+++ b/src/bronzebeam/routing/overload.py
@@ -38,6 +38,11 @@
     _late_share: float = 0.0
     _decreased_at_seconds: float = 0.0
 
+    @property
+    def bounded(self) -> bool:
+        """Whether the limit has fallen below where it started."""
+        return self.limit < START_LIMIT
+
     def admits(self, *, rank: int, returning: bool, rng: random.Random) -> bool:
         """
         Whether one more request may be worked on.
--- a/src/bronzebeam/telemetry/decisions.py
+++ b/src/bronzebeam/telemetry/decisions.py
@@ -3,6 +3,7 @@
 import os
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from attrs import define, field
@@ -11,8 +12,10 @@
 
 BUFFER_MAX_BYTES: Final = 512 * 1024  # memory that unread lines may take
 WRITE_MAX_BYTES: Final = 4096  # PIPE_BUF: up to this size a pipe takes all or nothing
-REQUEST_LINES_PER_SECOND: Final = 60.0  # keeps logging under 5% of the processor
-REQUEST_LINES_BURST: Final = 200.0  # a fault of some seconds is logged whole
+GOOD_LINES_PER_SECOND: Final = 20.0  # a sample that shows what is usual
+GOOD_LINES_BURST: Final = 40.0
+BAD_LINES_PER_SECOND: Final = 500.0  # beyond it, lines would cost more than a tenth
+BAD_LINES_BURST: Final = 2_000.0  # a fault of some seconds is logged whole
 
 
 class Write(Protocol):
@@ -37,29 +40,60 @@
     return write
 
 
+@define(kw_only=True, eq=False, repr=False)
+class LineBudget:
+    """A token bucket of lines."""
+
+    per_second: float
+    burst: float
+    _tokens: float = field(init=False)
+    _filled_at_seconds: float = field(default=0.0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._tokens = self.burst
+
+    def take(self, now_seconds: float) -> bool:
+        """Take one line, if there is one."""
+        elapsed_seconds = now_seconds - self._filled_at_seconds
+        self._tokens = min(self.burst, self._tokens + elapsed_seconds * self.per_second)
+        self._filled_at_seconds = now_seconds
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
 @define(kw_only=True, eq=False, repr=False)
 class DecisionLog:
     """
     Collects lines and writes them when the process has a moment.
 
     Lines on the state of the process are always taken, up to the size of the buffer.
-    Lines on requests are taken from a token bucket; failed and late requests may use
-    all of it, good ones only its upper half. What was left out is counted, and the
-    counts are written with the next line that fits.
+    Lines on requests are taken from token buckets: a wide one for those that failed,
+    were late or partial, and a narrow one for the others. What was left out is counted,
+    and the counts are written with the next line that fits.
 
     :ivar instance: added to each line.
+    :ivar monotonic_seconds: clock that bounds the volume.
     """
 
     instance: str
     write: Write
+    monotonic_seconds: Callable[[], float] = time.monotonic
     left_out_lines: int = 0
     _lines: deque[bytes] = field(factory=deque, init=False)
     _bytes: int = field(default=0, init=False)
     _rest: bytes = field(default=b"", init=False)
-    _tokens: float = field(default=REQUEST_LINES_BURST, init=False)
-    _filled_at_seconds: float = field(factory=time.monotonic, init=False)
+    _good: LineBudget = field(init=False)
+    _bad: LineBudget = field(init=False)
     _reported_left_out: int = field(default=0, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        self._good = LineBudget(
+            per_second=GOOD_LINES_PER_SECOND, burst=GOOD_LINES_BURST
+        )
+        self._bad = LineBudget(per_second=BAD_LINES_PER_SECOND, burst=BAD_LINES_BURST)
+
     def event(self, name: str, /, **fields: Any) -> None:
         """Log a change of what the process believes, or of its life."""
         self._append(name, fields)
@@ -70,17 +104,10 @@
 
         :param good: the request went well, so that its line may be left out.
         """
-        now_seconds = time.monotonic()
-        self._tokens = min(
-            REQUEST_LINES_BURST,
-            self._tokens
-            + (now_seconds - self._filled_at_seconds) * REQUEST_LINES_PER_SECOND,
-        )
-        self._filled_at_seconds = now_seconds
-        if self._tokens < (REQUEST_LINES_BURST / 2 if good else 1.0):
+        budget = self._good if good else self._bad
+        if not budget.take(self.monotonic_seconds()):
             self.left_out_lines += 1
             return
-        self._tokens -= 1.0
         self._append(name, fields)
 
     def flush(self) -> None:
--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -275,7 +275,9 @@
             settings_stamp=lambda: running.stamp,
             make_store=make_store,
             dialect=PlatformDialect(),
-            log=DecisionLog(instance=name, write=write),
+            log=DecisionLog(
+                instance=name, write=write, monotonic_seconds=self.loop.time
+            ),
             rng=random.Random(number),
         )
         context = contextvars.copy_context()
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -2,7 +2,7 @@
 
 from bronzebeam.telemetry.decisions import (
     BUFFER_MAX_BYTES,
-    REQUEST_LINES_BURST,
+    GOOD_LINES_BURST,
     DecisionLog,
 )
 from tests.fixtures_gateway import (
@@ -60,7 +60,7 @@
     bad = [line for line in output.lines if "bad-" in line]
     assert len(bad) == 50
     good = [line for line in output.lines if "request_ended" in line]
-    assert len(good) - 50 <= REQUEST_LINES_BURST / 2 + 1
+    assert len(good) - 50 <= GOOD_LINES_BURST + 1
     [counted] = [line for line in output.lines if "log_lines_left_out" in line]
     assert f"count={1_000 - (len(good) - 50)}" in counted
 
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -11,6 +11,7 @@
 from bronzebeam.gateway.admission import Admission
 from bronzebeam.routing.overload import LIMIT_MIN, START_LIMIT, AdaptiveLimit
 from bronzebeam.routing.routes import Route, RouteTable
+from bronzebeam.telemetry.decisions import DecisionLog
 from tests.fixtures_gateway import (
     GATHER_PATH,
     SETTLE_SECONDS,
@@ -241,7 +242,8 @@
 
     routes = (of("a", 5, "s", "t"), of("b", 2, "t", "s"), of("c", 9, "u"))
     table = RouteTable(version=1, routes=routes, services={})
-    admission = Admission(rng=random.Random(1))
+    log = DecisionLog(instance="g-1", write=lambda data: len(data))
+    admission = Admission(rng=random.Random(1), log=log)
     for item in routes:
         assert admission.enter(table=table, route=item, returning=False) is not None
     assert admission._ranks == {"a": 1, "b": 0, "c": 0}
