Share a replica's connections by failure domain in a larger fleet

Change: where the limit does not give every instance two connections, the instances of the replica's failure domain share three quarters of it and the others keep none. Two instances that work on one request keep to the same replicas of a shard, in an order both know.

--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Final
 
 from attrs import define, field
@@ -18,6 +18,7 @@
     StoreContents,
 )
 from bronzebeam.gateway.replica import Replica
+from bronzebeam.routing.connection_shares import share_connections
 from bronzebeam.routing.pace import TypicalLatency
 from bronzebeam.routing.replica_estimate import (
     FAILURE_MS,
@@ -41,13 +42,8 @@
 ABOUT_AS_GOOD: Final = 1.6  # ratio of estimates within which either replica will do
 ESTIMATE_SPREAD: Final = 0.15  # spreads instances over replicas of like estimates
 DEFAULT_CONNECTION_LIMIT: Final = 16  # for a service that the configuration lacks
-SPARE_INSTANCES: Final = 2  # newcomers find room before others have heard of them
-CONNECTIONS_MIN: Final = 2
-CONNECTIONS_MAX: Final = 12  # more would only queue at the replica
 OPENED_MAX: Final = 64  # in one turn, so that requests do not wait behind them
 EXCHANGE_SLACK_SECONDS: Final = 1.0  # beyond the longest timeout of a route
-WARM_FAN_OUT: Final = 2  # two fan-outs may meet on a replica
-WARM_FAN_OUT_ELSEWHERE: Final = 1  # peers there do most of the work
 WARM_OTHER: Final = 1
 
 
@@ -157,26 +153,36 @@
                 if over and not replica.pool.busy:
                     self._forget(name)
             elif opened < OPENED_MAX and _is_wanted(replica):
-                wanted = self._warm_wanted(replica)
-                opened += replica.pool.keep_warm(now_seconds, wanted)
+                opened += replica.keep_warm(now_seconds)
 
     # Read by requests.
 
     def choose(
-        self, *, service: str, excluded: Collection[Replica], route: Route
+        self,
+        *,
+        service: str,
+        excluded: Collection[Replica],
+        route: Route,
+        shared_domain: str | None = None,
     ) -> Choice | None:
         """
         Choose the replica with the least expected reply time.
 
         :param excluded: replicas that must not be chosen.
         :param route: route of the request.
+        :param shared_domain: failure domain of the peer that works on the request
+            too. Both then keep to the same few replicas, those of that domain first,
+            so that the request runs on no more than its route allows.
         :return: None if no replica of the service may be used.
         """
         candidates: list[tuple[float, float, Replica]] = []
         now_seconds = self.loop.time()
         typical_ms = self.typical(route).typical_ms
         failure_ms = FAILURE_MS if route.idempotent else UNREPEATABLE_FAILURE_MS
-        for replica in self._by_service.get(service, ()):
+        replicas: Sequence[Replica] = self._by_service.get(service, ())
+        if shared_domain is not None and len(replicas) > route.max_attempts:
+            replicas = _shared_replicas(replicas, shared_domain, route.max_attempts)
+        for replica in replicas:
             if replica in excluded or not self._usable(replica, now_seconds):
                 continue
             load = replica.load(now_seconds, self.own_domain)
@@ -240,10 +246,6 @@
             self.loop.time(), instances=self.peers.live_count
         )
 
-    def listed_count(self, service: str) -> int:
-        """Return how many replicas of a service there are, leaving ones included."""
-        return len(self._by_service.get(service, ()))
-
     def connected_services(self) -> frozenset[str]:
         """Return the services of which a replica has an open connection."""
         return frozenset(
@@ -372,28 +374,39 @@
         leaving_at = self._leaving_at_seconds.get(replica.record.replica, 0.0)
         return now_seconds - leaving_at <= LEAVING_LINGER_SECONDS
 
-    def _warm_wanted(self, replica: Replica) -> int:
-        if replica.record.service not in self._fan_out_services:
-            return WARM_OTHER
-        if replica.record.failure_domain != self.own_domain:
-            return WARM_FAN_OUT_ELSEWHERE
-        # One for each replica first: a process that returns serves at once.
-        return WARM_FAN_OUT if replica.pool.open_connections else 1
-
     def _share_connections(self) -> None:
-        sharing = self.peers.live_count + SPARE_INSTANCES
         services = self.table.services if self.table is not None else {}
+        instances = self.peers.live_count
+        domain_instances = self.peers.count_in(self.own_domain)
         for service, replicas in self._by_service.items():
             limit = _connection_limit(services.get(service))
-            share = min(max(limit // sharing, CONNECTIONS_MIN), CONNECTIONS_MAX)
             for replica in replicas:
-                replica.pool.connections_max = share
+                share = share_connections(
+                    limit=limit,
+                    instances=instances,
+                    domain_instances=domain_instances,
+                    own_domain=replica.record.failure_domain == self.own_domain,
+                )
+                replica.pool.connections_max = share.most
+                fan_out = service in self._fan_out_services
+                replica.warm_connections = share.warm if fan_out else WARM_OTHER
 
 
 def _score(candidate: tuple[float, float, Replica]) -> float:
     return candidate[0]
 
 
+def _shared_replicas(
+    replicas: Sequence[Replica], domain: str, count: int
+) -> list[Replica]:
+    """Return the first replicas in an order that all instances agree on."""
+
+    def order(replica: Replica) -> tuple[bool, str]:
+        return replica.record.failure_domain != domain, replica.record.replica
+
+    return sorted(replicas, key=order)[:count]
+
+
 def _connection_limit(service: BackendService | None) -> int:
     return DEFAULT_CONNECTION_LIMIT if service is None else service.connection_limit
 
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -135,7 +135,7 @@
             choice = self._choose(run, run.excluded, repeat=False)
             if choice is None:
                 self._give_up(run, run.cause)
-            elif self._may_hand_over(run, choice):
+            elif self._may_hand_over(choice):
                 elsewhere[run.index] = choice
             else:
                 self._send_first(run, choice)
@@ -153,15 +153,9 @@
             if self._done:
                 return
 
-    def _may_hand_over(self, run: ShardRun, choice: Choice) -> bool:
-        # With more replicas than a request may run on, a peer and this instance
-        # together could use too many of them.
-        state = self.context.state
-        return (
-            self.may_delegate
-            and choice.replica.record.failure_domain != state.own_domain
-            and state.listed_count(run.service) <= self.routed.route.max_attempts
-        )
+    def _may_hand_over(self, choice: Choice) -> bool:
+        own_domain = self.context.state.own_domain
+        return self.may_delegate and choice.replica.record.failure_domain != own_domain
 
     def _delegate(self, domain: str, shards: tuple[int, ...]) -> bool:
         peer = self.context.state.peers.choose(domain)
@@ -224,7 +218,10 @@
         self, run: ShardRun, excluded: set[Replica], *, repeat: bool
     ) -> Choice | None:
         choice = self.context.state.choose(
-            service=run.service, excluded=excluded, route=self.routed.route
+            service=run.service,
+            excluded=excluded,
+            route=self.routed.route,
+            shared_domain=self._shared_domain(run),
         )
         if choice is None:
             return None
@@ -241,6 +238,14 @@
             return None
         return choice
 
+    def _shared_domain(self, run: ShardRun) -> str | None:
+        """Return the domain of the peer that works on the shard too, if one does."""
+        if not self.may_delegate:
+            return self.context.state.own_domain
+        if run.delegation is not None:
+            return run.delegation.peer.record.failure_domain
+        return None
+
     def _repeat_allowed(self, run: ShardRun) -> bool:
         return (
             run.sends <= REJECTED_MAX
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -67,6 +67,17 @@
         """Return the number of live instances, this one included."""
         return len(self.records.keys() | {self.instance})
 
+    def count_in(self, failure_domain: str) -> int:
+        """Return the number of live instances in a failure domain."""
+        names = {
+            name
+            for name, record in self.records.items()
+            if record.failure_domain == failure_domain
+        }
+        if failure_domain == self.own_domain:
+            names.add(self.instance)
+        return len(names)
+
     def replace(self, records: Mapping[str, InstanceRecord]) -> None:
         """Take in all registered instances."""
         for name in self.records.keys() - records.keys():
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -20,6 +20,7 @@
 
     :ivar record: what the store says of it.
     :ivar mismatched: another process has answered at its address.
+    :ivar warm_connections: connections that are kept open.
     :ivar gone_at_seconds: monotonic time at which it left the store's list; None if
         it is listed.
     :ivar last_resort_until_seconds: monotonic time until which it is used after that,
@@ -34,6 +35,7 @@
     gone_at_seconds: float | None = None
     last_resort_until_seconds: float = 0.0
     mismatched: bool = False
+    warm_connections: int = 1
     _shunned_for: str = ""
 
     def observe_reply(
@@ -71,6 +73,13 @@
             failure_share=round(share, 2),
         )
 
+    def keep_warm(self, now_seconds: float) -> int:
+        """Open the connections that are missing; return their number."""
+        # One for each replica first: a process that returns serves at once.
+        first = min(self.warm_connections, 1)
+        wanted = self.warm_connections if self.pool.open_connections else first
+        return self.pool.keep_warm(now_seconds, wanted)
+
     def load(self, now_seconds: float, own_domain: str) -> ReplicaLoad:
         """Return what a choice between replicas depends on."""
         pool = self.pool
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -206,15 +206,29 @@
     with_cluster(scenario)
 
 
-def test_shard_with_more_replicas_than_attempts_is_not_handed_over() -> None:
+def test_two_instances_together_use_no_more_replicas_than_attempts() -> None:
     async def scenario(cluster: Cluster) -> None:
         asker, near = await two_domains(cluster)
         for index in range(SHARDS):
-            cluster.add_replica(f"shard-{index}", domain="zone-b")
+            for domain in ("zone-b", "zone-c"):
+                cluster.add_replica(f"shard-{index}", domain=domain)
         await asyncio.sleep(2.0)
-        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
-        assert answer is not None and answer.status == 200
-        assert delegated(cluster) == 0
+        for number in range(12):
+            # The peer sends twice for each shard, and is then taken for lost.
+            for replica in cluster.replicas.values():
+                replica.paused_until_seconds = cluster.loop.time() + 0.15
+            withhold(cluster, near, asker, b"102 Processing")
+            await cluster.ask(asker, GATHER_PATH, attempt_id=f"d-{number}")
+            await asyncio.sleep(12.0)
+        assert delegated(cluster) >= 6
+        for number in range(12):
+            for index in range(SHARDS):
+                ran = [
+                    replica
+                    for replica in replicas_of(cluster, f"shard-{index}")
+                    if any(run.attempt_id == f"d-{number}" for run in replica.runs)
+                ]
+                assert len(ran) <= 2
 
     with_cluster(scenario)
 
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given, strategies as st
 
+from bronzebeam.routing.connection_shares import share_connections
 from bronzebeam.routing.domain_groups import group_by_domain
 from bronzebeam.routing.gather_timing import (
     answer_without_missing_at,
@@ -332,3 +333,40 @@
     assert max(urgent) < min(patient)
     assert max(urgent) - min(urgent) > 0.5 * min(urgent)
     assert max(patient) <= 346.0 / 2 / 1_000.0
+
+
+@COMMON
+@given(
+    limit=st.integers(20, 60),
+    domains=st.lists(st.integers(1, 20), min_size=1, max_size=4),
+)
+def test_connections_that_are_kept_fit_the_limit(
+    limit: int, domains: list[int]
+) -> None:
+    instances = sum(domains)
+    kept = sum(
+        count
+        * share_connections(
+            limit=limit,
+            instances=instances,
+            domain_instances=count,
+            own_domain=index == 0,
+        ).warm
+        for index, count in enumerate(domains)
+    )
+    assert kept <= limit
+
+
+def test_few_instances_hold_connections_to_all_replicas() -> None:
+    for own_domain in (True, False):
+        share = share_connections(
+            limit=25, instances=8, domain_instances=3, own_domain=own_domain
+        )
+        assert share.most == 2 and share.warm >= 1
+
+
+def test_many_instances_hold_none_to_replicas_elsewhere() -> None:
+    share = share_connections(
+        limit=54, instances=63, domain_instances=16, own_domain=False
+    )
+    assert share.warm == 0 and share.most == 1
