--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -144,6 +144,7 @@
             failure_domain=settings.failure_domain,
             host=listen.address if listen is not None else "",
             port=listen.port if listen is not None else 0,
+            processor_cores=settings.processor_cores,
         )
 
     def _build(self) -> GatewayStore:
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -16,7 +16,7 @@
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.gateway.shard_run import NO_REPLY, ShardRun
-from bronzebeam.routing.domain_groups import group_by_domain
+from bronzebeam.routing.domain_groups import group_by_domain, split_evenly
 from bronzebeam.routing.gather_timing import (
     answer_without_missing_at,
     is_not_worth_sending,
@@ -36,8 +36,10 @@
     One request on its way to one replica of each shard.
 
     Shards whose replica is in another failure domain are handed in groups to a peer
-    there, which merges their records: less crosses between the domains. The peer's
-    failure or delay sends the request to their replicas from here.
+    there, which merges their records: less crosses between the domains. Where there
+    are many shards, peers in the same failure domain take groups too, since one
+    instance would be late reading all replies. A peer's failure or delay sends the
+    request to their replicas from here.
 
     :ivar may_delegate: whether peers may be asked; not for what a peer has asked.
     :ivar ticket: place among the requests in flight; None for what a peer has asked.
@@ -130,6 +132,7 @@
     # Sending.
 
     def _send_all(self) -> None:
+        near: dict[int, Choice] = {}
         elsewhere: dict[int, Choice] = {}
         for run in self._shards:
             choice = self._choose(run, run.excluded, repeat=False)
@@ -138,18 +141,23 @@
             elif self._may_hand_over(choice):
                 elsewhere[run.index] = choice
             else:
-                self._send_first(run, choice)
-            if self._done:
-                return
+                near[run.index] = choice
+        if self._done:
+            return
         groups = group_by_domain(
             {index: choice.domains for index, choice in elsewhere.items()},
             rng=self.context.rng,
         )
+        own, *others = split_evenly(list(near)) if self.may_delegate else [tuple(near)]
+        groups.extend((self.context.state.own_domain, shards) for shards in others)
+        choices = {**near, **elsewhere}
+        # Orders go first: their replies take longer.
+        direct = [*own]
         for domain, shards in groups:
-            if len(shards) >= DELEGATED_MIN and self._delegate(domain, shards):
-                continue
-            for index in shards:
-                self._send_first(self._shards[index], elsewhere[index])
+            if len(shards) < DELEGATED_MIN or not self._delegate(domain, shards):
+                direct.extend(shards)
+        for index in direct:
+            self._send_first(self._shards[index], choices[index])
             if self._done:
                 return
 
@@ -158,7 +166,9 @@
         return self.may_delegate and choice.replica.record.failure_domain != own_domain
 
     def _delegate(self, domain: str, shards: tuple[int, ...]) -> bool:
-        peer = self.context.state.peers.choose(domain)
+        peer = self.context.state.peers.choose(
+            domain, excluded=[item.peer for item in self._delegations]
+        )
         if peer is None:
             return False
         delegation = Delegation(
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
 from attrs import define, field
@@ -124,23 +124,33 @@
         self.log.event("peer_gone", peer=name, live_instances=self.live_count)
 
     def tend(self, now_seconds: float, exchange_max_seconds: float) -> None:
-        """Keep connections to the peers of other failure domains open."""
+        """Keep connections to the peers open."""
         for peer in self._peers.values():
             peer.pool.close_stuck(now_seconds, exchange_max_seconds)
-            if peer.record.failure_domain != self.own_domain:
-                peer.pool.keep_warm(now_seconds, WARM_CONNECTIONS)
+            peer.pool.keep_warm(now_seconds, WARM_CONNECTIONS)
 
-    def choose(self, failure_domain: str) -> Peer | None:
-        """Return the least busy peer of a failure domain that is well, or None."""
+    def choose(self, failure_domain: str, *, excluded: Collection[Peer]) -> Peer | None:
+        """
+        Return the least busy peer of a failure domain that is well, or None.
+
+        :param excluded: peers that have a part of the request already.
+        """
         now_seconds = self.loop.time()
         well = [
             peer
             for peer in self._peers.values()
             if peer.record.failure_domain == failure_domain
             and peer.pool.idle
+            and peer not in excluded
             and now_seconds >= peer.avoided_until_seconds
             and peer.pool.silence_ms(now_seconds) <= SILENCE_MAX_MS
         ]
         if not well:
             return None
-        return min(well, key=lambda peer: (peer.pool.in_flight, self.rng.random()))
+        return min(well, key=self._load_of)
+
+    def _load_of(self, peer: Peer) -> tuple[float, float]:
+        # A tie goes to the larger instance more often.
+        capacity = peer.record.processor_cores
+        spread = self.rng.random() ** (1.0 / capacity)
+        return peer.pool.in_flight / capacity, -spread
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -37,12 +37,14 @@
     A live instance of the gateway, as it registered itself.
 
     :ivar host: IP number at which it serves its peers; empty if it does not.
+    :ivar processor_cores: processor that it may use, above 0.
     """
 
     instance: str
     failure_domain: str
     host: str
     port: int
+    processor_cores: float = 1.0
 
 
 class RecordKind(Enum):
--- a/src/bronzebeam/gateway/settings.py
+++ b/src/bronzebeam/gateway/settings.py
@@ -17,6 +17,7 @@
     :ivar ready_path: path of the question whether this instance is ready.
     :ivar peer_listen: where peers connect, and metrics are offered; may be missing.
     :ivar store: address of the platform's store.
+    :ivar processor_cores: processor that the process may use.
     :ivar lease_min_ms: shortest term of a lease that the store grants.
     :ivar stop_bound_seconds: time from the signal to stop until the process is killed.
     :ivar repeats: bound on repeated sub-requests, over all instances.
@@ -30,6 +31,7 @@
     ready_path: bytes
     peer_listen: ListenSettings | None
     store: ListenSettings
+    processor_cores: float
     lease_min_ms: float
     stop_bound_seconds: float
     repeats: SecondSendLimits
--- a/src/bronzebeam/platform/instances.py
+++ b/src/bronzebeam/platform/instances.py
@@ -13,6 +13,7 @@
             "failure_domain": record.failure_domain,
             "host": record.host,
             "port": record.port,
+            "processor_cores": record.processor_cores,
         }
     )
 
@@ -30,6 +31,7 @@
             failure_domain=str(item["failure_domain"]),
             host=str(item["host"]),
             port=int(item["port"]),
+            processor_cores=max(0.1, float(item["processor_cores"])),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MalformedRecord(f"instance: {error!r}") from error
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -16,6 +16,7 @@
 REPEAT_RATIO: Final = 0.2
 REPEAT_SLACK: Final = 0.0
 REPEAT_WINDOW_SECONDS: Final = 10.0
+PROCESSOR_MIN_CORES: Final = 0.1  # a weight has to be above 0
 LEASE_MIN_MS: Final = 1_000.0
 
 
@@ -58,6 +59,12 @@
             else None
         ),
         store=reader.address("platform.address"),
+        # The share of a core, and how many times as fast that core is.
+        processor_cores=max(
+            PROCESSOR_MIN_CORES,
+            reader.number("limits.cpuShare", 1.0)
+            * reader.number("limits.cpuCores", 1.0),
+        ),
         lease_min_ms=reader.number("platform.minTtlMs", LEASE_MIN_MS),
         stop_bound_seconds=reader.number("bounds.gracePeriodS", STOP_BOUND_SECONDS),
         repeats=SecondSendLimits(
--- a/src/bronzebeam/routing/domain_groups.py
+++ b/src/bronzebeam/routing/domain_groups.py
@@ -1,7 +1,10 @@
-"""Grouping of shards by the failure domain that reads them."""
+"""Grouping of shards by the instances that gather them."""
 
 import random
 from collections.abc import Mapping, Sequence
+from typing import Final
+
+DIRECT_MAX: Final = 30  # replies that half a core reads within a few milliseconds
 
 
 def group_by_domain(
@@ -32,3 +35,16 @@
         for shard in shards:
             del remaining[shard]
     return groups
+
+
+def split_evenly(shards: Sequence[int]) -> list[tuple[int, ...]]:
+    """
+    Split shards of one failure domain into groups of at most `DIRECT_MAX`.
+
+    Answers the load of a fan-out over many shards: one instance that reads all the
+    replies is late by its own processor time.
+
+    :return: groups of like size; one group if there are few shards.
+    """
+    count = max(1, -(-len(shards) // DIRECT_MAX))
+    return [tuple(shards[index::count]) for index in range(count)]
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -75,6 +75,23 @@
     with_cluster(scenario)
 
 
+def test_many_shards_are_divided_among_peers_of_the_same_domain() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for name in ("p-1", "p-2", "p-3"):
+            cluster.start_gateway(name)
+        asker = await search_cluster(cluster, shards=70, top=9)
+        await asyncio.sleep(2.0)
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 0
+        assert answer.body == greatest(699, 693, 691, 689, 683, 681, 679, 673, 671)
+        assert len(check_signatures(cluster, answer, "d-1")) == 70
+        assert delegated(cluster) == 2
+        assert cluster.runs_of("d-1") == 70
+
+    with_cluster(scenario)
+
+
 def test_silent_peer_is_passed_over_within_the_target_and_then_avoided() -> None:
     async def scenario(cluster: Cluster) -> None:
         asker, near = await two_domains(cluster)
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -6,7 +6,7 @@
 from hypothesis import given, strategies as st
 
 from bronzebeam.routing.connection_shares import share_connections
-from bronzebeam.routing.domain_groups import group_by_domain
+from bronzebeam.routing.domain_groups import DIRECT_MAX, group_by_domain, split_evenly
 from bronzebeam.routing.gather_timing import (
     answer_without_missing_at,
     is_not_worth_sending,
@@ -370,3 +370,12 @@
         limit=54, instances=63, domain_instances=16, own_domain=False
     )
     assert share.warm == 0 and share.most == 1
+
+
+@COMMON
+@given(shards=st.lists(st.integers(0, 500), unique=True, max_size=200))
+def test_split_keeps_every_shard_in_groups_of_like_size(shards: list[int]) -> None:
+    groups = split_evenly(shards)
+    assert sorted(item for group in groups for item in group) == sorted(shards)
+    sizes = [len(group) for group in groups]
+    assert max(sizes) <= DIRECT_MAX and max(sizes) - min(sizes) <= 1
