Send again earlier in a fan-out, later for single requests

Cause: on the grown deployments second sends of the longer search left at 0.4 of the target and their replies came with the cutoff; single requests took the same share, which is 1.5 times their usual time, and a fifth of them were sent twice.

Change: at most 0.3 of the target in a fan-out, 0.6 for single requests; a peer is taken for lost 12 ms after the second sends (8 ms before).

--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -95,6 +95,7 @@
                 hedge_after_ms=second_send_after_ms(
                     typical_ms=self.context.state.typical(route).typical_ms,
                     target_latency_ms=route.target_latency_ms,
+                    fan_out=True,
                 ),
             ).start()
         else:
--- a/src/bronzebeam/routing/hedge_timing.py
+++ b/src/bronzebeam/routing/hedge_timing.py
@@ -4,19 +4,25 @@
 
 from bronzebeam.routing.replica_estimate import overdue_after_ms
 
-TARGET_SHARE_MAX: Final = 0.4  # a second send still has time to be answered
-PEER_SLACK_MS: Final = 8.0  # two hops, and the peer's own queue of events
+FAN_OUT_SHARE_MAX: Final = 0.3  # of the target; the slowest second send decides
+SINGLE_SHARE_MAX: Final = 0.6  # of the target; its work itself may take long
+PEER_SLACK_MS: Final = 12.0  # two hops, and the peer's own queue of events
 DELAY_MIN_MS: Final = 4.0  # below, a busy instance would hedge its own delays
 
 
-def second_send_after_ms(*, typical_ms: float, target_latency_ms: float) -> float:
+def second_send_after_ms(
+    *, typical_ms: float, target_latency_ms: float, fan_out: bool
+) -> float:
     """
     Return the wait after which a second send is worth its place in the budget.
 
     Answers the load of replicas that pause: a reply that takes several times the
     usual is rarely just late, and waiting longer only uses up the target latency.
+
+    :param fan_out: the request goes to many shards, whose work is short.
     """
-    delay_ms = min(overdue_after_ms(typical_ms), target_latency_ms * TARGET_SHARE_MAX)
+    share_max = FAN_OUT_SHARE_MAX if fan_out else SINGLE_SHARE_MAX
+    delay_ms = min(overdue_after_ms(typical_ms), target_latency_ms * share_max)
     return max(delay_ms, DELAY_MIN_MS)
 
 
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -231,11 +231,17 @@
 
 
 @COMMON
-@given(typical_ms=st.floats(0.1, 500.0), target_ms=st.floats(1.0, 5_000.0))
+@given(
+    typical_ms=st.floats(0.1, 500.0),
+    target_ms=st.floats(1.0, 5_000.0),
+    fan_out=st.booleans(),
+)
 def test_second_send_leaves_time_for_its_reply(
-    typical_ms: float, target_ms: float
+    typical_ms: float, target_ms: float, fan_out: bool
 ) -> None:
-    delay_ms = second_send_after_ms(typical_ms=typical_ms, target_latency_ms=target_ms)
+    delay_ms = second_send_after_ms(
+        typical_ms=typical_ms, target_latency_ms=target_ms, fan_out=fan_out
+    )
     assert delay_ms <= max(0.4 * target_ms, 4.0)
     assert peer_lost_after_ms(delay_ms) > delay_ms
 
