Test the real program as a process on loopback

Serves, reloads on SIGHUP, and stops on SIGTERM without a lost request; an output that nobody reads neither stops nor slows it; settings with findings end it with code 2.

--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,203 @@
+"""Tests of the real program as a process, against stand-ins on loopback."""
+
+import asyncio
+import os
+import signal
+import sys
+import sysconfig
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import httpx
+from attrs import define, field
+
+from tests.fixtures_gateway import HOST, READ_PATH, route, settings_text
+from tests.fixtures_serving import free_port
+from tests.standin_http import StandinConnection
+from tests.standin_replica import StandinReplica
+from tests.standin_store import StandinStore
+
+SOURCES = Path(__file__).parent.parent / "src"
+LOOPBACK = "127.0.0.1"
+STARTED_SECONDS = 20.0
+STOPPED_SECONDS = 12.0
+
+
+@define(kw_only=True, eq=False)
+class RealGateway:
+    """The program, its settings file and the ports it serves."""
+
+    process: asyncio.subprocess.Process
+    settings: Path
+    callers: str
+    ready: str
+    replica: StandinReplica
+    client: httpx.AsyncClient = field(
+        factory=lambda: httpx.AsyncClient(timeout=STARTED_SECONDS)
+    )
+
+    async def ask(self, attempt_id: str) -> httpx.Response:
+        headers = {
+            "Host": HOST,
+            "X-Bronzebeam-Attempt-Id": attempt_id,
+            "X-Bronzebeam-Deadline-Remaining-Ms": "5000",
+        }
+        return await self.client.get(f"{self.callers}{READ_PATH}x", headers=headers)
+
+    async def is_ready(self) -> bool:
+        try:
+            answer = await self.client.get(f"{self.ready}/ready")
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
+    async def wait_ready(self) -> None:
+        async with asyncio.timeout(STARTED_SECONDS):
+            while not await self.is_ready():
+                await asyncio.sleep(0.05)
+
+
+def with_gateway(use: Callable[[RealGateway], Awaitable[None]]) -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        store = StandinStore(loop=loop)
+
+        def new_connection() -> Any:
+            return StandinConnection(server=store)
+
+        replica = StandinReplica(
+            loop=loop, replica="i-1", service="s", host=LOOPBACK, port=free_port()
+        )
+        store_port = free_port()
+        answer: Any = replica._accept
+        servers = [
+            await loop.create_server(new_connection, LOOPBACK, store_port),
+            await loop.create_server(answer, LOOPBACK, replica.port),
+        ]
+        store.put("servers/i-1", replica.entry())
+        document = {
+            "version": 3,
+            "routes": [route("r-read", READ_PATH, service="s", timeoutMs=5_000)],
+            "services": [{"name": "s", "connectionLimit": 25}],
+        }
+        store.put("op/config", document)
+        with TemporaryDirectory() as folder:
+            gateway = await _start(Path(folder), store_port, replica)
+            try:
+                await gateway.wait_ready()
+                await use(gateway)
+                await gateway.client.aclose()
+            finally:
+                if gateway.process.returncode is None:
+                    gateway.process.kill()
+                    await gateway.process.wait()
+                for server in servers:
+                    server.close()
+
+    asyncio.run(main())
+
+
+async def _start(folder: Path, store_port: int, replica: StandinReplica) -> RealGateway:
+    callers, ready, peers = free_port(), free_port(), free_port()
+    settings = folder / "node.conf"
+    settings.write_text(
+        settings_text(
+            "g-1",
+            LOOPBACK,
+            "zone-a",
+            **{
+                "listenAddresses.frontendAddress": f"{LOOPBACK}:{callers}",
+                "listenAddresses.ready": f"{LOOPBACK}:{ready}",
+                "internalPortRange": f"{peers},{peers}",
+                "platform.address": f"{LOOPBACK}:{store_port}",
+            },
+        )
+    )
+    libraries = sysconfig.get_paths()["platlib"]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-S",
+        "-m",
+        "bronzebeam.platform",
+        stdout=asyncio.subprocess.PIPE,
+        env={
+            **os.environ,
+            "PYTHONPATH": f"{SOURCES}{os.pathsep}{libraries}",
+            "BRONZEBEAM_NODE_FILE": str(settings),
+        },
+    )
+    return RealGateway(
+        process=process,
+        settings=settings,
+        callers=f"http://{LOOPBACK}:{callers}",
+        ready=f"http://{LOOPBACK}:{ready}",
+        replica=replica,
+    )
+
+
+def test_program_serves_reloads_and_stops_without_a_lost_request() -> None:
+    async def use(gateway: RealGateway) -> None:
+        answer = await gateway.ask("p-1")
+        assert answer.status_code == 200
+        assert answer.content == b"i-1/p-1"
+        gateway.process.send_signal(signal.SIGHUP)
+        gateway.replica.work_seconds = 1.0
+        slow = asyncio.ensure_future(gateway.ask("p-2"))
+        while len(gateway.replica.runs) < 2:
+            await asyncio.sleep(0.01)
+        gateway.process.send_signal(signal.SIGTERM)
+        while await gateway.is_ready():
+            await asyncio.sleep(0.01)
+        answer = await gateway.ask("p-3")
+        assert answer.status_code == 200
+        assert answer.headers["connection"] == "close"
+        assert (await slow).content == b"i-1/p-2"
+        assert gateway.process.stdout is not None
+        async with asyncio.timeout(STOPPED_SECONDS):
+            text = (await gateway.process.stdout.read()).decode()
+            assert await gateway.process.wait() == 0
+        for event in ("started", "ready", "reloaded", "stop_started", "ended"):
+            assert f" event={event} " in text, event
+        assert "cut_off=0" in text
+
+    with_gateway(use)
+
+
+def test_output_that_nobody_reads_neither_stops_nor_slows_the_program() -> None:
+    async def use(gateway: RealGateway) -> None:
+        stdout: Any = gateway.process.stdout
+        stdout._transport.pause_reading()
+        for number in range(300):
+            answer = await gateway.ask(f"p-{number}")
+            assert answer.status_code == 200
+            gateway.process.send_signal(signal.SIGHUP)
+        assert await gateway.is_ready()
+        stdout._transport.resume_reading()
+        gateway.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(STOPPED_SECONDS):
+            await stdout.read()
+            assert await gateway.process.wait() == 0
+
+    with_gateway(use)
+
+
+def test_settings_with_findings_end_the_program_with_its_code() -> None:
+    async def main() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bronzebeam.platform",
+            stderr=asyncio.subprocess.PIPE,
+            env={
+                **os.environ,
+                "PYTHONPATH": str(SOURCES),
+                "BRONZEBEAM_NODE_FILE": "/nowhere/node.conf",
+            },
+        )
+        _, text = await process.communicate()
+        assert process.returncode == 2
+        assert b"cannot be read" in text
+
+    asyncio.run(main())
