Use the measured kind of connection in the entry too

Change: `ProtocolChannel` behind the entry's `Channel`; the calls to the store and the channel share one way of waiting for a reply; the bound on a reply's size belongs to the connection.

--- a/src/bronzebeam/entry/request_path.py
+++ b/src/bronzebeam/entry/request_path.py
@@ -27,7 +27,7 @@
 from bronzebeam.settings import EntrySettings
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.telemetry.traces import Tracing
-from bronzebeam.transport.channel import HttpcoreChannelFactory
+from bronzebeam.transport.channel import ProtocolChannelFactory
 from bronzebeam.transport.owner_route import PeerOwnerRoute
 from bronzebeam.transport.store import Store
 
@@ -71,7 +71,7 @@
         self.quarantine = QuarantineController(clock=self.clock)
         self.backends = Backends(
             clock=self.clock,
-            channels=HttpcoreChannelFactory(),
+            channels=ProtocolChannelFactory(),
             observers=(self.quarantine.post,),
         )
         self.admission = AdmissionController(clock=self.clock, rng=self.rng)
--- a/src/bronzebeam/transport/channel.py
+++ b/src/bronzebeam/transport/channel.py
@@ -1,5 +1,6 @@
 """One connection to a backend server."""
 
+import asyncio
 import socket
 from collections.abc import Sequence
 from typing import Final, Protocol
@@ -7,6 +8,9 @@
 import httpcore
 from attrs import frozen
 
+from bronzebeam.transport.http_reply import ClientConnection
+from bronzebeam.transport.reply_future import ExchangeFailed, exchange
+
 KEEPALIVE_IDLE_SECONDS: Final = 5
 KEEPALIVE_INTERVAL_SECONDS: Final = 2
 KEEPALIVE_PROBES: Final = 3
@@ -128,6 +132,75 @@
         return HttpcoreChannel(address=address)
 
 
+class ProtocolChannel:
+    """
+    A channel over the gateway's own kind of connection, on asyncio only.
+
+    :param most_reply_bytes: a longer reply closes the channel.
+    """
+
+    def __init__(
+        self, *, address: str, most_reply_bytes: int = MOST_REPLY_BYTES
+    ) -> None:
+        self._address = address
+        self._most_reply_bytes = most_reply_bytes
+        self._connection: ClientConnection | None = None
+        self._closed = False
+
+    async def exchange(
+        self, *, method: str, path: str, headers: Headers, body: bytes
+    ) -> ChannelResponse:
+        if self._closed:
+            raise ChannelClosed("the channel is closed")
+        try:
+            if self._connection is None:
+                self._connection = await self._open()
+            lines = [
+                f"{method} {path} HTTP/1.1\r\nhost: {self._address}\r\n".encode(),
+                b"content-length: %d\r\n" % len(body),
+            ]
+            lines.extend(b"%s: %s\r\n" % pair for pair in headers)
+            request = b"".join(lines) + b"\r\n" + body
+            reply = await exchange(self._connection, request)
+        except (OSError, ExchangeFailed) as error:
+            self._closed = True
+            raise ChannelClosed(str(error)) from error
+        return ChannelResponse(status=reply.status, body=reply.body)
+
+    async def aclose(self) -> None:
+        self._closed = True
+        if self._connection is not None:
+            self._connection.abandon()
+
+    # Called by the connection.
+
+    def connection_idle(self, connection: ClientConnection) -> None:
+        """Keep the connection for the next exchange."""
+
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Be of no further use."""
+        self._closed = True
+
+    async def _open(self) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        host, _, port = self._address.rpartition(":")
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(
+                owner=self, loop=loop, reply_max_bytes=self._most_reply_bytes
+            ),
+            host,
+            int(port),
+        )
+        return connection
+
+
+class ProtocolChannelFactory:
+    """Makes `ProtocolChannel` objects."""
+
+    def new_channel(self, address: str) -> Channel:
+        return ProtocolChannel(address=address)
+
+
 def _socket_options() -> list[tuple[int, int, int]]:
     return [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
--- a/src/bronzebeam/transport/http_call.py
+++ b/src/bronzebeam/transport/http_call.py
@@ -5,11 +5,8 @@
 
 from attrs import define, field
 
-from bronzebeam.transport.http_reply import (
-    ClientConnection,
-    ExchangeFailure,
-    HttpReply,
-)
+from bronzebeam.transport.http_reply import ClientConnection, HttpReply
+from bronzebeam.transport.reply_future import ExchangeFailed, exchange
 
 CONNECT_SECONDS: Final = 0.4  # many round trips; a cut shows as a hang
 IDLE_MAX_SECONDS: Final = 5.0  # idle longer, a connection may have gone silent
@@ -19,23 +16,6 @@
     """No whole reply came; the call may have been carried out."""
 
 
-@define(kw_only=True, eq=False, repr=False)
-class _Waiter:
-    """Hands the end of an exchange to a task."""
-
-    future: asyncio.Future[HttpReply]
-
-    def reply_received(self, connection: ClientConnection, reply: HttpReply) -> None:
-        if not self.future.done():
-            self.future.set_result(reply)
-
-    def exchange_failed(
-        self, connection: ClientConnection, failure: ExchangeFailure
-    ) -> None:
-        if not self.future.done():
-            self.future.set_exception(CallFailed(failure.value))
-
-
 @define(kw_only=True, eq=False, repr=False)
 class HttpCallClient:
     """
@@ -64,11 +44,13 @@
         try:
             async with asyncio.timeout(bound_seconds):
                 connection = await self._connection()
-                return await self._exchange(connection, method, target, body)
+                return await exchange(connection, self._encode(method, target, body))
         except TimeoutError as error:
             raise CallFailed("timeout") from error
         except OSError as error:
             raise CallFailed(error.strerror or str(error)) from error
+        except ExchangeFailed as error:
+            raise CallFailed(str(error)) from error
 
     def close(self) -> None:
         """Close all connections."""
@@ -102,23 +84,9 @@
         self._all.add(connection)
         return connection
 
-    async def _exchange(
-        self,
-        connection: ClientConnection,
-        method: str,
-        target: str,
-        body: bytes | None,
-    ) -> HttpReply:
-        future: asyncio.Future[HttpReply] = asyncio.get_running_loop().create_future()
+    def _encode(self, method: str, target: str, body: bytes | None) -> bytes:
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self.host}:{self.port}"]
         if body is not None:
             lines.append("Content-Type: application/json")
         lines.append(f"Content-Length: {len(body or b'')}")
-        data = "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
-        connection.send(data, _Waiter(future=future), head=False)
-        try:
-            return await future
-        except asyncio.CancelledError:
-            # A reply to this call must not be taken for that to the next one.
-            connection.abandon()
-            raise
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -87,6 +87,7 @@
         "idle_since_seconds",
         "keep_alive_seconds",
         "proven",
+        "reply_max_bytes",
         "interim_seen",
         "closed",
         "_parser",
@@ -103,9 +104,14 @@
     )
 
     def __init__(
-        self, *, owner: ConnectionOwner, loop: asyncio.AbstractEventLoop
+        self,
+        *,
+        owner: ConnectionOwner,
+        loop: asyncio.AbstractEventLoop,
+        reply_max_bytes: int = REPLY_MAX_BYTES,
     ) -> None:
         self.owner = owner
+        self.reply_max_bytes = reply_max_bytes
         self.loop = loop
         self.transport: asyncio.Transport | None = None
         self.observer: ExchangeObserver | None = None
@@ -145,10 +151,6 @@
         if self.observer is None or self._complete:
             self.close()
             return
-        self._body_bytes += len(data)
-        if self._body_bytes > REPLY_MAX_BYTES:
-            self._fail(ExchangeFailure.MALFORMED)
-            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -160,7 +162,9 @@
                 self._fail(ExchangeFailure.MALFORMED)
                 return
             self._trailing = True
-        if self._complete:
+        if self._body_bytes > self.reply_max_bytes:
+            self._fail(ExchangeFailure.MALFORMED)
+        elif self._complete:
             self._finish()
 
     def eof_received(self) -> bool:
@@ -211,6 +215,7 @@
         """Collect a piece of the body."""
         if not self._complete:
             self._body.append(body)
+            self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Notice the end of the reply, unless it is an interim one."""
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -5,14 +5,17 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from bronzebeam.transport.channel import ChannelClosed, HttpcoreChannel
+from bronzebeam.transport.channel import (
+    Channel,
+    ChannelClosed,
+    HttpcoreChannel,
+    ProtocolChannel,
+)
 
 MOST_REPLY_BYTES = 10_000
 
 
-def _with_reply(
-    body_bytes: int, use: Callable[[HttpcoreChannel], Awaitable[None]]
-) -> None:
+def _with_reply(body_bytes: int, use: Callable[[Channel], Awaitable[None]]) -> None:
     """Run `use` with a channel whose server answers with `body_bytes` bytes."""
 
     async def serve(stream: SocketStream) -> None:
@@ -25,20 +28,23 @@
     async def main() -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(SocketAttribute.local_port)
-        channel = HttpcoreChannel(
-            address=f"127.0.0.1:{port}", most_reply_bytes=MOST_REPLY_BYTES
-        )
+        address = f"127.0.0.1:{port}"
+        channels: list[Channel] = [
+            kind(address=address, most_reply_bytes=MOST_REPLY_BYTES)
+            for kind in (HttpcoreChannel, ProtocolChannel)
+        ]
         async with anyio.create_task_group() as group:
             group.start_soon(listener.serve, serve)
-            await use(channel)
-            await channel.aclose()
+            for channel in channels:
+                await use(channel)
+                await channel.aclose()
             group.cancel_scope.cancel()
 
     anyio.run(main)
 
 
 def test_reply_within_the_bound_is_read_whole() -> None:
-    async def use(channel: HttpcoreChannel) -> None:
+    async def use(channel: Channel) -> None:
         response = await channel.exchange(
             method="GET", path="/status", headers=(), body=b""
         )
@@ -49,7 +55,7 @@
 
 
 def test_reply_above_the_bound_closes_the_channel() -> None:
-    async def use(channel: HttpcoreChannel) -> None:
+    async def use(channel: Channel) -> None:
         try:
             await channel.exchange(method="GET", path="/status", headers=(), body=b"")
         except ChannelClosed:
