--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -10,10 +10,11 @@
 from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation import Delegation, DelegationResult
-from bronzebeam.gateway.fleet_state import Choice
 from bronzebeam.gateway.gather_answers import GatherAnswers
+from bronzebeam.gateway.gather_parts import GatherParts
 from bronzebeam.gateway.outcome import Outcome
 from bronzebeam.gateway.replica import Replica
+from bronzebeam.gateway.replica_set import Choice
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.gateway.shard_run import NO_REPLY, ShardRun
 from bronzebeam.routing.domain_groups import group_by_domain, split_evenly
@@ -22,7 +23,6 @@
     is_not_worth_sending,
 )
 from bronzebeam.routing.hedge_timing import peer_lost_after_ms
-from bronzebeam.routing.record_merge import merge_greatest
 
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
 DELEGATED_MIN: Final = 2  # a single shard costs a peer as much as it saves
@@ -52,11 +52,8 @@
     may_delegate: bool
     hedge_after_ms: float
     ticket: Ticket | None = None
-    _enough_at_seconds: float | None = None
-    _shards: list[ShardRun] = field(factory=list)
+    _parts: GatherParts = field(init=False)
     _delegations: list[Delegation] = field(factory=list)
-    _open: int = 0
-    _included: int = 0
     _done: bool = False
     _overdue: bool = False
     _cutoff_at_seconds: float = 0.0
@@ -72,16 +69,12 @@
         self._cutoff_at_seconds = answer_without_missing_at(
             target_at_seconds=routed.target_at_seconds,
             now_seconds=loop.time(),
-            typical_ms=self._typical_ms(),
+            typical_ms=self.context.state.typical(routed.route).typical_ms,
         )
         self._peers_lost_at = loop.time() + (
             peer_lost_after_ms(self.hedge_after_ms) / MS_PER_SECOND
         )
-        self._shards = [
-            ShardRun(index=index, service=service)
-            for index, service in enumerate(routed.route.shards)
-        ]
-        self._open = len(self._shards)
+        self._parts = GatherParts(route=routed.route)
         self._send_all()
         if self._done:
             return
@@ -98,12 +91,17 @@
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
         """Take a part into the answer, or try another replica."""
-        run = self._shards[attempt.shard]
+        run = self._parts.shards[attempt.shard]
         if self._done or run.signature is not None:
             return
         if result is AttemptResult.ANSWERED:
             assert attempt.reply is not None and attempt.facts is not None
-            self._include(run, attempt.facts.signature, attempt.reply.body)
+            self._parts.include(
+                run,
+                attempt.facts.signature,
+                attempt.reply.body,
+                self.context.loop.time(),
+            )
         else:
             self._retry(run, attempt, result)
         self._settle()
@@ -118,13 +116,13 @@
         if result is DelegationResult.ANSWERED:
             signatures = delegation.signatures
         for index, signature in zip(delegation.shards, signatures):
-            run = self._shards[index]
+            run = self._parts.shards[index]
             if signature is not None:
-                self._include(run, signature, None)
+                self._parts.include(run, signature, None, self.context.loop.time())
             elif not run.settled and not run.under_way:
                 repeat = result is not DelegationResult.NOT_RUN
                 if not self._send_again(run, repeat=repeat):
-                    self._give_up(run, delegation.cause or "missing_at_peer")
+                    self._parts.give_up(run, delegation.cause or "missing_at_peer")
             if self._done:
                 return
         self._settle()
@@ -134,10 +132,10 @@
     def _send_all(self) -> None:
         near: dict[int, Choice] = {}
         elsewhere: dict[int, Choice] = {}
-        for run in self._shards:
+        for run in self._parts.shards:
             choice = self._choose(run, run.excluded, repeat=False)
             if choice is None:
-                self._give_up(run, run.cause)
+                self._parts.give_up(run, run.cause)
             elif self._may_hand_over(choice):
                 elsewhere[run.index] = choice
             else:
@@ -157,7 +155,7 @@
             if len(shards) < DELEGATED_MIN or not self._delegate(domain, shards):
                 direct.extend(shards)
         for index in direct:
-            self._send_first(self._shards[index], choices[index])
+            self._send_first(self._parts.shards[index], choices[index])
             if self._done:
                 return
 
@@ -181,8 +179,8 @@
             cutoff_at_seconds=self._cutoff_at_seconds,
         )
         for index in shards:
-            self._shards[index].delegation = delegation
-            self._shards[index].cause = NO_REPLY
+            self._parts.shards[index].delegation = delegation
+            self._parts.shards[index].cause = NO_REPLY
         self._delegations.append(delegation)
         delegation.launch()
         return True
@@ -236,12 +234,14 @@
         if choice is None:
             return None
         left_seconds = self.routed.target_at_seconds - self.context.loop.time()
-        skippable = len(self._shards) * (1.0 - self.routed.route.least_shard_share)
+        skippable = len(self._parts.shards) * (
+            1.0 - self.routed.route.least_shard_share
+        )
         if is_not_worth_sending(
             estimate_ms=choice.estimate_ms,
             left_ms=left_seconds * MS_PER_SECOND,
             repeat=repeat,
-            missing=sum(1 for item in self._shards if item.failed),
+            missing=self._parts.given_up,
             skippable=int(skippable),
         ):
             run.cause = TOO_SLOW
@@ -276,7 +276,7 @@
             if len(others) == len(run.excluded) or not self._send_again(
                 run, repeat=repeat
             ):
-                self._give_up(run, attempt.cause)
+                self._parts.give_up(run, attempt.cause)
 
     # Time.
 
@@ -290,7 +290,7 @@
         if self._done:
             return
         self.answers.still_working()
-        for run in self._shards:
+        for run in self._parts.shards:
             if run.settled or run.delegation is not None or len(run.attempts) > 1:
                 continue
             if self._send_again(run, repeat=True):
@@ -304,7 +304,7 @@
                 continue
             delegation.note_late()
             for index in delegation.shards:
-                run = self._shards[index]
+                run = self._parts.shards[index]
                 if not run.settled and self._send_again(run, repeat=True):
                     self.context.metrics.repeated("late_peer")
 
@@ -320,7 +320,7 @@
         if self._done:
             return
         self._finish(telling=False)
-        for run in self._shards:
+        for run in self._parts.shards:
             for attempt in run.attempts:
                 attempt.abandon()
         for delegation in self._delegations:
@@ -332,51 +332,30 @@
 
     # The end.
 
-    def _include(self, run: ShardRun, signature: bytes, body: bytes | None) -> None:
-        if run.failed:
-            run.failed = False
-            self._open += 1
-        if run.signature is None:
-            self._open -= 1
-            self._included += 1
-        # The peer's records hold this shard's, so its own reply must not count too.
-        run.signature, run.body = signature, body
-        least = self.routed.route.least_shard_share * len(self._shards)
-        if self._enough_at_seconds is None and self._included >= least:
-            self._enough_at_seconds = self.context.loop.time()
-
-    def _give_up(self, run: ShardRun, cause: str) -> None:
-        if not run.failed:
-            run.failed = True
-            run.cause = cause
-            self._open -= 1
-
     def _settle(self) -> None:
         """Answer if nothing is worth waiting for any more."""
         if self._done:
             return
-        least = self.routed.route.least_shard_share * len(self._shards)
-        enough = self._included >= least and (
-            self._included > 0 or self.answers.empty_allowed
-        )
-        if enough and (self._open == 0 or self._overdue):
+        parts = self._parts
+        enough = parts.enough and (parts.included > 0 or self.answers.empty_allowed)
+        if enough and (parts.open == 0 or self._overdue):
             self._answer()
-        elif self._open == 0 or self._included + self._open < least:
+        elif parts.open == 0 or not parts.reachable:
             self._fail(cause="too_few_shards", status=502)
 
     def _answer(self) -> None:
         self._finish(telling=True)
-        bodies = [run.body for run in self._shards if run.body is not None]
-        bodies.extend(item.body for item in self._delegations if item.body)
-        records = merge_greatest(bodies, count=self.routed.route.top_records)
-        self.answers.answer(self._shards, records=records, outcome=self._outcome())
+        self.answers.answer(
+            self._parts.shards,
+            records=self._parts.records(self._delegations),
+            outcome=self._outcome(),
+        )
 
     def _fail(self, *, cause: str, status: int) -> None:
         # Too few shards at once are dead ones; a deadline that passes shows queues.
         self._finish(telling=status == TIMEOUT_STATUS)
-        may_have_run = any(run.may_have_run for run in self._shards)
         self.answers.fail(
-            status=status if may_have_run else 503,
+            status=status if self._parts.may_have_run else 503,
             outcome=self._outcome(cause=cause),
         )
 
@@ -389,7 +368,7 @@
         self._done = True
         if self.ticket is not None:
             now_seconds = self.context.loop.time()
-            end_at = self._enough_at_seconds or (now_seconds if telling else None)
+            end_at = self._parts.enough_at_seconds or (now_seconds if telling else None)
             elapsed_ms = None
             if end_at is not None:
                 start_at = self.routed.request.arrived_at_seconds
@@ -400,7 +379,7 @@
             self._hedge_timer.cancel()
         for timer in self._timers:
             timer.cancel()
-        for run in self._shards:
+        for run in self._parts.shards:
             for attempt in run.attempts:
                 if not attempt.ended:
                     attempt.discard()
@@ -408,19 +387,12 @@
             if not delegation.ended:
                 delegation.discard()
 
-    def _typical_ms(self) -> float:
-        return self.context.state.typical(self.routed.route).typical_ms
-
     def _outcome(self, *, cause: str = "") -> Outcome:
         return Outcome(
-            attempts=[item for run in self._shards for item in run.attempts],
+            attempts=[item for run in self._parts.shards for item in run.attempts],
             cause=cause,
-            included=self._included,
-            missing=[
-                f"{run.service}:{run.cause}"
-                for run in self._shards
-                if run.signature is None
-            ],
+            included=self._parts.included,
+            missing=[f"{run.service}:{run.cause}" for run in self._parts.missing],
             peers=[
                 f"{item.peer.record.instance}:{len(item.shards)}"
                 f":{item.cause or ('ok' if item.body else 'no_reply')}"
--- a/src/bronzebeam/gateway/readiness.py
+++ b/src/bronzebeam/gateway/readiness.py
@@ -52,7 +52,7 @@
         if self._configured_at_seconds is None:
             self._configured_at_seconds = now_seconds
             self._connected_at_seconds = now_seconds
-        connected = self.state.connected_services()
+        connected = self.state.replicas.connected_services()
         if connected:
             self._connected_at_seconds = now_seconds
         elif now_seconds - self._connected_at_seconds > ISOLATED_SECONDS:
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -23,6 +23,7 @@
     :ivar warm_connections: connections that are kept open.
     :ivar gone_at_seconds: monotonic time at which it left the store's list; None if
         it is listed.
+    :ivar leaving_at_seconds: monotonic time at which it was first seen to leave.
     :ivar last_resort_until_seconds: monotonic time until which it is used after that,
         where no listed replica is left.
     """
@@ -34,6 +35,7 @@
     cold_until_seconds: float = 0.0
     gone_at_seconds: float | None = None
     last_resort_until_seconds: float = 0.0
+    leaving_at_seconds: float | None = None
     mismatched: bool = False
     warm_connections: int = 1
     _shunned_for: str = ""
--- /dev/null
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -0,0 +1,293 @@
+"""The replicas that an instance knows, and the choice among them."""
+
+import asyncio
+import math
+import random
+from collections.abc import Collection, Mapping, Sequence
+from typing import Final
+
+from attrs import define, field
+
+from bronzebeam.gateway.connection_pool import MS_PER_SECOND, Connect, ConnectionPool
+from bronzebeam.gateway.records import ReplicaRecord
+from bronzebeam.gateway.replica import Replica
+from bronzebeam.routing.connection_shares import share_connections
+from bronzebeam.routing.replica_estimate import (
+    FAILURE_MS,
+    UNREPEATABLE_FAILURE_MS,
+    cost_ms,
+    estimate_reply_ms,
+)
+from bronzebeam.routing.routes import BackendService, Route
+from bronzebeam.telemetry.decisions import DecisionLog
+
+# A removal may be seen a second late; nothing may be sent three seconds after it.
+REMOVED_LINGER_SECONDS: Final = 1.8
+# Entries that lapsed with the store are back within two seconds of its return.
+LAPSED_LINGER_SECONDS: Final = 2.5
+STORE_RETURN_SECONDS: Final = 4.0  # removals seen within this time may be lapses
+# A draining replica goes on serving for longer; it is used where no other is left.
+LEAVING_LINGER_SECONDS: Final = 1.5
+LAST_RESORT_MS: Final = 10_000.0  # any listed replica goes before one that leaves
+ABOUT_AS_GOOD: Final = 1.6  # ratio of estimates within which either replica will do
+ESTIMATE_SPREAD: Final = 0.15  # spreads instances over replicas of like estimates
+DEFAULT_CONNECTION_LIMIT: Final = 16  # for a service that the configuration lacks
+OPENED_MAX: Final = 64  # in one turn, so that requests do not wait behind them
+WARM_OTHER: Final = 1
+
+
+@define(kw_only=True, eq=False, repr=False)
+class Choice:
+    """
+    A replica for the next attempt.
+
+    :ivar estimate_ms: expected time to its reply.
+    :ivar domains: failure domains with a replica that is about as good.
+    """
+
+    replica: Replica
+    estimate_ms: float
+    domains: tuple[str, ...]
+
+
+@define(kw_only=True, eq=False, repr=False)
+class ReplicaSet:
+    """
+    All replicas that may still be used.
+
+    :ivar own_domain: failure domain of this instance.
+    :ivar store_returned_at_seconds: monotonic time at which the store answered again.
+    """
+
+    own_domain: str
+    loop: asyncio.AbstractEventLoop
+    connect: Connect
+    log: DecisionLog
+    rng: random.Random
+    store_returned_at_seconds: float = -math.inf
+    _replicas: dict[str, Replica] = field(factory=dict)
+    _by_service: dict[str, list[Replica]] = field(factory=dict)
+
+    @property
+    def names(self) -> Collection[str]:
+        """Return the identifiers of all replicas."""
+        return self._replicas.keys()
+
+    # Written by the watch of the store.
+
+    def put(self, record: ReplicaRecord) -> None:
+        """Take in a replica, new or changed."""
+        held = self._replicas.get(record.replica)
+        now_seconds = self.loop.time()
+        if held is not None and _same_place(held.record, record):
+            self._note_state(held, record, now_seconds)
+            held.record = record
+            held.gone_at_seconds = None
+            held.pool.closing = False
+        else:
+            if held is not None:
+                self._forget(record.replica)
+            pool = ConnectionPool(
+                name=record.replica,
+                host=record.host,
+                port=record.port,
+                loop=self.loop,
+                connect=self.connect,
+                log=self.log,
+            )
+            held = Replica(record=record, pool=pool)
+            self._replicas[record.replica] = held
+            self._by_service.setdefault(record.service, []).append(held)
+            self.log.event(
+                "replica_seen",
+                replica=record.replica,
+                service=record.service,
+                domain=record.failure_domain,
+                leaving=record.leaving,
+                cold_ms=record.cold_ms,
+            )
+        held.cold_until_seconds = now_seconds + record.cold_ms / MS_PER_SECOND
+        if not record.leaving:
+            held.leaving_at_seconds = None
+        elif held.leaving_at_seconds is None:
+            held.leaving_at_seconds = now_seconds
+
+    def remove(self, name: str) -> None:
+        """Note that a replica is no longer listed."""
+        replica = self._replicas.get(name)
+        if replica is None or replica.gone_at_seconds is not None:
+            return
+        now_seconds = self.loop.time()
+        lapsed = now_seconds - self.store_returned_at_seconds < STORE_RETURN_SECONDS
+        linger_seconds = LAPSED_LINGER_SECONDS if lapsed else REMOVED_LINGER_SECONDS
+        replica.gone_at_seconds = now_seconds
+        replica.last_resort_until_seconds = now_seconds + linger_seconds
+        replica.pool.closing = True
+        self.log.event(
+            "replica_gone",
+            replica=name,
+            service=replica.record.service,
+            was_draining=replica.record.leaving,
+        )
+
+    def tend(self, now_seconds: float, exchange_max_seconds: float) -> None:
+        """Drop replicas that are gone, and keep connections to the others open."""
+        opened = 0
+        for name, replica in list(self._replicas.items()):
+            replica.pool.close_stuck(now_seconds, exchange_max_seconds)
+            if replica.gone_at_seconds is not None:
+                over = now_seconds > replica.last_resort_until_seconds
+                if over and not replica.pool.busy:
+                    self._forget(name)
+            elif opened < OPENED_MAX and _is_wanted(replica):
+                opened += replica.keep_warm(now_seconds)
+
+    def share_connections(
+        self,
+        *,
+        services: Mapping[str, BackendService],
+        fan_out_services: Collection[str],
+        instances: int,
+        domain_instances: int,
+    ) -> None:
+        """
+        Divide the replicas' connections among the instances.
+
+        :param services: services of the configuration, by name.
+        :param fan_out_services: those that hold shards.
+        :param instances: live instances, this one included.
+        :param domain_instances: those in this instance's failure domain.
+        """
+        for service, replicas in self._by_service.items():
+            limit = _connection_limit(services.get(service))
+            for replica in replicas:
+                share = share_connections(
+                    limit=limit,
+                    instances=instances,
+                    domain_instances=domain_instances,
+                    own_domain=replica.record.failure_domain == self.own_domain,
+                )
+                replica.pool.connections_max = share.most
+                fan_out = service in fan_out_services
+                replica.warm_connections = share.warm if fan_out else WARM_OTHER
+
+    # Read by requests.
+
+    def choose(
+        self,
+        *,
+        service: str,
+        excluded: Collection[Replica],
+        route: Route,
+        typical_ms: float,
+        shared_domain: str | None = None,
+    ) -> Choice | None:
+        """
+        Choose the replica with the least expected reply time.
+
+        :param excluded: replicas that must not be chosen.
+        :param route: route of the request.
+        :param typical_ms: usual reply time of the route.
+        :param shared_domain: failure domain of the peer that works on the request
+            too. Both then keep to the same few replicas, those of that domain first,
+            so that the request runs on no more than its route allows.
+        :return: None if no replica of the service may be used.
+        """
+        candidates: list[tuple[float, float, Replica]] = []
+        now_seconds = self.loop.time()
+        failure_ms = FAILURE_MS if route.idempotent else UNREPEATABLE_FAILURE_MS
+        replicas: Sequence[Replica] = self._by_service.get(service, ())
+        if shared_domain is not None and len(replicas) > route.max_attempts:
+            replicas = _shared_replicas(replicas, shared_domain, route.max_attempts)
+        for replica in replicas:
+            if replica in excluded or not self._usable(replica, now_seconds):
+                continue
+            load = replica.load(now_seconds, self.own_domain)
+            estimate_ms = estimate_reply_ms(load, typical_ms=typical_ms)
+            score_ms = estimate_ms * (1.0 + ESTIMATE_SPREAD * self.rng.random())
+            score_ms += cost_ms(load, failure_ms=failure_ms)
+            if replica.record.leaving or replica.gone_at_seconds is not None:
+                score_ms += LAST_RESORT_MS
+            candidates.append((score_ms, estimate_ms, replica))
+        if not candidates:
+            return None
+        best_ms, estimate_ms, best = min(candidates, key=_score)
+        limit_ms = best_ms * ABOUT_AS_GOOD
+        return Choice(
+            replica=best,
+            estimate_ms=estimate_ms,
+            domains=tuple(
+                replica.record.failure_domain
+                for score_ms, _, replica in candidates
+                if score_ms <= limit_ms
+            ),
+        )
+
+    def connected_services(self) -> frozenset[str]:
+        """Return the services of which a replica has an open connection."""
+        return frozenset(
+            service
+            for service, replicas in self._by_service.items()
+            if any(item.pool.open_connections for item in replicas)
+        )
+
+    def _note_state(
+        self, held: Replica, record: ReplicaRecord, now_seconds: float
+    ) -> None:
+        if held.gone_at_seconds is not None:
+            self.log.event(
+                "replica_back",
+                replica=record.replica,
+                service=record.service,
+                absent_ms=round((now_seconds - held.gone_at_seconds) * MS_PER_SECOND),
+            )
+        if record.leaving and not held.record.leaving:
+            self.log.event(
+                "replica_draining", replica=record.replica, service=record.service
+            )
+
+    def _forget(self, name: str) -> None:
+        replica = self._replicas.pop(name)
+        replica.pool.close()
+        members = self._by_service[replica.record.service]
+        members.remove(replica)
+        if not members:
+            del self._by_service[replica.record.service]
+
+    def _usable(self, replica: Replica, now_seconds: float) -> bool:
+        if replica.mismatched or not replica.pool.reachable:
+            return False
+        if replica.gone_at_seconds is not None:
+            if now_seconds > replica.last_resort_until_seconds:
+                return False
+        if not replica.record.leaving:
+            return True
+        leaving_at = replica.leaving_at_seconds
+        return leaving_at is None or now_seconds - leaving_at <= LEAVING_LINGER_SECONDS
+
+
+def _score(candidate: tuple[float, float, Replica]) -> float:
+    return candidate[0]
+
+
+def _shared_replicas(
+    replicas: Sequence[Replica], domain: str, count: int
+) -> list[Replica]:
+    """Return the first replicas in an order that all instances agree on."""
+
+    def order(replica: Replica) -> tuple[bool, str]:
+        return replica.record.failure_domain != domain, replica.record.replica
+
+    return sorted(replicas, key=order)[:count]
+
+
+def _connection_limit(service: BackendService | None) -> int:
+    return DEFAULT_CONNECTION_LIMIT if service is None else service.connection_limit
+
+
+def _is_wanted(replica: Replica) -> bool:
+    return not replica.record.leaving and not replica.mismatched
+
+
+def _same_place(one: ReplicaRecord, other: ReplicaRecord) -> bool:
+    return (one.service, one.host, one.port) == (other.service, other.host, other.port)
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -15,7 +15,6 @@
 from bronzebeam.routing.gather_timing import time_to_target_ms
 from bronzebeam.routing.hedge_timing import second_send_after_ms
 from bronzebeam.routing.refusal import retry_after_seconds
-from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import CallerRequest
 from bronzebeam.transport.http_reply import Headers
 
@@ -33,15 +32,12 @@
 
     :ivar started_at_seconds: monotonic time at which the process started.
     :ivar _waiting: requests that came before the first configuration was read.
-    :ivar _longest_ms: longest wait that callers of a route have granted; a retry
-        grants less, which tells how long the first attempt took.
     """
 
     context: GatewayContext
     admission: Admission
     started_at_seconds: float
     _waiting: list[CallerRequest] = field(factory=list)
-    _longest_ms: dict[str, float] = field(factory=dict)
 
     def handle(self, request: CallerRequest) -> None:
         """Route a request; bad ones are answered at once."""
@@ -61,7 +57,7 @@
         remaining_ms = facts.remaining_ms
         if remaining_ms is None:
             remaining_ms = route.timeout_ms
-        elapsed_ms = self._elapsed_before(route, remaining_ms)
+        elapsed_ms = self.context.state.elapsed_before_ms(route, remaining_ms)
         limit_ms = min(remaining_ms - DEADLINE_MARGIN_MS, route.timeout_ms)
         target_ms = time_to_target_ms(
             target_latency_ms=route.target_latency_ms
@@ -130,11 +126,6 @@
             if not request.gone:
                 self._refuse(request, 503, "no_configuration")
 
-    def _elapsed_before(self, route: Route, remaining_ms: float) -> float:
-        longest_ms = max(self._longest_ms.get(route.name, 0.0), remaining_ms)
-        self._longest_ms[route.name] = longest_ms
-        return longest_ms - remaining_ms
-
     def _refuse_overload(self, routed: RoutedRequest) -> None:
         limit = self.admission.limit_of(routed.route)
         in_flight = limit.in_flight if limit is not None else 0
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -148,7 +148,7 @@
         for name, value in bad.items():
             cluster.store.put(f"servers/{name}", value)
         await asyncio.sleep(2.0)
-        assert set(gateway.gateway._state.replicas) == {"i-1", "i-2"}
+        assert set(gateway.gateway._state.replicas.names) == {"i-1", "i-2"}
         assert len(gateway.log("malformed_record_ignored")) == len(bad)
         assert await ask_for(cluster, gateway, 1.0) == [200] * 10
 
@@ -316,7 +316,7 @@
         for _ in range(2 * PAGE_ITEMS):
             cluster.add_replica("wide")
         gateway = await small_cluster(cluster)
-        assert len(gateway.gateway._state.replicas) == 2 * PAGE_ITEMS + 2
+        assert len(gateway.gateway._state.replicas.names) == 2 * PAGE_ITEMS + 2
         ranges = cluster.store.calls[: cluster.store.calls.index("GET /kv-watch")]
         assert ranges.count("GET /kv-range") == 3
 
