--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -127,8 +127,6 @@
                 return
         self._settle()
 
-    # Sending.
-
     def _send_all(self) -> None:
         near: dict[int, Choice] = {}
         elsewhere: dict[int, Choice] = {}
@@ -330,8 +328,6 @@
             self.context, self.routed, status=None, good=False
         )
 
-    # The end.
-
     def _settle(self) -> None:
         """Answer if nothing is worth waiting for any more."""
         if self._done:
