Serve peers by a server that a planned stop waits for

Cause, found on the last read: the peers' port was served by the server of the readiness port, which also took orders; a planned stop looked at a server without connections, and could end while a peer's order ran.

Change: each port has its server; orders are taken on the peers' port only. Two tests, both seen failing without the change.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -177,31 +177,36 @@
         self._state.on_first_table = router.configuration_taken
         self._server = CallerServer(handle=router.handle, loop=loop)
         self._peer_gathers = PeerGathers(context=context)
-        self._peer_server = CallerServer(handle=self._answer_internal, loop=loop)
+        self._peer_server = CallerServer(handle=self._answer_peer, loop=loop)
         return self.make_store(settings, self.log)
 
     async def _listen(self) -> None:
         settings = self.settings
-        internal = CallerServer(handle=self._answer_internal, loop=self._loop)
         if self.callers_socket is not None:
             await self._loop.create_server(
                 self._server.new_connection, sock=self.callers_socket, backlog=BACKLOG
             )
         else:
             await self._serve(self._server, settings.caller_listen)
-        for listen in (settings.ready_listen, settings.peer_listen):
-            if listen is not None:
-                await self._serve(internal, listen)
+        if settings.ready_listen is not None:
+            readiness = CallerServer(handle=self._answer_internal, loop=self._loop)
+            await self._serve(readiness, settings.ready_listen)
+        if settings.peer_listen is not None:
+            await self._serve(self._peer_server, settings.peer_listen)
 
     async def _serve(self, server: CallerServer, listen: ListenSettings) -> None:
         await self._loop.create_server(
             server.new_connection, listen.address, listen.port, backlog=BACKLOG
         )
 
-    def _answer_internal(self, request: CallerRequest) -> None:
+    def _answer_peer(self, request: CallerRequest) -> None:
         if request.header(ORDER_HEADER):
             self._peer_gathers.handle(request)
-        elif request.path == self.settings.ready_path:
+        else:
+            self._answer_internal(request)
+
+    def _answer_internal(self, request: CallerRequest) -> None:
+        if request.path == self.settings.ready_path:
             reason = self._readiness.not_ready_reason()
             body = f"{reason or 'ready'}\n".encode()
             request.answer(status=503 if reason else 200, headers=[], body=body)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -4,6 +4,8 @@
 
 from tests.fixtures_gateway import (
     GATHER_PATH,
+    PEER_PORT,
+    READY_PORT,
     Cluster,
     RunningGateway,
     encode_request,
@@ -264,6 +266,45 @@
     with_cluster(scenario)
 
 
+def test_stopping_instance_finishes_what_peers_have_handed_over() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        cluster.configure(
+            *[
+                {**item, "targetLatencyMs": 5_000, "timeoutMs": 6_000}
+                for item in cluster.routes
+            ]
+        )
+        await asyncio.sleep(2.0)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 3.2
+        near.stop()
+        await asyncio.sleep(0.01)
+        answer = await cluster.ask(
+            asker, GATHER_PATH, attempt_id="d-1", remaining_ms=6_000
+        )
+        assert answer is not None and answer.status == 200
+        assert answer.missing == 0
+        assert near.log("stop_started") and asker.log("peer_avoided") == []
+        assert not near.task.done()
+        assert await near.task == 0
+
+    with_cluster(scenario)
+
+
+def test_orders_are_taken_on_the_port_of_peers_only() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        order = {"bb-gather": "3;r-find;1;50;90"}
+        for port, status in ((PEER_PORT, 200), (READY_PORT, 404)):
+            caller = await cluster.connect(near, port=port)
+            caller.send(encode_request(GATHER_PATH, headers=order))
+            answer = await caller.answers.get()
+            assert answer is not None and answer.status == status, port
+
+    with_cluster(scenario)
+
+
 def test_callers_cannot_give_orders_to_an_instance() -> None:
     async def scenario(cluster: Cluster) -> None:
         asker, near = await two_domains(cluster)
