--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -278,13 +278,15 @@
         await asyncio.sleep(2.0)
         for replica in cluster.replicas.values():
             replica.work_seconds = 3.2
-        near.stop()
-        await asyncio.sleep(0.01)
-        answer = await cluster.ask(
-            asker, GATHER_PATH, attempt_id="d-1", remaining_ms=6_000
+        asking = asyncio.ensure_future(
+            cluster.ask(asker, GATHER_PATH, attempt_id="d-1", remaining_ms=6_000)
         )
+        await asyncio.sleep(0.01)
+        near.stop()
+        answer = await asking
         assert answer is not None and answer.status == 200
         assert answer.missing == 0
+        assert delegated(cluster) == 1
         assert near.log("stop_started") and asker.log("peer_avoided") == []
         assert not near.task.done()
         assert await near.task == 0
