--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -16,7 +16,7 @@
 from bronzebeam.platform.node_settings import parse_settings
 from bronzebeam.platform.role import make_store
 from bronzebeam.telemetry.decisions import DecisionLog
-from tests.standin_replica import ID_HEADER, Fault, StandinReplica
+from tests.standin_replica import ID_HEADER, StandinReplica
 from tests.standin_store import StandinStore
 from tests.virtual_net import OWN_HOST, VirtualLoop, run_virtual
 
@@ -394,20 +394,21 @@
     return [item for item in cluster.replicas.values() if item.service == service]
 
 
-def once(fault: Fault) -> Callable[[Any], Fault]:
-    """Return a choice of faults that strikes the first request only."""
-    left = [fault]
-
-    def choose(request: Any) -> Fault:
-        return left.pop() if left else Fault.NONE
-
-    return choose
-
-
-def every(fault: Fault) -> Callable[[Any], Fault]:
-    return lambda request: fault
-
-
 def configuration_of(cluster: Cluster) -> dict[str, Any]:
     value: dict[str, Any] = orjson.loads(cluster.store.items["op/config"].value)
     return value
+
+
+async def check_work_stops_with_the_caller(
+    cluster: Cluster, gateway: RunningGateway, *, runs_at_least: int
+) -> None:
+    """Send a long search, leave, and check that no replica works on."""
+    for replica in cluster.replicas.values():
+        replica.work_seconds = 0.7
+    caller = await cluster.connect(gateway)
+    caller.send(encode_request(GATHER_PATH, attempt_id="left-1"))
+    await asyncio.sleep(0.02)
+    caller.transport.close()
+    await asyncio.sleep(0.1)
+    runs = [run for item in cluster.replicas.values() for run in item.runs]
+    assert len(runs) >= runs_at_least and all(run.aborted for run in runs)
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -37,6 +37,20 @@
     return Fault.NONE
 
 
+def once(fault: Fault) -> Callable[[Any], Fault]:
+    """Return a choice of faults that strikes the first request only."""
+    left = [fault]
+
+    def choose(request: Any) -> Fault:
+        return left.pop() if left else Fault.NONE
+
+    return choose
+
+
+def every(fault: Fault) -> Callable[[Any], Fault]:
+    return lambda request: fault
+
+
 @define(kw_only=True, eq=False)
 class Run:
     """A request that the replica began to run."""
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -8,11 +8,10 @@
 from tests.fixtures_gateway import (
     READ_PATH,
     Cluster,
-    every,
     small_cluster,
     with_cluster,
 )
-from tests.standin_replica import Fault
+from tests.standin_replica import Fault, every
 
 
 class Output:
--- a/tests/test_gateway_forward.py
+++ b/tests/test_gateway_forward.py
@@ -9,14 +9,12 @@
     READ_PATH,
     Cluster,
     encode_request,
-    every,
-    once,
     replicas_of,
     route,
     small_cluster,
     with_cluster,
 )
-from tests.standin_replica import SIGNATURE_HEADER, Fault
+from tests.standin_replica import SIGNATURE_HEADER, Fault, every, once
 
 
 def faults_on_all(cluster: Cluster, fault: Fault) -> None:
--- a/tests/test_gateway_gather.py
+++ b/tests/test_gateway_gather.py
@@ -6,16 +6,14 @@
     GATHER_PATH,
     Answer,
     Cluster,
-    encode_request,
-    every,
-    once,
+    check_work_stops_with_the_caller,
     record,
     replicas_of,
     route,
     search_cluster,
     with_cluster,
 )
-from tests.standin_replica import Fault
+from tests.standin_replica import Fault, every, once
 
 SHARDS = 4
 GREATEST = [39, 33, 31, 29, 23]
@@ -306,15 +304,7 @@
 def test_work_on_all_shards_is_stopped_once_the_caller_has_left() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await search_cluster(cluster, targetLatencyMs=700)
-        for replica in cluster.replicas.values():
-            replica.work_seconds = 0.7
-        caller = await cluster.connect(gateway)
-        caller.send(encode_request(GATHER_PATH, attempt_id="g-1"))
-        await asyncio.sleep(0.1)
-        caller.transport.close()
-        await asyncio.sleep(0.1)
-        runs = [run for item in cluster.replicas.values() for run in item.runs]
-        assert len(runs) >= SHARDS and all(run.aborted for run in runs)
+        await check_work_stops_with_the_caller(cluster, gateway, runs_at_least=SHARDS)
 
     with_cluster(scenario)
 
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -8,14 +8,14 @@
     READY_PORT,
     Cluster,
     RunningGateway,
+    check_work_stops_with_the_caller,
     encode_request,
-    every,
     replicas_of,
     route,
     search_cluster,
     with_cluster,
 )
-from tests.standin_replica import Fault
+from tests.standin_replica import Fault, every
 from tests.test_gateway_gather import GREATEST, check_signatures, greatest
 from tests.virtual_net import FakeTransport
 
@@ -211,16 +211,8 @@
 
 def test_peer_stops_its_work_once_the_caller_has_left() -> None:
     async def scenario(cluster: Cluster) -> None:
-        asker, near = await two_domains(cluster)
-        for replica in cluster.replicas.values():
-            replica.work_seconds = 0.7
-        caller = await cluster.connect(asker)
-        caller.send(encode_request(GATHER_PATH, attempt_id="g-1"))
-        await asyncio.sleep(0.02)
-        caller.transport.close()
-        await asyncio.sleep(0.1)
-        runs = [run for item in cluster.replicas.values() for run in item.runs]
-        assert len(runs) >= SHARDS and all(run.aborted for run in runs)
+        gateway, _ = await two_domains(cluster)
+        await check_work_stops_with_the_caller(cluster, gateway, runs_at_least=SHARDS)
 
     with_cluster(scenario)
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,13 +9,12 @@
     GATHER_PATH,
     Cluster,
     RunningGateway,
-    every,
     replicas_of,
     search_cluster,
     small_cluster,
     with_cluster,
 )
-from tests.standin_replica import Fault
+from tests.standin_replica import Fault, every
 
 PAGE = Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
 SOURCES = Path(__file__).parent.parent / "src" / "bronzebeam"
