--- a/src/bronzebeam/controllers/admission.py
+++ b/src/bronzebeam/controllers/admission.py
@@ -22,7 +22,6 @@
 from bronzebeam.routing.limits import ConcurrencyLimit, LimitBounds, QuerySample
 from bronzebeam.telemetry.histogram import LatencyHistogram
 
-MS_PER_SECOND: Final = 1_000.0
 SERVICE_PERCENTILE: Final = 90.0
 SERVICE_WINDOW_SECONDS: Final = 10.0
 LOWEST_LIMIT: Final = 1
--- a/src/bronzebeam/controllers/instance_topic.py
+++ b/src/bronzebeam/controllers/instance_topic.py
@@ -26,13 +26,13 @@
     InstanceState,
     ListedInstance,
 )
+from bronzebeam.units import MS_PER_SECOND
 
 TOPIC: Final = "instances"
 TOPIC_MOST_BYTES: Final = 131_072
 PUSH_MOST_BYTES: Final = 16_384
 MOST_PUSHED_PAYLOADS: Final = 8
 HOLD_LEAVING_SECONDS: Final = 10.0
-MS_PER_SECOND: Final = 1_000
 
 
 @define(kw_only=True, eq=False)
--- a/src/bronzebeam/entry/answers.py
+++ b/src/bronzebeam/entry/answers.py
@@ -18,8 +18,8 @@
     Refused,
 )
 from bronzebeam.reasons import Reason
+from bronzebeam.units import MS_PER_SECOND
 
-MS_PER_SECOND: Final = 1_000
 CONTENT_TYPE: Final = "application/json"
 
 STATUS_OF_REASON: Final[dict[str, HTTPStatus]] = {
--- a/src/bronzebeam/entry/daemon.py
+++ b/src/bronzebeam/entry/daemon.py
@@ -39,11 +39,11 @@
 from bronzebeam.transport.owner_route import FORWARD_PATH, PeerOwnerRoute, life_id
 from bronzebeam.transport.peer import HttpPeerClient
 from bronzebeam.transport.store_http import HttpStore
+from bronzebeam.units import MS_PER_SECOND
 
 GRACE_AFTER_DRAIN_SECONDS: Final = 1.0
 FLUSH_CLAIMS_SECONDS: Final = 2.0
 CONNECTING: Final = "connecting_to_backend_servers"
-MS_PER_SECOND: Final = 1_000
 NS_PER_MS: Final = 1_000_000
 
 
--- a/src/bronzebeam/entry/intake.py
+++ b/src/bronzebeam/entry/intake.py
@@ -27,10 +27,10 @@
 from bronzebeam.outcomes import NotRun
 from bronzebeam.reasons import Reason
 from bronzebeam.telemetry.traces import trace_context_of
+from bronzebeam.units import MS_PER_SECOND
 
 METHOD: Final = "POST"
 BODY_PLACE: Final = "body"
-MS_PER_SECOND: Final = 1_000.0
 QUOTE_MAX_CHARACTERS: Final = 100
 BODY_MAX_LEVELS: Final = 250
 
--- a/src/bronzebeam/filters/dispatch.py
+++ b/src/bronzebeam/filters/dispatch.py
@@ -23,9 +23,9 @@
 from bronzebeam.transport.backend_protocol import BackendDidNotRun
 from bronzebeam.transport.channel import Headers
 from bronzebeam.transport.link import Link
+from bronzebeam.units import MS_PER_SECOND
 
 EXPECTED_LEAST_MS: Final = 1.0
-MS_PER_SECOND: Final = 1_000.0
 MOVED_REASONS: Final = frozenset({"draining", "version_gone"})
 
 
--- a/src/bronzebeam/filters/search_timing.py
+++ b/src/bronzebeam/filters/search_timing.py
@@ -12,8 +12,8 @@
     decide_coverage,
     next_decision_ms,
 )
+from bronzebeam.units import MS_PER_SECOND
 
-MS_PER_SECOND: Final = 1_000.0
 MERGE_MARGIN_SECONDS: Final = 0.005
 # A timer that fires a rounding error early must not find its time still ahead.
 TIMER_ROUNDING_SECONDS: Final = 1e-6
--- a/src/bronzebeam/gateway/admission.py
+++ b/src/bronzebeam/gateway/admission.py
@@ -54,6 +54,7 @@
     log: DecisionLog
     _limits: dict[ServiceSet, AdaptiveLimit] = field(factory=dict)
     _ranks: dict[str, int] = field(factory=dict)
+    _services: dict[str, ServiceSet] = field(factory=dict)
     _version: int = 0
 
     def enter(
@@ -66,7 +67,7 @@
         """
         if table.version != self._version:
             self._take_table(table)
-        services = frozenset(route.services)
+        services = self._services[route.name]
         limit = self._limits.get(services)
         if limit is None:
             limit = self._limits[services] = AdaptiveLimit()
@@ -78,17 +79,20 @@
 
     def limit_of(self, route: Route) -> AdaptiveLimit | None:
         """Return the bound that a route's requests share, if there is one."""
-        return self._limits.get(frozenset(route.services))
+        return self._limits.get(self._services[route.name])
 
     def _take_table(self, table: RouteTable) -> None:
         """Rank the routes to each set of services, and forget sets without a route."""
         self._version = table.version
+        self._services = {
+            route.name: frozenset(route.services) for route in table.routes
+        }
         priorities: dict[ServiceSet, set[int]] = {}
         for route in table.routes:
-            services = frozenset(route.services)
+            services = self._services[route.name]
             priorities.setdefault(services, set()).add(route.priority)
         self._ranks = {
-            route.name: sorted(priorities[frozenset(route.services)]).index(
+            route.name: sorted(priorities[self._services[route.name]]).index(
                 route.priority
             )
             for route in table.routes
--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -5,7 +5,7 @@
 
 from attrs import define
 
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND, PendingSend
+from bronzebeam.gateway.connection_pool import PendingSend
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.dialect import ReplyFacts
 from bronzebeam.gateway.replica import Replica
@@ -15,6 +15,7 @@
     ExchangeFailure,
     HttpReply,
 )
+from bronzebeam.units import MS_PER_SECOND
 
 MISDIRECTED: Final = 421
 REMAINING_MIN_MS: Final = 1.0  # a replica must be given some time
@@ -81,12 +82,12 @@
     def discard(self) -> None:
         """Let a send that is under way finish, but ignore its reply."""
         self.ended = True
-        self._cancel_pending()
+        if self._pending is not None:
+            self._pending.cancelled = True
 
     def abandon(self) -> None:
         """Stop the replica's work by closing the connection."""
-        self.ended = True
-        self._cancel_pending()
+        self.discard()
         if self._connection is not None and self._connection.observer is self:
             self._connection.abandon()
 
@@ -189,10 +190,6 @@
         )
         typical.observe(latency_ms)
 
-    def _cancel_pending(self) -> None:
-        if self._pending is not None:
-            self._pending.cancelled = True
-
     def _end(self, result: AttemptResult, cause: str) -> None:
         if self.ended:
             return
--- a/src/bronzebeam/gateway/connection_pool.py
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -9,8 +9,8 @@
 
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.http_reply import ClientConnection
+from bronzebeam.units import MS_PER_SECOND
 
-MS_PER_SECOND: Final = 1_000.0
 CONNECT_SECONDS: Final = 0.4  # many round trips, and far below a deadline
 RECONNECT_FIRST_SECONDS: Final = 0.1  # a restarted server is found soon
 RECONNECT_MAX_SECONDS: Final = 1.0  # a server that stays away is tried each second
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -31,6 +31,7 @@
 from bronzebeam.transport.caller_connection import CallerServer
 from bronzebeam.transport.caller_request import CallerRequest
 from bronzebeam.transport.http_reply import ClientConnection
+from bronzebeam.units import MS_PER_SECOND
 
 TICK_SECONDS: Final = 0.25  # log lines and replacements of connections wait this long
 BACKLOG: Final = 1_024  # a full queue costs a caller seconds
@@ -107,7 +108,7 @@
             record=self._own_record(),
             log=self.log,
             rng=self.rng,
-            lease_min_seconds=self.settings.lease_min_ms / 1_000.0,
+            lease_min_seconds=self.settings.lease_min_ms / MS_PER_SECOND,
         )
         registering = loop.create_task(
             self._keep_running("registration", registration.run)
--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND, PendingSend
+from bronzebeam.gateway.connection_pool import PendingSend
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.peer_codec import (
     ORDER_HEADER,
@@ -21,6 +21,7 @@
     ExchangeFailure,
     HttpReply,
 )
+from bronzebeam.units import MS_PER_SECOND
 
 HOP_MS: Final = 3.0  # to the peer and back, and the merge there
 REFUSED_STATUS: Final = 409  # the peer has another configuration in force
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND, Connect
+from bronzebeam.gateway.connection_pool import Connect
 from bronzebeam.gateway.peers import PeerSet
 from bronzebeam.gateway.records import (
     Change,
@@ -23,6 +23,7 @@
 from bronzebeam.routing.second_sends import SecondSendBudget, SecondSendLimits
 from bronzebeam.routing.weighted_split import WeightedSplit
 from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.units import MS_PER_SECOND
 
 EXCHANGE_SLACK_SECONDS: Final = 1.0  # beyond the longest timeout of a route
 
@@ -52,7 +53,7 @@
     peers: PeerSet = field(init=False)
     started_at_seconds: float = 0.0
     _typical: dict[str, TypicalLatency] = field(factory=dict)
-    _splits: dict[str, tuple[Route, WeightedSplit]] = field(factory=dict)
+    _splits: dict[str, WeightedSplit] = field(factory=dict)
     _budgets: dict[str, SecondSendBudget] = field(factory=dict)
     _longest_wait_ms: dict[str, float] = field(factory=dict)
     _fan_out_services: frozenset[str] = frozenset()
@@ -160,11 +161,11 @@
         """Return the service that takes the next request of a route."""
         if len(route.destinations) == 1:
             return route.destinations[0].service
-        held = self._splits.get(route.name)
-        if held is None or held[0].destinations != route.destinations:
-            held = (route, WeightedSplit(destinations=route.destinations))
-            self._splits[route.name] = held
-        return held[1].next_service()
+        split = self._splits.get(route.name)
+        if split is None or split.destinations != route.destinations:
+            split = WeightedSplit(destinations=route.destinations)
+            self._splits[route.name] = split
+        return split.next_service()
 
     def budget(self, service: str) -> SecondSendBudget:
         """Return the budget of repeated sub-requests to a service."""
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -7,12 +7,12 @@
 
 from bronzebeam.gateway.admission import Ticket
 from bronzebeam.gateway.attempt import Attempt, AttemptResult
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_reply
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.routing.hedge_timing import second_send_after_ms
+from bronzebeam.units import MS_PER_SECOND
 
 MEDIAN_MARGIN: Final = 1.3  # most replies are in by this multiple of the median
 REJECTED_MAX: Final = 4  # replicas that may turn one request away before it is refused
@@ -120,7 +120,9 @@
     def _answer(self, attempt: Attempt) -> None:
         assert attempt.reply is not None
         self._finish()
-        answer_reply(self.context, self.routed, attempt.reply, self._outcome(attempt))
+        answer_reply(
+            self.context, self.routed, attempt.reply, self._outcome(attempt.cause)
+        )
 
     def _fail(self, cause: str) -> None:
         self._finish()
@@ -129,7 +131,7 @@
             self.context,
             self.routed,
             status=502 if ran else 503,
-            outcome=self._outcome(None, cause=cause),
+            outcome=self._outcome(cause),
         )
 
     def _deadline_passed(self) -> None:
@@ -141,7 +143,7 @@
             self.context,
             self.routed,
             status=504 if sent else 503,
-            outcome=self._outcome(None, cause="deadline_passed"),
+            outcome=self._outcome("deadline_passed"),
         )
 
     def _caller_gone(self) -> None:
@@ -152,7 +154,7 @@
             for attempt in self.attempts:
                 attempt.abandon()
         self.context.metrics.caller_left(self.routed.route)
-        self._outcome(None, cause="caller_left").log(
+        self._outcome("caller_left").log(
             self.context, self.routed, status=None, good=False
         )
 
@@ -171,8 +173,5 @@
             if not attempt.ended:
                 attempt.discard()
 
-    def _outcome(self, attempt: Attempt | None, *, cause: str = "") -> Outcome:
-        return Outcome(
-            attempts=self.attempts,
-            cause=cause or (attempt.cause if attempt is not None else ""),
-        )
+    def _outcome(self, cause: str) -> Outcome:
+        return Outcome(attempts=self.attempts, cause=cause)
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -7,7 +7,6 @@
 
 from bronzebeam.gateway.admission import Ticket
 from bronzebeam.gateway.attempt import Attempt, AttemptResult
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation import Delegation, DelegationResult
 from bronzebeam.gateway.gather_answers import GatherAnswers
@@ -23,6 +22,7 @@
     is_not_worth_sending,
 )
 from bronzebeam.routing.hedge_timing import peer_lost_after_ms
+from bronzebeam.units import MS_PER_SECOND
 
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
 DELEGATED_MIN: Final = 2  # a single shard costs a peer as much as it saves
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -6,12 +6,12 @@
 from attrs import define
 
 from bronzebeam.gateway.attempt import Attempt
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.routing.refusal import retry_after_seconds
 from bronzebeam.transport.caller_request import end_to_end
 from bronzebeam.transport.http_reply import Headers, HttpReply
+from bronzebeam.units import MS_PER_SECOND
 
 RETRY_AFTER: Final = b"Retry-After"
 LOGGED_ATTEMPTS: Final = 8  # a line stays short where many shards failed
--- a/src/bronzebeam/gateway/peer_gathers.py
+++ b/src/bronzebeam/gateway/peer_gathers.py
@@ -3,7 +3,6 @@
 import attrs
 from attrs import define
 
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation import REFUSED_STATUS
 from bronzebeam.gateway.gather import Gather
@@ -17,6 +16,7 @@
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import CallerRequest
+from bronzebeam.units import MS_PER_SECOND
 
 
 @define(kw_only=True, eq=False, repr=False)
--- a/src/bronzebeam/gateway/planned_stop.py
+++ b/src/bronzebeam/gateway/planned_stop.py
@@ -8,6 +8,7 @@
 
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.caller_connection import CallerServer
+from bronzebeam.units import MS_PER_SECOND
 
 # The balancer asks once a second and takes an instance out after two misses.
 BALANCER_LAG_SECONDS: Final = 2.8
@@ -30,7 +31,6 @@
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
     bound_seconds: float
-    stopping: bool = False
 
     async def run(self) -> int:
         """
@@ -39,7 +39,6 @@
         :returns: 0, or 1 if requests were still under way at the bound.
         """
         started_at = self.loop.time()
-        self.stopping = True
         for server in self.servers:
             server.closing = True
         self.log.event("stop_started", in_flight=self._in_flight())
@@ -53,7 +52,7 @@
         self.log.event(
             "stop_ended",
             cut_off=cut_off,
-            elapsed_ms=round(1e3 * (self.loop.time() - started_at)),
+            elapsed_ms=round(MS_PER_SECOND * (self.loop.time() - started_at)),
         )
         return 1 if cut_off else 0
 
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -61,14 +61,12 @@
     One change of a record.
 
     :ivar name: replica or instance that the record is of; empty for configuration.
-    :ivar revision: revision of the store at which the change was made.
     :ivar removed: the record is no longer there, or can no longer be read.
     :ivar value: the record; None if it was removed.
     """
 
     kind: RecordKind
     name: str
-    revision: int
     removed: bool = False
     value: RouteTable | ReplicaRecord | InstanceRecord | None = None
 
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND, Connect, ConnectionPool
+from bronzebeam.gateway.connection_pool import Connect, ConnectionPool
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.routing.connection_shares import share_connections
@@ -20,6 +20,7 @@
 )
 from bronzebeam.routing.routes import BackendService, Route
 from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.units import MS_PER_SECOND
 
 # A removal may be seen a second late; nothing may be sent three seconds after it.
 REMOVED_LINGER_SECONDS: Final = 1.8
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -5,7 +5,6 @@
 from attrs import define, field
 
 from bronzebeam.gateway.admission import Admission
-from bronzebeam.gateway.connection_pool import MS_PER_SECOND
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.forward import Forward
 from bronzebeam.gateway.gather import Gather
@@ -17,6 +16,7 @@
 from bronzebeam.routing.refusal import retry_after_seconds
 from bronzebeam.transport.caller_request import CallerRequest
 from bronzebeam.transport.http_reply import Headers
+from bronzebeam.units import MS_PER_SECOND
 
 CALLER_WORK_MS: Final = 1.5  # the caller's and this instance's own share of the time
 DEADLINE_MARGIN_MS: Final = 5.0  # the final answer reaches a caller that still waits
--- a/src/bronzebeam/gateway/settings.py
+++ b/src/bronzebeam/gateway/settings.py
@@ -25,7 +25,6 @@
 
     instance: str
     failure_domain: str
-    region: str
     caller_listen: ListenSettings
     ready_listen: ListenSettings | None
     ready_path: bytes
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -15,6 +15,7 @@
     StoreUnavailable,
 )
 from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.units import MS_PER_SECOND
 
 WATCH_WAIT_SECONDS: Final = 20.0  # a watch that waits is one call
 PROVING_WAIT_SECONDS: Final = 1.0  # after a failure, until a watch has been answered
@@ -123,7 +124,9 @@
             "store_connected",
             revision=revision,
             away_ms=(
-                None if lost_at is None else round(1e3 * (self.loop.time() - lost_at))
+                None
+                if lost_at is None
+                else round(MS_PER_SECOND * (self.loop.time() - lost_at))
             ),
         )
 
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -49,7 +49,6 @@
     settings = GatewaySettings(
         instance=reader.required("nodeName"),
         failure_domain=reader.required("zone"),
-        region=reader.optional("region"),
         caller_listen=reader.address(CALLER_ADDRESS),
         ready_listen=reader.optional_address("listenAddresses.ready"),
         ready_path=READY_PATH,
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -30,12 +30,12 @@
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.http_call import CallFailed, HttpCallClient
 from bronzebeam.transport.http_reply import HttpReply
+from bronzebeam.units import MS_PER_SECOND
 
 CALL_SECONDS: Final = 1.5  # a slow store answers within a few hundred milliseconds
 WATCH_SLACK_SECONDS: Final = 1.5  # beyond the wait that the call asks for
 WATCHED_PREFIX: Final = ""  # one watch brings configuration, replicas and instances
 PROBED_PREFIX: Final = "none/"  # holds nothing, so that the answer is short
-MS_PER_SECOND: Final = 1_000
 OK: Final = 200
 GONE: Final = 410
 NOT_FOUND: Final = 404
@@ -163,7 +163,7 @@
                 change = _decode(key, item)
             except MalformedRecord as error:
                 self._note_malformed(key, error)
-                change = _removal(key, item)
+                change = _removal(key)
             else:
                 self._malformed.discard(key)
             if change is not None:
@@ -197,20 +197,18 @@
 def _decode(key: str, item: dict[str, Any]) -> Change | None:
     # "compacted" means that the key was removed, not that history was dropped.
     if item.get("compacted"):
-        return _removal(key, item)
+        return _removal(key)
     if key.startswith(INSTANCE_PREFIX):
         name = key.removeprefix(INSTANCE_PREFIX)
         return Change(
             kind=RecordKind.INSTANCE,
             name=name,
-            revision=_int(item, "revision"),
             value=decode_instance(name, _value(item)),
         )
     if key == CONFIGURATION_KEY:
         return Change(
             kind=RecordKind.CONFIGURATION,
             name="",
-            revision=_int(item, "revision"),
             value=decode_configuration(_value(item)),
         )
     if key.startswith(REPLICA_PREFIX):
@@ -218,13 +216,12 @@
         return Change(
             kind=RecordKind.REPLICA,
             name=name,
-            revision=_int(item, "revision"),
             value=decode_replica(name, _value(item)),
         )
     return None
 
 
-def _removal(key: str, item: dict[str, Any]) -> Change | None:
+def _removal(key: str) -> Change | None:
     for prefix, kind in (
         (INSTANCE_PREFIX, RecordKind.INSTANCE),
         (REPLICA_PREFIX, RecordKind.REPLICA),
@@ -233,7 +230,6 @@
             return Change(
                 kind=kind,
                 name=key.removeprefix(prefix),
-                revision=_int(item, "revision"),
                 removed=True,
             )
     return None
--- a/src/bronzebeam/routing/gather_timing.py
+++ b/src/bronzebeam/routing/gather_timing.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-MS_PER_SECOND: Final = 1_000.0
+from bronzebeam.units import MS_PER_SECOND
+
 ANSWER_MARGIN_MS: Final = 1.5  # merging and sending the answer
 HOPELESS_FACTOR: Final = 1.15  # estimates are medians; half of all replies are faster
 REACHABLE_FACTOR: Final = 3.0  # the slowest of many usual replies
--- a/src/bronzebeam/routing/overload.py
+++ b/src/bronzebeam/routing/overload.py
@@ -5,6 +5,8 @@
 
 from attrs import define
 
+from bronzebeam.units import MS_PER_SECOND
+
 START_LIMIT: Final = 24.0  # above what an instance has in flight on a calm day
 LIMIT_MIN: Final = 2.0  # some requests must show when the overload is over
 LIMIT_MAX: Final = 200.0
@@ -77,7 +79,9 @@
         self._late_share += LATE_STEP * (late - self._late_share)
         if late:
             # Answers under way when the limit fell do not show its effect yet.
-            settled = now_seconds - self._decreased_at_seconds > elapsed_ms / 1_000.0
+            settled = (
+                now_seconds - self._decreased_at_seconds > elapsed_ms / MS_PER_SECOND
+            )
             if settled and self._late_share > LATE_ANSWERS_MAX:
                 in_use = min(self.limit, float(max(self.in_flight, 1)))
                 self.limit = max(LIMIT_MIN, in_use * DECREASE)
--- a/src/bronzebeam/routing/refusal.py
+++ b/src/bronzebeam/routing/refusal.py
@@ -3,7 +3,8 @@
 import random
 from typing import Final
 
-MS_PER_SECOND: Final = 1_000.0
+from bronzebeam.units import MS_PER_SECOND
+
 RETRY_SHARE_OF_TARGET: Final = 0.25  # a retry then still has most of its time
 RETRY_SPREAD: Final = 1.0  # callers refused together come back one after the other
 RETRY_MIN_MS: Final = 10.0
--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -11,9 +11,10 @@
 
 from bronzebeam.routing.routes import CallerLimits
 from bronzebeam.transport.caller_request import CallerRequest, encode_answer
-from bronzebeam.transport.http_reply import Headers, set_socket_options
+from bronzebeam.transport.http_reply import Headers
+from bronzebeam.transport.socket_options import bound_silence
+from bronzebeam.units import MS_PER_SECOND
 
-MS_PER_SECOND: Final = 1_000.0
 PIPELINED_MAX: Final = 16  # requests that are read ahead on one connection
 IDLE_MARGIN_SECONDS: Final = 0.5  # the idle limit is kept by the slower of both ends
 ROUND_TRIP_DEFAULT_MS: Final = 7.0  # where the system does not tell
@@ -98,7 +99,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        set_socket_options(transport.get_extra_info("socket"))
+        bound_silence(transport.get_extra_info("socket"))
         self.server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/src/bronzebeam/transport/channel.py
+++ b/src/bronzebeam/transport/channel.py
@@ -10,11 +10,8 @@
 
 from bronzebeam.transport.http_reply import ClientConnection
 from bronzebeam.transport.reply_future import ExchangeFailed, exchange
+from bronzebeam.transport.socket_options import SILENCE_OPTIONS
 
-KEEPALIVE_IDLE_SECONDS: Final = 5
-KEEPALIVE_INTERVAL_SECONDS: Final = 2
-KEEPALIVE_PROBES: Final = 3
-UNACKNOWLEDGED_MS: Final = 5_000
 MOST_REPLY_BYTES: Final = 8 * 1024 * 1024
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -71,7 +68,11 @@
         self._host_header = (b"host", address.encode())
         self._urls: dict[str, httpcore.URL] = {}
         self._connection = httpcore.AsyncHTTPConnection(
-            origin=self._origin, socket_options=_socket_options()
+            origin=self._origin,
+            socket_options=[
+                (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+                *SILENCE_OPTIONS,
+            ],
         )
 
     async def exchange(
@@ -199,14 +200,3 @@
 
     def new_channel(self, address: str) -> Channel:
         return ProtocolChannel(address=address)
-
-
-def _socket_options() -> list[tuple[int, int, int]]:
-    return [
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-    ]
--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -1,18 +1,15 @@
 """HTTP/1.1 client connections on asyncio's transports, parsed by httptools."""
 
 import asyncio
-import socket
 from enum import Enum
 from typing import Any, Final, Protocol, cast
 
 import httptools
 from attrs import define
 
+from bronzebeam.transport.socket_options import bound_silence
+
 REPLY_MAX_BYTES: Final = 16 * 1024 * 1024  # bounds the memory that one reply may take
-KEEPALIVE_IDLE_SECONDS: Final = 1  # a peer that went silent is found in three seconds
-KEEPALIVE_INTERVAL_SECONDS: Final = 1
-KEEPALIVE_PROBES: Final = 2
-UNACKNOWLEDGED_MS: Final = 2_000  # bound of unacknowledged bytes, as for the probes
 KEEP_ALIVE_HEADER: Final = b"keep-alive"
 TIMEOUT_PARAMETER: Final = b"timeout="
 INFORMATIONAL_BELOW: Final = 200
@@ -143,7 +140,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the socket."""
         self.transport = cast(asyncio.Transport, transport)
-        set_socket_options(transport.get_extra_info("socket"))
+        bound_silence(transport.get_extra_info("socket"))
         self.idle_since_seconds = self.loop.time()
 
     def data_received(self, data: bytes) -> None:
@@ -297,15 +294,3 @@
                 seconds = value[len(TIMEOUT_PARAMETER) :].split(b",")[0].strip()
                 if seconds.isdigit():
                     self.keep_alive_seconds = float(seconds)
-
-
-def set_socket_options(sock: socket.socket) -> None:
-    """Make a connection whose peer went silent fail within seconds."""
-    for level, option, value in (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-    ):
-        sock.setsockopt(level, option, value)
--- a/src/bronzebeam/transport/link.py
+++ b/src/bronzebeam/transport/link.py
@@ -23,10 +23,10 @@
     PROBE_BOUND_SECONDS,
     ConnectionOwner,
 )
+from bronzebeam.units import MS_PER_SECOND
 
 IDLE_PROBE_SECONDS: Final = 30.0
 PROBE_ALL_AGAIN_SECONDS: Final = 1.0
-MS_PER_SECOND: Final = 1_000
 
 
 @frozen(kw_only=True)
--- a/src/bronzebeam/transport/owner.py
+++ b/src/bronzebeam/transport/owner.py
@@ -21,6 +21,7 @@
     parse_reply,
 )
 from bronzebeam.transport.channel import Channel, ChannelClosed, ChannelFactory
+from bronzebeam.units import MS_PER_SECOND
 
 DRAIN_BOUND_SECONDS: Final = 0.25
 PROBE_BOUND_SECONDS: Final = 1.0
@@ -30,7 +31,6 @@
 REOPEN_FIRST_SECONDS: Final = 0.05
 REOPEN_MOST_SECONDS: Final = 2.0
 CLOSE_BOUND_SECONDS: Final = 1.0
-MS_PER_SECOND: Final = 1_000
 
 
 class OwnerHost(Protocol):
--- a/src/bronzebeam/transport/owner_route.py
+++ b/src/bronzebeam/transport/owner_route.py
@@ -15,10 +15,10 @@
 from bronzebeam.routing.membership_state import MemberRecord
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.transport.outcome_codec import outcome_from_json
+from bronzebeam.units import MS_PER_SECOND
 
 FORWARD_PATH: Final = "/internal/forward"
 LIFE_DIGEST_BYTES: Final = 8
-MS_PER_SECOND: Final = 1_000
 
 
 def life_id(*, instance: str, incarnation: int) -> str:
