Quarantine requests that crash each replica that runs them

The gateway sent such a search to both replicas of each shard, each time: 12 replicas of 6 shards in the new test, at every instance anew.

Change: replicas lost without a byte of a reply, to a request that no replica has replied to, speak against it. A fan-out that lost a replica is held back until another replies; if none does, one more is asked as proof. From three losses over all instances the request is refused everywhere for ten minutes; the reports are in the store under a lease, so they outlive the instances, and come with the watch that every instance has. A peer leaves the proof to its sender.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -58,6 +58,7 @@
     :ivar result: how it ended; None before, or if it was discarded.
     :ivar cause: why there is no usable reply; empty if there is one.
     :ivar ended: the owner has been told, or no longer wants to be.
+    :ivar connection_lost: the connection ended without a byte of a reply.
     """
 
     context: GatewayContext
@@ -71,6 +72,7 @@
     result: AttemptResult | None = None
     cause: str = ""
     ended: bool = False
+    connection_lost: bool = False
     _pending: PendingSend | None = None
     _connection: ClientConnection | None = None
 
@@ -167,6 +169,7 @@
             self.sent_at_seconds = None
             self._end(AttemptResult.NOT_SENT, failure.value)
         else:
+            self.connection_lost = failure is ExchangeFailure.LOST
             self._end(AttemptResult.UNKNOWN, failure.value)
 
     def _note_mismatch(self, connection: ClientConnection) -> None:
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -25,6 +25,7 @@
 from bronzebeam.gateway.router import Router
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.gateway.store_watch import Registration, StoreWatch
+from bronzebeam.gateway.suspect_reports import SuspectReports
 from bronzebeam.listen import ListenSettings
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.telemetry.metrics import CONTENT_TYPE
@@ -84,6 +85,7 @@
     _peer_server: CallerServer = field(init=False)
     _peer_gathers: PeerGathers = field(init=False)
     _readiness: Readiness = field(init=False)
+    _suspects: SuspectReports = field(init=False)
     _stop: asyncio.Event = field(init=False)
     background_tasks: list[asyncio.Task[None]] = field(factory=list, init=False)
     _store: GatewayStore = field(init=False)
@@ -117,6 +119,9 @@
             registering,
             loop.create_task(self._keep_running("store_watch", watch.run)),
             loop.create_task(self._keep_running("timers", self._tick_forever)),
+            loop.create_task(
+                self._keep_running("suspects", lambda: self._suspects.run(store))
+            ),
         ]
         await self._listen()
         await self._stop.wait()
@@ -162,6 +167,12 @@
             started_at_seconds=loop.time(),
         )
         self._readiness = Readiness(state=self._state, loop=loop, log=self.log)
+        self._suspects = SuspectReports(
+            instance=settings.instance,
+            suspects=self._state.suspects,
+            log=self.log,
+            rng=self.rng,
+        )
         context = GatewayContext(
             state=self._state,
             dialect=self.dialect,
@@ -169,6 +180,7 @@
             log=self.log,
             metrics=self.metrics,
             rng=self.rng,
+            suspects=self._suspects,
         )
         router = Router(
             context=context,
--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -9,6 +9,8 @@
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.peer_codec import (
     ORDER_HEADER,
+    REFUSED_STATUS,
+    REPLICAS_LOST_STATUS,
     RESULT_HEADER,
     GatherOrder,
     decode_result,
@@ -24,7 +26,6 @@
 from bronzebeam.units import MS_PER_SECOND
 
 HOP_MS: Final = 3.0  # to the peer and back, and the merge there
-REFUSED_STATUS: Final = 409  # the peer has another configuration in force
 
 
 class DelegationResult(Enum):
@@ -32,11 +33,13 @@
     How a delegation ended.
 
     `ANSWERED`: with some of the shards. `NOT_RUN`: the peer has sent nothing.
-    `UNKNOWN`: it may have sent the request to replicas.
+    `REPLICAS_LOST`: every replica that it sent the request to was lost. `UNKNOWN`: it
+    may have sent the request to replicas.
     """
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
+    REPLICAS_LOST = "replicas_lost"
     UNKNOWN = "unknown"
 
 
@@ -149,6 +152,9 @@
             self._avoid_peer("another_configuration")
             self._end(DelegationResult.NOT_RUN, "peer_has_another_configuration")
             return
+        if reply.status == REPLICAS_LOST_STATUS:
+            self._end(DelegationResult.REPLICAS_LOST, "replicas_lost_at_peer")
+            return
         value = next((v for n, v in reply.headers if n == RESULT_HEADER), b"")
         signatures = decode_result(value, count=len(self.shards))
         if reply.status != 200 or signatures is None:
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -15,9 +15,11 @@
     RecordKind,
     ReplicaRecord,
     StoreContents,
+    SuspectRecord,
 )
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_set import Choice, ReplicaSet
+from bronzebeam.routing.crash_suspects import CrashSuspects
 from bronzebeam.routing.pace import TypicalLatency
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.routing.second_sends import SecondSendBudget, SecondSendLimits
@@ -38,6 +40,7 @@
     :ivar on_first_table: called once everything was read for the first time.
     :ivar replicas: all replicas that may still be used.
     :ivar peers: live instances that are registered.
+    :ivar suspects: requests that seem to crash replicas.
     """
 
     own_domain: str
@@ -52,6 +55,8 @@
     replicas: ReplicaSet = field(init=False)
     peers: PeerSet = field(init=False)
     started_at_seconds: float = 0.0
+    suspects: CrashSuspects = field(factory=CrashSuspects)
+    _reports: dict[str, SuspectRecord] = field(factory=dict)
     _typical: dict[str, TypicalLatency] = field(factory=dict)
     _splits: dict[str, WeightedSplit] = field(factory=dict)
     _budgets: dict[str, SecondSendBudget] = field(factory=dict)
@@ -87,6 +92,10 @@
         for name in set(self.replicas.names) - contents.replicas.keys():
             self.replicas.remove(name)
         self.peers.replace(contents.instances)
+        for name, suspect in contents.suspects.items():
+            self._take_report(name, suspect)
+        for name in self._reports.keys() - contents.suspects.keys():
+            self._drop_report(name)
         self._settle()
         self.tend()
 
@@ -104,6 +113,10 @@
                 self.replicas.put(value)
             elif change.kind is RecordKind.REPLICA:
                 self.replicas.remove(change.name)
+            elif isinstance(value, SuspectRecord):
+                self._take_report(change.name, value)
+            elif change.kind is RecordKind.SUSPECT:
+                self._drop_report(change.name)
         self._settle()
 
     def take_limits(self, limits: SecondSendLimits) -> None:
@@ -195,6 +208,17 @@
             self.on_first_table = None
             callback()
 
+    def _take_report(self, name: str, report: SuspectRecord) -> None:
+        self._reports[name] = report
+        self.suspects.put(
+            report.suspect, instance=report.instance, losses=report.losses
+        )
+
+    def _drop_report(self, name: str) -> None:
+        report = self._reports.pop(name, None)
+        if report is not None:
+            self.suspects.drop(report.suspect, instance=report.instance)
+
     def _take_table(self, table: RouteTable) -> None:
         held = self.table
         if held is not None and table.version <= held.version:
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -11,6 +11,7 @@
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_reply
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.routing.crash_suspects import LOSSES_MAX, CrashEvidence
 from bronzebeam.routing.hedge_timing import second_send_after_ms
 from bronzebeam.units import MS_PER_SECOND
 
@@ -33,6 +34,7 @@
     ticket: Ticket
     attempts: list[Attempt] = field(factory=list)
     _tried: set[Replica] = field(factory=set)
+    _evidence: CrashEvidence = field(factory=lambda: CrashEvidence(needs_proof=False))
     _last_failed: Attempt | None = None
     _done: bool = False
     _timers: list[asyncio.TimerHandle] = field(factory=list)
@@ -61,10 +63,14 @@
         if self._done:
             return
         if result is AttemptResult.ANSWERED:
+            self._evidence.replied = True
             self._answer(attempt)
             return
         if result is AttemptResult.FAILED:
             self._last_failed = attempt
+            self._evidence.replied = True
+        if attempt.connection_lost:
+            self._evidence.note_lost()
         if any(item.under_way for item in self.attempts):
             return
         if self._may_repeat(result) and self._send(repeat=attempt.reached_replica):
@@ -85,11 +91,20 @@
         reached = sum(1 for item in self.attempts if item.reached_replica)
         may_have_run = sum(1 for item in self.attempts if item.may_have_run)
         return (
-            reached <= REJECTED_MAX
+            not self._held_back()
+            and reached <= REJECTED_MAX
             and may_have_run < self.routed.route.max_attempts
             and self.context.state.repeats_left(self.service) >= 1.0
         )
 
+    def _held_back(self) -> bool:
+        """Whether the request has crashed too many replicas, here and elsewhere."""
+        evidence = self._evidence
+        if not evidence.lost or evidence.replied:
+            return False
+        known = self.context.state.suspects.losses(self.routed.fingerprint)
+        return evidence.lost + known >= LOSSES_MAX
+
     def _send(self, *, repeat: bool) -> bool:
         state = self.context.state
         choice = state.choose(
@@ -167,6 +182,7 @@
             now_seconds=self.context.loop.time(),
         )
         self.routed.request.on_gone = None
+        self.context.suspects.note_end(self._evidence, self.routed)
         for timer in self._timers:
             timer.cancel()
         for attempt in self.attempts:
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -12,10 +12,12 @@
 from bronzebeam.gateway.gather_answers import GatherAnswers
 from bronzebeam.gateway.gather_parts import GatherParts
 from bronzebeam.gateway.outcome import Outcome
+from bronzebeam.gateway.peer_codec import REPLICAS_LOST_STATUS
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_set import Choice
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.gateway.shard_run import NO_REPLY, ShardRun
+from bronzebeam.routing.crash_suspects import CrashEvidence
 from bronzebeam.routing.domain_groups import group_by_domain, split_evenly
 from bronzebeam.routing.gather_timing import (
     answer_without_missing_at,
@@ -26,8 +28,10 @@
 
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
 DELEGATED_MIN: Final = 2  # a single shard costs a peer as much as it saves
+BAD_GATEWAY: Final = 502
 TIMEOUT_STATUS: Final = 504
 TOO_SLOW: Final = "too_slow"
+REPLICAS_LOST: Final = "replicas_lost"
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -54,6 +58,7 @@
     ticket: Ticket | None = None
     _parts: GatherParts = field(init=False)
     _delegations: list[Delegation] = field(factory=list)
+    _evidence: CrashEvidence = field(factory=lambda: CrashEvidence(needs_proof=True))
     _done: bool = False
     _overdue: bool = False
     _cutoff_at_seconds: float = 0.0
@@ -102,7 +107,12 @@
                 attempt.reply.body,
                 self.context.loop.time(),
             )
+            self._note_reply()
         else:
+            if result is AttemptResult.FAILED:
+                self._note_reply()
+            if attempt.connection_lost:
+                self._evidence.note_lost()
             self._retry(run, attempt, result)
         self._settle()
 
@@ -115,18 +125,50 @@
         signatures: list[bytes | None] = [None] * len(delegation.shards)
         if result is DelegationResult.ANSWERED:
             signatures = delegation.signatures
+            if any(signatures):
+                self._note_reply()
+        elif result is DelegationResult.REPLICAS_LOST:
+            self._evidence.note_lost(len(delegation.shards))
         for index, signature in zip(delegation.shards, signatures):
             run = self._parts.shards[index]
             if signature is not None:
                 self._parts.include(run, signature, None, self.context.loop.time())
             elif not run.settled and not run.under_way:
+                run.cause = delegation.cause or "missing_at_peer"
+                if self._evidence.suspicious:
+                    continue
                 repeat = result is not DelegationResult.NOT_RUN
                 if not self._send_again(run, repeat=repeat):
-                    self._parts.give_up(run, delegation.cause or "missing_at_peer")
+                    self._parts.give_up(run, run.cause)
             if self._done:
                 return
         self._settle()
 
+    def _note_reply(self) -> None:
+        """Send what was held back while the request seemed to crash replicas."""
+        was_suspicious = self._evidence.suspicious
+        self._evidence.replied = True
+        if not was_suspicious:
+            return
+        for run in self._parts.shards:
+            if not run.settled and not run.under_way:
+                if not self._send_again(run, repeat=True):
+                    self._parts.give_up(run, run.cause)
+
+    def _prove(self) -> None:
+        """Ask one replica whether the request crashes whatever runs it."""
+        if any(run.under_way for run in self._parts.shards):
+            return
+        waiting = [run for run in self._parts.shards if not run.settled]
+        if self.may_delegate and not self._evidence.probed:
+            self._evidence.probed = True
+            for run in waiting:
+                if self._send_again(run, repeat=True):
+                    return
+        # A peer sees some of the shards only, so its sender judges.
+        status = BAD_GATEWAY if self.may_delegate else REPLICAS_LOST_STATUS
+        self._fail(cause=REPLICAS_LOST, status=status)
+
     def _send_all(self) -> None:
         near: dict[int, Choice] = {}
         elsewhere: dict[int, Choice] = {}
@@ -263,7 +305,7 @@
 
     def _retry(self, run: ShardRun, attempt: Attempt, result: AttemptResult) -> None:
         run.cause = attempt.cause
-        if run.under_way or run.failed:
+        if run.under_way or run.failed or self._evidence.suspicious:
             return
         repeat = result is not AttemptResult.NOT_SENT
         others = set(run.excluded)
@@ -288,6 +330,9 @@
         if self._done:
             return
         self.answers.still_working()
+        if self._evidence.suspicious:
+            self._schedule_hedges()
+            return
         for run in self._parts.shards:
             if run.settled or run.delegation is not None or len(run.attempts) > 1:
                 continue
@@ -301,6 +346,8 @@
             if self._done or delegation.ended or delegation.at_work:
                 continue
             delegation.note_late()
+            if self._evidence.suspicious:
+                continue
             for index in delegation.shards:
                 run = self._parts.shards[index]
                 if not run.settled and self._send_again(run, repeat=True):
@@ -332,12 +379,15 @@
         """Answer if nothing is worth waiting for any more."""
         if self._done:
             return
+        if self._evidence.suspicious:
+            self._prove()
+            return
         parts = self._parts
         enough = parts.enough and (parts.included > 0 or self.answers.empty_allowed)
         if enough and (parts.open == 0 or self._overdue):
             self._answer()
         elif parts.open == 0 or not parts.reachable:
-            self._fail(cause="too_few_shards", status=502)
+            self._fail(cause="too_few_shards", status=BAD_GATEWAY)
 
     def _answer(self) -> None:
         self._finish(telling=True)
@@ -362,6 +412,8 @@
         :param telling: the time until now tells of the load, if too few shards replied.
         """
         self._done = True
+        if self.may_delegate:
+            self.context.suspects.note_end(self._evidence, self.routed)
         if self.ticket is not None:
             now_seconds = self.context.loop.time()
             end_at = self._parts.enough_at_seconds or (now_seconds if telling else None)
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -7,6 +7,8 @@
 
 ORDER_HEADER: Final = b"bb-gather"
 RESULT_HEADER: Final = b"bb-parts"
+REFUSED_STATUS: Final = 409  # the peer has another configuration in force
+REPLICAS_LOST_STATUS: Final = 424  # all replicas of the order were lost while at work
 SEPARATOR: Final = b";"
 PART_SEPARATOR: Final = b","
 MISSING: Final = b"-"
--- a/src/bronzebeam/gateway/peer_gathers.py
+++ b/src/bronzebeam/gateway/peer_gathers.py
@@ -4,11 +4,11 @@
 from attrs import define
 
 from bronzebeam.gateway.context import GatewayContext
-from bronzebeam.gateway.delegation import REFUSED_STATUS
 from bronzebeam.gateway.gather import Gather
 from bronzebeam.gateway.gather_answers import PeerAnswers
 from bronzebeam.gateway.peer_codec import (
     ORDER_HEADER,
+    REFUSED_STATUS,
     GatherOrder,
     MalformedOrder,
     decode_order,
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -1,6 +1,6 @@
 """What the configuration store says of replicas and instances, decoded."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -47,12 +47,27 @@
     processor_cores: float = 1.0
 
 
+@frozen(kw_only=True)
+class SuspectRecord:
+    """
+    A request that an instance suspects of crashing replicas.
+
+    :ivar suspect: fingerprint of the request.
+    :ivar losses: replicas that the instance has lost to it.
+    """
+
+    suspect: str
+    instance: str
+    losses: int
+
+
 class RecordKind(Enum):
     """What a change of the store is about."""
 
     CONFIGURATION = "configuration"
     REPLICA = "replica"
     INSTANCE = "instance"
+    SUSPECT = "suspect"
 
 
 @frozen(kw_only=True)
@@ -60,7 +75,8 @@
     """
     One change of a record.
 
-    :ivar name: replica or instance that the record is of; empty for configuration.
+    :ivar name: replica, instance or report that the record is of; empty for
+        configuration.
     :ivar removed: the record is no longer there, or can no longer be read.
     :ivar value: the record; None if it was removed.
     """
@@ -68,7 +84,7 @@
     kind: RecordKind
     name: str
     removed: bool = False
-    value: RouteTable | ReplicaRecord | InstanceRecord | None = None
+    value: RouteTable | ReplicaRecord | InstanceRecord | SuspectRecord | None = None
 
 
 @frozen(kw_only=True)
@@ -83,6 +99,7 @@
     table: RouteTable | None
     replicas: Mapping[str, ReplicaRecord] = field(factory=dict)
     instances: Mapping[str, InstanceRecord] = field(factory=dict)
+    suspects: Mapping[str, SuspectRecord] = field(factory=dict)
 
 
 class StoreUnavailable(Exception):
@@ -119,6 +136,11 @@
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> str:
         """Record an instance under a new lease and return the lease."""
 
+    async def report(
+        self, *, records: Sequence[SuspectRecord], ttl_seconds: float
+    ) -> None:
+        """Record suspects for a time; later records take the place of earlier ones."""
+
     async def renew(self, *, lease: str) -> bool:
         """Renew a lease; False if it has ended."""
 
--- a/src/bronzebeam/gateway/routed.py
+++ b/src/bronzebeam/gateway/routed.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 from bronzebeam.gateway.dialect import RequestFacts
+from bronzebeam.routing.crash_suspects import fingerprint
 from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import CallerRequest
 
@@ -25,3 +26,15 @@
     deadline_at_seconds: float
     target_at_seconds: float
     head: bytes
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what the request has in common with its repetitions."""
+        return request_fingerprint(self.request)
+
+
+def request_fingerprint(request: CallerRequest) -> str:
+    """Return what a request has in common with its repetitions."""
+    return fingerprint(
+        host=request.header(b"host"), target=request.target, body=request.body
+    )
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -10,7 +10,8 @@
 from bronzebeam.gateway.gather import Gather
 from bronzebeam.gateway.gather_answers import CallerAnswers
 from bronzebeam.gateway.outcome import Outcome, answer_failure
-from bronzebeam.gateway.routed import RoutedRequest
+from bronzebeam.gateway.routed import RoutedRequest, request_fingerprint
+from bronzebeam.gateway.suspect_reports import QUARANTINE_SECONDS
 from bronzebeam.routing.gather_timing import time_to_target_ms
 from bronzebeam.routing.hedge_timing import second_send_after_ms
 from bronzebeam.routing.refusal import retry_after_seconds
@@ -54,6 +55,10 @@
         if route is None:
             self._refuse(request, 404, "no_route")
             return
+        suspects = self.context.state.suspects
+        if suspects and suspects.quarantined(request_fingerprint(request)):
+            self._refuse(request, 503, "quarantined", return_seconds=QUARANTINE_SECONDS)
+            return
         remaining_ms = facts.remaining_ms
         if remaining_ms is None:
             remaining_ms = route.timeout_ms
@@ -136,13 +141,21 @@
             outcome=Outcome(attempts=(), cause=f"overload_in_flight_{in_flight}"),
         )
 
-    def _refuse(self, request: CallerRequest, status: int, reason: str) -> None:
+    def _refuse(
+        self,
+        request: CallerRequest,
+        status: int,
+        reason: str,
+        *,
+        return_seconds: float | None = None,
+    ) -> None:
         headers: Headers = []
         if status == 503:
-            seconds = retry_after_seconds(
-                target_latency_ms=START_RETRY_MS, rng=self.context.rng
-            )
-            headers.append((b"Retry-After", b"%.3f" % seconds))
+            if return_seconds is None:
+                return_seconds = retry_after_seconds(
+                    target_latency_ms=START_RETRY_MS, rng=self.context.rng
+                )
+            headers.append((b"Retry-After", b"%.3f" % return_seconds))
         facts = self.context.dialect.read_request(request.headers)
         table = self.context.state.table
         self.context.log.request(
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.backoff import Backoff
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.records import (
     Change,
@@ -22,31 +23,10 @@
 CHECK_SECONDS: Final = 2.0  # a watch that was lost in silence is found in time
 CHECK_SLACK_SECONDS: Final = 0.4  # a change that is on its way arrives within
 COALESCE_SECONDS: Final = 1.0  # changes come in bursts; bounds on them are seconds
-RETRY_FIRST_SECONDS: Final = 0.1
-RETRY_MAX_SECONDS: Final = 0.6  # a store that returns is found well within its bounds
-RETRY_FACTOR: Final = 2.0
 LEASE_SECONDS: Final = 15.0  # an instance that died counts in shares for this long
 RENEW_SHARE: Final = 0.3  # several renewals may fail before the lease ends
 
 
-@define(kw_only=True, eq=False, repr=False)
-class Backoff:
-    """Delays between attempts to reach the store."""
-
-    rng: random.Random
-    _delay_seconds: float = RETRY_FIRST_SECONDS
-
-    def reset(self) -> None:
-        """Start again after a success."""
-        self._delay_seconds = RETRY_FIRST_SECONDS
-
-    def next_seconds(self) -> float:
-        """Return the next delay, spread so that instances do not call in step."""
-        delay_seconds = self._delay_seconds
-        self._delay_seconds = min(delay_seconds * RETRY_FACTOR, RETRY_MAX_SECONDS)
-        return delay_seconds * (0.5 + self.rng.random())
-
-
 @define(kw_only=True, eq=False, repr=False)
 class StoreWatch:
     """
--- a/src/bronzebeam/platform/names.py
+++ b/src/bronzebeam/platform/names.py
@@ -6,5 +6,6 @@
 CONFIGURATION_KEY: Final = "op/config"
 REPLICA_PREFIX: Final = "servers/"
 INSTANCE_PREFIX: Final = "instances/"
+SUSPECT_PREFIX: Final = "suspects/"
 
 READY_PATH: Final = b"/ready"
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import binascii
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any, Final
 
 import orjson
@@ -16,6 +16,7 @@
     ReplicaRecord,
     StoreContents,
     StoreUnavailable,
+    SuspectRecord,
 )
 from bronzebeam.listen import ListenSettings
 from bronzebeam.platform.configuration import MalformedRecord, decode_configuration
@@ -24,8 +25,14 @@
     CONFIGURATION_KEY,
     INSTANCE_PREFIX,
     REPLICA_PREFIX,
+    SUSPECT_PREFIX,
 )
 from bronzebeam.platform.replicas import decode_replica
+from bronzebeam.platform.suspects import (
+    decode_suspect,
+    encode_suspect,
+    suspect_key,
+)
 from bronzebeam.routing.routes import RouteTable
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.http_call import CallFailed, HttpCallClient
@@ -39,6 +46,7 @@
 OK: Final = 200
 GONE: Final = 410
 NOT_FOUND: Final = 404
+PUTS_MAX: Final = 32  # writes that one transaction may hold
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -102,20 +110,24 @@
 
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> str:
         """Record an instance under a new lease and return the lease."""
-        granted = _json(
-            await self._call(
-                "POST", "/kv-lease", body={"ttlMs": int(ttl_seconds * MS_PER_SECOND)}
-            )
-        )
-        lease = _int(granted, "leaseId")
-        put = {
-            "key": INSTANCE_PREFIX + record.instance,
-            "value": base64.b64encode(encode_instance(record)).decode(),
-            "leaseId": lease,
-        }
+        lease = await self._grant(ttl_seconds)
+        put = _put(INSTANCE_PREFIX + record.instance, encode_instance(record), lease)
         await self._call("POST", "/kv-txn", body={"putOps": [put]})
         return str(lease)
 
+    async def report(
+        self, *, records: Sequence[SuspectRecord], ttl_seconds: float
+    ) -> None:
+        """Record suspects under a lease that nobody renews."""
+        lease = await self._grant(ttl_seconds)
+        puts = [
+            _put(suspect_key(item), encode_suspect(item), lease) for item in records
+        ]
+        for start in range(0, len(puts), PUTS_MAX):
+            await self._call(
+                "POST", "/kv-txn", body={"putOps": puts[start : start + PUTS_MAX]}
+            )
+
     async def renew(self, *, lease: str) -> bool:
         """Renew a lease; False if it has ended."""
         reply = await self._call("POST", f"/kv-keep/{lease}", accepted=(OK, NOT_FOUND))
@@ -134,6 +146,11 @@
         """Close the connections."""
         self.client.close()
 
+    async def _grant(self, ttl_seconds: float) -> int:
+        """Return a new lease."""
+        body = {"ttlMs": int(ttl_seconds * MS_PER_SECOND)}
+        return _int(_json(await self._call("POST", "/kv-lease", body=body)), "leaseId")
+
     async def _call(
         self,
         method: str,
@@ -178,6 +195,7 @@
 def _contents(revision: int, changes: list[Change]) -> StoreContents:
     replicas: dict[str, ReplicaRecord] = {}
     instances: dict[str, InstanceRecord] = {}
+    suspects: dict[str, SuspectRecord] = {}
     table: RouteTable | None = None
     for change in changes:
         if isinstance(change.value, ReplicaRecord):
@@ -186,11 +204,14 @@
             table = change.value
         elif isinstance(change.value, InstanceRecord):
             instances[change.name] = change.value
+        elif isinstance(change.value, SuspectRecord):
+            suspects[change.name] = change.value
     return StoreContents(
         revision=revision,
         table=table,
         replicas=replicas,
         instances=instances,
+        suspects=suspects,
     )
 
 
@@ -205,6 +226,11 @@
             name=name,
             value=decode_instance(name, _value(item)),
         )
+    if key.startswith(SUSPECT_PREFIX):
+        name = key.removeprefix(SUSPECT_PREFIX)
+        return Change(
+            kind=RecordKind.SUSPECT, name=name, value=decode_suspect(name, _value(item))
+        )
     if key == CONFIGURATION_KEY:
         return Change(
             kind=RecordKind.CONFIGURATION,
@@ -225,6 +251,7 @@
     for prefix, kind in (
         (INSTANCE_PREFIX, RecordKind.INSTANCE),
         (REPLICA_PREFIX, RecordKind.REPLICA),
+        (SUSPECT_PREFIX, RecordKind.SUSPECT),
     ):
         if key.startswith(prefix):
             return Change(
@@ -235,6 +262,14 @@
     return None
 
 
+def _put(key: str, value: bytes, lease: int) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "leaseId": lease,
+    }
+
+
 def _value(item: dict[str, Any]) -> bytes:
     try:
         return base64.b64decode(item["value"], validate=True)
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -12,6 +12,7 @@
 ID_HEADER = "X-Bronzebeam-Attempt-Id"
 SIGNATURE_HEADER = "X-Bronzebeam-Replica-Signature"
 NOT_RUN_HEADER = "X-Bronzebeam-Not-Executed"
+RESTART_SECONDS = 2.0
 
 
 class Fault(Enum):
@@ -21,6 +22,7 @@
     SHED = "shed"
     ERROR = "error"
     RESET = "reset_after_run"
+    CRASH = "crash"
     SILENT = "silent"
     TRUNCATED = "truncated"
     UNFRAMED = "unframed"
@@ -47,6 +49,11 @@
     return choose
 
 
+def crash_on(path: str) -> Callable[[StandinRequest], Fault]:
+    """Return a choice of faults by which requests for `path` crash the replica."""
+    return lambda request: Fault.CRASH if request.target == path else Fault.NONE
+
+
 def every(fault: Fault) -> Callable[[Any], Fault]:
     return lambda request: fault
 
@@ -97,6 +104,11 @@
     def listen(self) -> None:
         self.loop.net.listeners[(self.host, self.port)] = self._accept
 
+    def crash(self) -> None:
+        """Die, and be back after some seconds."""
+        self.stop()
+        self.loop.call_later(RESTART_SECONDS, self.listen)
+
     def stop(self) -> None:
         """Die: refuse connections and reset those that are open."""
         self.loop.net.listeners.pop((self.host, self.port), None)
@@ -187,7 +199,9 @@
         body = b"".join(self.records) or f"{self.replica}/{run.attempt_id}".encode()
         if fault is Fault.SILENT:
             return
-        if fault is Fault.ERROR:
+        if fault is Fault.CRASH:
+            self.crash()
+        elif fault is Fault.ERROR:
             request.respond(500, headers=headers, body=b"failed")
         elif fault is Fault.RESET:
             request.connection.abort()
--- /dev/null
+++ b/tests/test_gateway_crashes.py
@@ -0,0 +1,191 @@
+"""Requests that crash each replica that runs them."""
+
+import asyncio
+
+from tests.fixtures_gateway import (
+    GATHER_PATH,
+    READ_PATH,
+    Cluster,
+    replicas_of,
+    route,
+    search_cluster,
+    small_cluster,
+    with_cluster,
+)
+from tests.standin_replica import RESTART_SECONDS, Fault, crash_on, once
+from tests.standin_store import StoreFault, always
+
+KILLER = GATHER_PATH + "killer"
+CALL_KILLER = READ_PATH + "killer"
+SHARED_SECONDS = 4.0  # the platform's bound after the third crash
+
+
+def crashes(cluster: Cluster, path: str) -> int:
+    """Return how often a replica began to run a request for `path`."""
+    return sum(
+        run.target == path for item in cluster.replicas.values() for run in item.runs
+    )
+
+
+def arm(cluster: Cluster, path: str) -> None:
+    for replica in cluster.replicas.values():
+        replica.fault = crash_on(path)
+
+
+def test_search_that_crashes_every_replica_spares_the_others() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6)
+        arm(cluster, KILLER)
+        answer = await cluster.ask(gateway, KILLER)
+        assert answer is not None and answer.status == 502
+        # One replica of each shard, and one more as proof.
+        assert crashes(cluster, KILLER) <= 7
+        again = await cluster.ask(gateway, GATHER_PATH + "usual")
+        assert again is not None and again.status == 200
+        assert again.missing <= 1
+
+    with_cluster(scenario)
+
+
+def test_search_that_crashes_replicas_is_refused_when_it_comes_again() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6)
+        other = cluster.start_gateway("g-2")
+        await asyncio.sleep(2.0)
+        arm(cluster, KILLER)
+        await cluster.ask(gateway, KILLER)
+        await asyncio.sleep(SHARED_SECONDS)
+        before = crashes(cluster, KILLER)
+        for running in (gateway, other, gateway, other):
+            answer = await cluster.ask(running, KILLER)
+            assert answer is not None and answer.status == 503
+            assert float(answer.headers["retry-after"]) > 10.0
+        assert crashes(cluster, KILLER) == before
+        usual = await cluster.ask(other, GATHER_PATH + "usual")
+        assert usual is not None and usual.status == 200 and usual.missing == 0
+        assert gateway.log("request_quarantined")
+        assert "cause=quarantined" in " ".join(other.log("request_refused"))
+
+    with_cluster(scenario)
+
+
+def test_quarantine_outlives_all_instances() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6)
+        arm(cluster, KILLER)
+        await cluster.ask(gateway, KILLER)
+        await asyncio.sleep(1.0)
+        gateway.kill(cluster)
+        await asyncio.sleep(RESTART_SECONDS)
+        again = cluster.start_gateway("g-2")
+        await asyncio.sleep(2.0)
+        before = crashes(cluster, KILLER)
+        answer = await cluster.ask(again, KILLER)
+        assert answer is not None and answer.status == 503
+        assert crashes(cluster, KILLER) == before
+
+    with_cluster(scenario)
+
+
+def test_losses_of_a_call_are_added_up_over_instances() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        gateways = [gateway]
+        gateways += [cluster.start_gateway(f"g-{n}") for n in (2, 3, 4, 5)]
+        await asyncio.sleep(2.0)
+        arm(cluster, CALL_KILLER)
+        for running in gateways:
+            await cluster.ask(running, CALL_KILLER)
+            await asyncio.sleep(RESTART_SECONDS + SHARED_SECONDS)
+        # Two replicas for each of two sends; the third crash is among them.
+        assert crashes(cluster, CALL_KILLER) <= 4
+        usual = await cluster.ask(gateways[-1], READ_PATH + "usual")
+        assert usual is not None and usual.status == 200
+
+    with_cluster(scenario)
+
+
+def test_quarantine_is_reported_once_the_store_is_back() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6)
+        other = cluster.start_gateway("g-2")
+        await asyncio.sleep(2.0)
+        arm(cluster, KILLER)
+        cluster.store.fault = always(StoreFault.BUSY)
+        await cluster.ask(gateway, KILLER)
+        await asyncio.sleep(6.0)
+        cluster.store.fault = always(StoreFault.NONE)
+        await asyncio.sleep(SHARED_SECONDS)
+        before = crashes(cluster, KILLER)
+        answer = await cluster.ask(other, KILLER)
+        assert answer is not None and answer.status == 503
+        assert crashes(cluster, KILLER) == before
+
+    with_cluster(scenario)
+
+
+def test_crash_of_one_domain_quarantines_nothing() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6, domains=("zone-a", "zone-b"))
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.02
+        asking = asyncio.ensure_future(cluster.ask(gateway, GATHER_PATH + "usual"))
+        await asyncio.sleep(0.01)
+        for replica in cluster.replicas.values():
+            if replica.domain == "zone-a":
+                replica.crash()
+        answer = await asking
+        assert answer is not None and answer.status == 200 and answer.missing == 0
+        assert not gateway.log("request_quarantined")
+        again = await cluster.ask(gateway, GATHER_PATH + "usual")
+        assert again is not None and again.status == 200
+
+    with_cluster(scenario)
+
+
+def test_reset_of_all_connections_quarantines_nothing() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.01
+        asking = asyncio.ensure_future(cluster.ask(gateway, GATHER_PATH + "usual"))
+        await asyncio.sleep(0.005)
+        for replica in cluster.replicas.values():
+            for connection in list(replica.connections):
+                connection.abort()
+        answer = await asking
+        assert answer is not None and answer.status == 200 and answer.missing == 0
+        assert answer.elapsed_seconds < 0.09
+        assert not gateway.log("request_suspected")
+
+    with_cluster(scenario)
+
+
+def test_peer_leaves_it_to_the_sender_whether_a_search_crashes_replicas() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6, domains=("zone-b", "zone-b"))
+        cluster.start_gateway("g-2", domain="zone-b")
+        await asyncio.sleep(2.0)
+        arm(cluster, KILLER)
+        answer = await cluster.ask(gateway, KILLER)
+        assert answer is not None and answer.status == 502
+        assert crashes(cluster, KILLER) <= 7
+        assert gateway.log("request_quarantined")
+
+    with_cluster(scenario)
+
+
+def test_call_that_meets_crashes_of_others_is_served_in_the_end() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        cluster.add_replica("booking")
+        cluster.configure(route("r-read", READ_PATH, service="booking", maxAttempts=3))
+        await asyncio.sleep(2.0)
+        replicas = replicas_of(cluster, "booking")
+        for replica in replicas[:2]:
+            replica.fault = once(Fault.CRASH)
+        answer = await cluster.ask(gateway, READ_PATH + "usual")
+        assert answer is not None and answer.status == 200
+        assert not gateway.log("request_quarantined")
+
+    with_cluster(scenario)
