Take changes that wait behind others without a pause

Ruled out: a slow store or link (each answer took 0.08 to 0.1 s), a lost watch, the time that a leaving replica stays the last resort (counted from when it was seen).

Change: after an answer with 100 changes or more the next watch follows at once. The stand-in's watch now cuts its answers at 500 changes, as the platform does.

Test: test_change_behind_many_others_is_taken_in_time failed first.

--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -23,6 +23,7 @@
 CHECK_SECONDS: Final = 2.0  # a watch that was lost in silence is found in time
 CHECK_SLACK_SECONDS: Final = 0.4  # a change that is on its way arrives within
 COALESCE_SECONDS: Final = 1.0  # changes come in bursts; bounds on them are seconds
+BACKLOG_MIN: Final = 100  # an answer with so many changes may be cut short
 LEASE_SECONDS: Final = 15.0  # an instance that died counts in shares for this long
 RENEW_SHARE: Final = 0.3  # several renewals may fail before the lease ends
 
@@ -65,7 +66,7 @@
                     self._proven = True
                     self._note_answered(revision)
                     self.state.apply(changes)
-                    if changes:
+                    if 0 < len(changes) < BACKLOG_MIN:
                         await asyncio.sleep(COALESCE_SECONDS)
             except HistoryLost as error:
                 self.log.event("store_history_lost", cause=str(error))
--- a/tests/standin_store.py
+++ b/tests/standin_store.py
@@ -12,6 +12,7 @@
 from tests.standin_http import StandinConnection, StandinRequest
 
 PAGE_ITEMS = 50
+EVENTS_MAX = 500  # in one answer of a watch; the next begins after its last
 ANSWER_SECONDS = 0.004
 MS_PER_SECOND = 1_000.0
 
@@ -203,7 +204,7 @@
             return 410, {"error": "history is gone"}
         events = self._events(query["pathPrefix"], after)
         if events:
-            return 200, {"events": events, "atRevision": self.revision}
+            return 200, self._page_of(events)
         timer = self.loop.call_later(
             float(query["waitTimeoutMs"]) / MS_PER_SECOND, self._watch_over, request
         )
@@ -277,9 +278,15 @@
             if events:
                 self._watchers.remove(watcher)
                 watcher.timer.cancel()
-                body = orjson.dumps({"events": events, "atRevision": self.revision})
+                body = orjson.dumps(self._page_of(events))
                 watcher.request.respond(200, body=body)
 
+    def _page_of(self, events: list[dict[str, Any]]) -> dict[str, Any]:
+        if len(events) <= EVENTS_MAX:
+            return {"events": events, "atRevision": self.revision}
+        page = events[:EVENTS_MAX]
+        return {"events": page, "atRevision": page[-1]["revision"]}
+
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             event
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -15,7 +15,7 @@
     small_cluster,
     with_cluster,
 )
-from tests.standin_store import PAGE_ITEMS, StoreFault, always
+from tests.standin_store import EVENTS_MAX, PAGE_ITEMS, StoreFault, always
 
 IN_FORCE_SECONDS = 3.0
 # The users hold an instance to that bound once the store has been well for so long.
@@ -184,6 +184,26 @@
     with_cluster(scenario)
 
 
+def test_change_behind_many_others_is_taken_in_time() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await small_cluster(cluster)
+        leaving = cluster.replicas["i-1"]
+        cluster.store.fault = always(StoreFault.BUSY)
+        await asyncio.sleep(1.0)
+        for number in range(4 * EVENTS_MAX):
+            cluster.store.put(f"servers/other-{number}", leaving.entry(service="other"))
+        cluster.register(leaving, state="draining")
+        cluster.configure(*cluster.routes)
+        cluster.store.fault = always(StoreFault.NONE)
+        told_at = cluster.loop.time()
+        assert set(await ask_for(cluster, gateway, 6.0)) == {200}
+        last = max(run.at_seconds for run in leaving.runs)
+        assert last - told_at <= LEAVING_SECONDS
+        assert version_of(gateway) == cluster.version
+
+    with_cluster(scenario)
+
+
 def test_last_replica_is_used_while_it_leaves_but_not_for_long() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await small_cluster(cluster)
