Share a shard's slack of repeats among its owners

Change: owners share 0.45 of the slack, all others 0.1. Small fleets share by instances as before.

Ruled out: growth that waits a whole window (owners change while instances restart).

--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -23,7 +23,11 @@
 from bronzebeam.routing.crash_suspects import CrashSuspects
 from bronzebeam.routing.pace import TypicalLatency
 from bronzebeam.routing.routes import BackendService, Route, RouteTable
-from bronzebeam.routing.second_sends import SecondSendBudget, SecondSendLimits
+from bronzebeam.routing.second_sends import (
+    SecondSendBudget,
+    SecondSendLimits,
+    slack_share,
+)
 from bronzebeam.routing.shard_owners import ShardOwners
 from bronzebeam.routing.weighted_split import WeightedSplit
 from bronzebeam.telemetry.decisions import DecisionLog
@@ -67,9 +71,12 @@
     _budgets: dict[str, SecondSendBudget] = field(factory=dict)
     _longest_wait_ms: dict[str, float] = field(factory=dict)
     _fan_out_services: frozenset[str] = frozenset()
+    _owned: frozenset[str] = frozenset()
+    _shares_since_seconds: float = field(init=False)
     _exchange_max_seconds: float = EXCHANGE_SLACK_SECONDS
 
     def __attrs_post_init__(self) -> None:
+        self._shares_since_seconds = self.started_at_seconds
         self.peers = PeerSet(
             instance=self.instance,
             own_domain=self.own_domain,
@@ -190,16 +197,21 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = SecondSendBudget(
-                limits=self.limits, started_at_seconds=self.started_at_seconds
+                limits=self.limits, started_at_seconds=self._shares_since_seconds
             )
             self._budgets[service] = budget
         return budget
 
     def repeats_left(self, service: str) -> float:
         """Return how many repeated sub-requests the service's budget allows now."""
-        return self.budget(service).left(
-            self.loop.time(), instances=self.peers.live_count
+        owners = self.owners
+        owned = owners is not None and service in self._fan_out_services
+        share = slack_share(
+            instances=self.peers.live_count,
+            owners=owners.owner_count(service) if owners and owned else None,
+            owner=service in self._owned,
         )
+        return self.budget(service).left(self.loop.time(), share=share)
 
     def _settle(self) -> None:
         services = self.table.services if self.table is not None else {}
@@ -209,7 +221,7 @@
             fan_out_services=self._fan_out_services,
             instances=self.peers.live_count,
             domains=len(self.peers.members()),
-            owned=self._owned_services(),
+            owned=self._owned,
         )
         callback = self.on_first_table
         if self.table is not None and callback is not None:
@@ -224,23 +236,22 @@
             for name in self._fan_out_services & services.keys()
         )
         if not scarce:
-            self.owners = None
+            self.owners, self._owned = None, self._fan_out_services
             return
-        members, shards = self.peers.members(), len(self._fan_out_services)
+        members, services_held = self.peers.members(), self._fan_out_services
         held = self.owners
-        if held is None or (held.members, held.shards) != (members, shards):
-            self.owners = ShardOwners(members=members, shards=shards)
-
-    def _owned_services(self) -> frozenset[str]:
-        """Return the shards that this instance is an owner of."""
-        owners = self.owners
-        if owners is None:
-            return self._fan_out_services
-        return frozenset(
+        if held is not None and (held.members, held.services) == (
+            members,
+            services_held,
+        ):
+            return
+        self.owners = owners = ShardOwners(members=members, services=services_held)
+        self._owned = frozenset(
             service
-            for service in self._fan_out_services
+            for service in services_held
             if owners.owns(self.instance, domain=self.own_domain, service=service)
         )
+        self._shares_since_seconds = self.loop.time()
 
     def _take_report(self, name: str, report: SuspectRecord) -> None:
         self._reports[name] = report
--- a/src/bronzebeam/routing/second_sends.py
+++ b/src/bronzebeam/routing/second_sends.py
@@ -7,8 +7,10 @@
 
 BUCKET_SECONDS: Final = 0.25  # granularity of the sliding window
 SAFETY_SHARE: Final = 0.88  # rest covers instances that are not yet known of
-
 STARTING_SHARE: Final = 0.3  # with all instances restarted, the sum stays in bounds
+# Of the slack. Owners may change each window, and earlier ones have spent theirs.
+OWNERS_SHARE: Final = 0.45
+OTHERS_SHARE: Final = 0.1  # for instances that send where no owner does
 
 
 @frozen(kw_only=True)
@@ -26,15 +28,30 @@
     window_seconds: float
 
 
+def slack_share(*, instances: int, owners: int | None, owner: bool) -> float:
+    """
+    Return an instance's share of the slack of one service.
+
+    :param instances: live instances, this one included.
+    :param owners: those that own the shard; None if all instances send to it alike.
+    :param owner: this instance is one of them.
+    """
+    if owners is None:
+        return 1.0 / max(1, instances)
+    if owner:
+        return OWNERS_SHARE / max(1, owners)
+    return OTHERS_SHARE / max(1, instances - owners)
+
+
 @define(kw_only=True, eq=False, repr=False)
 class SecondSendBudget:
     """
     This instance's part of the budget of one service.
 
     Firsts are counted where they are sent, so the ratio holds for the sum of all
-    instances if it holds for each. The slack is divided by the number of instances.
-    It grows from nothing over the first window of a process: a process that was
-    killed may have spent its part just before.
+    instances if it holds for each. The slack is divided by shares. A share that rises
+    is granted over one window: who had it before may have spent it just now. The same
+    goes for a process that starts. A window thus sees twice the owners' share at most.
 
     :ivar started_at_seconds: monotonic time at which the process started.
     """
@@ -44,6 +61,12 @@
     _buckets: deque[list[float]] = field(factory=deque, init=False)
     _firsts: float = field(default=0.0, init=False)
     _repeats: float = field(default=0.0, init=False)
+    _target_share: float = field(default=0.0, init=False)
+    _base_share: float = field(default=0.0, init=False)
+    _risen_at_seconds: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._risen_at_seconds = self.started_at_seconds
 
     def count_first(self, now_seconds: float, count: int = 1) -> None:
         """Count first sub-requests."""
@@ -55,19 +78,32 @@
         self._bucket_at(now_seconds)[2] += 1
         self._repeats += 1
 
-    def left(self, now_seconds: float, *, instances: int) -> float:
+    def left(self, now_seconds: float, *, share: float) -> float:
         """
         Return how many repeats may be sent now.
 
-        :param instances: live instances that share the slack, this one included.
+        :param share: part of the slack that this instance may use, 0 to 1.
         """
         self._bucket_at(now_seconds)
         limits = self.limits
-        age_seconds = now_seconds - self.started_at_seconds
-        grown_share = min(1.0, STARTING_SHARE + age_seconds / limits.window_seconds)
-        slack = limits.slack_count * grown_share / max(1, instances)
+        slack = limits.slack_count * self._granted_share(now_seconds, share)
         return SAFETY_SHARE * (limits.ratio * self._firsts + slack) - self._repeats
 
+    def _granted_share(self, now_seconds: float, share: float) -> float:
+        if self._target_share == 0.0:
+            self._target_share, self._base_share = share, STARTING_SHARE * share
+        elif share != self._target_share:
+            granted = self._grown(now_seconds)
+            if share > self._target_share:
+                self._risen_at_seconds = now_seconds
+            self._target_share, self._base_share = share, min(granted, share)
+        return self._grown(now_seconds)
+
+    def _grown(self, now_seconds: float) -> float:
+        age_seconds = now_seconds - self._risen_at_seconds
+        grown = self._target_share * age_seconds / self.limits.window_seconds
+        return min(self._target_share, self._base_share + grown)
+
     def _bucket_at(self, now_seconds: float) -> list[float]:
         number = now_seconds // BUCKET_SECONDS
         oldest = number - self.limits.window_seconds // BUCKET_SECONDS
--- a/src/bronzebeam/routing/shard_owners.py
+++ b/src/bronzebeam/routing/shard_owners.py
@@ -48,20 +48,21 @@
     from each other's requests within moments which replicas are slow.
 
     :ivar members: for each failure domain its live instances with their cores.
-    :ivar shards: number of shards in the configuration.
+    :ivar services: shards in the configuration.
     """
 
     members: Mapping[str, Mapping[str, float]]
-    shards: int
+    services: frozenset[str]
     _owners: dict[tuple[str, int], frozenset[str]] = field(factory=dict)
     _slices: dict[str, int] = field(factory=dict)
+    _counts: dict[str, int] = field(factory=dict)
 
     def slice_of(self, service: str, domain: str) -> int:
         """Return the slice of a failure domain that a shard belongs to."""
         count = self._slices.get(domain)
         if count is None:
             members = len(self.members.get(domain, ()))
-            count = slice_count(shards=self.shards, members=members)
+            count = slice_count(shards=len(self.services), members=members)
             self._slices[domain] = count
         return int(_uniform(service) * count)
 
@@ -76,6 +77,16 @@
             owners = self._owners[key] = frozenset(ranked[:OWNERS])
         return owners
 
+    def owner_count(self, service: str) -> int:
+        """Return how many instances own a shard, over all failure domains."""
+        count = self._counts.get(service)
+        if count is None:
+            count = self._counts[service] = sum(
+                len(self.owners(domain, self.slice_of(service, domain)))
+                for domain in self.members
+            )
+        return count
+
     def owns(self, instance: str, *, domain: str, service: str) -> bool:
         """Whether an instance of a failure domain gathers a shard."""
         return instance in self.owners(domain, self.slice_of(service, domain))
--- a/tests/test_routing_fleet.py
+++ b/tests/test_routing_fleet.py
@@ -94,6 +94,10 @@
         assert share.warm == 0 and share.most == 1
 
 
+def shard_names(count: int) -> frozenset[str]:
+    return frozenset(f"shard-{index}" for index in range(count))
+
+
 def fleet(*sizes: int) -> dict[str, dict[str, float]]:
     return {
         f"zone-{zone}": {f"g-{zone}-{n}": 2.0 if n == 0 else 0.5 for n in range(size)}
@@ -102,7 +106,7 @@
 
 
 def test_every_shard_has_three_owners_in_each_domain_large_enough() -> None:
-    owners = ShardOwners(members=fleet(18, 2, 0), shards=90)
+    owners = ShardOwners(members=fleet(18, 2, 0), services=shard_names(90))
     for shard in range(90):
         for domain, count in (("zone-0", 3), ("zone-1", 2), ("zone-2", 0)):
             number = owners.slice_of(f"shard-{shard}", domain)
@@ -111,7 +115,7 @@
 
 
 def test_slices_are_small_enough_and_many_owners_share_them() -> None:
-    owners = ShardOwners(members=fleet(18), shards=90)
+    owners = ShardOwners(members=fleet(18), services=shard_names(90))
     slices = [owners.slice_of(f"shard-{shard}", "zone-0") for shard in range(90)]
     assert len(set(slices)) == 6
     assert max(slices.count(number) for number in set(slices)) <= 2 * SLICE_SHARDS
@@ -126,10 +130,11 @@
 
 def test_instance_that_leaves_moves_only_its_own_slices() -> None:
     members = dict(fleet(18)["zone-0"])
-    before = ShardOwners(members={"z": members}, shards=90)
+    before = ShardOwners(members={"z": members}, services=shard_names(90))
     gone = next(iter(before.owners("z", 0)))
     after = ShardOwners(
-        members={"z": {k: v for k, v in members.items() if k != gone}}, shards=75
+        members={"z": {k: v for k, v in members.items() if k != gone}},
+        services=shard_names(75),
     )
     for number in range(5):
         kept = before.owners("z", number) - {gone}
@@ -137,7 +142,7 @@
 
 
 def test_groups_by_owner_hold_each_shard_once() -> None:
-    owners = ShardOwners(members=fleet(18, 9), shards=90)
+    owners = ShardOwners(members=fleet(18, 9), services=shard_names(90))
     services = [f"shard-{index}" for index in range(90)]
     groups = group_by_owner(
         [("zone-0", range(30, 60)), ("zone-1", range(60, 90)), ("zone-0", range(30))],
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -22,7 +22,11 @@
     estimate_reply_ms,
 )
 from bronzebeam.routing.routes import Route, RouteTable, WeightedService
-from bronzebeam.routing.second_sends import SecondSendBudget, SecondSendLimits
+from bronzebeam.routing.second_sends import (
+    SecondSendBudget,
+    SecondSendLimits,
+    slack_share,
+)
 from bronzebeam.routing.weighted_split import WeightedSplit
 from tests.fixtures_routing import COMMON
 
@@ -148,7 +152,7 @@
         budget.count_first(now)
         firsts.append(now)
         for _ in range(5 if busy else 1):
-            if budget.left(now, instances=instances) >= 1.0:
+            if budget.left(now, share=1.0 / instances) >= 1.0:
                 budget.count_repeat(now)
                 repeats.append(now)
         in_window = [at for at in repeats if at > now - WINDOW_SECONDS]
@@ -163,9 +167,9 @@
 
 def test_whole_slack_can_be_spent_once_the_window_has_passed() -> None:
     budget = SecondSendBudget(limits=LIMITS, started_at_seconds=0.0)
-    assert budget.left(0.0, instances=1) < budget.left(5.0, instances=1)
-    assert budget.left(20.0, instances=1) > 0.8 * LIMITS.slack_count
-    assert budget.left(20.0, instances=4) < 0.25 * LIMITS.slack_count
+    assert budget.left(0.0, share=1.0) < budget.left(5.0, share=1.0)
+    assert budget.left(20.0, share=1.0) > 0.8 * LIMITS.slack_count
+    assert budget.left(20.0, share=0.25) < 0.25 * LIMITS.slack_count
 
 
 def test_one_pause_moves_no_traffic_and_three_slow_replies_do() -> None:
@@ -228,6 +232,62 @@
     assert abs(math.log(pace.at(end + 40.0))) < 0.01
 
 
+def test_share_that_rises_is_granted_over_a_window_and_one_that_falls_at_once() -> None:
+    budget = SecondSendBudget(limits=LIMITS, started_at_seconds=0.0)
+    assert budget.left(20.0, share=0.1) < 0.1 * LIMITS.slack_count
+    before = budget.left(20.0, share=0.1)
+    # Not asked for a while: the time before the rise grants nothing.
+    assert budget.left(60.0, share=0.5) < before + 1.0
+    middle = budget.left(60.0 + WINDOW_SECONDS / 2, share=0.5)
+    assert before < middle < 0.5 * LIMITS.slack_count * 0.7
+    assert budget.left(60.0 + WINDOW_SECONDS, share=0.5) > 0.4 * LIMITS.slack_count
+    assert budget.left(60.0 + WINDOW_SECONDS, share=0.1) <= before
+
+
+@COMMON
+@given(
+    changes=st.lists(
+        st.tuples(st.floats(0.0, 6.0), st.lists(st.integers(0, 9), max_size=3)),
+        max_size=12,
+    )
+)
+def test_repeats_stay_within_the_bound_while_owners_change(
+    changes: list[tuple[float, list[int]]],
+) -> None:
+    """Answers the load of a storm in which shards move to owner after owner."""
+    instances = 10
+    budgets = [
+        SecondSendBudget(limits=LIMITS, started_at_seconds=-WINDOW_SECONDS)
+        for _ in range(instances)
+    ]
+    repeats: list[float] = []
+    now, owners = 0.0, [0, 1, 2]
+    for pause, following in [(0.0, owners), *changes]:
+        end, owners = now + pause, following or owners
+        while now < end:
+            now += 0.25
+            for number, budget in enumerate(budgets):
+                share = slack_share(
+                    instances=instances,
+                    owners=len(set(owners)),
+                    owner=number in owners,
+                )
+                while budget.left(now, share=share) >= 1.0:
+                    budget.count_repeat(now)
+                    repeats.append(now)
+            in_window = [at for at in repeats if at > now - WINDOW_SECONDS]
+            assert len(in_window) <= LIMITS.slack_count
+
+
+def test_shares_leave_room_for_owners_that_change() -> None:
+    for instances, owners in ((8, 3), (63, 9), (3, 3)):
+        total = owners * slack_share(instances=instances, owners=owners, owner=True)
+        others = instances - owners
+        total += others * slack_share(instances=instances, owners=owners, owner=False)
+        assert 0.4 < total <= 0.55
+    assert slack_share(instances=8, owners=None, owner=True) == 1 / 8
+
+
 def test_failures_count_more_where_nothing_may_be_repeated() -> None:
     rate = FailureRate()
     for at in range(3):
