Name the shards in orders, and let an owner that is lost be replaced

Change: an order names its shards, so the peer's version does not matter. A silent owner's shards go to another owner; both its orders can't be counted, since the first to answer ends the other. An instance that reaches less than half of its peers for a second connects to the replicas beside it itself.

Now at most a quarter of a request's peers count as lost: more are busy.

--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -8,8 +8,8 @@
 from bronzebeam.gateway.connection_pool import PendingSend
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.peer_codec import (
+    NOT_RUN_STATUS,
     ORDER_HEADER,
-    REFUSED_STATUS,
     REPLICAS_LOST_STATUS,
     RESULT_HEADER,
     GatherOrder,
@@ -58,6 +58,7 @@
     One order to one peer.
 
     :ivar shards: positions of the shards within the route.
+    :ivar earlier: order for the same shards to a peer that was late.
     :ivar signatures: of the shards in the reply, in the same order.
     :ivar body: greatest records of those shards.
     :ivar late: the owner no longer waits for it alone.
@@ -70,6 +71,7 @@
     shards: tuple[int, ...]
     hedge_after_ms: float
     cutoff_at_seconds: float
+    earlier: "Delegation | None" = None
     signatures: list[bytes | None] = field(factory=list)
     body: bytes = b""
     cause: str = ""
@@ -112,13 +114,18 @@
         self._connection = connection
         routed = self.routed
         order = GatherOrder(
-            version=routed.version,
             route=routed.route.name,
-            shards=self.shards,
-            hedge_after_ms=max(1.0, self.hedge_after_ms),
-            cutoff_ms=max(
-                1.0, (self.cutoff_at_seconds - now_seconds) * MS_PER_SECOND - HOP_MS
+            shards=tuple(routed.route.shards[index] for index in self.shards),
+            top_records=routed.route.top_records,
+            max_attempts=routed.route.max_attempts,
+            target_latency_ms=routed.route.target_latency_ms,
+            hedge_after_ms=round(max(1.0, self.hedge_after_ms)),
+            cutoff_ms=round(
+                max(
+                    1.0, (self.cutoff_at_seconds - now_seconds) * MS_PER_SECOND - HOP_MS
+                )
             ),
+            repeated=self.earlier is not None,
         )
         remaining_ms = (routed.deadline_at_seconds - now_seconds) * MS_PER_SECOND
         head = self.context.dialect.attempt_head(
@@ -148,9 +155,9 @@
         """Take the peer's records."""
         connection.proven = True
         self.peer.pool.note_answered(connection.sent_at_seconds)
-        if reply.status == REFUSED_STATUS:
-            self._avoid_peer("another_configuration")
-            self._end(DelegationResult.NOT_RUN, "peer_has_another_configuration")
+        if reply.status == NOT_RUN_STATUS:
+            self._avoid_peer("no_replica")
+            self._end(DelegationResult.NOT_RUN, "peer_knows_no_replica")
             return
         if reply.status == REPLICAS_LOST_STATUS:
             self._end(DelegationResult.REPLICAS_LOST, "replicas_lost_at_peer")
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -72,6 +72,7 @@
     _longest_wait_ms: dict[str, float] = field(factory=dict)
     _fan_out_services: frozenset[str] = frozenset()
     _owned: frozenset[str] = frozenset()
+    _isolated: bool = False
     _shares_since_seconds: float = field(init=False)
     _exchange_max_seconds: float = EXCHANGE_SLACK_SECONDS
 
@@ -141,6 +142,7 @@
         """Drop replicas that are gone, and keep connections to the others open."""
         now_seconds = self.loop.time()
         self.peers.tend(now_seconds, self._exchange_max_seconds)
+        self._note_isolation(now_seconds)
         self.replicas.tend(now_seconds, self._exchange_max_seconds)
 
     # Read by requests.
@@ -214,19 +216,31 @@
         return self.budget(service).left(self.loop.time(), share=share)
 
     def _settle(self) -> None:
-        services = self.table.services if self.table is not None else {}
-        self._choose_owners(services)
+        """Take in a change of the replicas, the peers or the configuration."""
+        self._choose_owners(self.table.services if self.table is not None else {})
+        self._share_connections()
+        callback = self.on_first_table
+        if self.table is not None and callback is not None:
+            self.on_first_table = None
+            callback()
+
+    def _share_connections(self) -> None:
         self.replicas.share_connections(
-            services=services,
+            services=self.table.services if self.table is not None else {},
             fan_out_services=self._fan_out_services,
             instances=self.peers.live_count,
             domains=len(self.peers.members()),
             owned=self._owned,
+            isolated=self._isolated,
         )
-        callback = self.on_first_table
-        if self.table is not None and callback is not None:
-            self.on_first_table = None
-            callback()
+
+    def _note_isolation(self, now_seconds: float) -> None:
+        isolated = self.peers.isolated(now_seconds) and self.owners is not None
+        if isolated is self._isolated:
+            return
+        self._isolated = isolated
+        self.log.event("isolated" if isolated else "no_longer_isolated")
+        self._share_connections()
 
     def _choose_owners(self, services: Mapping[str, BackendService]) -> None:
         """Divide the shards among owners, if their connections are scarce."""
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -16,7 +16,7 @@
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_set import Choice, SharedWork
 from bronzebeam.gateway.routed import RoutedRequest
-from bronzebeam.gateway.shard_run import NO_REPLY, ShardRun
+from bronzebeam.gateway.shard_run import NO_REPLICA, NO_REPLY, ShardRun
 from bronzebeam.routing.crash_suspects import CrashEvidence
 from bronzebeam.routing.domain_groups import (
     ShardGroup,
@@ -28,7 +28,7 @@
     answer_without_missing_at,
     is_not_worth_sending,
 )
-from bronzebeam.routing.hedge_timing import peer_lost_after_ms
+from bronzebeam.routing.hedge_timing import peer_lost_after_ms, silent_peers_max
 from bronzebeam.units import MS_PER_SECOND
 
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
@@ -37,6 +37,7 @@
 TIMEOUT_STATUS: Final = 504
 TOO_SLOW: Final = "too_slow"
 REPLICAS_LOST: Final = "replicas_lost"
+BUDGET_SPENT: Final = "budget_spent"
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -52,6 +53,7 @@
 
     :ivar may_delegate: whether peers may be asked; not for what a peer has asked.
     :ivar ticket: place among the requests in flight; None for what a peer has asked.
+    :ivar repeated: another instance may have sent the request to replicas already.
     :ivar hedge_after_ms: wait before shards without a reply are sent to again.
     """
 
@@ -61,6 +63,7 @@
     may_delegate: bool
     hedge_after_ms: float
     ticket: Ticket | None = None
+    repeated: bool = False
     _parts: GatherParts = field(init=False)
     _delegations: list[Delegation] = field(factory=list)
     _evidence: CrashEvidence = field(factory=lambda: CrashEvidence(needs_proof=True))
@@ -127,6 +130,8 @@
         """Take a peer's records into the answer, or send to the replicas."""
         if self._done:
             return
+        if result is DelegationResult.ANSWERED:
+            self._drop_rivals(delegation)
         signatures: list[bytes | None] = [None] * len(delegation.shards)
         if result is DelegationResult.ANSWERED:
             signatures = delegation.signatures
@@ -149,6 +154,12 @@
                 return
         self._settle()
 
+    def _drop_rivals(self, delegation: Delegation) -> None:
+        """Ignore other peers with the same shards, so that no record counts twice."""
+        for other in self._delegations:
+            if other is not delegation and other.shards == delegation.shards:
+                other.abandon()
+
     def _note_reply(self) -> None:
         """Send what was held back while the request seemed to crash replicas."""
         was_suspicious = self._evidence.suspicious
@@ -240,14 +251,16 @@
         own_domain = self.context.state.own_domain
         return self.may_delegate and choice.replica.record.failure_domain != own_domain
 
-    def _delegate(self, group: ShardGroup) -> bool:
+    def _delegate(
+        self, group: ShardGroup, *, earlier: Delegation | None = None
+    ) -> bool:
         if group.owners is None and len(group.shards) < DELEGATED_MIN:
             return False
         used = [item.peer for item in self._delegations]
         peer = self.context.state.peers.choose(
             group.domain,
             # An owner of two slices takes both; its connections are the warm ones.
-            excluded=used if group.owners is None else (),
+            excluded=used if group.owners is None or earlier is not None else (),
             among=group.owners,
         )
         if peer is None:
@@ -260,6 +273,7 @@
             shards=group.shards,
             hedge_after_ms=self.hedge_after_ms,
             cutoff_at_seconds=self._cutoff_at_seconds,
+            earlier=earlier,
         )
         for index in group.shards:
             self._parts.shards[index].delegation = delegation
@@ -270,7 +284,14 @@
 
     def _send_first(self, run: ShardRun, choice: Choice) -> None:
         # A first sub-request counts where it is sent, so that the sum is right.
-        self.context.state.budget(run.service).count_first(self.context.loop.time())
+        budget = self.context.state.budget(run.service)
+        if not self.repeated:
+            budget.count_first(self.context.loop.time())
+        elif self.context.state.repeats_left(run.service) >= 1.0:
+            budget.count_repeat(self.context.loop.time())
+        else:
+            self._parts.give_up(run, BUDGET_SPENT)
+            return
         self._launch(run, choice.replica)
 
     def _send_again(
@@ -334,10 +355,12 @@
     def _shared_work(self, run: ShardRun) -> SharedWork | None:
         """Return what this instance shares the shard with, if it does."""
         if not self.may_delegate:
-            return SharedWork(domain=self.context.state.own_domain, at_peer=True)
+            return SharedWork(
+                domain=self.context.state.own_domain, free_choice=not self.repeated
+            )
         if run.delegation is not None:
             domain = run.delegation.peer.record.failure_domain
-            return SharedWork(domain=domain, at_peer=False)
+            return SharedWork(domain=domain, free_choice=False)
         return None
 
     def _repeat_allowed(self, run: ShardRun) -> bool:
@@ -385,18 +408,37 @@
         self._schedule_hedges()
 
     def _find_lost_peers(self) -> None:
-        """Send to the replicas of shards whose peer has said nothing."""
-        for delegation in self._delegations:
-            if self._done or delegation.ended or delegation.at_work:
-                continue
+        """Have the shards of peers that have said nothing gathered by others."""
+        if self._done:
+            return
+        silent = [
+            item for item in self._delegations if not item.ended and not item.at_work
+        ]
+        if len(silent) > silent_peers_max(len(self._delegations)):
+            return
+        for delegation in silent:
             delegation.note_late()
-            if self._evidence.suspicious:
+            if self._evidence.suspicious or self._hand_over_again(delegation):
                 continue
             for index in delegation.shards:
                 run = self._parts.shards[index]
                 if not run.settled and self._send_again(run, repeat=True):
                     self.context.metrics.repeated("late_peer")
 
+    def _hand_over_again(self, late: Delegation) -> bool:
+        """Hand the shards of a late peer to another owner, which has more budget."""
+        owners = self.context.state.owners
+        if owners is None:
+            return False
+        domain = late.peer.record.failure_domain
+        service = self.routed.route.shards[late.shards[0]]
+        group = ShardGroup(
+            domain=domain,
+            shards=late.shards,
+            owners=owners.owners(domain, owners.slice_of(service, domain)),
+        )
+        return not self._is_owner(group) and self._delegate(group, earlier=late)
+
     def _cutoff_passed(self) -> None:
         self._overdue = True
         self._settle()
@@ -427,6 +469,9 @@
             self._prove()
             return
         parts = self._parts
+        if parts.open == 0 and not parts.may_have_run:
+            self._fail(cause=NO_REPLICA, status=503)
+            return
         enough = parts.enough and (parts.included > 0 or self.answers.empty_allowed)
         if enough and (parts.open == 0 or self._overdue):
             self._answer()
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -3,13 +3,13 @@
 from collections.abc import Sequence
 from typing import Final
 
-from attrs import frozen
+import orjson
+from attrs import astuple, field, frozen, validators
 
 ORDER_HEADER: Final = b"bb-gather"
 RESULT_HEADER: Final = b"bb-parts"
-REFUSED_STATUS: Final = 409  # the peer has another configuration in force
+NOT_RUN_STATUS: Final = 503  # the peer has sent nothing
 REPLICAS_LOST_STATUS: Final = 424  # all replicas of the order were lost while at work
-SEPARATOR: Final = b";"
 PART_SEPARATOR: Final = b","
 MISSING: Final = b"-"
 
@@ -23,40 +23,35 @@
     """
     The part of a fan-out that a peer is to carry out.
 
-    Both instances must have the same configuration in force, so that positions say
-    which shards are meant.
+    It names the shards, so that it does not matter which version of the configuration
+    the peer has in force.
 
-    :ivar version: version of the configuration.
-    :ivar shards: positions of the shards within the route, in ascending order.
+    :ivar route: name of the request's route, under which reply times are kept.
+    :ivar shards: services that hold the shards; the reply has the same order.
     :ivar hedge_after_ms: time after which the peer sends again for its stragglers,
         and tells that it is at work.
     :ivar cutoff_ms: time after which shards that have not replied are left out.
+    :ivar repeated: another peer may have sent the request to replicas already.
     """
 
-    version: int
-    route: str
-    shards: tuple[int, ...]
-    hedge_after_ms: float
-    cutoff_ms: float
+    route: str = field(validator=validators.instance_of(str))
+    shards: tuple[str, ...] = field(
+        validator=[
+            validators.min_len(1),
+            validators.deep_iterable(validators.instance_of(str)),
+        ],
+    )
+    top_records: int = field(converter=int)
+    max_attempts: int = field(converter=int)
+    target_latency_ms: float = field(converter=float)
+    hedge_after_ms: float = field(converter=float)
+    cutoff_ms: float = field(converter=float)
+    repeated: bool = field(converter=bool)
 
 
 def encode_order(order: GatherOrder) -> bytes:
-    """
-    Encode an order as the value of `ORDER_HEADER`.
-
-    :raises ValueError: if its shards are not in ascending order, in which the peer
-        replies.
-    """
-    if list(order.shards) != sorted(set(order.shards)):
-        raise ValueError(f"shards out of order: {order.shards}")
-    bitmap = sum(1 << index for index in order.shards)
-    return b"%d;%s;%x;%d;%d" % (
-        order.version,
-        order.route.encode(),
-        bitmap,
-        order.hedge_after_ms,
-        order.cutoff_ms,
-    )
+    """Encode an order as the value of `ORDER_HEADER`."""
+    return orjson.dumps(astuple(order, recurse=False))
 
 
 def decode_order(value: bytes) -> GatherOrder:
@@ -66,16 +61,19 @@
     :raises MalformedOrder: if it can't be read.
     """
     try:
-        version, route, bitmap, hedge_after_ms, cutoff_ms = value.split(SEPARATOR)
-        bits = int(bitmap, 16)
+        fields = orjson.loads(value)
+        route, shards, top, attempts, target_ms, hedge_ms, cutoff_ms, repeated = fields
         return GatherOrder(
-            version=int(version),
-            route=route.decode(),
-            shards=tuple(i for i in range(bits.bit_length()) if bits >> i & 1),
-            hedge_after_ms=float(hedge_after_ms),
-            cutoff_ms=float(cutoff_ms),
+            route=route,
+            shards=tuple(shards),
+            top_records=top,
+            max_attempts=attempts,
+            target_latency_ms=target_ms,
+            hedge_after_ms=hedge_ms,
+            cutoff_ms=cutoff_ms,
+            repeated=repeated,
         )
-    except ValueError as error:
+    except (TypeError, ValueError) as error:
         raise MalformedOrder(str(error)) from error
 
 
--- a/src/bronzebeam/gateway/peer_gathers.py
+++ b/src/bronzebeam/gateway/peer_gathers.py
@@ -1,6 +1,5 @@
 """Carries out the groups of shards that peers hand over."""
 
-import attrs
 from attrs import define
 
 from bronzebeam.gateway.context import GatewayContext
@@ -8,7 +7,6 @@
 from bronzebeam.gateway.gather_answers import PeerAnswers
 from bronzebeam.gateway.peer_codec import (
     ORDER_HEADER,
-    REFUSED_STATUS,
     GatherOrder,
     MalformedOrder,
     decode_order,
@@ -26,26 +24,27 @@
     context: GatewayContext
 
     def handle(self, request: CallerRequest) -> None:
-        """Gather the shards of an order, if the same configuration is in force."""
+        """Gather the shards of an order, whatever configuration is in force here."""
         try:
             order = decode_order(request.header(ORDER_HEADER))
         except MalformedOrder as error:
             self.context.log.event("malformed_order", cause=str(error))
             request.answer(status=400, headers=[], body=b"")
             return
-        route = self._find(order)
         facts = self.context.dialect.read_request(request.headers)
-        if route is None or facts.remaining_ms is None:
-            request.answer(status=REFUSED_STATUS, headers=[], body=b"")
+        remaining_ms = facts.remaining_ms
+        if remaining_ms is None:
+            self.context.log.event("malformed_order", cause="no remaining time")
+            request.answer(status=400, headers=[], body=b"")
             return
         request.headers = [item for item in request.headers if item[0] != ORDER_HEADER]
         arrived_at = request.arrived_at_seconds
         routed = RoutedRequest(
             request=request,
             facts=facts,
-            route=route,
-            version=order.version,
-            deadline_at_seconds=arrived_at + facts.remaining_ms / MS_PER_SECOND,
+            route=_route_of(order, timeout_ms=remaining_ms),
+            version=0,
+            deadline_at_seconds=arrived_at + remaining_ms / MS_PER_SECOND,
             target_at_seconds=arrived_at + order.cutoff_ms / MS_PER_SECOND,
             head=self.context.dialect.request_head(request),
         )
@@ -54,18 +53,21 @@
             routed=routed,
             answers=PeerAnswers(context=self.context, routed=routed),
             may_delegate=False,
+            repeated=order.repeated,
             hedge_after_ms=order.hedge_after_ms,
         ).start()
 
-    def _find(self, order: GatherOrder) -> Route | None:
-        table = self.context.state.table
-        if table is None or table.version != order.version:
-            return None
-        route = table.named(order.route)
-        if route is None or not order.shards or order.shards[-1] >= len(route.shards):
-            return None
-        return attrs.evolve(
-            route,
-            shards=tuple(route.shards[index] for index in order.shards),
-            least_shard_share=0.0,
-        )
+
+def _route_of(order: GatherOrder, *, timeout_ms: float) -> Route:
+    return Route(
+        name=order.route,
+        host="",
+        path_prefix=b"",
+        idempotent=True,
+        timeout_ms=timeout_ms,
+        target_latency_ms=order.target_latency_ms,
+        max_attempts=order.max_attempts,
+        priority=0,
+        shards=order.shards,
+        top_records=order.top_records,
+    )
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -16,6 +16,8 @@
 AVOIDED_FIRST_SECONDS: Final = 0.5  # after a refusal, or a reply that came too late
 AVOIDED_MAX_SECONDS: Final = 8.0
 OWN_CORES: Final = 1.0  # until this instance has seen its own record
+ISOLATED_SECONDS: Final = 1.0  # peers that restart, or idle connections, are back
+REACHED_SHARE_MIN: Final = 0.5  # below it, orders find too few owners
 SILENCE_MAX_MS: Final = 30.0  # beyond the usual reply of a peer that is well
 
 
@@ -62,12 +64,20 @@
     rng: random.Random
     records: dict[str, InstanceRecord] = field(factory=dict)
     _peers: dict[str, Peer] = field(factory=dict)
+    _reached_at_seconds: float = 0.0
 
     @property
     def live_count(self) -> int:
         """Return the number of live instances, this one included."""
         return len(self.records.keys() | {self.instance})
 
+    def isolated(self, now_seconds: float) -> bool:
+        """Whether most of several peers have been out of reach for a while."""
+        reached = sum(1 for item in self._peers.values() if item.pool.open_connections)
+        if len(self._peers) < 2 or reached >= len(self._peers) * REACHED_SHARE_MIN:
+            self._reached_at_seconds = now_seconds
+        return now_seconds - self._reached_at_seconds > ISOLATED_SECONDS
+
     def members(self) -> dict[str, dict[str, float]]:
         """Return the processor cores of the live instances of each failure domain."""
         members: dict[str, dict[str, float]] = {self.own_domain: {}}
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -58,14 +58,14 @@
 
     They have no time to talk, yet together may use no more replicas than the route
     allows. So both keep to the home replicas, one fewer than that, of which those in
-    the peer's failure domain come first; only the peer may use one other replica.
+    the peer's failure domain come first; only the first peer may use one other replica.
 
     :ivar domain: failure domain of the peer.
-    :ivar at_peer: this instance is the peer.
+    :ivar free_choice: this instance is that first peer.
     """
 
     domain: str
-    at_peer: bool
+    free_choice: bool
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -168,6 +168,7 @@
         instances: int,
         domains: int,
         owned: Collection[str],
+        isolated: bool,
     ) -> None:
         """
         Divide the replicas' connections among the instances.
@@ -177,6 +178,7 @@
         :param instances: live instances, this one included.
         :param domains: failure domains with live instances.
         :param owned: shards that this instance is an owner of.
+        :param isolated: this instance reaches few of its peers.
         """
         for service, replicas in self._by_service.items():
             limit = _connection_limit(services.get(service))
@@ -187,6 +189,7 @@
                     domains=domains,
                     own_domain=replica.record.failure_domain == self.own_domain,
                     owner=service in owned or service not in fan_out_services,
+                    isolated=isolated,
                 )
                 replica.pool.connections_max = share.most
                 fan_out = service in fan_out_services
@@ -218,7 +221,7 @@
         replicas: Sequence[Replica] = self._by_service.get(service, ())
         if shared is not None and len(replicas) > route.max_attempts:
             home = _home_replicas(replicas, shared.domain, route.max_attempts - 1)
-            if not shared.at_peer or any(item not in home for item in excluded):
+            if not shared.free_choice or any(item not in home for item in excluded):
                 replicas = home
         for replica in replicas:
             if replica in excluded or not self._usable(replica, now_seconds):
--- a/src/bronzebeam/gateway/routed.py
+++ b/src/bronzebeam/gateway/routed.py
@@ -13,7 +13,8 @@
     """
     A request with its route, pinned for as long as it takes.
 
-    :ivar version: version of the configuration that the route is from.
+    :ivar version: version of the configuration that the route is from; 0 if a peer
+        has given the order.
     :ivar deadline_at_seconds: monotonic time after which the caller has left.
     :ivar target_at_seconds: monotonic time until which an answer is of full use.
     :ivar head: request line and headers that every attempt carries.
--- a/src/bronzebeam/routing/connection_shares.py
+++ b/src/bronzebeam/routing/connection_shares.py
@@ -8,8 +8,8 @@
 
 SHARED_MIN: Final = 2  # two fan-outs may meet on a replica
 SHARED_MAX: Final = 12  # more would only queue at the replica
-OWN_DOMAIN_SHARE: Final = 0.5  # of the limit, for the owners beside the replica
-OTHER_DOMAIN_SHARE: Final = 0.3  # for owners elsewhere; the rest for those that step in
+OWN_DOMAIN_SHARE: Final = 0.3  # of the limit, for the owners beside the replica
+OTHER_DOMAIN_SHARE: Final = 0.2  # for owners elsewhere; the rest for those that step in
 SPARE_INSTANCES: Final = 2  # newcomers find room before others have heard of them
 
 
@@ -37,26 +37,36 @@
 
 
 def share_connections(
-    *, limit: int, instances: int, domains: int, own_domain: bool, owner: bool
+    *,
+    limit: int,
+    instances: int,
+    domains: int,
+    own_domain: bool,
+    owner: bool,
+    isolated: bool,
 ) -> ConnectionShare:
     """
     Divide a replica's connections.
 
     Where they are scarce, the owners of the replica's shard in each failure domain
     share them, and the others hold none: they hand the shard to an owner, and open a
-    connection only if that fails.
+    connection only if that fails. An instance that reaches few of its peers has to
+    send to the replicas itself, and keeps a connection to each beside it.
 
     :param limit: connections that the replica takes from all callers.
     :param instances: live instances, this one included.
     :param domains: failure domains with live instances.
     :param own_domain: the replica is in this instance's failure domain.
     :param owner: this instance is an owner of the replica's shard.
+    :param isolated: this instance reaches few of its peers.
     """
     if not is_scarce(limit=limit, instances=instances):
         for_all = limit // (instances + SPARE_INSTANCES)
         most = min(max(for_all, SHARED_MIN), SHARED_MAX)
         return ConnectionShare(most=most, warm=SHARED_MIN if own_domain else 1)
     if not owner:
+        if isolated and own_domain:
+            return ConnectionShare(most=SHARED_MIN, warm=1)
         return ConnectionShare(most=1, warm=0)
     if own_domain:
         most = min(max(int(limit * OWN_DOMAIN_SHARE) // OWNERS, 1), SHARED_MAX)
--- a/src/bronzebeam/routing/domain_groups.py
+++ b/src/bronzebeam/routing/domain_groups.py
@@ -60,7 +60,7 @@
     Shards that one peer gathers.
 
     :ivar domain: failure domain of the peer.
-    :ivar shards: in ascending order, which is that of the peer's reply.
+    :ivar shards: in ascending order.
     :ivar owners: instances that the peer must be one of; None if any will do.
     """
 
--- a/src/bronzebeam/routing/hedge_timing.py
+++ b/src/bronzebeam/routing/hedge_timing.py
@@ -7,6 +7,7 @@
 FAN_OUT_SHARE_MAX: Final = 0.3  # of the target; the slowest second send decides
 SINGLE_SHARE_MAX: Final = 0.6  # of the target; its work itself may take long
 PEER_SLACK_MS: Final = 12.0  # two hops, and the peer's own queue of events
+SILENT_PEERS_DIVISOR: Final = 4  # losses are rare, and come one or two at a time
 DELAY_MIN_MS: Final = 4.0  # below, a busy instance would hedge its own delays
 
 
@@ -34,3 +35,15 @@
         and tells that it is at work.
     """
     return hedge_after_ms + PEER_SLACK_MS
+
+
+def silent_peers_max(peers: int) -> int:
+    """
+    Return how many of a request's peers may count as lost at a time.
+
+    Answers the load of instances that are all busy: where many peers have said nothing
+    yet, what they do is slow and not lost, and doing it twice makes them slower.
+
+    :param peers: number of peers that the request was divided among.
+    """
+    return max(1, peers // SILENT_PEERS_DIVISOR)
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -9,7 +9,11 @@
     answer_without_missing_at,
     is_not_worth_sending,
 )
-from bronzebeam.routing.hedge_timing import peer_lost_after_ms, second_send_after_ms
+from bronzebeam.routing.hedge_timing import (
+    peer_lost_after_ms,
+    second_send_after_ms,
+    silent_peers_max,
+)
 from bronzebeam.routing.pace import FailureRate, ReplicaPace, TypicalLatency
 from bronzebeam.routing.record_merge import RECORD_BYTES, merge_greatest
 from bronzebeam.routing.refusal import retry_after_seconds
@@ -324,6 +328,10 @@
     assert peer_lost_after_ms(delay_ms) > delay_ms
 
 
+def test_one_silent_peer_is_lost_and_many_are_busy() -> None:
+    assert [silent_peers_max(peers) for peers in (1, 3, 6, 8, 16)] == [1, 1, 1, 2, 4]
+
+
 def test_a_straggler_is_waited_for_until_the_target_and_briefly_past_it() -> None:
     at = answer_without_missing_at(
         target_at_seconds=10.09, now_seconds=10.0, typical_ms=10.0
