Answer at the target also while replicas are slow

The wait for further shards was the longer one of the time to the target and four usual replies; while replicas are slow the usual reply takes 24 ms, and four of them end past the target. Peers did the same, so the sender had their groups after its own target.

Change: four usual replies are waited for only where less than one fits before the target. A peer keeps to the time in its order.

Ruled out: the time of the hop to the peer (its own lines show the late answer).

--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -79,11 +79,13 @@
         routed = self.routed
         loop = self.context.loop
         routed.request.on_gone = self._caller_gone
-        self._cutoff_at_seconds = answer_without_missing_at(
-            target_at_seconds=routed.target_at_seconds,
-            now_seconds=loop.time(),
-            typical_ms=self.context.state.typical(routed.route).typical_ms,
-        )
+        self._cutoff_at_seconds = routed.target_at_seconds
+        if self.may_delegate:
+            self._cutoff_at_seconds = answer_without_missing_at(
+                target_at_seconds=routed.target_at_seconds,
+                now_seconds=loop.time(),
+                typical_ms=self.context.state.typical(routed.route).typical_ms,
+            )
         self._peers_lost_at = loop.time() + (
             peer_lost_after_ms(self.hedge_after_ms) / MS_PER_SECOND
         )
--- a/src/bronzebeam/routing/gather_timing.py
+++ b/src/bronzebeam/routing/gather_timing.py
@@ -34,11 +34,14 @@
     Return the monotonic time at which waiting for further shards stops.
 
     Until the target latency a further shard is pure gain; past it the whole answer
-    loses most of its use. A request that arrives past its target gets a short wait.
+    loses most of its use, also while replicas are slow and further shards would be in
+    soon. A request that arrives too late for its target gets a short wait.
     """
     at_seconds = target_at_seconds - ANSWER_MARGIN_MS / MS_PER_SECOND
-    latest_seconds = now_seconds + typical_ms * LATE_WAIT_FACTOR / MS_PER_SECOND
-    return max(at_seconds, latest_seconds)
+    typical_seconds = typical_ms / MS_PER_SECOND
+    if at_seconds - now_seconds >= typical_seconds:
+        return at_seconds
+    return now_seconds + typical_seconds * LATE_WAIT_FACTOR
 
 
 def is_not_worth_sending(
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -287,6 +287,23 @@
     with_cluster(scenario)
 
 
+def test_straggler_at_a_peer_makes_no_answer_late() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        asker, near = await two_domains(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.03
+        for number in range(30):
+            # What a reply usually takes rises, and with it what would be waited for.
+            await cluster.ask(asker, GATHER_PATH, attempt_id=f"w-{number}")
+        for replica in replicas_of(cluster, "shard-0"):
+            replica.work_seconds = 0.4
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200 and answer.missing == 1
+        assert answer.elapsed_seconds < 0.09
+
+    with_cluster(scenario)
+
+
 def test_shard_missing_at_the_peer_is_missing_in_the_answer() -> None:
     async def scenario(cluster: Cluster) -> None:
         asker, near = await two_domains(cluster)
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -341,6 +341,11 @@
         target_at_seconds=9.5, now_seconds=10.0, typical_ms=10.0
     )
     assert late == 10.04
+    # Replicas that are slow make no answer worth more that is late.
+    slow = answer_without_missing_at(
+        target_at_seconds=10.09, now_seconds=10.0, typical_ms=40.0
+    )
+    assert slow == at
 
 
 @COMMON
