Have two instances of a large failure domain watch the store for the others

Change: in a failure domain of five instances or more two watch the store and the others ask one of them (change_feed.py), in the product's records. A source that is silent for 1.2 s, has not heard from the store within 3 s or is about to stop is left for a watch of one's own. With bounds on changes below 4.5 s nothing changes, nor in small domains.

A follower that is ahead now waits, one that is behind watches the store itself; both tests failed first.

Ruled out: one watcher for the fleet (changes between domains are paid for), a longer pause between watches (later changes for a third of the gain).

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -12,6 +12,8 @@
 
 from bronzebeam.findings import FindingsError
 from bronzebeam.gateway.admission import Admission
+from bronzebeam.gateway.change_feed import FEED_PATH, ChangeFeed, ChangeFeedServer
+from bronzebeam.gateway.change_log import ChangeLog
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.dialect import Dialect
@@ -86,6 +88,9 @@
     _peer_gathers: PeerGathers = field(init=False)
     _readiness: Readiness = field(init=False)
     _suspects: SuspectReports = field(init=False)
+    _watch: StoreWatch = field(init=False)
+    _changes: ChangeLog = field(factory=ChangeLog, init=False)
+    _feed_server: ChangeFeedServer = field(init=False)
     _stop: asyncio.Event = field(init=False)
     background_tasks: list[asyncio.Task[None]] = field(factory=list, init=False)
     _store: GatewayStore = field(init=False)
@@ -102,8 +107,22 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        watch = StoreWatch(
-            store=store, state=self._state, loop=loop, log=self.log, rng=self.rng
+        self._watch = watch = StoreWatch(
+            store=store,
+            state=self._state,
+            loop=loop,
+            log=self.log,
+            rng=self.rng,
+            changes=self._changes,
+            feed=ChangeFeed(
+                change_bound_seconds=self.settings.change_bound_seconds,
+                instance=self.settings.instance,
+                own_domain=self.settings.failure_domain,
+                peers=self._state.peers,
+                log=self.log,
+                rng=self.rng,
+                loop=loop,
+            ),
         )
         registration = Registration(
             store=store,
@@ -138,6 +157,7 @@
         for task in self.background_tasks:
             task.cancel()
         store.close()
+        watch.feed.close()
         self.log.event("ended", exit_code=exit_code)
         self.log.flush()
         return exit_code
@@ -190,6 +210,9 @@
         self._state.on_first_table = router.configuration_taken
         self._server = CallerServer(handle=router.handle, loop=loop)
         self._peer_gathers = PeerGathers(context=context)
+        self._feed_server = ChangeFeedServer(
+            log=self._changes, following=self._is_following, loop=loop
+        )
         self._peer_server = CallerServer(handle=self._answer_peer, loop=loop)
         return self.make_store(settings, self.log)
 
@@ -215,9 +238,15 @@
     def _answer_peer(self, request: CallerRequest) -> None:
         if request.header(ORDER_HEADER):
             self._peer_gathers.handle(request)
+        elif request.path == FEED_PATH:
+            self._feed_server.handle(request)
         else:
             self._answer_internal(request)
 
+    def _is_following(self) -> bool:
+        # Peers that follow this instance are to turn elsewhere before it stops.
+        return self._watch.following and not self._readiness.stopping
+
     def _answer_internal(self, request: CallerRequest) -> None:
         if request.path == self.settings.ready_path:
             reason = self._readiness.not_ready_reason()
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -70,6 +70,9 @@
     SUSPECT = "suspect"
 
 
+RecordValue = RouteTable | ReplicaRecord | InstanceRecord | SuspectRecord
+
+
 @frozen(kw_only=True)
 class Change:
     """
@@ -84,7 +87,7 @@
     kind: RecordKind
     name: str
     removed: bool = False
-    value: RouteTable | ReplicaRecord | InstanceRecord | SuspectRecord | None = None
+    value: RecordValue | None = None
 
 
 @frozen(kw_only=True)
--- a/src/bronzebeam/gateway/settings.py
+++ b/src/bronzebeam/gateway/settings.py
@@ -20,6 +20,7 @@
     :ivar processor_cores: processor that the process may use.
     :ivar lease_min_ms: shortest term of a lease that the store grants.
     :ivar stop_bound_seconds: time from the signal to stop until the process is killed.
+    :ivar change_bound_seconds: time within which changes of the store are in force.
     :ivar repeats: bound on repeated sub-requests, over all instances.
     """
 
@@ -33,4 +34,5 @@
     processor_cores: float
     lease_min_ms: float
     stop_bound_seconds: float
+    change_bound_seconds: float
     repeats: SecondSendLimits
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -1,12 +1,16 @@
 """Keeps the state of the fleet as the platform's store has it."""
 
 import asyncio
+import math
 import random
+from collections.abc import Sequence
 from typing import Final
 
 from attrs import define, field
 
 from bronzebeam.gateway.backoff import Backoff
+from bronzebeam.gateway.change_feed import ChangeFeed, FeedLost
+from bronzebeam.gateway.change_log import ChangeLog
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.records import (
     Change,
@@ -21,6 +25,7 @@
 WATCH_WAIT_SECONDS: Final = 20.0  # a watch that waits is one call
 PROVING_WAIT_SECONDS: Final = 1.0  # after a failure, until a watch has been answered
 CHECK_SECONDS: Final = 2.0  # a watch that was lost in silence is found in time
+HEARD_SECONDS: Final = 3.0  # longer than between two checks of a watch
 CHECK_SLACK_SECONDS: Final = 0.4  # a change that is on its way arrives within
 COALESCE_SECONDS: Final = 1.0  # changes come in bursts; bounds on them are seconds
 BACKLOG_MIN: Final = 100  # an answer with so many changes may be cut short
@@ -35,6 +40,8 @@
 
     While the store can't be reached, what was last known stays in force.
 
+    :ivar changes: what was taken in, for peers that follow this instance.
+    :ivar feed: peer that tells of changes in place of the store, if there is one.
     :ivar connected: the last call was answered.
     """
 
@@ -43,10 +50,13 @@
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
     rng: random.Random
+    changes: ChangeLog
+    feed: ChangeFeed
     connected: bool = False
     _backoff: Backoff = field(init=False)
     _proven: bool = False
     _lost_at_seconds: float | None = None
+    _heard_at_seconds: float = -math.inf
 
     def __attrs_post_init__(self) -> None:
         self._backoff = Backoff(rng=self.rng)
@@ -57,25 +67,44 @@
         while True:
             try:
                 if revision is None:
-                    contents = await self.store.read()
-                    revision = contents.revision
-                    self._note_answered(revision)
-                    self.state.replace(contents)
+                    revision = await self._read()
+                elif self.feed.available():
+                    revision, changes = await self.feed.watch(revision)
+                    self._take(revision, changes)
                 else:
                     revision, changes = await self._watch(revision)
                     self._proven = True
                     self._note_answered(revision)
-                    self.state.apply(changes)
+                    self._take(revision, changes)
                     if 0 < len(changes) < BACKLOG_MIN:
                         await asyncio.sleep(COALESCE_SECONDS)
             except HistoryLost as error:
                 self.log.event("store_history_lost", cause=str(error))
                 revision = None
+            except FeedLost:
+                self._proven = False
             except StoreUnavailable as error:
                 self._proven = False
                 self._note_lost(error)
                 await asyncio.sleep(self._backoff.next_seconds())
 
+    @property
+    def following(self) -> bool:
+        """Whether this instance follows the store itself and heard from it lately."""
+        age_seconds = self.loop.time() - self._heard_at_seconds
+        return self.connected and age_seconds < HEARD_SECONDS
+
+    async def _read(self) -> int:
+        contents = await self.store.read()
+        self._note_answered(contents.revision)
+        self.state.replace(contents)
+        self.changes.restart(contents.revision)
+        return contents.revision
+
+    def _take(self, revision: int, changes: Sequence[Change]) -> None:
+        self.state.apply(changes)
+        self.changes.append(revision, changes)
+
     async def _watch(self, revision: int) -> tuple[int, list[Change]]:
         """Watch, and make sure meanwhile that the watch has not been forgotten."""
         wait_seconds = WATCH_WAIT_SECONDS if self._proven else PROVING_WAIT_SECONDS
@@ -84,7 +113,11 @@
         )
         try:
             while not (await asyncio.wait({watch}, timeout=CHECK_SECONDS))[0]:
-                if not self._proven or await self.store.latest_revision() <= revision:
+                if not self._proven:
+                    continue
+                latest = await self.store.latest_revision()
+                self._heard_at_seconds = self.loop.time()
+                if latest <= revision:
                     continue
                 done, _ = await asyncio.wait({watch}, timeout=CHECK_SLACK_SECONDS)
                 if not done:
@@ -95,6 +128,7 @@
 
     def _note_answered(self, revision: int) -> None:
         self._backoff.reset()
+        self._heard_at_seconds = self.loop.time()
         if self.connected:
             return
         self.connected = True
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -10,9 +10,11 @@
 from bronzebeam.platform.names import READY_PATH
 from bronzebeam.platform.settings_lines import CALLER_ADDRESS, split_lines
 from bronzebeam.routing.second_sends import SecondSendLimits
+from bronzebeam.units import MS_PER_SECOND
 
 # Used where the file lacks a bound; each is the value of the present deployments.
 STOP_BOUND_SECONDS: Final = 6.0
+CHANGE_BOUND_MS: Final = 3_000.0  # the tightest of the known deployments
 REPEAT_RATIO: Final = 0.2
 REPEAT_SLACK: Final = 0.0
 REPEAT_WINDOW_SECONDS: Final = 10.0
@@ -65,6 +67,11 @@
             * reader.number("limits.cpuCores", 1.0),
         ),
         lease_min_ms=reader.number("platform.minTtlMs", LEASE_MIN_MS),
+        change_bound_seconds=min(
+            reader.number("bounds.drainTimeoutMs", CHANGE_BOUND_MS),
+            reader.number("bounds.configApplyMs", CHANGE_BOUND_MS),
+        )
+        / MS_PER_SECOND,
         stop_bound_seconds=reader.number("bounds.gracePeriodS", STOP_BOUND_SECONDS),
         repeats=SecondSendLimits(
             ratio=reader.number("bounds.retryBudgetRatio", REPEAT_RATIO),
