Take two late replies in a row as proof of a slow replica

A running median that rises by a fifth needs four late replies to move traffic elsewhere, half of the eight seconds that replicas stay slow.

Change: two replies of three times the usual or more, too far apart for one pause and with no ordinary one between, give the replica's pace at once. Replicas pause for 4 in 100 of the time, so that two pauses in a row are rare, and the pace is forgotten within seconds.

Ruled out: a larger step (one pause would then send traffic elsewhere for seconds).

--- a/src/bronzebeam/routing/pace.py
+++ b/src/bronzebeam/routing/pace.py
@@ -10,6 +10,8 @@
 SURELY_FASTER_BAND: Final = 0.5  # below it lies no reply of a replica of this pace
 SLOWER_BAND: Final = 1.3  # ratios up to here are ordinary spread
 PAUSE_MAX_MS: Final = 200.0  # twice the pauses that the users' replicas make
+LATE_RATIO: Final = 3.0  # a pause, or a slow replica
+SAME_PAUSE_SECONDS: Final = 0.12  # replies that a pause holds up come within this time
 SURE_SHARE: Final = 0.9  # part of one reply's ratio that is taken as the pace
 FACTOR_MIN: Final = 0.5
 FACTOR_MAX: Final = 100.0
@@ -35,6 +37,8 @@
 
     factor: float = 1.0
     observed_at_seconds: float = -math.inf
+    _late_ratio: float = 0.0
+    _late_at_seconds: float = math.inf
 
     def at(self, now_seconds: float) -> float:
         """Return the factor, which returns to 1 while nothing is observed."""
@@ -53,14 +57,16 @@
         Take in one reply.
 
         One that took longer than any pause shows a slow replica by itself: where
-        requests are long and few, several would have to be late otherwise.
+        requests are long and few, several would have to be late otherwise. So do two
+        late ones in a row that no single pause can have held up.
 
         :param typical_ms: usual reply time of its route.
         """
         factor = self.at(now_seconds)
         ratio = latency_ms / typical_ms
-        if latency_ms - typical_ms > PAUSE_MAX_MS and ratio > factor:
-            factor = min(max(factor * SLOWER_STEP, ratio * SURE_SHARE), FACTOR_MAX)
+        sure_ratio = self._sure_ratio(ratio, latency_ms - typical_ms, now_seconds)
+        if sure_ratio > factor:
+            factor = min(max(factor * SLOWER_STEP, sure_ratio * SURE_SHARE), FACTOR_MAX)
         elif ratio > factor * SLOWER_BAND:
             factor = min(factor * SLOWER_STEP, FACTOR_MAX)
         elif ratio < factor * SURELY_FASTER_BAND:
@@ -71,6 +77,20 @@
         self.factor = factor
         self.observed_at_seconds = now_seconds
 
+    def _sure_ratio(self, ratio: float, excess_ms: float, now_seconds: float) -> float:
+        """Return by how much the replica is certainly slower; 0 if that is open."""
+        earlier_ratio, earlier_at = self._late_ratio, self._late_at_seconds
+        if ratio < LATE_RATIO:
+            self._late_ratio, self._late_at_seconds = 0.0, math.inf
+            return 0.0
+        if earlier_at == math.inf:
+            self._late_ratio, self._late_at_seconds = ratio, now_seconds
+        if excess_ms > PAUSE_MAX_MS:
+            return ratio
+        if now_seconds - earlier_at > SAME_PAUSE_SECONDS:
+            return min(ratio, earlier_ratio)
+        return 0.0
+
 
 @define(kw_only=True, eq=False, repr=False)
 class FailureRate:
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -292,6 +292,27 @@
     assert slack_share(instances=8, owners=None, owner=True) == 1 / 8
 
 
+def test_two_late_replies_in_a_row_show_a_slow_replica() -> None:
+    """Answers the load of replicas that turn slow while each sees few requests."""
+    pace = ReplicaPace()
+    pace.observe(latency_ms=80.0, typical_ms=10.0, now_seconds=1.0)
+    assert pace.at(1.0) < ORDINARY_PACE
+    pace.observe(latency_ms=60.0, typical_ms=10.0, now_seconds=1.5)
+    assert 5.0 < pace.at(1.5) < 6.0
+
+
+def test_replies_that_one_pause_holds_up_show_nothing() -> None:
+    pace = ReplicaPace()
+    for at in (1.0, 1.01, 1.05):
+        pace.observe(latency_ms=90.0, typical_ms=10.0, now_seconds=at)
+    assert pace.at(1.05) < 2.0
+    pace.observe(latency_ms=10.0, typical_ms=10.0, now_seconds=1.2)
+    before = pace.at(2.0)
+    # An ordinary reply lay between the two pauses.
+    pace.observe(latency_ms=90.0, typical_ms=10.0, now_seconds=2.0)
+    assert pace.at(2.0) <= before * 1.25
+
+
 def test_failures_count_more_where_nothing_may_be_repeated() -> None:
     rate = FailureRate()
     for at in range(3):
