Ask an owner again for shards that an answer needs, and split the orders off

Change: where an answer would lack its least share, the owner is asked once more for the shards that it left out, with half of the time left.

Found on reading the diff: a peer's reply that cleared a request from suspicion had its own shards sent again before they were taken in; and a reply without any shard ended the order that took its place. The test of the first failed before.

Ruled out: a peer that waits past the target for its whole group (one straggler would then keep all its shards from an answer that can do without that one).

Test: an answer that needs a paused shard is late and whole, where it was a 502.

--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -58,7 +58,7 @@
     One order to one peer.
 
     :ivar shards: positions of the shards within the route.
-    :ivar earlier: order for the same shards to a peer that was late.
+    :ivar earlier: order for the same shards that was late or left them out.
     :ivar signatures: of the shards in the reply, in the same order.
     :ivar body: greatest records of those shards.
     :ivar late: the owner no longer waits for it alone.
--- a/src/bronzebeam/gateway/gather.py
+++ b/src/bronzebeam/gateway/gather.py
@@ -10,6 +10,7 @@
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation import Delegation, DelegationResult
 from bronzebeam.gateway.gather_answers import GatherAnswers
+from bronzebeam.gateway.gather_orders import GatherOrders
 from bronzebeam.gateway.gather_parts import GatherParts
 from bronzebeam.gateway.outcome import Outcome
 from bronzebeam.gateway.peer_codec import REPLICAS_LOST_STATUS
@@ -18,21 +19,15 @@
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.gateway.shard_run import NO_REPLICA, NO_REPLY, ShardRun
 from bronzebeam.routing.crash_suspects import CrashEvidence
-from bronzebeam.routing.domain_groups import (
-    ShardGroup,
-    group_by_domain,
-    group_by_owner,
-    split_evenly,
-)
+from bronzebeam.routing.domain_groups import group_by_domain
 from bronzebeam.routing.gather_timing import (
     answer_without_missing_at,
     is_not_worth_sending,
 )
-from bronzebeam.routing.hedge_timing import peer_lost_after_ms, silent_peers_max
+from bronzebeam.routing.hedge_timing import peer_lost_after_ms
 from bronzebeam.units import MS_PER_SECOND
 
 REJECTED_MAX: Final = 4  # sends of one sub-request that replicas may turn away
-DELEGATED_MIN: Final = 2  # a single shard costs a peer as much as it saves
 BAD_GATEWAY: Final = 502
 TIMEOUT_STATUS: Final = 504
 TOO_SLOW: Final = "too_slow"
@@ -65,7 +60,7 @@
     ticket: Ticket | None = None
     repeated: bool = False
     _parts: GatherParts = field(init=False)
-    _delegations: list[Delegation] = field(factory=list)
+    _orders: GatherOrders = field(init=False)
     _evidence: CrashEvidence = field(factory=lambda: CrashEvidence(needs_proof=True))
     _done: bool = False
     _overdue: bool = False
@@ -90,6 +85,14 @@
             peer_lost_after_ms(self.hedge_after_ms) / MS_PER_SECOND
         )
         self._parts = GatherParts(route=routed.route)
+        self._orders = GatherOrders(
+            context=self.context,
+            routed=routed,
+            owner=self,
+            parts=self._parts,
+            hedge_after_ms=self.hedge_after_ms,
+            cutoff_at_seconds=self._cutoff_at_seconds,
+        )
         self._send_all()
         if self._done:
             return
@@ -97,7 +100,7 @@
             loop.call_at(routed.deadline_at_seconds, self._deadline_passed),
             loop.call_at(self._cutoff_at_seconds, self._cutoff_passed),
         ]
-        if self._delegations:
+        if self._orders.delegations:
             self._timers.append(
                 loop.call_at(self._peers_lost_at, self._find_lost_peers)
             )
@@ -132,15 +135,16 @@
         """Take a peer's records into the answer, or send to the replicas."""
         if self._done:
             return
-        if result is DelegationResult.ANSWERED:
-            self._drop_rivals(delegation)
+        replied = False
         signatures: list[bytes | None] = [None] * len(delegation.shards)
         if result is DelegationResult.ANSWERED:
             signatures = delegation.signatures
-            if any(signatures):
-                self._note_reply()
+            replied = any(signatures)
+            if replied:
+                self._orders.drop_rivals(delegation)
         elif result is DelegationResult.REPLICAS_LOST:
             self._evidence.note_lost(len(delegation.shards))
+        missing = []
         for index, signature in zip(delegation.shards, signatures):
             run = self._parts.shards[index]
             if signature is not None:
@@ -151,17 +155,16 @@
                     continue
                 repeat = result is not DelegationResult.NOT_RUN
                 if not self._send_again(run, repeat=repeat):
-                    self._parts.give_up(run, run.cause)
+                    missing.append(run)
             if self._done:
                 return
+        if missing and not self._orders.ask_again(delegation, missing):
+            for run in missing:
+                self._parts.give_up(run, run.cause)
+        if replied:
+            self._note_reply()
         self._settle()
 
-    def _drop_rivals(self, delegation: Delegation) -> None:
-        """Ignore other peers with the same shards, so that no record counts twice."""
-        for other in self._delegations:
-            if other is not delegation and other.shards == delegation.shards:
-                other.abandon()
-
     def _note_reply(self) -> None:
         """Send what was held back while the request seemed to crash replicas."""
         was_suspicious = self._evidence.suspicious
@@ -205,85 +208,22 @@
             rng=self.context.rng,
         )
         choices = {**near, **elsewhere}
-        direct, groups = self._divide(list(near), by_domain)
-        # Orders go first: their replies take longer.
-        for group in groups:
-            if not self._delegate(group):
-                direct.extend(group.shards)
+        direct = list(near)
+        if self.may_delegate:
+            direct, groups = self._orders.divide(direct, by_domain)
+            # Orders go first: their replies take longer.
+            for group in groups:
+                if not self._orders.hand_over(group):
+                    direct.extend(group.shards)
         for index in direct:
             self._send_first(self._parts.shards[index], choices[index])
             if self._done:
                 return
 
-    def _divide(
-        self, near: list[int], by_domain: list[tuple[str, tuple[int, ...]]]
-    ) -> tuple[list[int], list[ShardGroup]]:
-        """
-        Divide the shards into those that are sent from here, and groups for peers.
-
-        :param near: shards whose replica is in this instance's failure domain.
-        :param by_domain: the others, by the failure domain of their replica.
-        """
-        state = self.context.state
-        if not self.may_delegate:
-            return near, []
-        if state.owners is None:
-            own, *others = split_evenly(near)
-            by_domain = by_domain + [(state.own_domain, item) for item in others]
-            groups = [
-                ShardGroup(domain=domain, shards=shards) for domain, shards in by_domain
-            ]
-            return list(own), groups
-        groups = group_by_owner(
-            [(state.own_domain, near), *by_domain],
-            services=self.routed.route.shards,
-            owners=state.owners,
-        )
-        mine = [item for item in groups if self._is_owner(item)]
-        direct = [index for item in mine for index in item.shards]
-        return direct, [item for item in groups if item not in mine]
-
-    def _is_owner(self, group: ShardGroup) -> bool:
-        state = self.context.state
-        return group.domain == state.own_domain and state.instance in (
-            group.owners or ()
-        )
-
     def _may_hand_over(self, choice: Choice) -> bool:
         own_domain = self.context.state.own_domain
         return self.may_delegate and choice.replica.record.failure_domain != own_domain
 
-    def _delegate(
-        self, group: ShardGroup, *, earlier: Delegation | None = None
-    ) -> bool:
-        if group.owners is None and len(group.shards) < DELEGATED_MIN:
-            return False
-        used = [item.peer for item in self._delegations]
-        peer = self.context.state.peers.choose(
-            group.domain,
-            # An owner of two slices takes both; its connections are the warm ones.
-            excluded=used if group.owners is None or earlier is not None else (),
-            among=group.owners,
-        )
-        if peer is None:
-            return False
-        delegation = Delegation(
-            context=self.context,
-            routed=self.routed,
-            peer=peer,
-            owner=self,
-            shards=group.shards,
-            hedge_after_ms=self.hedge_after_ms,
-            cutoff_at_seconds=self._cutoff_at_seconds,
-            earlier=earlier,
-        )
-        for index in group.shards:
-            self._parts.shards[index].delegation = delegation
-            self._parts.shards[index].cause = NO_REPLY
-        self._delegations.append(delegation)
-        delegation.launch()
-        return True
-
     def _send_first(self, run: ShardRun, choice: Choice) -> None:
         # A first sub-request counts where it is sent, so that the sum is right.
         budget = self.context.state.budget(run.service)
@@ -413,34 +353,15 @@
         """Have the shards of peers that have said nothing gathered by others."""
         if self._done:
             return
-        silent = [
-            item for item in self._delegations if not item.ended and not item.at_work
-        ]
-        if len(silent) > silent_peers_max(len(self._delegations)):
-            return
-        for delegation in silent:
+        for delegation in self._orders.lost():
             delegation.note_late()
-            if self._evidence.suspicious or self._hand_over_again(delegation):
+            if self._evidence.suspicious or self._orders.hand_over_again(delegation):
                 continue
             for index in delegation.shards:
                 run = self._parts.shards[index]
                 if not run.settled and self._send_again(run, repeat=True):
                     self.context.metrics.repeated("late_peer")
 
-    def _hand_over_again(self, late: Delegation) -> bool:
-        """Hand the shards of a late peer to another owner, which has more budget."""
-        owners = self.context.state.owners
-        if owners is None:
-            return False
-        domain = late.peer.record.failure_domain
-        service = self.routed.route.shards[late.shards[0]]
-        group = ShardGroup(
-            domain=domain,
-            shards=late.shards,
-            owners=owners.owners(domain, owners.slice_of(service, domain)),
-        )
-        return not self._is_owner(group) and self._delegate(group, earlier=late)
-
     def _cutoff_passed(self) -> None:
         self._overdue = True
         self._settle()
@@ -456,8 +377,7 @@
         for run in self._parts.shards:
             for attempt in run.attempts:
                 attempt.abandon()
-        for delegation in self._delegations:
-            delegation.abandon()
+        self._orders.abandon()
         self.context.metrics.caller_left(self.routed.route)
         self._outcome(cause="caller_left").log(
             self.context, self.routed, status=None, good=False
@@ -484,7 +404,7 @@
         self._finish(telling=True)
         self.answers.answer(
             self._parts.shards,
-            records=self._parts.records(self._delegations),
+            records=self._parts.records(self._orders.delegations),
             outcome=self._outcome(),
         )
 
@@ -522,9 +442,7 @@
             for attempt in run.attempts:
                 if not attempt.ended:
                     attempt.discard()
-        for delegation in self._delegations:
-            if not delegation.ended:
-                delegation.discard()
+        self._orders.discard()
 
     def _outcome(self, *, cause: str = "") -> Outcome:
         return Outcome(
@@ -532,10 +450,5 @@
             cause=cause,
             included=self._parts.included,
             missing=[f"{run.service}:{run.cause}" for run in self._parts.missing],
-            peers=[
-                f"{item.peer.record.instance}:{len(item.shards)}"
-                f":{item.cause or ('ok' if item.body else 'no_reply')}"
-                for item in self._delegations
-                if not item.body or item.late
-            ],
+            peers=self._orders.describe_failures(),
         )
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -175,6 +175,37 @@
     with_cluster(scenario)
 
 
+def test_reply_of_a_peer_sends_no_shard_again_that_it_covers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for index in range(6):
+            domain = "zone-a" if index < 3 else "zone-b"
+            for _ in range(2):
+                cluster.add_replica(f"shard-{index}", domain=domain, work_seconds=0.02)
+        names = [f"shard-{index}" for index in range(6)]
+        cluster.configure(
+            route("r-find", GATHER_PATH, fanoutServices=names, topK=1, maxAttempts=2)
+        )
+        gateway = cluster.start_gateway("g-1")
+        cluster.start_gateway("g-2", domain="zone-b")
+        await asyncio.sleep(4.0)
+        asking = asyncio.ensure_future(
+            cluster.ask(gateway, GATHER_PATH + "usual", attempt_id="d-1")
+        )
+        await asyncio.sleep(0.008)
+        for replica in cluster.replicas.values():
+            if replica.domain == "zone-a" and replica.runs:
+                replica.crash()
+        answer = await asking
+        assert answer is not None and answer.status == 200 and answer.missing == 0
+        for replica in cluster.replicas.values():
+            if replica.domain == "zone-b":
+                assert len(replica.runs) <= 1
+        runs = [run for item in cluster.replicas.values() for run in item.runs]
+        assert len(runs) == 9
+
+    with_cluster(scenario)
+
+
 def test_call_that_meets_crashes_of_others_is_served_in_the_end() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await small_cluster(cluster)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -95,12 +95,14 @@
     with_cluster(scenario)
 
 
-async def large_fleet(cluster: Cluster) -> list[RunningGateway]:
+async def large_fleet(cluster: Cluster, *, least: float = 0.75) -> list[RunningGateway]:
     """Start so many instances that not each may connect to each replica."""
     for number in range(2, 13):
         domain = "zone-a" if number % 2 else "zone-b"
         cluster.start_gateway(f"g-{number}", domain=domain)
-    await search_cluster(cluster, shards=10, domains=("zone-a", "zone-b"), top=2)
+    await search_cluster(
+        cluster, shards=10, domains=("zone-a", "zone-b"), top=2, least=least
+    )
     await asyncio.sleep(2.0)
     return list(cluster.gateways.values())
 
@@ -188,6 +190,29 @@
     with_cluster(scenario)
 
 
+def test_shards_that_an_answer_needs_are_asked_for_again_past_the_target() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await large_fleet(cluster, least=0.95)
+        await asyncio.sleep(10.0)
+        owners = gateways[0].gateway._state.owners
+        assert owners is not None
+        others = owners.members["zone-a"].keys() - owners.owners("zone-a", 0)
+        asker = cluster.gateways[min(others)]
+        for replica in replicas_of(cluster, "shard-3"):
+            replica.paused_until_seconds = cluster.loop.time() + 0.12
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200 and answer.missing == 0
+        assert 0.08 < answer.elapsed_seconds < 0.3
+        ran = [
+            item
+            for item in replicas_of(cluster, "shard-3")
+            if any(run.attempt_id == "d-1" for run in item.runs)
+        ]
+        assert len(ran) <= 2
+
+    with_cluster(scenario)
+
+
 def test_instance_cut_off_from_its_peers_serves_by_itself() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await large_fleet(cluster)
