--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -12,7 +12,7 @@
     small_cluster,
     with_cluster,
 )
-from tests.standin_replica import RESTART_SECONDS, Fault, crash_on, once
+from tests.standin_replica import RESTART_SECONDS, Fault, crash_on, no_fault, once
 from tests.standin_store import StoreFault, always
 
 KILLER = GATHER_PATH + "killer"
@@ -87,6 +87,27 @@
     with_cluster(scenario)
 
 
+def test_quarantine_ends_once_its_reports_are_removed() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await search_cluster(cluster, shards=6)
+        arm(cluster, KILLER)
+        await cluster.ask(gateway, KILLER)
+        await asyncio.sleep(RESTART_SECONDS + 1.0)
+        answer = await cluster.ask(gateway, KILLER)
+        assert answer is not None and answer.status == 503
+        for replica in cluster.replicas.values():
+            replica.fault = no_fault
+        for key in [
+            item for item in cluster.store.items if item.startswith("suspects/")
+        ]:
+            cluster.store.remove(key)
+        await asyncio.sleep(2.0)
+        answer = await cluster.ask(gateway, KILLER)
+        assert answer is not None and answer.status == 200 and answer.missing == 0
+
+    with_cluster(scenario)
+
+
 def test_losses_of_a_call_are_added_up_over_instances() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await small_cluster(cluster)
