Keep one copy of a send that waits for a pool's connection

Cause: an attempt at a replica and an order to a peer held the same state and the same two ways to be given up, each written twice.

Change: both are kinds of `PooledSend`. Behaviour is as it was; no test was touched.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -5,9 +5,9 @@
 
 from attrs import define
 
-from bronzebeam.gateway.connection_pool import PendingSend
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.dialect import ReplyFacts
+from bronzebeam.gateway.pooled_send import PooledSend
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.transport.http_reply import (
@@ -49,15 +49,13 @@
 
 
 @define(kw_only=True, eq=False, repr=False)
-class Attempt:
+class Attempt(PooledSend):
     """
     One send of a request to one replica.
 
     :ivar shard: index of the shard that it is for; 0 outside a fan-out.
     :ivar sent_at_seconds: monotonic time of the send; None while it waits.
     :ivar result: how it ended; None before, or if it was discarded.
-    :ivar cause: why there is no usable reply; empty if there is one.
-    :ivar ended: the owner has been told, or no longer wants to be.
     :ivar connection_lost: the connection ended without a byte of a reply.
     """
 
@@ -70,28 +68,11 @@
     reply: HttpReply | None = None
     facts: ReplyFacts | None = None
     result: AttemptResult | None = None
-    cause: str = ""
-    ended: bool = False
     connection_lost: bool = False
-    _pending: PendingSend | None = None
-    _connection: ClientConnection | None = None
 
     def launch(self) -> None:
         """Send the request as soon as the replica has a free connection."""
-        self._pending = PendingSend(start=self._start, refuse=self._refuse)
-        self.replica.pool.take(self._pending, fresh=not self.routed.route.idempotent)
-
-    def discard(self) -> None:
-        """Let a send that is under way finish, but ignore its reply."""
-        self.ended = True
-        if self._pending is not None:
-            self._pending.cancelled = True
-
-    def abandon(self) -> None:
-        """Stop the replica's work by closing the connection."""
-        self.discard()
-        if self._connection is not None and self._connection.observer is self:
-            self._connection.abandon()
+        self._send_on(self.replica.pool, fresh=not self.routed.route.idempotent)
 
     @property
     def under_way(self) -> bool:
--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -5,7 +5,6 @@
 
 from attrs import define, field
 
-from bronzebeam.gateway.connection_pool import PendingSend
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.peer_codec import (
     NOT_RUN_STATUS,
@@ -17,6 +16,7 @@
     encode_order,
 )
 from bronzebeam.gateway.peers import Peer
+from bronzebeam.gateway.pooled_send import PooledSend
 from bronzebeam.gateway.routed import RoutedRequest
 from bronzebeam.transport.http_reply import (
     ClientConnection,
@@ -53,7 +53,7 @@
 
 
 @define(kw_only=True, eq=False, repr=False)
-class Delegation:
+class Delegation(PooledSend):
     """
     One order to one peer.
 
@@ -74,11 +74,7 @@
     earlier: "Delegation | None" = None
     signatures: list[bytes | None] = field(factory=list)
     body: bytes = b""
-    cause: str = ""
     late: bool = False
-    ended: bool = False
-    _pending: PendingSend | None = None
-    _connection: ClientConnection | None = None
 
     @property
     def at_work(self) -> bool:
@@ -87,8 +83,7 @@
 
     def launch(self) -> None:
         """Send the order."""
-        self._pending = PendingSend(start=self._start, refuse=self._refuse)
-        self.peer.pool.take(self._pending, fresh=False)
+        self._send_on(self.peer.pool, fresh=False)
 
     def note_late(self) -> None:
         """Avoid the peer for a while, since its reply is overdue."""
@@ -97,18 +92,6 @@
         self.late = True
         self._avoid_peer("late")
 
-    def discard(self) -> None:
-        """Ignore the reply."""
-        self.ended = True
-        if self._pending is not None:
-            self._pending.cancelled = True
-
-    def abandon(self) -> None:
-        """Have the peer stop its work by closing the connection."""
-        self.discard()
-        if self._connection is not None and self._connection.observer is self:
-            self._connection.abandon()
-
     def _start(self, connection: ClientConnection) -> None:
         now_seconds = self.context.loop.time()
         self._connection = connection
