Settle the fleet's state on changes only, and drop a field that nothing reads

Cause: read once more, the change did work twice. An instance that follows a peer gets an empty answer each 0.7 s and divided the connections of all replicas anew for it. `Change.removed` said what a missing value says, and nothing read it. The share of repeats tested twice for owners.

Change: an answer without changes leaves the state alone; the field is gone; one test. Behaviour is as it was. The test of the codec builds the removed record without the field; its assertions are unchanged.

Measured: the tests of peers, owners, feed, store and formats pass before and after.

--- a/src/bronzebeam/gateway/change_codec.py
+++ b/src/bronzebeam/gateway/change_codec.py
@@ -108,7 +108,7 @@
         value = _decode_table(fields)
     elif fields is not None:
         value = RECORD_TYPES[kind](**fields)
-    return Change(kind=kind, name=item["name"], removed=value is None, value=value)
+    return Change(kind=kind, name=item["name"], value=value)
 
 
 def _decode_table(fields: dict[str, Any]) -> RouteTable:
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -206,11 +206,10 @@
 
     def repeats_left(self, service: str) -> float:
         """Return how many repeated sub-requests the service's budget allows now."""
-        owners = self.owners
-        owned = owners is not None and service in self._fan_out_services
+        owners = self.owners if service in self._fan_out_services else None
         share = slack_share(
             instances=self.peers.live_count,
-            owners=owners.owner_count(service) if owners and owned else None,
+            owners=owners.owner_count(service) if owners is not None else None,
             owner=service in self._owned,
         )
         return self.budget(service).left(self.loop.time(), share=share)
@@ -252,17 +251,14 @@
         if not scarce:
             self.owners, self._owned = None, self._fan_out_services
             return
-        members, services_held = self.peers.members(), self._fan_out_services
+        members, shards = self.peers.members(), self._fan_out_services
         held = self.owners
-        if held is not None and (held.members, held.services) == (
-            members,
-            services_held,
-        ):
+        if held is not None and (held.members, held.services) == (members, shards):
             return
-        self.owners = owners = ShardOwners(members=members, services=services_held)
+        self.owners = owners = ShardOwners(members=members, services=shards)
         self._owned = frozenset(
             service
-            for service in services_held
+            for service in shards
             if owners.owns(self.instance, domain=self.own_domain, service=service)
         )
         self._shares_since_seconds = self.loop.time()
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -80,13 +80,11 @@
 
     :ivar name: replica, instance or report that the record is of; empty for
         configuration.
-    :ivar removed: the record is no longer there, or can no longer be read.
-    :ivar value: the record; None if it was removed.
+    :ivar value: the record; None if it is no longer there, or can no longer be read.
     """
 
     kind: RecordKind
     name: str
-    removed: bool = False
     value: RecordValue | None = None
 
 
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -102,7 +102,8 @@
         return contents.revision
 
     def _take(self, revision: int, changes: Sequence[Change]) -> None:
-        self.state.apply(changes)
+        if changes:
+            self.state.apply(changes)
         self.changes.append(revision, changes)
 
     async def _watch(self, revision: int) -> tuple[int, list[Change]]:
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -257,7 +257,6 @@
             return Change(
                 kind=kind,
                 name=key.removeprefix(prefix),
-                removed=True,
             )
     return None
 
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -243,7 +243,7 @@
         name="f/g",
         value=SuspectRecord(suspect="f", instance="g", losses=2),
     ),
-    Change(kind=RecordKind.REPLICA, name="i-2", removed=True),
+    Change(kind=RecordKind.REPLICA, name="i-2"),
 ]
 
 
