--- /dev/null
+++ b/tests/test_gateway_owners.py
@@ -0,0 +1,154 @@
+"""Tests of the owners of shards in a large fleet, in virtual time."""
+
+import asyncio
+
+from tests.fixtures_gateway import (
+    GATHER_PATH,
+    Cluster,
+    RunningGateway,
+    replicas_of,
+    search_cluster,
+    with_cluster,
+)
+from tests.test_gateway_gather import check_signatures, greatest
+from tests.test_gateway_peers import withhold
+
+
+async def large_fleet(cluster: Cluster, *, least: float = 0.75) -> list[RunningGateway]:
+    """Start so many instances that not each may connect to each replica."""
+    for number in range(2, 13):
+        domain = "zone-a" if number % 2 else "zone-b"
+        cluster.start_gateway(f"g-{number}", domain=domain)
+    await search_cluster(
+        cluster, shards=10, domains=("zone-a", "zone-b"), top=2, least=least
+    )
+    await asyncio.sleep(2.0)
+    return list(cluster.gateways.values())
+
+
+def test_owners_gather_the_shards_where_connections_are_scarce() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for number, gateway in enumerate(await large_fleet(cluster)):
+            answer = await cluster.ask(gateway, GATHER_PATH, attempt_id=f"d-{number}")
+            assert answer is not None and answer.status == 200
+            assert answer.missing == 0 and answer.body == greatest(99, 93)
+            assert len(check_signatures(cluster, answer, f"d-{number}")) == 10
+            assert cluster.runs_of(f"d-{number}") == 10
+        # Connections from before all instances knew of each other end when idle.
+        await asyncio.sleep(25.0)
+        for replica in cluster.replicas.values():
+            # Three owners beside the replica keep two each, three elsewhere one.
+            assert len(replica.connections) <= 3 * 2 + 3
+
+    with_cluster(scenario)
+
+
+def test_loss_of_all_owners_but_one_costs_no_answer() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await large_fleet(cluster)
+        for gateway in gateways[2:-1:2]:
+            gateway.kill(cluster)
+        for number in range(8):
+            answer = await cluster.ask(
+                gateways[-1], GATHER_PATH, attempt_id=f"d-{number}"
+            )
+            assert answer is not None and answer.status == 200
+            check_signatures(cluster, answer, f"d-{number}")
+            assert answer.missing == 0
+            await asyncio.sleep(0.2)
+
+    with_cluster(scenario)
+
+
+def test_shards_of_a_silent_owner_are_handed_to_another() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await large_fleet(cluster)
+        await asyncio.sleep(10.0)
+        owners = gateways[0].gateway._state.owners
+        assert owners is not None
+        owning = owners.owners("zone-a", 0)
+        others = owners.members["zone-a"].keys() - owning
+        asker = cluster.gateways[min(others)]
+        silent = cluster.gateways[min(owning)]
+        cluster.loop.net.cut_pairs.add(frozenset((asker.host, silent.host)))
+        for number in range(30):
+            answer = await cluster.ask(asker, GATHER_PATH, attempt_id=f"d-{number}")
+            assert answer is not None and answer.status == 200
+            assert answer.missing == 0 and answer.elapsed_seconds < 0.09
+            assert answer.body == greatest(99, 93)
+            for index in range(10):
+                ran = [
+                    item
+                    for item in replicas_of(cluster, f"shard-{index}")
+                    if any(run.attempt_id == f"d-{number}" for run in item.runs)
+                ]
+                assert 1 <= len(ran) <= 2
+            await asyncio.sleep(0.4)
+        assert asker.log("peer_avoided")
+
+    with_cluster(scenario)
+
+
+def test_late_reply_of_an_owner_counts_no_record_twice() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await large_fleet(cluster)
+        await asyncio.sleep(10.0)
+        asker = gateways[-1]
+        for number in range(6):
+            for replica in cluster.replicas.values():
+                replica.work_seconds = 0.045
+            for gateway in gateways[:-1]:
+                withhold(cluster, gateway, asker, b"102 Processing")
+            answer = await cluster.ask(asker, GATHER_PATH, attempt_id=f"d-{number}")
+            assert answer is not None and answer.status == 200
+            assert len(set(answer.signatures)) == len(answer.signatures)
+            halves = [answer.body[:16], answer.body[16:]]
+            assert halves[0] != halves[1]
+            await asyncio.sleep(9.0)
+
+    with_cluster(scenario)
+
+
+def test_shards_that_an_answer_needs_are_asked_for_again_past_the_target() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await large_fleet(cluster, least=0.95)
+        await asyncio.sleep(10.0)
+        owners = gateways[0].gateway._state.owners
+        assert owners is not None
+        others = owners.members["zone-a"].keys() - owners.owners("zone-a", 0)
+        asker = cluster.gateways[min(others)]
+        for replica in replicas_of(cluster, "shard-3"):
+            replica.paused_until_seconds = cluster.loop.time() + 0.12
+        answer = await cluster.ask(asker, GATHER_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200 and answer.missing == 0
+        assert 0.08 < answer.elapsed_seconds < 0.3
+        ran = [
+            item
+            for item in replicas_of(cluster, "shard-3")
+            if any(run.attempt_id == "d-1" for run in item.runs)
+        ]
+        assert len(ran) <= 2
+
+    with_cluster(scenario)
+
+
+def test_instance_cut_off_from_its_peers_serves_by_itself() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await large_fleet(cluster)
+        alone = gateways[-1]
+        for gateway in gateways[:-1]:
+            cluster.loop.net.cut_pairs.add(frozenset((alone.host, gateway.host)))
+        # What the probes of idle connections do.
+        cluster.loop.net.reset_connections(alone.host)
+        await asyncio.sleep(6.0)
+        assert len(alone.log("isolated")) == 1
+        for number in range(4):
+            answer = await cluster.ask(alone, GATHER_PATH, attempt_id=f"d-{number}")
+            assert answer is not None and answer.status == 200
+            assert answer.missing == 0 and answer.elapsed_seconds < 0.03
+            await asyncio.sleep(0.5)
+        cluster.loop.net.cut_pairs.clear()
+        await asyncio.sleep(3.0)
+        assert len(alone.log("no_longer_isolated")) == 1
+
+    with_cluster(scenario)
--- a/tests/test_routing_fleet.py
+++ b/tests/test_routing_fleet.py
@@ -4,7 +4,11 @@
 
 from hypothesis import given, strategies as st
 
-from bronzebeam.routing.connection_shares import is_scarce, share_connections
+from bronzebeam.routing.connection_shares import (
+    ConnectionShare,
+    is_scarce,
+    share_connections,
+)
 from bronzebeam.routing.domain_groups import (
     DIRECT_MAX,
     group_by_domain,
@@ -92,29 +96,27 @@
         assert share.most == 2 and share.warm >= 1
 
 
+def share_of_non_owner(*, own_domain: bool, isolated: bool) -> ConnectionShare:
+    """Return the share of an instance that does not own the shard, in a large fleet."""
+    return share_connections(
+        limit=54,
+        instances=63,
+        domains=4,
+        own_domain=own_domain,
+        owner=False,
+        isolated=isolated,
+    )
+
+
 def test_many_instances_hold_none_to_replicas_that_they_do_not_own() -> None:
     for own_domain in (True, False):
-        share = share_connections(
-            limit=54,
-            instances=63,
-            domains=4,
-            own_domain=own_domain,
-            owner=False,
-            isolated=False,
-        )
+        share = share_of_non_owner(own_domain=own_domain, isolated=False)
         assert share.warm == 0 and share.most == 1
 
 
 def test_isolated_instance_keeps_a_connection_to_each_replica_beside_it() -> None:
     for own_domain, warm in ((True, 1), (False, 0)):
-        share = share_connections(
-            limit=54,
-            instances=63,
-            domains=4,
-            own_domain=own_domain,
-            owner=False,
-            isolated=True,
-        )
+        share = share_of_non_owner(own_domain=own_domain, isolated=True)
         assert share.warm == warm
 
 
