Log and count what is sent to replicas that limit their requests

The log could not tell whether the limit that a replica names is not read, kept by each instance for itself, or bypassed. Replies' limits are now decoded and logged when an instance learns of them and when they end, with the requests sent meanwhile by kind, and counted in a metric. Nothing is decided by them yet.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -7,9 +7,11 @@
 
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.header_codec import ReplyMetadata
+from bronzebeam.gateway.limited_traffic import SendKind
 from bronzebeam.gateway.pooled_send import PooledSend
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed_request import RoutedRequest
+from bronzebeam.routing.replica_limit import read_limit
 from bronzebeam.routing.replica_pause import read_pause
 from bronzebeam.transport.http_reply import (
     ClientConnection,
@@ -58,6 +60,7 @@
     One request sent to one replica.
 
     :ivar shard_index: index of the shard within the route; 0 outside a fan-out.
+    :ivar is_repeat: the request was sent to a replica of the service before.
     :ivar sent_at_seconds: monotonic time at which the request was sent; None before.
     :ivar result: how the attempt ended; None before, or if it was discarded.
     :ivar connection_lost: the connection was closed before any byte of a reply.
@@ -68,6 +71,7 @@
     replica: Replica
     handler: AttemptHandler
     shard_index: int = 0
+    is_repeat: bool = False
     sent_at_seconds: float | None = None
     reply: HttpReply | None = None
     reply_metadata: ReplyMetadata | None = None
@@ -109,6 +113,7 @@
             replica=None if connection.proven else self.replica.record.replica,
         )
         request = self.routed.request
+        self._count_limited_send()
         self.replica.pool.record_sent(connection, now_seconds)
         connection.send(
             self.routed.head + head + request.body,
@@ -136,6 +141,10 @@
             self._end(AttemptResult.UNKNOWN, "reply_to_another_request")
             return
         self.reply, self.reply_metadata = reply, metadata
+        if reply.status != MISDIRECTED_STATUS:
+            self.context.state.replicas.record_limit(
+                self.replica, read_limit(metadata.limit)
+            )
         if reply.status == MISDIRECTED_STATUS:
             self._record_mismatch(connection)
             self._end(AttemptResult.NOT_RUN, "another_replica_at_the_address")
@@ -163,6 +172,19 @@
             self.connection_lost = failure is ExchangeFailure.LOST
             self._end(AttemptResult.UNKNOWN, failure.value)
 
+    def _count_limited_send(self) -> None:
+        """Count the request if the replica limits its requests."""
+        limited = self.replica.limited
+        if limited is None:
+            return
+        kind = SendKind.FIRST_ATTEMPT
+        if self.routed.is_for_peer:
+            kind = SendKind.FOR_PEER
+        elif self.is_repeat:
+            kind = SendKind.REPEAT
+        limited.record_sent(kind)
+        self.context.metrics.count_limited_send(kind.value)
+
     def _record_signals(self, status: int, metadata: ReplyMetadata) -> None:
         """Record that the replica is leaving or wants a pause, before any retry."""
         replicas = self.context.state.replicas
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -288,6 +288,7 @@
             replica=replica,
             handler=self,
             shard_index=shard.index,
+            is_repeat=shard.send_count > 0 or shard.delegation is not None,
         )
         shard.attempts.append(attempt)
         attempt.send()
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -126,6 +126,7 @@
             routed=self.routed,
             replica=choice.replica,
             handler=self,
+            is_repeat=repeat,
         )
         self.attempts.append(attempt)
         attempt.send()
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -22,6 +22,7 @@
     _disconnects: MetricFamily[Counter] = field(init=False)
     _repeats: MetricFamily[Counter] = field(init=False)
     _delegations: MetricFamily[Counter] = field(init=False)
+    _limited_sends: MetricFamily[Counter] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._requests = self.registry.counter(
@@ -44,17 +45,25 @@
             help_text="Sub-requests sent once more, by reason.",
             label_names=("reason",),
         )
-
         self._delegations = self.registry.counter(
             name="bronzebeam_gateway_delegations_total",
             help_text="Groups of shards handed to peers, by result.",
             label_names=("result",),
         )
+        self._limited_sends = self.registry.counter(
+            name="bronzebeam_gateway_limited_sends_total",
+            help_text="Requests sent to replicas that limit their requests, by kind.",
+            label_names=("kind",),
+        )
 
     def count_delegation(self, result: str) -> None:
         """Count a completed delegation of shards to a peer."""
         self._delegations.labels(result=result).increment()
 
+    def count_limited_send(self, kind: str) -> None:
+        """Count a request sent to a replica that limits its requests."""
+        self._limited_sends.labels(kind=kind).increment()
+
     def count_response(self, routed: RoutedRequest, *, status: int, now: float) -> None:
         """Count a response and record its latency."""
         name = routed.route.name
--- a/src/bronzebeam/gateway/header_codec.py
+++ b/src/bronzebeam/gateway/header_codec.py
@@ -32,6 +32,8 @@
     :ivar not_run: the replica states that it did not run the request.
     :ivar leaving: the replica states that it is about to stop.
     :ivar retry_after: time for which it wants no requests, as sent; empty if missing.
+    :ivar limit: requests a second that it takes from all instances together, as sent;
+        empty if it names no limit.
     """
 
     attempt_id: bytes
@@ -39,6 +41,7 @@
     not_run: bool
     leaving: bool = False
     retry_after: bytes = b""
+    limit: bytes = b""
 
 
 class HeaderCodec(Protocol):
--- /dev/null
+++ b/src/bronzebeam/gateway/limited_traffic.py
@@ -0,0 +1,34 @@
+"""What an instance sends to a replica while that replica limits its requests."""
+
+from enum import Enum
+
+from attrs import define, field
+
+
+class SendKind(Enum):
+    """Why a request is sent to a replica."""
+
+    FIRST_ATTEMPT = "first_attempt"
+    REPEAT = "repeat"
+    FOR_PEER = "for_peer"
+
+
+@define(kw_only=True, eq=False, repr=False)
+class LimitedTraffic:
+    """
+    The requests that this instance has sent to a replica under a limit.
+
+    :ivar per_second: requests a second that the replica takes from all instances.
+    :ivar since_seconds: monotonic time at which this instance learnt of a limit.
+    :ivar sent_counts: number of requests sent since then, by kind.
+    """
+
+    per_second: float
+    since_seconds: float
+    sent_counts: dict[SendKind, int] = field(
+        factory=lambda: dict.fromkeys(SendKind, 0), init=False
+    )
+
+    def record_sent(self, kind: SendKind) -> None:
+        """Count a request that was sent to the replica."""
+        self.sent_counts[kind] += 1
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from bronzebeam.gateway.connection_pool import ConnectionPool
+from bronzebeam.gateway.limited_traffic import LimitedTraffic
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.routing.replica_estimate import ReplicaLoad
 from bronzebeam.routing.replica_latency import FailureRate, RelativeLatency
@@ -31,6 +32,7 @@
     :ivar announced_leaving_at_seconds: monotonic time at which it first stated in a
         reply that it is about to stop; None if it has not.
     :ivar paused_until_seconds: monotonic time until which it wants no requests.
+    :ivar limited: the limit on requests that it names; None if it names none.
     :ivar mismatched: another process has answered at its address.
     :ivar warm_connections: number of connections to keep open while they are idle.
     """
@@ -45,6 +47,7 @@
     leaving_since_seconds: float | None = None
     announced_leaving_at_seconds: float | None = None
     paused_until_seconds: float = 0.0
+    limited: LimitedTraffic | None = None
     mismatched: bool = False
     warm_connections: int = 1
     _deprioritized_cause: str = ""
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -10,6 +10,7 @@
 from attrs import define, field, frozen
 
 from bronzebeam.gateway.connection_pool import Connect, ConnectionPool
+from bronzebeam.gateway.limited_traffic import LimitedTraffic
 from bronzebeam.gateway.peer_codec import LeavingReplica
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.gateway.replica import Replica
@@ -20,6 +21,7 @@
 )
 from bronzebeam.routing.connection_shares import share_connections
 from bronzebeam.routing.older_copy import KnownState
+from bronzebeam.routing.replica_limit import NamedLimit
 from bronzebeam.routing.replica_pause import RequestedPause
 from bronzebeam.routing.routes import BackendService, Route
 from bronzebeam.telemetry.decisions import DecisionLog
@@ -246,6 +248,38 @@
         replica.paused_until_seconds = max(replica.paused_until_seconds, until_seconds)
         replica.pool.fail_waiting(PAUSED)
 
+    def record_limit(self, replica: Replica, limit: NamedLimit) -> None:
+        """Record the limit that a replica names in a reply, or that it names none."""
+        now_seconds = self.loop.time()
+        limited = replica.limited
+        if limit.per_second is None and limited is not None:
+            replica.limited = None
+            self.log.event(
+                "replica_limit_ended",
+                replica=replica.record.replica,
+                service=replica.record.service,
+                per_second=limited.per_second,
+                limited_ms=round((now_seconds - limited.since_seconds) * MS_PER_SECOND),
+                problem=limit.problem,
+                **{kind.value: count for kind, count in limited.sent_counts.items()},
+            )
+        elif limit.per_second is not None and (
+            limited is None or limit.per_second != limited.per_second
+        ):
+            self.log.event(
+                "replica_limited",
+                replica=replica.record.replica,
+                service=replica.record.service,
+                per_second=limit.per_second,
+                problem=limit.problem,
+            )
+            if limited is None:
+                replica.limited = LimitedTraffic(
+                    per_second=limit.per_second, since_seconds=now_seconds
+                )
+            else:
+                limited.per_second = limit.per_second
+
     def usable_after_seconds(self, service: str) -> float:
         """
         Return the time until a replica of a service may be used.
--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -28,6 +28,11 @@
     target_at_seconds: float
     head: bytes
 
+    @property
+    def is_for_peer(self) -> bool:
+        """Whether a peer has delegated the request to this instance."""
+        return self.version == 0
+
     @property
     def fingerprint(self) -> str:
         """Return a hash that is the same for all attempts at the request."""
--- a/src/bronzebeam/platform/headers.py
+++ b/src/bronzebeam/platform/headers.py
@@ -17,6 +17,8 @@
 NOT_EXECUTED: Final = b"x-bronzebeam-not-executed"
 LEAVING: Final = b"server-leaving"  # in all replies of a replica that is about to stop
 LEAVING_VALUE: Final = b"1"
+# Requests a second, a decimal number, that a replica in need takes from all instances.
+LIMIT: Final = b"server-limit"
 RETRY_AFTER: Final = b"retry-after"  # seconds, with optional fractions
 SHARD_SIGNATURES: Final = b"X-Bronzebeam-Shard-Signatures"
 MISSING_SHARDS: Final = b"X-Bronzebeam-Missing-Shards"
@@ -62,7 +64,7 @@
 
     def read_reply(self, headers: Headers) -> ReplyMetadata:
         """Read the metadata of a replica's reply."""
-        attempt_id = signature = retry_after = b""
+        attempt_id = signature = retry_after = limit = b""
         not_run = leaving = False
         for name, value in headers:
             if name == ATTEMPT_ID:
@@ -75,12 +77,15 @@
                 leaving = value.strip() == LEAVING_VALUE
             elif name == RETRY_AFTER:
                 retry_after = value
+            elif name == LIMIT:
+                limit = value
         return ReplyMetadata(
             attempt_id=attempt_id,
             signature=signature,
             not_run=not_run,
             leaving=leaving,
             retry_after=retry_after,
+            limit=limit,
         )
 
     def merged_headers(
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -12,6 +12,7 @@
 ATTEMPT_ID_HEADER = "X-Bronzebeam-Attempt-Id"
 SIGNATURE_HEADER = "X-Bronzebeam-Replica-Signature"
 LEAVING_HEADER = "Server-Leaving"
+LIMIT_HEADER = "Server-Limit"
 NOT_EXECUTED_HEADER = "X-Bronzebeam-Not-Executed"
 RESTART_SECONDS = 2.0
 
@@ -82,6 +83,9 @@
     :ivar received_ids: attempt ids of all requests received, including rejected ones.
     :ivar leaving: states in all replies that it is about to stop.
     :ivar pause: turns requests away, with this value of Retry-After.
+    :ivar limit: names this limit on requests a second in all replies; empty for none.
+    :ivar received_at_seconds: times at which it received the requests in
+        `received_ids`.
     :ivar sequence: number of the next registration.
     """
 
@@ -98,11 +102,13 @@
     max_connections: int = 25
     leaving: bool = False
     pause: str = ""
+    limit: str = ""
     started_at_ms: int = 1_700_000_000_000
     sequence: int = 1
     stalled_until_seconds: float = 0.0
     runs: list[Run] = field(factory=list)
     received_ids: list[str] = field(factory=list)
+    received_at_seconds: list[float] = field(factory=list)
     accepted_count: int = 0
     connections: set[StandinConnection] = field(factory=set)
     _running_count: int = 0
@@ -147,7 +153,8 @@
         expected = request.headers.get("x-bronzebeam-expected-replica")
         attempt_id = request.headers.get("x-bronzebeam-attempt-id", "")
         self.received_ids.append(attempt_id)
-        signals = {LEAVING_HEADER: "1"} if self.leaving else {}
+        self.received_at_seconds.append(self.loop.time())
+        signals = self._signals()
         if expected not in (None, self.replica):
             request.respond(421, headers={NOT_EXECUTED_HEADER: "1", **signals})
             return
@@ -214,7 +221,7 @@
         headers = {
             ATTEMPT_ID_HEADER: run.attempt_id,
             SIGNATURE_HEADER: self.signature(run.attempt_id),
-            **({LEAVING_HEADER: "1"} if self.leaving else {}),
+            **self._signals(),
         }
         body = b"".join(self.records) or f"{self.replica}/{run.attempt_id}".encode()
         if fault is Fault.UNRESPONSIVE:
@@ -255,6 +262,13 @@
             elif fault is Fault.EXTRA_LATE:
                 self.loop.call_later(0.05, self._extra, request, headers)
 
+    def _signals(self) -> dict[str, str]:
+        """Return the headers by which the replica tells of its own state."""
+        signals = {LEAVING_HEADER: "1"} if self.leaving else {}
+        if self.limit:
+            signals[LIMIT_HEADER] = self.limit
+        return signals
+
     def _extra(self, request: StandinRequest, headers: dict[str, str]) -> None:
         if not request.connection.ended:
             request.respond(200, headers=headers, body=b"extra")
--- a/tests/test_gateway_replica_signals.py
+++ b/tests/test_gateway_replica_signals.py
@@ -290,3 +290,26 @@
             assert not caller.responses.empty()
 
     run_scenario(scenario)
+
+
+def test_requests_to_a_limited_replica_are_counted_by_kind() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        limited, other = replicas_of_service(cluster, BOOKING_SERVICE)
+        limited.limit = "1000"
+        other.work_seconds = 0.02
+        await send_steadily(cluster, gateway, READ_PATH, seconds=1.0)
+        limited.limit = ""
+        await send_steadily(cluster, gateway, READ_PATH, seconds=1.0)
+        (line,) = gateway.log_lines("replica_limited")
+        assert f" replica={limited.replica} " in line and " per_second=1000.0 " in line
+        (line,) = gateway.log_lines("replica_limit_ended")
+        received = len(limited.received_ids)
+        fields = dict(item.split("=", 1) for item in line.split())
+        sent_count = int(fields["first_attempt"]) + int(fields["repeat"])
+        assert 0 < sent_count < received and fields["for_peer"] == "0"
+        text = gateway.gateway.metrics.registry.render(now_seconds=0.0)
+        counter = 'bronzebeam_gateway_limited_sends_total{kind="first_attempt"}'
+        assert f"{counter} {fields['first_attempt']}\n" in text
+
+    run_scenario(scenario)
--- a/tests/test_routing_replica_signals.py
+++ b/tests/test_routing_replica_signals.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from bronzebeam.routing.older_copy import KnownState, is_doubtful
+from bronzebeam.routing.replica_limit import read_limit
 from bronzebeam.routing.replica_pause import (
     MAX_PAUSE_SECONDS,
     UNREADABLE_PAUSE_SECONDS,
@@ -41,6 +42,27 @@
     assert 0.0 <= read_pause(value).seconds <= MAX_PAUSE_SECONDS
 
 
+def test_limit_is_read_as_a_decimal_number() -> None:
+    assert read_limit(b"10.8").per_second == 10.8
+    assert read_limit(b" 0 ").per_second == 0.0
+    assert read_limit(b"").per_second is None
+    assert read_limit(b"").problem == ""
+
+
+def test_malformed_limit_is_explained() -> None:
+    cases = {
+        b"-3": (0.0, "negative"),
+        b"-inf": (0.0, "negative"),
+        b"inf": (None, ""),
+        b"nan": (None, "not_a_number"),
+        b"ten": (None, "not_a_number"),
+        b"\xff": (None, "not_a_number"),
+    }
+    for value, (per_second, problem) in cases.items():
+        limit = read_limit(value)
+        assert (limit.per_second, limit.problem) == (per_second, problem), value
+
+
 def test_caller_returns_when_enough_shards_are_back() -> None:
     pauses = [5.0, 0.4, math.inf, 2.0]
     assert return_after_seconds(pauses=pauses, needed=1) == 0.4
