--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/bronzebeam demo
 
 test: $(VENV)/.installed
-	$(BIN)/nose2 --config unittest.cfg
+	$(BIN)/python -m nose2 --config unittest.cfg
 
 check: $(VENV)/.installed
 	$(BIN)/black --check --quiet src tests
