Divide the limit that a replica names among the instances

The instance that sends now needs a turn for each request to such a replica, whatever the request is for. Turns come at regular intervals by this instance's share of the limit, from a random start, and expire when unused, so that a burst after a quiet time stays within the limit as well. Shares are of the instances seen in the last 15 s, or of a shard's owners. Where no turn is left the replica counts as unusable: another one is chosen, or the caller is refused at once with the time until the next turn. A search plans with turns, so that one that lacks too many shards is refused before anything is sent.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -11,7 +11,7 @@
 from bronzebeam.gateway.pooled_send import PooledSend
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed_request import RoutedRequest
-from bronzebeam.routing.replica_limit import read_limit
+from bronzebeam.routing.replica_limit import SendTurns, read_limit
 from bronzebeam.routing.replica_pause import read_pause
 from bronzebeam.transport.http_reply import (
     ClientConnection,
@@ -77,13 +77,23 @@
     reply_metadata: ReplyMetadata | None = None
     result: AttemptResult | None = None
     connection_lost: bool = False
+    _turns: SendTurns | None = None
 
     def send(self) -> None:
         """Send the request as soon as the replica has a free connection."""
+        if self.replica.limited is not None:
+            self._turns = self.replica.limited.turns
+            self._turns.use()
         self._queue_on(
             self.replica.pool, require_fresh=not self.routed.route.idempotent
         )
 
+    def discard(self) -> None:
+        """Ignore the reply, but let the replica complete the request."""
+        super().discard()
+        if not self.reached_replica:
+            self._give_back_turn()
+
     @property
     def is_in_progress(self) -> bool:
         """Whether the request was sent and the attempt has not ended."""
@@ -172,6 +182,11 @@
             self.connection_lost = failure is ExchangeFailure.LOST
             self._end(AttemptResult.UNKNOWN, failure.value)
 
+    def _give_back_turn(self) -> None:
+        turns, self._turns = self._turns, None
+        if turns is not None:
+            turns.give_back()
+
     def _count_limited_send(self) -> None:
         """Count the request if the replica limits its requests."""
         limited = self.replica.limited
@@ -221,6 +236,8 @@
         if self.ended:
             return
         self.ended = True
+        if result is AttemptResult.NOT_SENT:
+            self._give_back_turn()
         if result is not AttemptResult.ANSWERED and self.reached_replica:
             self.replica.observe_failure(self.context.loop.time())
         self.result = result
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -207,12 +207,21 @@
         self._fail(cause=REPLICAS_LOST, status=status)
 
     def _send_to_all_shards(self) -> None:
+        limited_choices: dict[int, ReplicaChoice] = {}
         direct_choices: dict[int, ReplicaChoice] = {}
         delegated_choices: dict[int, ReplicaChoice] = {}
         for shard in self._progress.shards:
-            choice = self._chooser.choose(shard, excluded=shard.excluded, repeat=False)
+            is_for_owners = self.may_delegate and self.context.state.is_sent_by_owners(
+                shard.service
+            )
+            choice = self._chooser.choose(
+                shard, excluded=shard.excluded, repeat=False, any_limit=is_for_owners
+            )
             if choice is None:
                 self._progress.mark_failed(shard, shard.cause)
+            elif choice.replica.limited is not None and not is_for_owners:
+                # A turn is for requests that this instance sends itself.
+                limited_choices[shard.index] = choice
             elif self._should_delegate(choice):
                 delegated_choices[shard.index] = choice
             else:
@@ -228,7 +237,7 @@
             },
             rng=self.context.rng,
         )
-        choices = {**direct_choices, **delegated_choices}
+        choices = {**direct_choices, **delegated_choices, **limited_choices}
         direct = list(direct_choices)
         if self.may_delegate:
             direct, groups = self._delegator.divide(direct, by_domain)
@@ -236,7 +245,7 @@
             for group in groups:
                 if not self._delegator.delegate(group):
                     direct.extend(group.shards)
-        for index in direct:
+        for index in (*limited_choices, *direct):
             self._send_first_attempt(self._progress.shards[index], choices[index])
             if self._done:
                 return
@@ -245,7 +254,14 @@
         own_domain = self.context.state.own_domain
         return self.may_delegate and choice.replica.record.failure_domain != own_domain
 
-    def _send_first_attempt(self, shard: ShardState, choice: ReplicaChoice) -> None:
+    def _send_first_attempt(self, shard: ShardState, planned: ReplicaChoice) -> None:
+        choice: ReplicaChoice | None = planned
+        if planned.replica.seconds_until_turn(self.context.loop.time()) > 0.0:
+            # It was chosen for an owner to send to, but no owner could be asked.
+            choice = self._chooser.choose(shard, excluded=shard.excluded, repeat=False)
+        if choice is None:
+            self._progress.mark_failed(shard, shard.cause)
+            return
         # Only the instance that sends a first attempt counts it, so that each
         # is counted once.
         budget = self.context.state.repeat_budget(shard.service)
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -29,6 +29,7 @@
     slack_share,
 )
 from bronzebeam.routing.replica_latency import TypicalLatency
+from bronzebeam.routing.replica_limit import RecentInstanceCount, limit_share
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.routing.shard_owners import ShardOwners
 from bronzebeam.routing.weighted_split import WeightedSplit
@@ -83,6 +84,7 @@
     _era: int | None = None
     _was_restored: bool = False
     _ownership: ShardOwnership = field(init=False)
+    _recent_instances: RecentInstanceCount = field(factory=RecentInstanceCount)
     _typical_latency_by_route: dict[str, TypicalLatency] = field(factory=dict)
     _split_by_route: dict[str, WeightedSplit] = field(factory=dict)
     _budget_by_service: dict[str, RepeatBudget] = field(factory=dict)
@@ -113,6 +115,7 @@
             log=self.log,
             rng=self.rng,
             leaving_grace_seconds=self.leaving_grace_seconds,
+            limit_share=self._limit_share,
         )
         self._older_copy = OlderCopy(
             replicas=self.replicas,
@@ -221,6 +224,7 @@
             self._update_derived_state()
         self.peers.maintain(now_seconds, self._max_exchange_seconds)
         self._update_isolation(now_seconds)
+        self.replicas.update_send_rates()
         self.replicas.maintain(now_seconds, self._max_exchange_seconds)
 
     # Queries of request handlers.
@@ -232,6 +236,7 @@
         excluded: Collection[Replica],
         route: Route,
         shared: SharedShard | None = None,
+        any_limit: bool = False,
     ) -> ReplicaChoice | None:
         """Choose a replica of a service; see `ReplicaSet.choose`."""
         return self.replicas.choose(
@@ -240,6 +245,7 @@
             route=route,
             typical_ms=self.typical_latency(route).typical_ms,
             shared=shared,
+            any_limit=any_limit,
         )
 
     def typical_latency(self, route: Route) -> TypicalLatency:
@@ -283,6 +289,10 @@
             self._budget_by_service[service] = budget
         return budget
 
+    def is_sent_by_owners(self, service: str) -> bool:
+        """Whether other instances, the owners, send to the replicas of a shard."""
+        return self.owners is not None and service not in self._ownership.owned
+
     def remaining_repeats(self, service: str) -> float:
         """Return how many repeats the service's budget allows now."""
         owners = self._ownership.owners_of(service)
@@ -293,6 +303,14 @@
         )
         return self.repeat_budget(service).available(self.loop.time(), share=share)
 
+    def _limit_share(self, service: str) -> float:
+        owners = self._ownership.owners_of(service)
+        return limit_share(
+            instance_count=self._recent_instances.highest(self.loop.time()),
+            owner_count=owners.owner_count(service) if owners is not None else None,
+            is_owner=service in self._ownership.owned,
+        )
+
     def _update_derived_state(self) -> None:
         """Recompute what depends on the replicas, the peers and the configuration."""
         services = self.table.services if self.table is not None else {}
@@ -306,6 +324,7 @@
         )
         if members_changed:
             self._owners_changed_at_seconds = self.loop.time()
+        self._recent_instances.observe(self.peers.live_count, self.loop.time())
         self._allocate_connections()
         callback = self.on_first_configuration
         if self.table is not None and callback is not None:
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -11,7 +11,7 @@
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_reply
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed_request import RoutedRequest
-from bronzebeam.gateway.shard_state import NO_REPLICA, REPLICAS_PAUSED
+from bronzebeam.gateway.shard_state import NO_REPLICA
 from bronzebeam.routing.crash_suspects import MAX_LOSSES, CrashEvidence
 from bronzebeam.routing.hedge_timing import hedge_delay_ms
 from bronzebeam.routing.replica_pause import return_after_seconds
@@ -147,12 +147,10 @@
     def _fail(self, cause: str) -> None:
         self._finish()
         ran = any(item.may_have_run for item in self.attempts)
-        return_seconds = return_after_seconds(
-            pauses=[self.context.state.replicas.usable_after_seconds(self.service)],
-            needed=1,
-        )
-        if return_seconds and cause == NO_REPLICA:
-            cause = REPLICAS_PAUSED
+        next_use = self.context.state.replicas.next_use(self.service)
+        return_seconds = return_after_seconds(pauses=[next_use.after_seconds], needed=1)
+        if next_use.cause and cause == NO_REPLICA:
+            cause = next_use.cause
         answer_failure(
             self.context,
             self.routed,
--- a/src/bronzebeam/gateway/limited_traffic.py
+++ b/src/bronzebeam/gateway/limited_traffic.py
@@ -4,6 +4,8 @@
 
 from attrs import define, field
 
+from bronzebeam.routing.replica_limit import SendTurns
+
 
 class SendKind(Enum):
     """Why a request is sent to a replica."""
@@ -19,11 +21,13 @@
     The requests that this instance has sent to a replica under a limit.
 
     :ivar per_second: requests a second that the replica takes from all instances.
+    :ivar turns: when this instance may send to the replica.
     :ivar since_seconds: monotonic time at which this instance learnt of a limit.
     :ivar sent_counts: number of requests sent since then, by kind.
     """
 
     per_second: float
+    turns: SendTurns
     since_seconds: float
     sent_counts: dict[SendKind, int] = field(
         factory=lambda: dict.fromkeys(SendKind, 0), init=False
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -61,14 +61,29 @@
         """Whether it has asked for a pause that is not over."""
         return now_seconds < self.paused_until_seconds
 
-    def is_usable(self, now_seconds: float, leaving_grace_seconds: float) -> bool:
+    def seconds_until_turn(self, now_seconds: float) -> float:
+        """Return the time until this instance may send to it by its limit."""
+        if self.limited is None:
+            return 0.0
+        return self.limited.turns.seconds_until_next(now_seconds)
+
+    def is_usable(
+        self,
+        now_seconds: float,
+        leaving_grace_seconds: float,
+        *,
+        any_limit: bool = False,
+    ) -> bool:
         """
         Whether a request may be sent to it now.
 
         :param leaving_grace_seconds: time for which a leaving replica may be used.
+        :param any_limit: don't consider the limit that it names; another instance will.
         """
         if self.mismatched or not self.pool.is_reachable or self.is_paused(now_seconds):
             return False
+        if not any_limit and self.seconds_until_turn(now_seconds) > 0.0:
+            return False
         if self.removed_at_seconds is not None:
             if now_seconds > self.last_resort_until_seconds:
                 return False
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -4,7 +4,7 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Mapping, Set
+from collections.abc import Callable, Collection, Iterable, Mapping, Set
 from typing import Final
 
 from attrs import define, field, frozen
@@ -21,7 +21,7 @@
 )
 from bronzebeam.routing.connection_shares import share_connections
 from bronzebeam.routing.older_copy import KnownState
-from bronzebeam.routing.replica_limit import NamedLimit
+from bronzebeam.routing.replica_limit import NamedLimit, SendTurns
 from bronzebeam.routing.replica_pause import RequestedPause
 from bronzebeam.routing.routes import BackendService, Route
 from bronzebeam.telemetry.decisions import DecisionLog
@@ -45,6 +45,22 @@
 MAX_STOPPED_REPLICAS: Final = 4_096  # bounds the memory; the oldest are dropped
 PAUSED: Final = "replica_paused"
 LEAVING: Final = "replica_leaving"
+# Why no replica of a service may be used.
+REPLICAS_PAUSED: Final = "replicas_paused"
+REPLICAS_LIMITED: Final = "replicas_limited"
+
+
+@frozen(kw_only=True)
+class NextUse:
+    """
+    When a replica of a service may be used.
+
+    :ivar after_seconds: 0 if one may be used now; infinite if that is not known.
+    :ivar cause: why that is not now; empty if it is, or if it is not known when.
+    """
+
+    after_seconds: float
+    cause: str = ""
 
 
 @frozen(kw_only=True)
@@ -70,6 +86,8 @@
         other.
     :ivar store_recovered_at_seconds: monotonic time at which the store answered again
         after its latest outage.
+    :ivar limit_share: returns this instance's share of the limit that a replica of a
+        service names.
     :ivar _announced: the replicas that have said that they stop.
     :ivar _stopped: the replicas that were dropped most recently, by identifier.
     """
@@ -79,6 +97,7 @@
     connect: Connect
     log: DecisionLog
     rng: random.Random
+    limit_share: Callable[[str], float]
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
     store_recovered_at_seconds: float = -math.inf
     _replicas: dict[str, Replica] = field(factory=dict)
@@ -274,31 +293,56 @@
                 problem=limit.problem,
             )
             if limited is None:
-                replica.limited = LimitedTraffic(
-                    per_second=limit.per_second, since_seconds=now_seconds
+                limited = replica.limited = LimitedTraffic(
+                    per_second=limit.per_second,
+                    turns=SendTurns(rng=self.rng),
+                    since_seconds=now_seconds,
                 )
-            else:
-                limited.per_second = limit.per_second
-
-    def usable_after_seconds(self, service: str) -> float:
-        """
-        Return the time until a replica of a service may be used.
+            limited.per_second = limit.per_second
+            self._set_send_rate(replica, limited)
+
+    def update_send_rates(self) -> None:
+        """Apply this instance's current share of the limits that replicas name."""
+        for replica in self._replicas.values():
+            if replica.limited is not None:
+                self._set_send_rate(replica, replica.limited)
+
+    def _set_send_rate(self, replica: Replica, limited: LimitedTraffic) -> None:
+        limited.turns.set_rate(
+            limit_per_second=limited.per_second,
+            share=self.limit_share(replica.record.service),
+            now_seconds=self.loop.time(),
+        )
 
-        :return: 0 if one may be used now, else the remaining time of the shortest pause
-            that a replica has asked for; infinite if there is none.
-        """
+    def next_use(self, service: str) -> NextUse:
+        """Return when a replica of a service may be used."""
         now_seconds = self.loop.time()
         replicas = self._by_service.get(service, ())
         if any(
             item.is_usable(now_seconds, self.leaving_grace_seconds) for item in replicas
         ):
-            return 0.0
-        pauses = [
-            item.paused_until_seconds - now_seconds
-            for item in replicas
-            if item.is_paused(now_seconds) and not item.is_leaving
-        ]
-        return min(pauses, default=math.inf)
+            return NextUse(after_seconds=0.0)
+        possible_uses = []
+        for item in replicas:
+            if item.is_leaving:
+                continue
+            if item.is_paused(now_seconds):
+                seconds = item.paused_until_seconds - now_seconds
+                possible_uses.append(
+                    NextUse(after_seconds=seconds, cause=REPLICAS_PAUSED)
+                )
+            elif item.is_usable(
+                now_seconds, self.leaving_grace_seconds, any_limit=True
+            ):
+                seconds = item.seconds_until_turn(now_seconds)
+                possible_uses.append(
+                    NextUse(after_seconds=seconds, cause=REPLICAS_LIMITED)
+                )
+        return min(
+            possible_uses,
+            key=lambda item: item.after_seconds,
+            default=NextUse(after_seconds=math.inf),
+        )
 
     def _send_waiting_elsewhere(self, replica: Replica, cause: str) -> None:
         """Move waiting requests to other replicas of the service, if there are any."""
@@ -372,6 +416,7 @@
         route: Route,
         typical_ms: float,
         shared: SharedShard | None = None,
+        any_limit: bool = False,
     ) -> ReplicaChoice | None:
         """Select a replica of a service; see `choose_replica`."""
         return choose_replica(
@@ -384,6 +429,7 @@
             now_seconds=self.loop.time(),
             rng=self.rng,
             shared=shared,
+            any_limit=any_limit,
         )
 
     def connected_services(self) -> frozenset[str]:
--- a/src/bronzebeam/gateway/shard_replica_chooser.py
+++ b/src/bronzebeam/gateway/shard_replica_chooser.py
@@ -11,7 +11,7 @@
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_choice import ReplicaChoice, SharedShard
 from bronzebeam.gateway.routed_request import RoutedRequest
-from bronzebeam.gateway.shard_state import REPLICAS_PAUSED, ShardState
+from bronzebeam.gateway.shard_state import ShardState
 from bronzebeam.routing.fan_out_timing import should_skip_shard
 from bronzebeam.routing.replica_pause import return_after_seconds
 from bronzebeam.units import MS_PER_SECOND
@@ -36,13 +36,20 @@
     repeated: bool
 
     def choose(
-        self, shard: ShardState, *, excluded: Collection[Replica], repeat: bool
+        self,
+        shard: ShardState,
+        *,
+        excluded: Collection[Replica],
+        repeat: bool,
+        any_limit: bool = False,
     ) -> ReplicaChoice | None:
         """
         Choose a replica of a shard.
 
         :param excluded: replicas that must not be chosen.
         :param repeat: the request was sent to the shard before.
+        :param any_limit: another instance will send, and consider the limits that
+            replicas name.
         :return: None if the shard is left out; its cause says why.
         """
         state = self.context.state
@@ -51,10 +58,10 @@
             excluded=excluded,
             route=self.routed.route,
             shared=self._shared_shard(shard),
+            any_limit=any_limit,
         )
         if choice is None:
-            if 0.0 < state.replicas.usable_after_seconds(shard.service) < math.inf:
-                shard.cause = REPLICAS_PAUSED
+            shard.cause = state.replicas.next_use(shard.service).cause or shard.cause
             return None
         left_seconds = self.routed.target_at_seconds - self.context.loop.time()
         skippable = len(self.progress.shards) * (
@@ -84,7 +91,7 @@
         available = self.progress.included + self.progress.pending
         return return_after_seconds(
             pauses=[
-                self.context.state.replicas.usable_after_seconds(shard.service)
+                self.context.state.replicas.next_use(shard.service).after_seconds
                 for shard in self.progress.shards
                 if shard.failed
             ],
--- a/src/bronzebeam/gateway/shard_state.py
+++ b/src/bronzebeam/gateway/shard_state.py
@@ -10,7 +10,6 @@
 
 NO_REPLICA: Final = "no_replica"
 NO_REPLY: Final = "no_reply"
-REPLICAS_PAUSED: Final = "replicas_paused"
 
 
 @define(kw_only=True, eq=False, repr=False)
