Log when an instance reaches no replica, and tell that from having none

The log of an instance that is cut off from all replicas could not be told from one whose replicas are gone: both said no_replica, and 99 lines named one server each. Now one line says when no replica has answered, though several were sent requests, or when no connection is open and new ones fail; refusals name the cause; and a metric counts the replicas with and without a connection. Nothing is decided by them yet.

--- a/src/bronzebeam/gateway/connection_pool.py
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from bronzebeam.routing.replica_reach import ReplicaLink
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.http_reply import ClientConnection
 from bronzebeam.units import MS_PER_SECOND
@@ -78,6 +79,7 @@
     busy: dict[ClientConnection, float] = field(factory=dict)
     waiting: deque[PendingSend] = field(factory=deque)
     _latest_answered_sent_at_seconds: float = 0.0
+    _proven_at_seconds: float = 0.0
     _opening: int = 0
     _connect_failures: int = 0
     _retry_at_seconds: float = 0.0
@@ -107,10 +109,23 @@
         That is the age of the oldest request sent later than every answered one; 0 if
         there is none.
         """
+        sent_at = self._unanswered_since_seconds()
+        return 0.0 if sent_at is None else (now_seconds - sent_at) * MS_PER_SECOND
+
+    def link(self) -> ReplicaLink:
+        """Return what shows whether the server can be reached."""
+        return ReplicaLink(
+            unanswered_since_seconds=self._unanswered_since_seconds(),
+            proven_at_seconds=self._proven_at_seconds,
+            is_open=self.open_connections > 0,
+            is_failing=self._connect_failures > 0,
+        )
+
+    def _unanswered_since_seconds(self) -> float | None:
         for sent_at in self.busy.values():
             if sent_at > self._latest_answered_sent_at_seconds:
-                return (now_seconds - sent_at) * MS_PER_SECOND
-        return 0.0
+                return sent_at
+        return None
 
     def acquire(self, pending: PendingSend, *, require_fresh: bool) -> None:
         """
@@ -142,6 +157,7 @@
         self._latest_answered_sent_at_seconds = max(
             self._latest_answered_sent_at_seconds, sent_at_seconds
         )
+        self._proven_at_seconds = self.loop.time()
         if self._connect_failures:
             self.log.event("server_reachable", server=self.name)
             self._connect_failures = 0
@@ -264,6 +280,7 @@
             self._record_connect_failure(str(error) or type(error).__name__)
             return
         self._opening -= 1
+        self._proven_at_seconds = self.loop.time()
         if not connection.closed:
             self.on_connection_idle(connection)
 
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -312,6 +312,10 @@
         if self._state.table is not None:
             self._caller_server.limits = self._state.table.limits
         self._state.maintain()
+        connected, known = self._state.replicas.connection_counts()
+        self.metrics.set_replica_counts(
+            connected=connected, unconnected=known - connected
+        )
         if self._ticks % TICKS_PER_SLOW_CHECK == 0:
             for server in (self._caller_server, self._peer_server, self._ready_server):
                 server.close_timed_out()
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -6,6 +6,7 @@
 from bronzebeam.routing.routes import Route
 from bronzebeam.telemetry.metrics import (
     Counter,
+    Gauge,
     LatencyMetric,
     MetricFamily,
     MetricRegistry,
@@ -23,6 +24,7 @@
     _repeats: MetricFamily[Counter] = field(init=False)
     _delegations: MetricFamily[Counter] = field(init=False)
     _limited_sends: MetricFamily[Counter] = field(init=False)
+    _replicas: MetricFamily[Gauge] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._requests = self.registry.counter(
@@ -55,6 +57,11 @@
             help_text="Requests sent to replicas that limit their requests, by kind.",
             label_names=("kind",),
         )
+        self._replicas = self.registry.gauge(
+            name="bronzebeam_gateway_replicas_count",
+            help_text="Known replicas, by whether a connection to them is open.",
+            label_names=("connected",),
+        )
 
     def count_delegation(self, result: str) -> None:
         """Count a completed delegation of shards to a peer."""
@@ -64,6 +71,11 @@
         """Count a request sent to a replica that limits its requests."""
         self._limited_sends.labels(kind=kind).increment()
 
+    def set_replica_counts(self, *, connected: int, unconnected: int) -> None:
+        """Set the number of known replicas."""
+        self._replicas.labels(connected="true").set(connected)
+        self._replicas.labels(connected="false").set(unconnected)
+
     def count_response(self, routed: RoutedRequest, *, status: int, now: float) -> None:
         """Count a response and record its latency."""
         name = routed.route.name
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -19,6 +19,7 @@
     SharedShard,
     choose_replica,
 )
+from bronzebeam.gateway.replica_links import ReplicaLinks
 from bronzebeam.routing.connection_shares import share_connections
 from bronzebeam.routing.older_copy import KnownState
 from bronzebeam.routing.replica_limit import NamedLimit, SendTurns
@@ -48,6 +49,7 @@
 # Why no replica of a service may be used.
 REPLICAS_PAUSED: Final = "replicas_paused"
 REPLICAS_LIMITED: Final = "replicas_limited"
+REPLICAS_UNREACHABLE: Final = "replicas_unreachable"
 
 
 @frozen(kw_only=True)
@@ -88,6 +90,7 @@
         after its latest outage.
     :ivar limit_share: returns this instance's share of the limit that a replica of a
         service names.
+    :ivar links: whether this instance reaches any replica.
     :ivar _announced: the replicas that have said that they stop.
     :ivar _stopped: the replicas that were dropped most recently, by identifier.
     """
@@ -104,6 +107,10 @@
     _announced: set[Replica] = field(factory=set)
     _stopped: OrderedDict[str, StoppedReplica] = field(factory=OrderedDict)
     _by_service: dict[str, list[Replica]] = field(factory=dict)
+    links: ReplicaLinks = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.links = ReplicaLinks(loop=self.loop, log=self.log)
 
     def domains_by_service(self) -> dict[str, frozenset[str]]:
         """Return the failure domains of the registered replicas of each service."""
@@ -338,11 +345,11 @@
                 possible_uses.append(
                     NextUse(after_seconds=seconds, cause=REPLICAS_LIMITED)
                 )
-        return min(
-            possible_uses,
-            key=lambda item: item.after_seconds,
-            default=NextUse(after_seconds=math.inf),
-        )
+        if not possible_uses:
+            is_reachable = any(item.pool.is_reachable for item in replicas)
+            cause = "" if is_reachable or not replicas else REPLICAS_UNREACHABLE
+            return NextUse(after_seconds=math.inf, cause=cause)
+        return min(possible_uses, key=lambda item: item.after_seconds)
 
     def _send_waiting_elsewhere(self, replica: Replica, cause: str) -> None:
         """Move waiting requests to other replicas of the service, if there are any."""
@@ -356,6 +363,7 @@
 
     def maintain(self, now_seconds: float, max_exchange_seconds: float) -> None:
         """Drop removed replicas, and keep connections to the others open."""
+        self.links.update([item.pool.link() for item in self._replicas.values()])
         opened = 0
         for name, replica in list(self._replicas.items()):
             replica.pool.close_stuck(now_seconds, max_exchange_seconds)
@@ -432,6 +440,13 @@
             any_limit=any_limit,
         )
 
+    def connection_counts(self) -> tuple[int, int]:
+        """Return the number of replicas with an open connection, and of all."""
+        connected = sum(
+            1 for item in self._replicas.values() if item.pool.open_connections
+        )
+        return connected, len(self._replicas)
+
     def connected_services(self) -> frozenset[str]:
         """Return the services with an open connection to at least one replica."""
         return frozenset(
--- /dev/null
+++ b/src/bronzebeam/routing/replica_reach.py
@@ -0,0 +1,70 @@
+"""Decides whether an instance has lost its links to the replicas.
+
+Protects against an instance that callers still reach, but that reaches no replica: from
+outside, a replica that crashed looks the same as one behind a broken link, but not all
+replicas crash at once.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from attrs import frozen
+
+from bronzebeam.units import MS_PER_SECOND
+
+# Replicas pause for less, all of them never at the same time.
+SILENCE_MS: Final = 300.0
+MIN_SILENT_REPLICAS: Final = 3  # fewer may have crashed or paused together
+
+
+@frozen(kw_only=True)
+class ReplicaLink:
+    """
+    What an instance has seen of its link to one replica.
+
+    :ivar unanswered_since_seconds: monotonic time of the oldest send that is later than
+        each answered one; None if there is none.
+    :ivar proven_at_seconds: monotonic time of the latest reply or new connection.
+    :ivar is_open: a connection is open, also if nothing comes on it.
+    :ivar is_failing: the latest attempt to connect has failed.
+    """
+
+    unanswered_since_seconds: float | None
+    proven_at_seconds: float
+    is_open: bool
+    is_failing: bool
+
+
+def latest_proof_seconds(links: Iterable[ReplicaLink]) -> float:
+    """Return the monotonic time of the latest sign of any replica."""
+    return max((link.proven_at_seconds for link in links), default=0.0)
+
+
+def are_replicas_silent(links: Iterable[ReplicaLink], now_seconds: float) -> bool:
+    """
+    Whether no replica answers, though several were sent requests.
+
+    Only requests sent after the latest sign of any replica count: that shows that this
+    instance's links work, and that earlier replies are late for another reason.
+    """
+    links = list(links)
+    proven_at = latest_proof_seconds(links)
+    silent_since = now_seconds - SILENCE_MS / MS_PER_SECOND
+    if proven_at > silent_since:
+        return False
+    silent_count = sum(
+        1
+        for link in links
+        if link.unanswered_since_seconds is not None
+        and proven_at <= link.unanswered_since_seconds <= silent_since
+    )
+    return silent_count >= min(MIN_SILENT_REPLICAS, len(links)) > 0
+
+
+def are_replicas_unreachable(links: Iterable[ReplicaLink]) -> bool:
+    """Whether no connection to any replica is open, and several can't be opened."""
+    links = list(links)
+    if any(link.is_open for link in links):
+        return False
+    failing_count = sum(1 for link in links if link.is_failing)
+    return failing_count >= min(MIN_SILENT_REPLICAS, len(links)) > 0
