--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -1,7 +1,6 @@
 """Cluster of gateways, stand-in replicas and a stand-in store, in virtual time."""
 
 import asyncio
-import contextvars
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
@@ -18,7 +17,7 @@
 from bronzebeam.telemetry.decisions import DecisionLog
 from tests.standin_replica import ATTEMPT_ID_HEADER, StandinReplica
 from tests.standin_store import StandinStore
-from tests.virtual_net import LOCAL_HOST, VirtualLoop, run_in_virtual_time
+from tests.virtual_net import VirtualLoop, context_of_host, run_in_virtual_time
 
 ResultT = TypeVar("ResultT")
 CALLER_PORT = 8_104
@@ -280,9 +279,7 @@
             ),
             rng=random.Random(number),
         )
-        context = contextvars.copy_context()
-        context.run(LOCAL_HOST.set, host)
-        task = self.loop.create_task(gateway.run(), context=context)
+        task = self.loop.create_task(gateway.run(), context=context_of_host(host))
         running = RunningGateway(
             name=name,
             host=host,
--- a/tests/virtual_net.py
+++ b/tests/virtual_net.py
@@ -45,6 +45,13 @@
         raise OSError("not a real socket")
 
 
+def context_of_host(host: str) -> contextvars.Context:
+    """Return a context in which connections are opened from a host."""
+    context = contextvars.copy_context()
+    context.run(LOCAL_HOST.set, host)
+    return context
+
+
 class FakeTransport(asyncio.Transport):
     """One end of a connection."""
 
@@ -95,13 +102,22 @@
             return
         self.closed = True
         self._send(lambda end: end._receive_close(reset))
-        self.net.loop.call_soon(self.protocol.connection_lost, None)
+        self.net.loop.call_soon(
+            self.protocol.connection_lost,
+            None,
+            context=context_of_host(self.local_host),
+        )
 
     def _send(self, deliver: Callable[["FakeTransport"], None]) -> None:
         peer = self.peer
         if peer is None or self.net.is_partitioned(self.local_host, self.remote_host):
             return
-        self.net.loop.call_later(ONE_WAY_DELAY_SECONDS, deliver, peer)
+        self.net.loop.call_later(
+            ONE_WAY_DELAY_SECONDS,
+            deliver,
+            peer,
+            context=context_of_host(peer.local_host),
+        )
 
     def _receive(self, data: bytes) -> None:
         if self.closed or self.net.is_partitioned(self.local_host, self.remote_host):
@@ -142,12 +158,15 @@
     :ivar listeners: protocol factories by the address that they listen on.
     :ivar partitioned_hosts: hosts whose traffic is silently dropped.
     :ivar partitioned_pairs: pairs of hosts whose traffic is silently dropped.
+    :ivar refusing_pairs: pairs of hosts whose new connections are refused, while open
+        ones go on.
     """
 
     loop: "VirtualLoop"
     listeners: dict[Address, Callable[[], Any]] = field(factory=dict)
     partitioned_hosts: set[str] = field(factory=set)
     partitioned_pairs: set[frozenset[str]] = field(factory=set)
+    refusing_pairs: set[frozenset[str]] = field(factory=set)
     transports: list[FakeTransport] = field(factory=list)
     connect_attempts: list[Address] = field(factory=list)
 
@@ -175,8 +194,8 @@
         client.protocol, server.protocol = factory(), accept()
         self.transports = [t for t in self.transports if not t.closed]
         self.transports += [client, server]
-        server.protocol.connection_made(server)
-        client.protocol.connection_made(client)
+        for end in (server, client):
+            context_of_host(end.local_host).run(end.protocol.connection_made, end)
         return client, client.protocol
 
 
@@ -205,6 +224,8 @@
         if self.net.is_partitioned(local_host, host):
             await asyncio.sleep(3_600.0)
         await asyncio.sleep(2 * ONE_WAY_DELAY_SECONDS)
+        if frozenset((local_host, host)) in self.net.refusing_pairs:
+            raise ConnectionRefusedError(111, "Connection refused")
         return self.net.open_connection(protocol_factory, (host, port), local_host)
 
     async def create_server(  # type: ignore[override]
