Hand no shards to instances that are cut off from the replicas

Cause: instances that reached no replica stayed owners of shards, and peers went on delegating to them. Each sender found out by itself, by a request that failed, and forgot after half a second.

An instance now says in its registration whether it reaches the replicas, at once when it reaches none, and after a second when its links are broken in part or mended. Those that don't own no shards and are not asked by peers, unless there is no other. The lease stays the same, and is renewed as before.

Two tests: owners move to the instances that reach replicas and back, and the registration stays through 30 s of a cut.

Among peers of any failure domain, those of domains that have failed a request already are asked last.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -140,6 +140,7 @@
             min_lease_seconds=self.settings.lease_min_ms / MS_PER_SECOND,
         )
         self._state.on_own_removal = registration.on_removed
+        self._state.on_reach_change = registration.set_reaches_replicas
         registration_task = loop.create_task(
             self._run_with_restarts("registration", registration.run)
         )
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -30,6 +30,7 @@
 )
 from bronzebeam.routing.replica_latency import TypicalLatency
 from bronzebeam.routing.replica_limit import RecentInstanceCount, limit_share
+from bronzebeam.routing.replica_reach import ReportedReach
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.routing.shard_owners import ShardOwners
 from bronzebeam.routing.weighted_split import WeightedSplit
@@ -56,6 +57,8 @@
     :ivar on_first_configuration: called once, after the first configuration has been
         applied.
     :ivar on_own_removal: called when this instance's own registration was removed.
+    :ivar on_reach_change: called when this instance's links to the replicas are broken,
+        with false, or are mended, with true.
     :ivar replicas: all replicas that may still be used.
     :ivar peers: the registered live instances.
     :ivar registration_timeout_seconds: see `OlderCopy`.
@@ -72,6 +75,7 @@
     table: RouteTable | None = None
     on_first_configuration: Callable[[], None] | None = None
     on_own_removal: Callable[[], None] | None = None
+    on_reach_change: Callable[[bool], None] | None = None
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
     registration_timeout_seconds: float
     replicas: ReplicaSet = field(init=False)
@@ -84,6 +88,7 @@
     _era: int | None = None
     _was_restored: bool = False
     _ownership: ShardOwnership = field(init=False)
+    _reach: ReportedReach = field(factory=ReportedReach)
     _recent_instances: RecentInstanceCount = field(factory=RecentInstanceCount)
     _typical_latency_by_route: dict[str, TypicalLatency] = field(factory=dict)
     _split_by_route: dict[str, WeightedSplit] = field(factory=dict)
@@ -226,6 +231,14 @@
         self._update_isolation(now_seconds)
         self.replicas.update_send_rates()
         self.replicas.maintain(now_seconds, self._max_exchange_seconds)
+        if self._reach.update(
+            is_cut_off=self.replicas.links.lost_at_seconds is not None,
+            is_impaired=self.replicas.links.is_impaired,
+            now_seconds=now_seconds,
+        ):
+            self._update_derived_state()
+            if self.on_reach_change is not None:
+                self.on_reach_change(self._reach.reaches_replicas)
 
     # Queries of request handlers.
 
@@ -318,7 +331,9 @@
             services=services,
             shards=self._fan_out_services,
             routed=self._routed_services,
-            members=self.peers.members(),
+            members=self.peers.serving_members(
+                is_impaired=not self._reach.reaches_replicas
+            ),
             instance_count=self.peers.live_count,
             replica_domains=self.replicas.domains_by_service(),
         )
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from bronzebeam.gateway.connection_pool import Connect, ConnectionPool
 from bronzebeam.gateway.records import InstanceRecord
@@ -103,6 +103,29 @@
         members[self.own_domain].setdefault(self.instance, DEFAULT_OWN_CORES)
         return members
 
+    def serving_members(self, *, is_impaired: bool) -> dict[str, dict[str, float]]:
+        """
+        Return `members` without those whose links to the replicas are broken.
+
+        :param is_impaired: those of this instance are.
+        :return: all members if those of all instances are.
+        """
+        members = self.members()
+        serving = {
+            domain: {
+                name: cores
+                for name, cores in items.items()
+                if self._reaches_replicas(name, is_impaired=is_impaired)
+            }
+            for domain, items in members.items()
+        }
+        return serving if any(serving.values()) else members
+
+    def _reaches_replicas(self, name: str, *, is_impaired: bool) -> bool:
+        if name == self.instance:
+            return not is_impaired
+        return self.records[name].reaches_replicas
+
     def registered(self) -> list[InstanceRecord]:
         """Return the registrations in the store."""
         return [
@@ -143,6 +166,9 @@
         known = self.records.get(name)
         if known == record:
             return
+        if known is not None and _is_same_except_for_reach(known, record):
+            self._update_reach(record)
+            return
         if known is not None:
             self.remove(name)
         self.records[name] = record
@@ -165,6 +191,17 @@
         )
         self._peers[name] = Peer(record=record, pool=pool)
 
+    def _update_reach(self, record: InstanceRecord) -> None:
+        self.records[record.instance] = record
+        peer = self._peers.get(record.instance)
+        if peer is not None:
+            peer.record = record
+        self.log.event(
+            "peer_reach_changed",
+            peer=record.instance,
+            reaches_replicas=record.reaches_replicas,
+        )
+
     def remove(self, name: str) -> None:
         """Remove an instance."""
         self._unconfirmed.pop(name, None)
@@ -189,6 +226,7 @@
         excluded: Collection[Peer],
         among: Collection[str] | None = None,
         may_wait: bool = False,
+        any_reach: bool = False,
     ) -> Peer | None:
         """
         Return the least loaded healthy peer of a failure domain; None if there is none.
@@ -196,6 +234,7 @@
         :param excluded: peers that must not be selected.
         :param among: names of the only peers that may be selected; None for any.
         :param may_wait: select a peer without a free connection if no other is left.
+        :param any_reach: select a peer also if its links to the replicas are broken.
         """
         now_seconds = self.loop.time()
         healthy = [
@@ -203,6 +242,7 @@
             for peer in self._peers.values()
             if peer.record.failure_domain == failure_domain
             and peer not in excluded
+            and (any_reach or peer.record.reaches_replicas)
             and (among is None or peer.record.instance in among)
             and now_seconds >= peer.avoided_until_seconds
             and peer.pool.stalled_ms(now_seconds) <= MAX_STALLED_MS
@@ -225,14 +265,21 @@
         Return a healthy peer of any failure domain; None if there is none.
 
         :param preferred_domains: are tried first, in this order.
-        :param excluded: peers that must not be selected.
+        :param excluded: peers that must not be selected; their domains are tried last.
         """
+        excluded_domains = {item.record.failure_domain for item in excluded}
         others = {item.record.failure_domain for item in self._peers.values()}
-        domains = (*preferred_domains, *sorted(others - set(preferred_domains)))
-        for domain in domains:
-            peer = self.choose(domain, excluded=excluded, may_wait=True)
-            if peer is not None:
-                return peer
+        domains = sorted(
+            dict.fromkeys((*preferred_domains, *sorted(others))),
+            key=lambda name: name in excluded_domains,
+        )
+        for any_reach in (False, True):  # a registration may be out of date
+            for domain in domains:
+                peer = self.choose(
+                    domain, excluded=excluded, may_wait=True, any_reach=any_reach
+                )
+                if peer is not None:
+                    return peer
         return None
 
     def _load(self, peer: Peer) -> tuple[float, float]:
@@ -240,3 +287,7 @@
         capacity = peer.record.processor_cores
         spread = self.rng.random() ** (1.0 / capacity)
         return peer.pool.in_flight / capacity, -spread
+
+
+def _is_same_except_for_reach(one: InstanceRecord, other: InstanceRecord) -> bool:
+    return evolve(one, reaches_replicas=other.reaches_replicas) == other
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -49,6 +49,8 @@
 
     :ivar host: IP address at which it serves peers; empty if it does not.
     :ivar processor_cores: CPU cores that it may use; greater than 0.
+    :ivar reaches_replicas: false while its links to the replicas are broken, so that
+        its peers hand nothing to it.
     """
 
     instance: str
@@ -56,6 +58,7 @@
     host: str
     port: int
     processor_cores: float = 1.0
+    reaches_replicas: bool = True
 
 
 @frozen(kw_only=True)
@@ -199,6 +202,11 @@
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> Lease:
         """Write an instance's record under a new lease and return the lease."""
 
+    async def update_registration(
+        self, *, record: InstanceRecord, lease: Lease
+    ) -> bool:
+        """Replace an instance's record; False if its lease has ended."""
+
     async def report_suspects(
         self, *, records: Sequence[SuspectRecord], ttl_seconds: float
     ) -> None:
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from bronzebeam.gateway.backoff import Backoff
 from bronzebeam.gateway.change_codec import FeedResponse
@@ -282,7 +282,10 @@
     min_lease_seconds: float
     _backoff: Backoff = field(init=False)
     _lease: Lease | None = None
+    _written: InstanceRecord | None = None
+    _renew_at_seconds: float = 0.0
     _removed: asyncio.Event = field(factory=asyncio.Event)
+    _changed: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
         self._backoff = Backoff(
@@ -301,6 +304,11 @@
                 "registration_not_ended", lease=lease.number, cause=str(error)
             )
 
+    def set_reaches_replicas(self, reaches_replicas: bool) -> None:
+        """Tell the peers whether this instance reaches the replicas."""
+        self.record = evolve(self.record, reaches_replicas=reaches_replicas)
+        self._changed.set()
+
     def on_removed(self) -> None:
         """Register again, since the store no longer has the registration."""
         self._removed.set()
@@ -308,35 +316,52 @@
     async def run(self) -> None:
         """Keep the registration until cancelled."""
         ttl_seconds = max(LEASE_SECONDS, self.min_lease_seconds)
+        renewal_seconds = ttl_seconds * LEASE_RENEWAL_FRACTION
+        loop = asyncio.get_running_loop()
         while True:
-            lease = self._lease
+            lease, record = self._lease, self.record
             self._removed.clear()
+            self._changed.clear()
             try:
                 if lease is None:
                     self._lease = lease = await self.store.register(
-                        record=self.record, ttl_seconds=ttl_seconds
+                        record=record, ttl_seconds=ttl_seconds
                     )
+                    self._renew_at_seconds = loop.time() + renewal_seconds
                     self.log.event("instance_registered", lease=lease.number)
-                elif not await self.store.renew_lease(lease=lease):
+                elif not await self._refresh(lease, record, renewal_seconds):
                     self.log.event("lease_ended", lease=lease.number)
                     self._lease = None
                     continue
+                self._written = record
                 self._backoff.reset()
-                await self._wait_for_renewal(lease, ttl_seconds)
+                await self._wait_for_renewal(lease)
             except StoreUnavailable as error:
                 self.log.event("registration_delayed", cause=str(error))
                 await asyncio.sleep(self._backoff.next_seconds())
 
-    async def _wait_for_renewal(self, lease: Lease, ttl_seconds: float) -> None:
-        """Wait until the lease is due for renewal, or seems to be lost."""
+    async def _refresh(
+        self, lease: Lease, record: InstanceRecord, renewal_seconds: float
+    ) -> bool:
+        """Write the record if it has changed, else renew the lease."""
+        if record != self._written:
+            return await self.store.update_registration(record=record, lease=lease)
+        renewed = await self.store.renew_lease(lease=lease)
+        self._renew_at_seconds = asyncio.get_running_loop().time() + renewal_seconds
+        return renewed
+
+    async def _wait_for_renewal(self, lease: Lease) -> None:
+        """Wait until the lease is due for renewal or lost, or the record changes."""
+        timeout_seconds = self._renew_at_seconds - asyncio.get_running_loop().time()
         waits = [
             asyncio.ensure_future(self.store.era.wait_for_change(lease.era)),
             asyncio.ensure_future(self._removed.wait()),
+            asyncio.ensure_future(self._changed.wait()),
         ]
         try:
             await asyncio.wait(
                 waits,
-                timeout=ttl_seconds * LEASE_RENEWAL_FRACTION,
+                timeout=max(0.0, timeout_seconds),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
--- a/src/bronzebeam/platform/instance_codec.py
+++ b/src/bronzebeam/platform/instance_codec.py
@@ -14,6 +14,7 @@
             "host": record.host,
             "port": record.port,
             "processor_cores": record.processor_cores,
+            "reaches_replicas": record.reaches_replicas,
         }
     )
 
@@ -32,6 +33,7 @@
             host=str(item["host"]),
             port=int(item["port"]),
             processor_cores=max(0.1, float(item["processor_cores"])),
+            reaches_replicas=bool(item.get("reaches_replicas", True)),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MalformedRecord(f"instance: {error!r}") from error
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -132,12 +132,23 @@
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> Lease:
         """Write an instance's record under a new lease and return the lease."""
         lease = await self._grant_lease(ttl_seconds)
-        put = _put_operation(
-            INSTANCE_PREFIX + record.instance, encode_instance(record), lease.number
-        )
-        await self._write(lease, [put])
+        await self._write(lease, [_put_instance(record, lease)])
         return lease
 
+    async def update_registration(
+        self, *, record: InstanceRecord, lease: Lease
+    ) -> bool:
+        """Replace an instance's record; False if its lease has ended."""
+        if lease.era != self.era.number:
+            return False
+        reply = await self._request(
+            "POST",
+            "/kv-txn",
+            body={"putOps": [_put_instance(record, lease)]},
+            accepted=(OK, NOT_FOUND),
+        )
+        return reply.status == OK and lease.era == self.era.number
+
     async def report_suspects(
         self, *, records: Sequence[SuspectRecord], ttl_seconds: float
     ) -> None:
@@ -287,6 +298,12 @@
     return None
 
 
+def _put_instance(record: InstanceRecord, lease: Lease) -> dict[str, Any]:
+    return _put_operation(
+        INSTANCE_PREFIX + record.instance, encode_instance(record), lease.number
+    )
+
+
 def _put_operation(key: str, value: bytes, lease: int) -> dict[str, Any]:
     return {
         "key": key,
--- a/src/bronzebeam/routing/replica_reach.py
+++ b/src/bronzebeam/routing/replica_reach.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from attrs import frozen
+from attrs import define, frozen
 
 from bronzebeam.units import MS_PER_SECOND
 
@@ -17,6 +17,7 @@
 MIN_SILENT_REPLICAS: Final = 3  # fewer may have crashed or paused together
 # Of the replicas that were connected to; fewer may have crashed together.
 IMPAIRED_SHARE: Final = 1.0 / 3.0
+MIN_REACH_CHANGE_SECONDS: Final = 1.0  # of links that are broken in part, or mended
 
 
 @frozen(kw_only=True)
@@ -82,3 +83,41 @@
             failing_count += 1
     known_count = open_count + failing_count
     return failing_count >= max(MIN_SILENT_REPLICAS, known_count * IMPAIRED_SHARE)
+
+
+@define(kw_only=True, eq=False, repr=False)
+class ReportedReach:
+    """
+    Whether an instance reaches the replicas, as its peers are told.
+
+    Peers choose other owners of shards each time, so it does not follow short changes.
+
+    :ivar reaches_replicas: what the peers are told.
+    """
+
+    reaches_replicas: bool = True
+    _differs_since_seconds: float | None = None
+
+    def update(
+        self, *, is_cut_off: bool, is_impaired: bool, now_seconds: float
+    ) -> bool:
+        """
+        Update what the peers are told.
+
+        :param is_cut_off: no replica is reached.
+        :param is_impaired: no replica is reached, or many can't be connected to.
+        :return: whether it has changed.
+        """
+        if is_impaired is not self.reaches_replicas:
+            self._differs_since_seconds = None
+            return False
+        if self._differs_since_seconds is None:
+            self._differs_since_seconds = now_seconds
+        if (
+            not is_cut_off
+            and now_seconds - self._differs_since_seconds < MIN_REACH_CHANGE_SECONDS
+        ):
+            return False
+        self._differs_since_seconds = None
+        self.reaches_replicas = not is_impaired
+        return True
--- a/tests/test_gateway_cut_off.py
+++ b/tests/test_gateway_cut_off.py
@@ -19,6 +19,7 @@
     run_scenario,
 )
 from tests.standin_replica import Fault, fault_always
+from tests.test_gateway_owners import start_large_fleet
 
 # The platform counts from this long after the cut began.
 STABILITY_SECONDS = 4.0
@@ -320,6 +321,73 @@
     run_scenario(scenario)
 
 
+def test_owners_that_are_cut_off_hand_their_shards_to_others() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_large_fleet(cluster, least=0.95)
+        await asyncio.sleep(4.0)
+        cut_off = gateways[:8]
+        for gateway in cut_off:
+            cluster.loop.net.partitioned_pairs |= replica_links(cluster, gateway)
+        await send_searches(cluster, gateways, rounds=int(STABILITY_SECONDS * 10))
+        responses = await send_searches(cluster, gateways, rounds=20)
+        assert set(statuses(responses)) == {200}
+        assert sum(item.missing for item in responses if item) == 0
+        owners = gateways[-1].gateway._state.owners
+        assert owners is not None
+        names = {name for members in owners.members.values() for name in members}
+        assert names == {item.name for item in gateways[8:]}
+        # After the cut they are owners again.
+        cluster.loop.net.partitioned_pairs.clear()
+        close_half_open_connections(cluster)
+        await asyncio.sleep(6.0)
+        owners = gateways[-1].gateway._state.owners
+        assert owners is not None
+        names = {name for members in owners.members.values() for name in members}
+        assert names == {item.name for item in gateways}
+        responses = await send_searches(cluster, gateways, rounds=5)
+        assert set(statuses(responses)) == {200}
+
+    run_scenario(scenario)
+
+
+def close_half_open_connections(cluster: Cluster) -> None:
+    """Close the replicas' ends of connections that were closed during a cut."""
+    for transport in cluster.loop.net.transports:
+        if transport.peer is not None and transport.peer.closed:
+            transport.abort()
+
+
+async def send_searches(
+    cluster: Cluster, gateways: Sequence[RunningGateway], *, rounds: int
+) -> list[Response | None]:
+    """Send a search to each gateway, some times in a second."""
+    tasks = []
+    for _ in range(rounds):
+        for gateway in gateways:
+            request = cluster.send_request(gateway, FAN_OUT_PATH, remaining_ms=800)
+            tasks.append(asyncio.create_task(request))
+        await asyncio.sleep(0.1)
+    return await asyncio.gather(*tasks)
+
+
+def test_registration_says_while_an_instance_reaches_no_replica() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cut_off, others = await cut_off_first(cluster)
+        assert others[0].log_lines("peer_reach_changed")
+        records = others[0].gateway._state.peers.records
+        assert not records[cut_off.name].reaches_replicas
+        # It stays registered under the same lease, which it goes on renewing.
+        await asyncio.sleep(30.0)
+        assert len(cut_off.log_lines("instance_registered")) == 1
+        assert not cut_off.log_lines("lease_ended")
+        assert not others[0].log_lines("peer_gone")
+        cluster.loop.net.partitioned_pairs.clear()
+        await asyncio.sleep(6.0)
+        assert records[cut_off.name].reaches_replicas
+
+    run_scenario(scenario)
+
+
 def check_records(cluster: Cluster, answer: Response, attempt_id: str) -> None:
     """Check that an answer has the greatest records of the shards that it names."""
     shards = {}
