Ask peers of two domains before replicas count as gone

Cause: as connections ended, single shards were out of reach, while too few for an instance to count as cut off. A peer of the same domain, which could not reach the shard either, was believed that its replicas were gone, and no peer was asked for a second. Two peers now have to say so, and the second one is of another failure domain if there is one. A shard that a peer could not connect to was also counted as a repeat, though nothing had been sent.

The test fails on: shards are missing.

--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -18,7 +18,10 @@
 from bronzebeam.gateway.peer_codec import REPLICAS_LOST_STATUS
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_choice import ReplicaChoice
-from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE
+from bronzebeam.gateway.replica_set import (
+    PEERS_FOR_GONE_REPLICAS,
+    REPLICAS_UNREACHABLE,
+)
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.gateway.shard_replica_chooser import ShardReplicaChooser
 from bronzebeam.gateway.shard_state import NO_REPLICA, NO_REPLY, ShardState
@@ -170,7 +173,9 @@
                 shard.cause = delegation.cause or "missing_at_peer"
                 if self._crash_evidence.is_suspect:
                     continue
-                if not self._send_again(shard, repeat=repeat):
+                # A peer that could not connect to a replica has sent it nothing.
+                may_have_run = repeat and shard.service not in delegation.unreachable
+                if not self._send_again(shard, repeat=may_have_run):
                     missing.append(shard)
             if self._done:
                 return
@@ -181,28 +186,34 @@
         self._answer_if_complete()
 
     def _request_elsewhere(
-        self, delegation: Delegation, missing: list[ShardState], *, repeat: bool
+        self, delegation: Delegation, missing: Sequence[ShardState], *, repeat: bool
     ) -> None:
         """Request shards that a peer lacks from other peers, if that may help."""
-        gone = frozenset[str]()
-        if not delegation.peer_is_impaired:
-            # The peer reaches other replicas, so these are gone.
-            gone = delegation.unreachable
-        for service in gone:
-            self.context.state.replicas.record_unreachable_at_peer(service)
-        elsewhere = [
-            shard.index
-            for shard in missing
-            if shard.cause == REPLICAS_UNREACHABLE
-            and shard.service not in gone
-            and (delegation.peer_is_impaired or not delegation.signatures)
-        ]
-        if elsewhere and self._delegator.delegate_elsewhere(
-            delegation, elsewhere, may_have_run=repeat
-        ):
-            missing = [item for item in missing if item.index not in elsewhere]
-        if missing and not self._delegator.request_missing(delegation, missing):
-            for shard in missing:
+        unreachable: list[int] = []
+        unknown: list[int] = []
+        left = []
+        for shard in missing:
+            is_unreachable = shard.service in delegation.unreachable
+            if is_unreachable:
+                shard.unreachable_at.add(delegation.peer)
+            if shard.cause != REPLICAS_UNREACHABLE:
+                left.append(shard)
+            elif len(shard.unreachable_at) >= PEERS_FOR_GONE_REPLICAS:
+                self.context.state.replicas.record_unreachable_at_peers(shard.service)
+                left.append(shard)
+            elif is_unreachable:
+                unreachable.append(shard.index)
+            elif not delegation.signatures:
+                unknown.append(shard.index)
+            else:
+                left.append(shard)
+        for indexes, may_have_run in ((unreachable, False), (unknown, repeat)):
+            if indexes and not self._delegator.delegate_elsewhere(
+                delegation, indexes, may_have_run=may_have_run
+            ):
+                left.extend(self._progress.shards[index] for index in indexes)
+        if left and not self._delegator.request_missing(delegation, left):
+            for shard in left:
                 self._progress.mark_failed(shard, shard.cause)
 
     def _record_reply(self) -> None:
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -13,7 +13,10 @@
 from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.relay import RelayedAttempt
 from bronzebeam.gateway.replica import Replica
-from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE
+from bronzebeam.gateway.replica_set import (
+    PEERS_FOR_GONE_REPLICAS,
+    REPLICAS_UNREACHABLE,
+)
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.gateway.shard_state import NO_REPLICA
 from bronzebeam.routing.crash_suspects import MAX_LOSSES, CrashEvidence
@@ -47,6 +50,7 @@
     _crash_evidence: CrashEvidence = field(
         factory=lambda: CrashEvidence(needs_confirmation=False)
     )
+    _unreachable_count: int = 0
     _last_failed: BaseAttempt | None = None
     _done: bool = False
     _timers: list[asyncio.TimerHandle] = field(factory=list)
@@ -83,8 +87,10 @@
             self._crash_evidence.replied = True
         if attempt.connection_lost:
             self._crash_evidence.record_losses()
-        if isinstance(attempt, RelayedAttempt) and attempt.are_replicas_gone:
-            self.context.state.replicas.record_unreachable_at_peer(self.service)
+        if isinstance(attempt, RelayedAttempt) and attempt.is_unreachable_at_peer:
+            self._unreachable_count += 1
+            if self._unreachable_count >= PEERS_FOR_GONE_REPLICAS:
+                self.context.state.replicas.record_unreachable_at_peers(self.service)
         if any(item.is_in_progress for item in self.attempts):
             return
         if self._may_repeat(result) and self._send(repeat=attempt.reached_replica):
--- a/src/bronzebeam/gateway/relay.py
+++ b/src/bronzebeam/gateway/relay.py
@@ -50,9 +50,9 @@
         return self.peer.record.instance
 
     @property
-    def are_replicas_gone(self) -> bool:
-        """Whether the peer reaches other replicas, but none of the service."""
-        return self.cause == REPLICAS_UNREACHABLE and not self.peer_is_impaired
+    def is_unreachable_at_peer(self) -> bool:
+        """Whether the peer reaches no replica of the service either."""
+        return self.cause == REPLICAS_UNREACHABLE
 
     # Called by the connection pool.
 
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -45,7 +45,9 @@
 WARM_CONNECTIONS_WITHOUT_SHARD: Final = 1
 MAX_STOPPED_REPLICAS: Final = 4_096  # bounds the memory; the oldest are dropped
 # Peers are not asked for a service again for this long if they don't reach it either.
-UNREACHABLE_AT_PEER_SECONDS: Final = 1.0
+UNREACHABLE_AT_PEERS_SECONDS: Final = 1.0
+# Of different failure domains if possible: the links of a whole one may be broken.
+PEERS_FOR_GONE_REPLICAS: Final = 2
 PROBED_REPLICAS: Final = 3  # if none is reached and no connection is kept open
 PAUSED: Final = "replica_paused"
 LEAVING: Final = "replica_leaving"
@@ -371,9 +373,9 @@
             return NextUse(after_seconds=math.inf, cause=cause)
         return min(possible_uses, key=lambda item: item.after_seconds)
 
-    def record_unreachable_at_peer(self, service: str) -> None:
-        """Record that a peer that reaches others reaches no replica of a service."""
-        until_seconds = self.loop.time() + UNREACHABLE_AT_PEER_SECONDS
+    def record_unreachable_at_peers(self, service: str) -> None:
+        """Record that several peers reach no replica of a service."""
+        until_seconds = self.loop.time() + UNREACHABLE_AT_PEERS_SECONDS
         self._unreachable_until_seconds[service] = until_seconds
 
     def _may_reach_through_peer(self, service: str) -> bool:
--- a/src/bronzebeam/gateway/shard_state.py
+++ b/src/bronzebeam/gateway/shard_state.py
@@ -6,6 +6,7 @@
 
 from bronzebeam.gateway.attempt import Attempt
 from bronzebeam.gateway.delegation import Delegation
+from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.replica import Replica
 
 NO_REPLICA: Final = "no_replica"
@@ -19,6 +20,7 @@
 
     :ivar excluded: replicas that the next attempt must not use.
     :ivar delegation: latest delegation that includes the shard; None if there is none.
+    :ivar unreachable_at: peers that reach none of its replicas.
     :ivar signature: signature of the reply that is used; None if there is none.
     :ivar body: records of that reply; None if a peer has merged them.
     :ivar failed: no further attempt will be made.
@@ -30,6 +32,7 @@
     attempts: list[Attempt] = field(factory=list)
     excluded: set[Replica] = field(factory=set)
     delegation: Delegation | None = None
+    unreachable_at: set[Peer] = field(factory=set)
     signature: bytes | None = None
     body: bytes | None = None
     failed: bool = False
--- a/tests/test_gateway_cut_off.py
+++ b/tests/test_gateway_cut_off.py
@@ -16,6 +16,7 @@
     encode_record,
     encode_request,
     make_route,
+    replicas_of_service,
     run_scenario,
 )
 from tests.standin_replica import Fault, fault_always
@@ -113,6 +114,27 @@
     run_scenario(scenario)
 
 
+def test_shard_that_a_whole_domain_can_not_reach_is_found_in_another() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_fleet(cluster, instances=6)
+        refused = [gateways[0], gateways[3]]
+        for gateway in refused:
+            cluster.loop.net.refusing_pairs |= replica_links(cluster, gateway)
+        # So few connections end that neither counts as cut off.
+        hosts = {item.host for item in replicas_of_service(cluster, "shard-0")}
+        for transport in list(cluster.loop.net.transports):
+            if transport.remote_host in hosts:
+                if transport.local_host in {item.host for item in refused}:
+                    transport.abort()
+        await asyncio.sleep(1.0)
+        responses = await send_each_kind(cluster, refused, rounds=30)
+        assert not refused[0].log_lines("replicas_lost")
+        assert set(statuses(responses)) == {200}
+        assert sum(item.missing for item in responses if item) == 0
+
+    run_scenario(scenario)
+
+
 def test_callers_of_all_instances_are_served_while_most_are_cut_off() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await start_fleet(cluster, instances=8)
