Bound the memory that unfinished replies of replicas take

A replica in trouble may send bytes that are no answer without end, in a head or a body, until the other side closes.

Heads, with the interim replies before them, may now have 64 KB; all bytes of a reply count, whether they become a body or not; and all unfinished replies of replicas together may have 24 MB, beyond which replies of more than 256 KB end. The connection is closed and the reply counts as malformed. The entry's connections were bounded already.

Tests of five kinds of endless replies, from one replica of a single service and from all replicas of twelve shards: callers are answered, and no more than 30 MB are unfinished.

--- a/src/bronzebeam/gateway/connection_pool.py
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -10,7 +10,7 @@
 
 from bronzebeam.routing.replica_reach import ReplicaLink
 from bronzebeam.telemetry.decisions import DecisionLog
-from bronzebeam.transport.http_reply import ClientConnection
+from bronzebeam.transport.http_reply import ClientConnection, ReplyMemory
 from bronzebeam.units import MS_PER_SECOND
 
 UNREACHABLE: Final = "unreachable"
@@ -79,6 +79,7 @@
     :ivar closing: connections are closed as soon as they are idle.
     :ivar is_kept_open: connections that are missing are opened in the background, so
         that requests need not find out whether that succeeds.
+    :ivar reply_memory: shared with the pools of similar servers.
     :ivar link_times: shared with the pools of similar servers.
     :ivar idle: connections without a request in flight.
     :ivar busy: monotonic send time of the request on each busy connection, the oldest
@@ -95,6 +96,7 @@
     max_connections: int = 2
     closing: bool = False
     is_kept_open: bool = False
+    reply_memory: ReplyMemory = field(factory=ReplyMemory)
     link_times: LinkTimes = field(factory=LinkTimes)
     idle: list[ClientConnection] = field(factory=list)
     busy: dict[ClientConnection, float] = field(factory=dict)
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -58,7 +58,11 @@
     """Open a connection to a backend server or a peer."""
     loop = asyncio.get_running_loop()
     _, connection = await loop.create_connection(
-        lambda: ClientConnection(owner=owner, loop=loop), host, port
+        lambda: ClientConnection(
+            owner=owner, loop=loop, reply_memory=owner.reply_memory
+        ),
+        host,
+        port,
     )
     return connection
 
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -26,6 +26,7 @@
 from bronzebeam.routing.replica_pause import RequestedPause
 from bronzebeam.routing.routes import BackendService, Route
 from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.transport.http_reply import ReplyMemory
 from bronzebeam.units import MS_PER_SECOND
 
 # An instance may see a removal one second late, and no request may be sent to a replica
@@ -115,6 +116,7 @@
     _stopped: OrderedDict[str, StoppedReplica] = field(factory=OrderedDict)
     _by_service: dict[str, list[Replica]] = field(factory=dict)
     links: ReplicaLinks = field(init=False)
+    _reply_memory: ReplyMemory = field(factory=ReplyMemory)
     _unreachable_until_seconds: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -189,6 +191,7 @@
                 connect=self.connect,
                 log=self.log,
                 link_times=self.links.times,
+                reply_memory=self._reply_memory,
             )
             replica = Replica(record=record, pool=pool)
             stopped = self._stopped.pop(record.replica, None)
--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -10,6 +10,10 @@
 from bronzebeam.transport.socket_options import enable_dead_peer_detection
 
 MAX_REPLY_BYTES: Final = 16 * 1024 * 1024  # limits the memory used by one reply
+MAX_HEAD_BYTES: Final = 64 * 1024  # of one reply, with its interim replies
+# All replies that are being received; a small instance has 300 MB.
+MAX_UNFINISHED_BYTES: Final = 24 * 1024 * 1024
+SMALL_REPLY_BYTES: Final = 256 * 1024  # received also if others use the memory
 KEEP_ALIVE_HEADER: Final = b"keep-alive"
 TIMEOUT_PARAMETER: Final = b"timeout="
 FIRST_FINAL_STATUS: Final = 200
@@ -46,6 +50,23 @@
     body: bytes
 
 
+@define(kw_only=True, eq=False, repr=False)
+class ReplyMemory:
+    """
+    The memory used by replies that are being received on several connections.
+
+    Protects against servers that send without end: each reply alone may be large, but
+    not those of many servers at the same time.
+    """
+
+    max_bytes: int = MAX_UNFINISHED_BYTES
+    used_bytes: int = 0
+
+    def is_exceeded_by(self, reply_bytes: int) -> bool:
+        """Whether a reply has to be given up, of which so much was received."""
+        return self.used_bytes > self.max_bytes and reply_bytes > SMALL_REPLY_BYTES
+
+
 class ExchangeObserver(Protocol):
     """Receives the end of one exchange on a connection."""
 
@@ -88,13 +109,15 @@
         "keep_alive_seconds",
         "proven",
         "reply_max_bytes",
+        "reply_memory",
         "interim_seen",
         "closed",
         "closed_by_server",
         "_parser",
         "_headers",
         "_body",
-        "_body_bytes",
+        "_received_bytes",
+        "_has_head",
         "_status",
         "_complete",
         "_trailing",
@@ -110,9 +133,12 @@
         owner: ConnectionOwner,
         loop: asyncio.AbstractEventLoop,
         reply_max_bytes: int = MAX_REPLY_BYTES,
+        reply_memory: ReplyMemory | None = None,
     ) -> None:
         self.owner = owner
         self.reply_max_bytes = reply_max_bytes
+        self.reply_memory = ReplyMemory() if reply_memory is None else reply_memory
+        self._received_bytes = 0
         self.loop = loop
         self.transport: asyncio.Transport | None = None
         self.observer: ExchangeObserver | None = None
@@ -131,7 +157,8 @@
     def _reset(self) -> None:
         self._headers: Headers = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._has_head = False
+        self._release_memory()
         self._status = 0
         # Whether an interim reply (1xx) was received for the current exchange.
         self.interim_seen = False
@@ -141,6 +168,11 @@
         self._until_end = False
         self._bodyless = False
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return the number of bytes received of a reply that is not complete."""
+        return 0 if self.observer is None else self._received_bytes
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -154,6 +186,8 @@
         if self.observer is None or self._complete:
             self.close()
             return
+        self._received_bytes += len(data)
+        self.reply_memory.used_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -165,10 +199,10 @@
                 self._fail(ExchangeFailure.MALFORMED)
                 return
             self._trailing = True
-        if self._body_bytes > self.reply_max_bytes:
-            self._fail(ExchangeFailure.MALFORMED)
-        elif self._complete:
+        if self._complete:
             self._finish()
+        elif self._is_too_large():
+            self._fail(ExchangeFailure.MALFORMED)
 
     def eof_received(self) -> bool:
         """Complete a reply whose body is delimited by the end of the connection."""
@@ -183,6 +217,7 @@
         self.closed_by_server = not self.closed
         self.closed = True
         observer, self.observer = self.observer, None
+        self._release_memory()
         if observer is not None:
             started = self._status or self._headers
             observer.on_failure(
@@ -207,6 +242,7 @@
         if self._complete:
             return
         self._status = self._parser.get_status_code()
+        self._has_head = self._status >= FIRST_FINAL_STATUS
         self._until_end = self._status not in BODYLESS_STATUSES and not any(
             name == b"content-length" or name == b"transfer-encoding"
             for name, _ in self._headers
@@ -219,7 +255,6 @@
         """Collect a part of the body."""
         if not self._complete:
             self._body.append(body)
-            self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete, unless it is an interim reply."""
@@ -267,8 +302,23 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.abort()
 
+    def _is_too_large(self) -> bool:
+        """Whether the reply has to be given up, since it may have no end."""
+        # Counts all bytes: a reply may grow without a byte of body.
+        received_bytes = self._received_bytes
+        return (
+            (not self._has_head and received_bytes > MAX_HEAD_BYTES)
+            or received_bytes > self.reply_max_bytes + MAX_HEAD_BYTES
+            or self.reply_memory.is_exceeded_by(received_bytes)
+        )
+
+    def _release_memory(self) -> None:
+        self.reply_memory.used_bytes -= self._received_bytes
+        self._received_bytes = 0
+
     def _finish(self) -> None:
         observer, self.observer = self.observer, None
+        self._release_memory()
         reply = HttpReply(
             status=self._status, headers=self._headers, body=b"".join(self._body)
         )
@@ -292,6 +342,7 @@
 
     def _fail(self, failure: ExchangeFailure) -> None:
         observer, self.observer = self.observer, None
+        self._release_memory()
         self.close()
         if observer is not None:
             observer.on_failure(self, failure)
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -15,6 +15,8 @@
 LIMIT_HEADER = "Server-Limit"
 NOT_EXECUTED_HEADER = "X-Bronzebeam-Not-Executed"
 RESTART_SECONDS = 2.0
+ENDLESS_WRITE_BYTES = 64 * 1024
+ENDLESS_WRITE_SECONDS = 0.001
 
 
 class Fault(Enum):
@@ -33,10 +35,29 @@
     EXTRA_JOINED = "extra_joined_reply"  # a second reply in the same write
     EXTRA_LATE = "extra_late_reply"  # a second reply 50 ms later
     GARBAGE = "garbage"
+    # Bytes that come without end until the other side closes the connection:
+    ENDLESS_HEAD = "endless_head"  # headers
+    ENDLESS_HEADER = "endless_header"  # one header's value
+    ENDLESS_INTERIM = "endless_interim"  # interim replies
+    ENDLESS_BODY = "endless_body"  # of no stated length
+    ENDLESS_CHUNK = "endless_chunk"  # the extension of one chunk
     WRONG_ID = "other_id"  # the reply has the attempt id of another request
     NO_SIGNATURE = "no_signature"
 
 
+# What an endless reply starts with, and what comes again and again.
+ENDLESS_PARTS = {
+    Fault.ENDLESS_HEAD: (b"HTTP/1.1 200 OK\r\n", b"x-more: and more\r\n"),
+    Fault.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nx-long: ", b"0123456789abcdef"),
+    Fault.ENDLESS_INTERIM: (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    Fault.ENDLESS_BODY: (b"HTTP/1.1 200 OK\r\n\r\n", b"0123456789abcdef"),
+    Fault.ENDLESS_CHUNK: (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+        b"0123456789abcdef",
+    ),
+}
+
+
 def no_fault(request: StandinRequest) -> Fault:
     return Fault.NONE
 
@@ -234,6 +255,10 @@
             request.connection.abort()
         elif fault is Fault.GARBAGE:
             request.connection.write(b"\x00\x01 this is no reply\r\n\r\n")
+        elif fault in ENDLESS_PARTS:
+            start, part = ENDLESS_PARTS[fault]
+            request.connection.write(start)
+            self._write_endlessly(request.connection, part)
         elif fault is Fault.TRUNCATED:
             lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
             head = f"HTTP/1.1 200 OK\r\n{lines}Content-Length: {len(body) + 9}\r\n\r\n"
@@ -262,6 +287,14 @@
             elif fault is Fault.EXTRA_LATE:
                 self.loop.call_later(0.05, self._extra, request, headers)
 
+    def _write_endlessly(self, connection: StandinConnection, part: bytes) -> None:
+        if connection.ended:
+            return
+        connection.write(part * (ENDLESS_WRITE_BYTES // len(part)))
+        self.loop.call_later(
+            ENDLESS_WRITE_SECONDS, self._write_endlessly, connection, part
+        )
+
     def _signals(self) -> dict[str, str]:
         """Return the headers by which the replica tells of its own state."""
         signals = {LEAVING_HEADER: "1"} if self.leaving else {}
--- /dev/null
+++ b/tests/test_gateway_endless_replies.py
@@ -0,0 +1,77 @@
+"""Tests of replicas that send bytes without end, in virtual time."""
+
+import asyncio
+
+from tests.fixtures_gateway import (
+    BOOKING_SERVICE,
+    FAN_OUT_PATH,
+    READ_PATH,
+    Cluster,
+    RunningGateway,
+    replicas_of_service,
+    run_scenario,
+    start_search_cluster,
+    start_small_cluster,
+)
+from tests.standin_replica import ENDLESS_PARTS, Fault, fault_always
+
+# A tenth of the memory of a small instance, which is 300 MB.
+MAX_BUFFERED_BYTES = 30 * 1024 * 1024
+SHARDS = 12
+
+
+def received_bytes(cluster: Cluster, gateway: RunningGateway) -> int:
+    """Return the bytes on open connections to replicas that are no complete reply."""
+    hosts = {item.host for item in cluster.replicas.values()}
+    return sum(
+        transport.protocol.unfinished_bytes
+        for transport in cluster.loop.net.transports
+        if transport.local_host == gateway.host and transport.remote_host in hosts
+    )
+
+
+def test_endless_replies_of_a_single_service_end_and_are_bounded() -> None:
+    for fault in ENDLESS_PARTS:
+
+        async def scenario(cluster: Cluster) -> None:
+            gateway = await start_small_cluster(cluster)
+            endless, other = replicas_of_service(cluster, BOOKING_SERVICE)
+            endless.fault = fault_always(fault)
+            other.work_seconds = 0.02
+            for number in range(10):
+                answer = await cluster.send_request(
+                    gateway, READ_PATH, attempt_id=f"e-{number}"
+                )
+                assert answer is not None and answer.status == 200, fault
+                assert answer.body.endswith(f"/e-{number}".encode())
+                assert received_bytes(cluster, gateway) <= MAX_BUFFERED_BYTES
+            await asyncio.sleep(3.0)
+            assert received_bytes(cluster, gateway) == 0
+            assert endless.received_ids
+
+        run_scenario(scenario)
+
+
+def test_endless_replies_of_many_shards_stay_within_the_memory() -> None:
+    for fault in (Fault.ENDLESS_BODY, Fault.ENDLESS_HEAD, Fault.ENDLESS_CHUNK):
+
+        async def scenario(cluster: Cluster) -> None:
+            gateway = await start_search_cluster(cluster, shards=SHARDS)
+            for replica in cluster.replicas.values():
+                replica.fault = fault_always(fault)
+            searches = [
+                asyncio.ensure_future(
+                    cluster.send_request(gateway, f"{FAN_OUT_PATH}{number}")
+                )
+                for number in range(3)
+            ]
+            most = 0
+            for _ in range(300):
+                await asyncio.sleep(0.01)
+                most = max(most, received_bytes(cluster, gateway))
+            assert most <= MAX_BUFFERED_BYTES, most
+            for search in searches:
+                answer = await search
+                assert answer is not None and answer.status in (502, 503, 504)
+
+        run_scenario(scenario)
