--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -116,6 +116,7 @@
         "_parser",
         "_headers",
         "_body",
+        "_body_bytes",
         "_received_bytes",
         "_has_head",
         "_status",
@@ -157,6 +158,7 @@
     def _reset(self) -> None:
         self._headers: Headers = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._has_head = False
         self._release_memory()
         self._status = 0
@@ -199,10 +201,12 @@
                 self._fail(ExchangeFailure.MALFORMED)
                 return
             self._trailing = True
-        if self._complete:
-            self._finish()
-        elif self._is_too_large():
+        if self._body_bytes > self.reply_max_bytes or (
+            not self._complete and self._may_be_endless()
+        ):
             self._fail(ExchangeFailure.MALFORMED)
+        elif self._complete:
+            self._finish()
 
     def eof_received(self) -> bool:
         """Complete a reply whose body is delimited by the end of the connection."""
@@ -255,6 +259,7 @@
         """Collect a part of the body."""
         if not self._complete:
             self._body.append(body)
+            self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete, unless it is an interim reply."""
@@ -302,8 +307,8 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.abort()
 
-    def _is_too_large(self) -> bool:
-        """Whether the reply has to be given up, since it may have no end."""
+    def _may_be_endless(self) -> bool:
+        """Whether an unfinished reply has to be given up, since it may have no end."""
         # Counts all bytes: a reply may grow without a byte of body.
         received_bytes = self._received_bytes
         return (
