Name limits and send endless replies in the soak of gateways

The soak knew neither a replica that limits its requests nor replies without end. A limit lasts 6 to 14 s, and a timed rule counts what the replica gets in any 4 s from all processes; a planted history of 66 requests breaks it, one of 65 does not. Windows around a process that was killed or paused are left out, since it does not know the limit.

Not built: a cut between one gateway and all replicas, which the links of the rig don't know.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Final
 
+from tests.soak_history import LimitRow
 from tests.soak_link import LinkFault
 from tests.soak_rig import DOMAINS, STOP_SECONDS, SoakGateway, SoakReplica, SoakRig
 from tests.standin_http import StandinRequest
@@ -30,6 +31,8 @@
     Fault.WRONG_ID,
     Fault.NO_SIGNATURE,
     Fault.UNRESPONSIVE,
+    Fault.ENDLESS_HEAD,
+    Fault.ENDLESS_BODY,
 )
 
 
@@ -210,6 +213,26 @@
     replica.pause = ""
 
 
+async def limit_replica(rig: SoakRig, rng: random.Random) -> None:
+    """Let a replica name a limit, below what it usually gets."""
+    replica = _choose_replica(rig, rng)
+    if replica.limit:
+        return
+    per_second = rng.uniform(0.5, 6.0)
+    replica.limit = f"{per_second:.1f}"
+    start = rig.loop.time()
+    await asyncio.sleep(rng.uniform(6.0, 14.0))
+    rig.history.limits.append(
+        LimitRow(
+            replica=replica.process_name,
+            per_second=per_second,
+            start_seconds=start,
+            end_seconds=rig.loop.time(),
+        )
+    )
+    replica.limit = ""
+
+
 async def replace_replica(rig: SoakRig, rng: random.Random) -> None:
     """Start a replica, and let the one that it replaces leave."""
     leaving = _choose_replica(rig, rng)
@@ -250,6 +273,7 @@
     spoil_replies,
     harm_replica_link,
     pause_replica,
+    limit_replica,
     replace_replica,
     kill_all_gateways,
 )
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -10,6 +10,10 @@
 REFUSED_STATUSES = (408, 421, 429, 503)
 PAUSE_NOTICE_SECONDS = 0.5
 MAX_REQUESTS_DURING_PAUSE = 2
+LIMIT_NOTICE_SECONDS = 4.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_EXCESS_RATIO = 1.5
+LIMIT_EXCESS_COUNT = 5
 
 
 @define(kw_only=True, eq=False)
@@ -58,6 +62,20 @@
     pause_seconds: float = 0.0
 
 
+@define(kw_only=True, eq=False)
+class LimitRow:
+    """
+    A time in which a replica named a limit on its requests.
+
+    :ivar replica: the process, by identifier and start.
+    """
+
+    replica: str
+    per_second: float
+    start_seconds: float
+    end_seconds: float
+
+
 @define(kw_only=True, eq=False)
 class SoakHistory:
     """
@@ -77,6 +95,7 @@
     records: dict[str, Sequence[bytes]] = field(factory=dict)
     bodies: dict[str, bytes] = field(factory=dict)
     disturbed: list[tuple[str, float, float]] = field(factory=list)
+    limits: list[LimitRow] = field(factory=list)
     stops: dict[tuple[str, int], float] = field(factory=dict)
     drain_timeout_seconds: float = 3.0
     top_records: int = 5
@@ -97,7 +116,11 @@
         "planned_stops": _check_planned_stops,
     }
     if timed:
-        rules |= {"leaving": _check_leaving, "pauses": _check_pauses}
+        rules |= {
+            "leaving": _check_leaving,
+            "pauses": _check_pauses,
+            "limits": _check_limits,
+        }
     return {name: list(rule(history)) for name, rule in rules.items()}
 
 
@@ -270,3 +293,30 @@
                 history, gateway[0], pause.at_seconds, end
             ):
                 yield f"{len(inside)} of {gateway} reached {replica} in its pause"
+
+
+def _check_limits(history: SoakHistory) -> Iterable[str]:
+    """Replicas that limit their requests get no more from all processes."""
+    arrivals = defaultdict(list)
+    for arrival in history.arrivals:
+        arrivals[arrival.replica].append(arrival.at_seconds)
+    for limit in history.limits:
+        allowed = (
+            LIMIT_EXCESS_RATIO * LIMIT_WINDOW_SECONDS * limit.per_second
+            + LIMIT_EXCESS_COUNT
+        )
+        first, last = limit.start_seconds + LIMIT_NOTICE_SECONDS, limit.end_seconds
+        times = [item for item in arrivals[limit.replica] if first <= item < last]
+        for start in times:
+            end = start + LIMIT_WINDOW_SECONDS
+            count = sum(start <= item < end for item in times)
+            # A process that was started in between does not know of the limit yet.
+            if count > allowed and not any(
+                since <= end and until >= start - LIMIT_NOTICE_SECONDS
+                for _, since, until in history.disturbed
+            ):
+                yield (
+                    f"{count} requests reached {limit.replica} in 4 s from "
+                    f"{start:.1f}, which takes {limit.per_second} a second"
+                )
+                break
--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -93,9 +93,14 @@
         for connection in list(self.connections):
             connection.abort()
 
+    @property
+    def process_name(self) -> str:
+        """Return the name of this process, which differs from that of a later one."""
+        return f"{self.replica}@{self.started_at_ms}"
+
     def handle(self, request: StandinRequest) -> None:
         row = ArrivalRow(
-            replica=f"{self.replica}@{self.started_at_ms}",
+            replica=self.process_name,
             service=self.service,
             attempt_id=request.headers.get("x-bronzebeam-attempt-id", ""),
             method=request.method,
--- a/tests/test_soak_gateways.py
+++ b/tests/test_soak_gateways.py
@@ -6,7 +6,13 @@
 
 from tests.fixtures_gateway import Response
 from tests.soak_gateways import run_soak
-from tests.soak_history import ArrivalRow, RequestRow, SoakHistory, check_history
+from tests.soak_history import (
+    ArrivalRow,
+    LimitRow,
+    RequestRow,
+    SoakHistory,
+    check_history,
+)
 
 SIGNATURE_HEADER = "x-bronzebeam-replica-signature"
 GATEWAY = ("g-0", 1)
@@ -181,6 +187,26 @@
     assert broken_rules(history) == {"pauses"}
 
 
+def test_requests_above_a_limit_are_found() -> None:
+    for count, expected in ((65, 0), (66, 1)):
+        history = SoakHistory()
+        history.limits.append(
+            LimitRow(
+                replica=REPLICA, per_second=10.0, start_seconds=1.0, end_seconds=20.0
+            )
+        )
+        # More before the replica's word counts, and after it.
+        for index in range(100):
+            add_request(history, f"early-{index}", respond(), at_seconds=4.0)
+            add_request(history, f"late-{index}", respond(), at_seconds=21.0)
+        for index in range(count):
+            at_seconds = 10.0 + index * 0.05
+            add_request(history, f"r-{index}", respond(), at_seconds=at_seconds)
+        assert len(check_history(history, timed=True)["limits"]) == expected
+        history.disturbed.append(("g-1", 9.0, 10.0))
+        assert not check_history(history, timed=True)["limits"]
+
+
 def test_short_soak_of_processes_breaks_no_rule() -> None:
     with TemporaryDirectory() as folder:
         run = asyncio.run(
