Keep what replicas name as limits in a class of its own

ReplicaLimits records limits and applies shares; no change of behaviour, and the 27 tests of limits, signals and the operations page pass.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -97,7 +97,7 @@
             return
         self.reply, self.reply_metadata = reply, metadata
         if reply.status != MISDIRECTED_STATUS:
-            self.context.state.replicas.record_limit(
+            self.context.state.replicas.limits.record(
                 self.replica, read_limit(metadata.limit)
             )
         if reply.status == MISDIRECTED_STATUS:
--- a/src/bronzebeam/gateway/delegator.py
+++ b/src/bronzebeam/gateway/delegator.py
@@ -127,7 +127,7 @@
         )
         return not self._is_owner(group) and self.delegate(group, previous=late)
 
-    def delegate_unreachable(self, shards: Sequence[int]) -> list[int]:
+    def delegate_unreachable(self, indexes: Sequence[int]) -> list[int]:
         """
         Delegate shards whose replicas this instance can't reach.
 
@@ -137,21 +137,21 @@
         by_domain = group_by_domain(
             {
                 index: state.replicas.domains(self.routed.route.shards[index])
-                for index in shards
+                for index in indexes
             },
             rng=self.context.rng,
         )
-        members = state.peers.members()
         if state.owners is not None:
             groups = group_by_owner(
                 by_domain, services=self.routed.route.shards, owners=state.owners
             )
         else:
+            members = state.peers.members()
             groups = [
                 ShardGroup(domain=domain, shards=part)
-                for domain, group in by_domain
+                for domain, shards in by_domain
                 for part in split_evenly(
-                    group, processor_cores=mean_cores(members, domain)
+                    shards, processor_cores=mean_cores(members, domain)
                 )
             ]
         left: list[int] = []
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -20,6 +20,7 @@
 )
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_choice import ReplicaChoice, SharedShard
+from bronzebeam.gateway.replica_limits import ReplicaLimits
 from bronzebeam.gateway.replica_set import LEAVING_GRACE_SECONDS, ReplicaSet
 from bronzebeam.gateway.shard_ownership import ShardOwnership
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS, CrashSuspects
@@ -120,7 +121,9 @@
             log=self.log,
             rng=self.rng,
             leaving_grace_seconds=self.leaving_grace_seconds,
-            limit_share=self._limit_share,
+            limits=ReplicaLimits(
+                loop=self.loop, log=self.log, rng=self.rng, share_of=self._limit_share
+            ),
         )
         self._older_copy = OlderCopy(
             replicas=self.replicas,
@@ -229,7 +232,6 @@
             self._update_derived_state()
         self.peers.maintain(now_seconds, self._max_exchange_seconds)
         self._update_isolation(now_seconds)
-        self.replicas.update_send_rates()
         self.replicas.maintain(now_seconds, self._max_exchange_seconds)
         if self._reach.update(
             is_cut_off=self.replicas.links.lost_at_seconds is not None,
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -4,13 +4,12 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Set
 from typing import Final
 
 from attrs import define, field, frozen
 
 from bronzebeam.gateway.connection_pool import Connect, ConnectionPool
-from bronzebeam.gateway.limited_traffic import LimitedTraffic
 from bronzebeam.gateway.peer_codec import LeavingReplica
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.gateway.replica import Replica
@@ -19,10 +18,10 @@
     SharedShard,
     choose_replica,
 )
+from bronzebeam.gateway.replica_limits import ReplicaLimits
 from bronzebeam.gateway.replica_links import ReplicaLinks
 from bronzebeam.routing.connection_shares import share_connections
 from bronzebeam.routing.older_copy import KnownState
-from bronzebeam.routing.replica_limit import NamedLimit, SendTurns
 from bronzebeam.routing.replica_pause import RequestedPause
 from bronzebeam.routing.routes import BackendService, Route
 from bronzebeam.telemetry.decisions import DecisionLog
@@ -94,8 +93,7 @@
         other.
     :ivar store_recovered_at_seconds: monotonic time at which the store answered again
         after its latest outage.
-    :ivar limit_share: returns this instance's share of the limit that a replica of a
-        service names.
+    :ivar limits: the limits on requests that replicas name.
     :ivar links: whether this instance reaches any replica.
     :ivar _unreachable_until_seconds: until when peers are not asked for a service that
         they don't reach either.
@@ -108,7 +106,7 @@
     connect: Connect
     log: DecisionLog
     rng: random.Random
-    limit_share: Callable[[str], float]
+    limits: ReplicaLimits
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
     store_recovered_at_seconds: float = -math.inf
     _replicas: dict[str, Replica] = field(factory=dict)
@@ -298,53 +296,6 @@
         replica.paused_until_seconds = max(replica.paused_until_seconds, until_seconds)
         replica.pool.fail_waiting(PAUSED)
 
-    def record_limit(self, replica: Replica, limit: NamedLimit) -> None:
-        """Record the limit that a replica names in a reply, or that it names none."""
-        now_seconds = self.loop.time()
-        limited = replica.limited
-        if limit.per_second is None and limited is not None:
-            replica.limited = None
-            self.log.event(
-                "replica_limit_ended",
-                replica=replica.record.replica,
-                service=replica.record.service,
-                per_second=limited.per_second,
-                limited_ms=round((now_seconds - limited.since_seconds) * MS_PER_SECOND),
-                problem=limit.problem,
-                **{kind.value: count for kind, count in limited.sent_counts.items()},
-            )
-        elif limit.per_second is not None and (
-            limited is None or limit.per_second != limited.per_second
-        ):
-            self.log.event(
-                "replica_limited",
-                replica=replica.record.replica,
-                service=replica.record.service,
-                per_second=limit.per_second,
-                problem=limit.problem,
-            )
-            if limited is None:
-                limited = replica.limited = LimitedTraffic(
-                    per_second=limit.per_second,
-                    turns=SendTurns(rng=self.rng),
-                    since_seconds=now_seconds,
-                )
-            limited.per_second = limit.per_second
-            self._set_send_rate(replica, limited)
-
-    def update_send_rates(self) -> None:
-        """Apply this instance's current share of the limits that replicas name."""
-        for replica in self._replicas.values():
-            if replica.limited is not None:
-                self._set_send_rate(replica, replica.limited)
-
-    def _set_send_rate(self, replica: Replica, limited: LimitedTraffic) -> None:
-        limited.turns.set_rate(
-            limit_per_second=limited.per_second,
-            share=self.limit_share(replica.record.service),
-            now_seconds=self.loop.time(),
-        )
-
     def next_use(self, service: str) -> NextUse:
         """Return when a replica of a service may be used."""
         now_seconds = self.loop.time()
@@ -400,6 +351,7 @@
 
     def maintain(self, now_seconds: float, max_exchange_seconds: float) -> None:
         """Drop removed replicas, and keep connections to the others open."""
+        self.limits.update_shares(self._replicas.values())
         pools = [item.pool for item in self._replicas.values()]
         if self.links.update(pools):
             for pool in pools:
