Keep a replica's limit if its next value can't be read

A value that is no number ended the limit, without a line in the log. The earlier limit now applies until a reply names another one or none, and the log says so once. The test fails without the change: the replica gets its usual share.

--- a/src/bronzebeam/gateway/replica_limits.py
+++ b/src/bronzebeam/gateway/replica_limits.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from attrs import define
+from attrs import define, field
 
 from bronzebeam.gateway.limited_traffic import LimitedTraffic
 from bronzebeam.gateway.replica import Replica
@@ -20,17 +20,29 @@
 
     :ivar share_of: returns this instance's share of the limit that a replica of a
         service names.
+    :ivar _unreadable: replicas whose latest reply names a limit that can't be read; an
+        earlier limit still applies.
     """
 
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
     rng: random.Random
     share_of: Callable[[str], float]
+    _unreadable: set[str] = field(factory=set)
 
     def record(self, replica: Replica, limit: NamedLimit) -> None:
         """Record the limit that a replica names in a reply, or that it names none."""
+        name = replica.record.replica
+        if limit.problem and limit.per_second is None:
+            if name not in self._unreadable:
+                self._unreadable.add(name)
+                self.log.event(
+                    "replica_limit_unreadable", replica=name, problem=limit.problem
+                )
+            return
+        self._unreadable.discard(name)
         if limit.per_second is None:
-            self._end(replica, limit)
+            self._end(replica)
         elif replica.limited is None or limit.per_second != replica.limited.per_second:
             self._start(replica, limit.per_second, limit.problem)
 
@@ -57,7 +69,7 @@
         replica.limited.per_second = per_second
         self._set_rate(replica, replica.limited)
 
-    def _end(self, replica: Replica, limit: NamedLimit) -> None:
+    def _end(self, replica: Replica) -> None:
         limited, replica.limited = replica.limited, None
         if limited is None:
             return
@@ -68,7 +80,6 @@
             service=replica.record.service,
             per_second=limited.per_second,
             limited_ms=round(limited_seconds * MS_PER_SECOND),
-            problem=limit.problem,
             **{kind.value: count for kind, count in limited.sent_counts.items()},
         )
 
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -108,6 +108,22 @@
     run_scenario(scenario)
 
 
+def test_limit_that_can_not_be_read_keeps_the_earlier_one() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        limited, other = await start_limited_pair(cluster, instances=2, limit="5")
+        other.limit = ""
+        gateways = list(cluster.gateways.values())
+        await send_from_callers(cluster, gateways, READ_PATH, per_second=60, seconds=4)
+        limited.limit = "five"
+        changed_at = cluster.loop.time()
+        await send_from_callers(cluster, gateways, READ_PATH, per_second=60, seconds=8)
+        assert most_in_window(limited, changed_at) <= allowed_in_window(5.0)
+        for gateway in gateways:
+            assert len(gateway.log_lines("replica_limit_unreadable")) == 1
+
+    run_scenario(scenario)
+
+
 def test_burst_after_a_quiet_time_keeps_the_limit() -> None:
     async def scenario(cluster: Cluster) -> None:
         replicas = await start_limited_pair(cluster, instances=6, limit="6")
