Ask peers for shards whose connections fail only when they are used

A peer of the same failure domain had sent nothing, since new connections were refused to it. The instance then tried itself: where connections are scarce, one that does not own a shard keeps none, so it found out only by trying, and the shards counted as failed.

Shards whose connection attempts fail are now collected and delegated, as those that are known to be out of reach are. One method serves both, and asks peers of other failure domains first, owners among them where there are owners. Shards that may have run are left out.

--- a/src/bronzebeam/gateway/delegator.py
+++ b/src/bronzebeam/gateway/delegator.py
@@ -57,20 +57,14 @@
         """
         state = self.context.state
         if state.owners is None:
-            members = state.peers.members()
             own, *others = split_evenly(
-                near, processor_cores=mean_cores(members, state.own_domain)
+                near,
+                processor_cores=mean_cores(state.peers.members(), state.own_domain),
             )
             groups = [
                 ShardGroup(domain=state.own_domain, shards=shards) for shards in others
             ]
-            for domain, shards in by_domain:
-                cores = mean_cores(members, domain)
-                groups.extend(
-                    ShardGroup(domain=domain, shards=group)
-                    for group in split_evenly(shards, processor_cores=cores)
-                )
-            return list(own), groups
+            return list(own), groups + self._divide_for_peers(by_domain)
         groups = group_by_owner(
             [(state.own_domain, near), *by_domain],
             services=self.routed.route.shards,
@@ -129,76 +123,91 @@
 
     def delegate_unreachable(self, indexes: Sequence[int]) -> list[int]:
         """
-        Delegate shards whose replicas this instance can't reach.
+        Delegate shards that were sent to no replica, since none can be reached.
+
+        Peers that were asked for a shard before are not asked again, and peers in other
+        failure domains are asked first.
 
         :return: the shards that could not be delegated.
         """
         state = self.context.state
-        by_domain = group_by_domain(
-            {
-                index: state.replicas.domains(self.routed.route.shards[index])
-                for index in indexes
-            },
-            rng=self.context.rng,
-        )
-        if state.owners is not None:
-            groups = group_by_owner(
-                by_domain, services=self.routed.route.shards, owners=state.owners
-            )
-        else:
-            members = state.peers.members()
-            groups = [
-                ShardGroup(domain=domain, shards=part)
-                for domain, shards in by_domain
-                for part in split_evenly(
-                    shards, processor_cores=mean_cores(members, domain)
-                )
-            ]
+        tried = self._peers_tried_for(indexes)
+        if len(tried) >= MAX_PEERS_PER_SHARD:
+            return list(indexes)
+        tried_domains = {peer.record.failure_domain for peer in tried}
+        shards = self.routed.route.shards
+        domains = {}
+        for index in indexes:
+            holding = state.replicas.domains(shards[index])
+            untried = [domain for domain in holding if domain not in tried_domains]
+            domains[index] = untried or holding
+        by_domain = group_by_domain(domains, rng=self.context.rng)
         left: list[int] = []
-        for group in groups:
-            if not self.delegate(group) and not self.delegate_to_any(group):
+        for group in self._divide_for_peers(by_domain):
+            peer = state.peers.choose(
+                group.domain, excluded=tried, among=group.owners, may_wait=True
+            ) or state.peers.choose_any([group.domain], excluded=tried)
+            if peer is None:
                 left.extend(group.shards)
+            else:
+                self._send_unreachable(peer, group.shards)
         return left
 
-    def delegate_elsewhere(
-        self, failed: Delegation, shards: Sequence[int], *, may_have_run: bool
-    ) -> bool:
+    def delegate_to_any(self, group: ShardGroup) -> bool:
+        """Delegate a group to a peer of any domain; return whether there is one."""
+        tried = self._peers_tried_for(group.shards)
+        peer = self.context.state.peers.choose_any([group.domain], excluded=tried)
+        if peer is not None:
+            self._send_unreachable(peer, group.shards)
+        return peer is not None
+
+    def delegate_again(self, failed: Delegation, indexes: Sequence[int]) -> bool:
         """
-        Delegate shards that a peer has failed to another peer.
+        Delegate shards that a peer may have sent to replicas to another peer.
 
-        :param may_have_run: the failed peer may have sent the request to replicas.
         :return: whether the shards were delegated.
         """
-        return self._delegate_to_any(
-            tuple(shards),
-            preferred_domain=failed.peer.record.failure_domain,
-            previous=failed if may_have_run else None,
+        tried = self._peers_tried_for(indexes)
+        # Only peers of one domain prefer the same replicas; see `SharedShard`.
+        peer = self.context.state.peers.choose(
+            failed.peer.record.failure_domain, excluded=tried, may_wait=True
         )
+        if peer is None or len(tried) >= MAX_PEERS_PER_SHARD:
+            return False
+        self._send_unreachable(peer, tuple(indexes), previous=failed)
+        return True
 
-    def delegate_to_any(self, group: ShardGroup) -> bool:
-        """Delegate a group to a peer of any domain; return whether there is one."""
-        return self._delegate_to_any(group.shards, preferred_domain=group.domain)
+    def _divide_for_peers(
+        self, by_domain: Sequence[tuple[str, tuple[int, ...]]]
+    ) -> list[ShardGroup]:
+        """Divide the shards of each failure domain into groups for one peer each."""
+        state = self.context.state
+        if state.owners is not None:
+            return group_by_owner(
+                by_domain, services=self.routed.route.shards, owners=state.owners
+            )
+        members = state.peers.members()
+        return [
+            ShardGroup(domain=domain, shards=part)
+            for domain, shards in by_domain
+            for part in split_evenly(
+                shards, processor_cores=mean_cores(members, domain)
+            )
+        ]
+
+    def _peers_tried_for(self, indexes: Sequence[int]) -> list[Peer]:
+        wanted = set(indexes)
+        return [
+            item.peer for item in self.delegations if not wanted.isdisjoint(item.shards)
+        ]
 
-    def _delegate_to_any(
+    def _send_unreachable(
         self,
+        peer: Peer,
         shards: tuple[int, ...],
         *,
-        preferred_domain: str,
         previous: Delegation | None = None,
-    ) -> bool:
-        tried = [
-            item.peer for item in self.delegations if set(item.shards) & set(shards)
-        ]
-        if len(tried) >= MAX_PEERS_PER_SHARD:
-            return False
-        peers = self.context.state.peers
-        if previous is None:
-            peer = peers.choose_any([preferred_domain], excluded=tried)
-        else:
-            # Only peers of one domain prefer the same replicas; see `SharedShard`.
-            peer = peers.choose(preferred_domain, excluded=tried, may_wait=True)
-        if peer is None:
-            return False
+    ) -> None:
         routed = self.routed
         self._send(
             peer,
@@ -210,7 +219,6 @@
                 typical_ms=self.context.state.typical_latency(routed.route).typical_ms,
             ),
         )
-        return True
 
     def request_missing(
         self, delegation: Delegation, missing: Sequence[ShardState]
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -69,6 +69,7 @@
     _crash_evidence: CrashEvidence = field(
         factory=lambda: CrashEvidence(needs_confirmation=True)
     )
+    _unreachable: list[ShardState] = field(factory=list)
     _done: bool = False
     _cutoff_reached: bool = False
     _cutoff_at_seconds: float = 0.0
@@ -164,7 +165,7 @@
         elif result is DelegationResult.REPLICAS_LOST:
             self._crash_evidence.record_losses(len(delegation.shards))
         missing = []
-        repeat = result is not DelegationResult.NOT_RUN
+        sent = result is not DelegationResult.NOT_RUN
         for index, signature in zip(delegation.shards, signatures):
             shard = self._progress.shards[index]
             if signature is not None:
@@ -174,19 +175,20 @@
                 if self._crash_evidence.is_suspect:
                     continue
                 # A peer that could not connect to a replica has sent it nothing.
-                may_have_run = repeat and shard.service not in delegation.unreachable
-                if not self._send_again(shard, repeat=may_have_run):
+                repeat = sent and shard.service not in delegation.unreachable
+                shard.may_have_run_at_peer = shard.may_have_run_at_peer or repeat
+                if not self._send_again(shard, repeat=repeat):
                     missing.append(shard)
             if self._done:
                 return
         if missing:
-            self._request_elsewhere(delegation, missing, repeat=repeat)
+            self._request_elsewhere(delegation, missing)
         if replied:
             self._record_reply()
         self._answer_if_complete()
 
     def _request_elsewhere(
-        self, delegation: Delegation, missing: Sequence[ShardState], *, repeat: bool
+        self, delegation: Delegation, missing: Sequence[ShardState]
     ) -> None:
         """Request shards that a peer lacks from other peers, if that may help."""
         unreachable: list[int] = []
@@ -201,17 +203,17 @@
             elif len(shard.unreachable_at) >= PEERS_FOR_GONE_REPLICAS:
                 self.context.state.replicas.record_unreachable_at_peers(shard.service)
                 left.append(shard)
-            elif is_unreachable:
+            elif not shard.may_have_run:
                 unreachable.append(shard.index)
             elif not delegation.signatures:
                 unknown.append(shard.index)
             else:
                 left.append(shard)
-        for indexes, may_have_run in ((unreachable, False), (unknown, repeat)):
-            if indexes and not self._delegator.delegate_elsewhere(
-                delegation, indexes, may_have_run=may_have_run
-            ):
-                left.extend(self._progress.shards[index] for index in indexes)
+        if unreachable:
+            unreachable = self._delegator.delegate_unreachable(unreachable)
+        if unknown and self._delegator.delegate_again(delegation, unknown):
+            unknown = []
+        left.extend(self._progress.shards[index] for index in unreachable + unknown)
         if left and not self._delegator.request_missing(delegation, left):
             for shard in left:
                 self._progress.mark_failed(shard, shard.cause)
@@ -385,7 +387,29 @@
             if len(tried_replicas) == len(shard.excluded) or not self._send_again(
                 shard, repeat=repeat
             ):
-                self._progress.mark_failed(shard, attempt.cause)
+                self._delegate_or_fail(shard, attempt.cause)
+
+    def _delegate_or_fail(self, shard: ShardState, cause: str) -> None:
+        """Ask a peer for a shard if only this instance may be unable to reach it."""
+        if (
+            not self.may_delegate
+            or shard.cause != REPLICAS_UNREACHABLE
+            or shard.may_have_run
+        ):
+            self._progress.mark_failed(shard, cause)
+            return
+        # Connections to several replicas fail at the same time, and one peer may be
+        # able to reach all of them.
+        if not self._unreachable:
+            self.context.loop.call_soon(self._delegate_unreachable)
+        self._unreachable.append(shard)
+
+    def _delegate_unreachable(self) -> None:
+        unreachable, self._unreachable = self._unreachable, []
+        if self._done:
+            return
+        self._send_through_peers(unreachable)
+        self._answer_if_complete()
 
     # Timers.
 
@@ -434,9 +458,7 @@
                 elif shard.cause == REPLICAS_UNREACHABLE:
                     unreachable.append(index)
             if unreachable:
-                self._delegator.delegate_elsewhere(
-                    delegation, unreachable, may_have_run=True
-                )
+                self._delegator.delegate_again(delegation, unreachable)
 
     def _on_cutoff(self) -> None:
         self._cutoff_reached = True
--- a/src/bronzebeam/gateway/shard_state.py
+++ b/src/bronzebeam/gateway/shard_state.py
@@ -20,6 +20,7 @@
 
     :ivar excluded: replicas that the next attempt must not use.
     :ivar delegation: latest delegation that includes the shard; None if there is none.
+    :ivar may_have_run_at_peer: a peer that failed may have sent it to a replica.
     :ivar unreachable_at: peers that reach none of its replicas.
     :ivar signature: signature of the reply that is used; None if there is none.
     :ivar body: records of that reply; None if a peer has merged them.
@@ -32,6 +33,7 @@
     attempts: list[Attempt] = field(factory=list)
     excluded: set[Replica] = field(factory=set)
     delegation: Delegation | None = None
+    may_have_run_at_peer: bool = False
     unreachable_at: set[Peer] = field(factory=set)
     signature: bytes | None = None
     body: bytes | None = None
@@ -43,6 +45,13 @@
         """Whether the shard has a reply or has failed."""
         return self.failed or self.signature is not None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request, for this instance or a peer."""
+        return self.may_have_run_at_peer or any(
+            item.may_have_run for item in self.attempts
+        )
+
     @property
     def possible_runs(self) -> int:
         """Return the number of replicas that ran the request or may have run it."""
--- a/tests/test_gateway_cut_off.py
+++ b/tests/test_gateway_cut_off.py
@@ -379,6 +379,35 @@
             transport.abort()
 
 
+def test_owners_of_a_domain_that_reach_some_shards_do_not_hide_the_others() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_large_fleet(cluster, least=0.95)
+        await asyncio.sleep(4.0)
+        refused = [item for item in gateways if domain_of(item) == "zone-a"]
+        for gateway in refused:
+            cluster.loop.net.refusing_pairs |= replica_links(cluster, gateway)
+        hosts = {
+            replica.host
+            for replica in cluster.replicas.values()
+            if replica.service in ("shard-0", "shard-1")
+        }
+        refused_hosts = {item.host for item in refused}
+        for transport in list(cluster.loop.net.transports):
+            if transport.local_host in refused_hosts:
+                if transport.remote_host in hosts:
+                    transport.abort()
+        await asyncio.sleep(0.5)
+        responses = await send_searches(cluster, refused, rounds=20)
+        assert set(statuses(responses)) == {200}
+        assert sum(item.missing for item in responses if item) == 0
+
+    run_scenario(scenario)
+
+
+def domain_of(gateway: RunningGateway) -> str:
+    return gateway.gateway.settings.failure_domain
+
+
 async def send_searches(
     cluster: Cluster, gateways: Sequence[RunningGateway], *, rounds: int
 ) -> list[Response | None]:
