--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -96,7 +96,8 @@
             self._end(AttemptResult.UNKNOWN, "reply_to_another_request")
             return
         self.reply, self.reply_metadata = reply, metadata
-        if reply.status != MISDIRECTED_STATUS:
+        is_own_reply = reply.status != MISDIRECTED_STATUS
+        if is_own_reply and (metadata.limit or self.replica.limited is not None):
             self.context.state.replicas.limits.record(
                 self.replica, read_limit(metadata.limit)
             )
