Learn from relayed replies that a replica leaves or limits its requests

An instance passes a relayed reply on to its caller, with what the replica says of itself, but recorded nothing of it: the peer did. After the cut it went on sending to a replica that had said that it leaves, and would have sent without a turn to one with a limit.

A relay's outcome names the replica and its start now, and the instance records both signals as from a reply of its own. The test fails without the change: the leaving replica gets requests seconds after its word.

--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -89,11 +89,15 @@
     :ivar result: value of the peer's `AttemptResult`.
     :ivar cause: why there is no usable reply; empty if there is one.
     :ivar connection_lost: see `BaseAttempt`.
+    :ivar replica: the replica that replied; empty if none has.
+    :ivar started_at_ms: its start; see `ReplicaRecord`.
     """
 
     result: str = field(validator=validators.instance_of(str))
     cause: str = field(validator=validators.instance_of(str))
     connection_lost: bool = field(converter=bool)
+    replica: str = field(default="", validator=validators.instance_of(str))
+    started_at_ms: int = field(default=0, converter=int)
 
 
 @frozen(kw_only=True)
@@ -211,8 +215,14 @@
 def decode_relay_outcome(value: bytes) -> RelayOutcome | None:
     """Decode the value of `RELAYED_HEADER`; None if it is malformed."""
     try:
-        result, cause, connection_lost = orjson.loads(value)
-        return RelayOutcome(result=result, cause=cause, connection_lost=connection_lost)
+        result, cause, connection_lost, replica, started_at_ms = orjson.loads(value)
+        return RelayOutcome(
+            result=result,
+            cause=cause,
+            connection_lost=connection_lost,
+            replica=replica,
+            started_at_ms=started_at_ms,
+        )
     except (TypeError, ValueError):
         return None
 
--- a/src/bronzebeam/gateway/relay.py
+++ b/src/bronzebeam/gateway/relay.py
@@ -4,17 +4,20 @@
 
 from attrs import define
 
+from bronzebeam.gateway.attempt import MISDIRECTED_STATUS
 from bronzebeam.gateway.base_attempt import AttemptResult, BaseAttempt
 from bronzebeam.gateway.peer_codec import (
     IMPAIRED_HEADER,
     RELAY_HEADER,
     RELAYED_HEADER,
+    RelayOutcome,
     RelayRequest,
     decode_relay_outcome,
     encode_relay,
 )
 from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE
+from bronzebeam.routing.replica_limit import read_limit
 from bronzebeam.transport.http_reply import (
     ClientConnection,
     ExchangeFailure,
@@ -118,6 +121,7 @@
         else:
             self.peer.record_reply()
         reply.headers = [item for item in reply.headers if item[0] not in REPLY_HEADERS]
+        self._record_signals(outcome, reply)
         self.reply = reply
         self.connection_lost = outcome.connection_lost
         result = _read_result(outcome.result)
@@ -137,6 +141,21 @@
         else:
             self._end(AttemptResult.UNKNOWN, f"peer_{failure.value}")
 
+    def _record_signals(self, outcome: RelayOutcome, reply: HttpReply) -> None:
+        """
+        Record what the replica says of itself.
+
+        The caller gets it from this instance, which may reach the replica itself later.
+        """
+        replicas = self.context.state.replicas
+        replica = replicas.find(outcome.replica, started_at_ms=outcome.started_at_ms)
+        if replica is None or reply.status == MISDIRECTED_STATUS:
+            return
+        metadata = self.context.header_codec.read_reply(reply.headers)
+        if metadata.leaving:
+            replicas.record_announced_leaving(replica, is_misdirected=False)
+        replicas.limits.record(replica, read_limit(metadata.limit))
+
     def _end(self, result: AttemptResult, cause: str) -> None:
         if not self.ended:
             self.context.metrics.count_relay(result.value)
--- a/src/bronzebeam/gateway/relay_handler.py
+++ b/src/bronzebeam/gateway/relay_handler.py
@@ -19,6 +19,7 @@
     encode_relay_outcome,
 )
 from bronzebeam.gateway.peer_request import reject_peer_request, route_peer_request
+from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.gateway.shard_state import NO_REPLICA
@@ -85,9 +86,12 @@
         if result is AttemptResult.NOT_SENT:
             self._send(attempt.cause)
             return
+        assert isinstance(attempt, Attempt)
         headers: Headers = []
         status, body = 502, attempt.cause.encode() + b"\n"
+        replica = None
         if result is not AttemptResult.UNKNOWN and attempt.reply is not None:
+            replica = attempt.replica.record
             headers = end_to_end_headers(attempt.reply.headers)
             status, body = attempt.reply.status, attempt.reply.body
         self._respond(
@@ -97,6 +101,7 @@
             headers=headers,
             body=body,
             connection_lost=attempt.connection_lost,
+            replica=replica,
         )
 
     def _send(self, cause: str) -> None:
@@ -132,10 +137,15 @@
         headers: Headers | None = None,
         body: bytes = b"",
         connection_lost: bool = False,
+        replica: ReplicaRecord | None = None,
     ) -> None:
         self._finish()
         outcome = RelayOutcome(
-            result=result.value, cause=cause, connection_lost=connection_lost
+            result=result.value,
+            cause=cause,
+            connection_lost=connection_lost,
+            replica="" if replica is None else replica.replica,
+            started_at_ms=0 if replica is None else replica.started_at_ms,
         )
         all_headers = [
             *(headers or ()),
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -151,6 +151,13 @@
             if item.removed_at_seconds is None
         ]
 
+    def find(self, name: str, *, started_at_ms: int) -> Replica | None:
+        """Return a replica; None if it is unknown, or was started at another time."""
+        replica = self._replicas.get(name)
+        if replica is None or replica.record.started_at_ms != started_at_ms:
+            return None
+        return replica
+
     @property
     def names(self) -> Set[str]:
         """Return the identifiers of all replicas."""
@@ -274,11 +281,8 @@
     def record_leaving_at_peer(self, leaving: Iterable[LeavingReplica]) -> None:
         """Record what replicas have said to a peer."""
         for item in leaving:
-            replica = self._replicas.get(item.replica)
-            if (
-                replica is not None
-                and replica.record.started_at_ms == item.started_at_ms
-            ):
+            replica = self.find(item.replica, started_at_ms=item.started_at_ms)
+            if replica is not None:
                 self.record_announced_leaving(replica, is_misdirected=False)
 
     def record_pause(self, replica: Replica, pause: RequestedPause) -> None:
--- a/tests/test_gateway_cut_off.py
+++ b/tests/test_gateway_cut_off.py
@@ -185,6 +185,29 @@
     run_scenario(scenario)
 
 
+def test_what_replicas_say_in_relayed_replies_holds_after_the_cut() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cut_off, others = await cut_off_first(cluster)
+        leaving, limited = replicas_of_service(cluster, BOOKING_SERVICE)
+        leaving.leaving = True
+        limited.limit = "1000"
+        limited.stalled_until_seconds = cluster.loop.time() + 0.5
+        for number in range(40):
+            await cluster.send_request(cut_off, READ_PATH)
+            await asyncio.sleep(0.02)
+        cluster.loop.net.partitioned_pairs.clear()
+        await asyncio.sleep(4.0)
+        before = len(leaving.received_ids)
+        responses = await send_each_kind(cluster, [cut_off], rounds=20)
+        assert set(statuses(responses)) == {200}
+        assert len(leaving.received_ids) == before
+        assert cut_off.log_lines("replicas_reached")
+        assert before and cut_off.log_lines("replica_leaving")
+        assert cut_off.log_lines("replica_limited")
+
+    run_scenario(scenario)
+
+
 def test_relayed_request_that_replicas_turn_away_has_not_run() -> None:
     async def scenario(cluster: Cluster) -> None:
         cut_off, others = await cut_off_first(cluster)
