Divide limits and the slack of repeats by one rule, and name two options better

The shares of a replica's limit and of the slack had the same three cases in two places; the constants are as before. any_limit and any_reach are ignore_limit and ignore_reach now, which is what they do.

--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -24,13 +24,14 @@
 from bronzebeam.gateway.replica_set import LEAVING_GRACE_SECONDS, ReplicaSet
 from bronzebeam.gateway.shard_ownership import ShardOwnership
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS, CrashSuspects
+from bronzebeam.routing.instance_share import ShareRatios
 from bronzebeam.routing.repeat_budget import (
+    SLACK_RATIOS,
     RepeatBudget,
     RepeatLimits,
-    slack_share,
 )
 from bronzebeam.routing.replica_latency import TypicalLatency
-from bronzebeam.routing.replica_limit import RecentInstanceCount, limit_share
+from bronzebeam.routing.replica_limit import LIMIT_RATIOS, RecentInstanceCount
 from bronzebeam.routing.replica_reach import ReportedReach
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.routing.shard_owners import ShardOwners
@@ -251,7 +252,7 @@
         excluded: Collection[Replica],
         route: Route,
         shared: SharedShard | None = None,
-        any_limit: bool = False,
+        ignore_limit: bool = False,
     ) -> ReplicaChoice | None:
         """Choose a replica of a service; see `ReplicaSet.choose`."""
         return self.replicas.choose(
@@ -260,7 +261,7 @@
             route=route,
             typical_ms=self.typical_latency(route).typical_ms,
             shared=shared,
-            any_limit=any_limit,
+            ignore_limit=ignore_limit,
         )
 
     def typical_latency(self, route: Route) -> TypicalLatency:
@@ -310,18 +311,20 @@
 
     def remaining_repeats(self, service: str) -> float:
         """Return how many repeats the service's budget allows now."""
-        owners = self._ownership.owners_of(service)
-        share = slack_share(
-            instance_count=self.peers.live_count,
-            owner_count=owners.owner_count(service) if owners is not None else None,
-            is_owner=service in self._ownership.owned,
-        )
+        share = self._share(SLACK_RATIOS, service, instance_count=self.peers.live_count)
         return self.repeat_budget(service).available(self.loop.time(), share=share)
 
     def _limit_share(self, service: str) -> float:
+        instance_count = self._recent_instances.highest(self.loop.time())
+        return self._share(LIMIT_RATIOS, service, instance_count=instance_count)
+
+    def _share(
+        self, ratios: ShareRatios, service: str, *, instance_count: int
+    ) -> float:
+        """Return this instance's share of what all may send to a service."""
         owners = self._ownership.owners_of(service)
-        return limit_share(
-            instance_count=self._recent_instances.highest(self.loop.time()),
+        return ratios.share(
+            instance_count=instance_count,
             owner_count=owners.owner_count(service) if owners is not None else None,
             is_owner=service in self._ownership.owned,
         )
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -226,7 +226,7 @@
         excluded: Collection[Peer],
         among: Collection[str] | None = None,
         may_wait: bool = False,
-        any_reach: bool = False,
+        ignore_reach: bool = False,
     ) -> Peer | None:
         """
         Return the least loaded healthy peer of a failure domain; None if there is none.
@@ -234,7 +234,7 @@
         :param excluded: peers that must not be selected.
         :param among: names of the only peers that may be selected; None for any.
         :param may_wait: select a peer without a free connection if no other is left.
-        :param any_reach: select a peer also if its links to the replicas are broken.
+        :param ignore_reach: select a peer also if its links to the replicas are broken.
         """
         now_seconds = self.loop.time()
         healthy = [
@@ -242,7 +242,7 @@
             for peer in self._peers.values()
             if peer.record.failure_domain == failure_domain
             and peer not in excluded
-            and (any_reach or peer.record.reaches_replicas)
+            and (ignore_reach or peer.record.reaches_replicas)
             and (among is None or peer.record.instance in among)
             and now_seconds >= peer.avoided_until_seconds
             and peer.pool.stalled_ms(now_seconds) <= MAX_STALLED_MS
@@ -273,10 +273,10 @@
             dict.fromkeys((*preferred_domains, *sorted(others))),
             key=lambda name: name in excluded_domains,
         )
-        for any_reach in (False, True):  # a registration may be out of date
+        for ignore_reach in (False, True):  # a registration may be out of date
             for domain in domains:
                 peer = self.choose(
-                    domain, excluded=excluded, may_wait=True, any_reach=any_reach
+                    domain, excluded=excluded, may_wait=True, ignore_reach=ignore_reach
                 )
                 if peer is not None:
                     return peer
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -72,17 +72,17 @@
         now_seconds: float,
         leaving_grace_seconds: float,
         *,
-        any_limit: bool = False,
+        ignore_limit: bool = False,
     ) -> bool:
         """
         Whether a request may be sent to it now.
 
         :param leaving_grace_seconds: time for which a leaving replica may be used.
-        :param any_limit: don't consider the limit that it names; another instance will.
+        :param ignore_limit: the limit that it names is considered by another instance.
         """
         if self.mismatched or not self.pool.is_reachable or self.is_paused(now_seconds):
             return False
-        if not any_limit and self.seconds_until_turn(now_seconds) > 0.0:
+        if not ignore_limit and self.seconds_until_turn(now_seconds) > 0.0:
             return False
         if self.removed_at_seconds is not None:
             if now_seconds > self.last_resort_until_seconds:
--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -67,7 +67,7 @@
     now_seconds: float,
     rng: random.Random,
     shared: SharedShard | None = None,
-    any_limit: bool = False,
+    ignore_limit: bool = False,
 ) -> ReplicaChoice | None:
     """
     Select the replica with the lowest expected reply time and failure cost.
@@ -78,7 +78,7 @@
     :param typical_ms: usual reply time of the route.
     :param own_domain: failure domain of this instance.
     :param shared: set if another instance may send to the same shard.
-    :param any_limit: see `Replica.is_usable`.
+    :param ignore_limit: see `Replica.is_usable`.
     :return: None if no replica of the service may be used.
     """
     candidates: list[tuple[float, float, Replica]] = []
@@ -91,7 +91,7 @@
             replicas = preferred
     for replica in replicas:
         if replica in excluded or not replica.is_usable(
-            now_seconds, leaving_grace_seconds, any_limit=any_limit
+            now_seconds, leaving_grace_seconds, ignore_limit=ignore_limit
         ):
             continue
         load = replica.load(now_seconds, own_domain)
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -318,7 +318,7 @@
                     NextUse(after_seconds=seconds, cause=REPLICAS_PAUSED)
                 )
             elif item.is_usable(
-                now_seconds, self.leaving_grace_seconds, any_limit=True
+                now_seconds, self.leaving_grace_seconds, ignore_limit=True
             ):
                 seconds = item.seconds_until_turn(now_seconds)
                 possible_uses.append(
@@ -435,7 +435,7 @@
         route: Route,
         typical_ms: float,
         shared: SharedShard | None = None,
-        any_limit: bool = False,
+        ignore_limit: bool = False,
     ) -> ReplicaChoice | None:
         """Select a replica of a service; see `choose_replica`."""
         return choose_replica(
@@ -448,7 +448,7 @@
             now_seconds=self.loop.time(),
             rng=self.rng,
             shared=shared,
-            any_limit=any_limit,
+            ignore_limit=ignore_limit,
         )
 
     def connection_counts(self) -> tuple[int, int]:
--- a/src/bronzebeam/gateway/shard_replica_chooser.py
+++ b/src/bronzebeam/gateway/shard_replica_chooser.py
@@ -66,7 +66,7 @@
         for shard in self.progress.shards:
             is_for_owners = self.may_delegate and state.is_sent_by_owners(shard.service)
             choice = self.choose(
-                shard, excluded=shard.excluded, repeat=False, any_limit=is_for_owners
+                shard, excluded=shard.excluded, repeat=False, ignore_limit=is_for_owners
             )
             if choice is None:
                 if self.may_delegate and shard.cause == REPLICAS_UNREACHABLE:
@@ -89,14 +89,14 @@
         *,
         excluded: Collection[Replica],
         repeat: bool,
-        any_limit: bool = False,
+        ignore_limit: bool = False,
     ) -> ReplicaChoice | None:
         """
         Choose a replica of a shard.
 
         :param excluded: replicas that must not be chosen.
         :param repeat: the request was sent to the shard before.
-        :param any_limit: another instance will send, and consider the limits that
+        :param ignore_limit: another instance will send, and consider the limits that
             replicas name.
         :return: None if the shard is left out; its cause says why.
         """
@@ -106,7 +106,7 @@
             excluded=excluded,
             route=self.routed.route,
             shared=self._shared_shard(shard),
-            any_limit=any_limit,
+            ignore_limit=ignore_limit,
         )
         if choice is None:
             shard.cause = state.replicas.next_use(shard.service).cause or shard.cause
--- a/src/bronzebeam/routing/repeat_budget.py
+++ b/src/bronzebeam/routing/repeat_budget.py
@@ -8,13 +8,14 @@
 
 from attrs import define, field, frozen
 
+from bronzebeam.routing.instance_share import ShareRatios
+
 BUCKET_SECONDS: Final = 0.25  # granularity of the sliding window
 USABLE_SHARE: Final = 0.88  # the rest is for instances that are not yet known
 STARTING_SHARE: Final = 0.3  # keeps the sum in bounds if all instances restart
-# Of the slack. Less than half, because the owners may change in each window when the
-# previous ones have already spent theirs.
-OWNERS_SHARE: Final = 0.45
-OTHERS_SHARE: Final = 0.1  # of the slack, for instances that send in place of owners
+# Of the slack. Owners have less than half, because they may change in each window when
+# the previous ones have already spent theirs.
+SLACK_RATIOS: Final = ShareRatios(all_instances=1.0, owners=0.45, others=0.1)
 
 
 @frozen(kw_only=True)
@@ -32,23 +33,6 @@
     window_seconds: float
 
 
-def slack_share(
-    *, instance_count: int, owner_count: int | None, is_owner: bool
-) -> float:
-    """
-    Return an instance's share of the slack of one service.
-
-    :param instance_count: number of live instances, this one included.
-    :param owner_count: number of owners of the shard; None if all instances send to it.
-    :param is_owner: this instance is one of the owners.
-    """
-    if owner_count is None:
-        return 1.0 / max(1, instance_count)
-    if is_owner:
-        return OWNERS_SHARE / max(1, owner_count)
-    return OTHERS_SHARE / max(1, instance_count - owner_count)
-
-
 @define(kw_only=True, eq=False, repr=False)
 class RepeatBudget:
     """
--- a/src/bronzebeam/routing/replica_limit.py
+++ b/src/bronzebeam/routing/replica_limit.py
@@ -11,12 +11,11 @@
 
 from attrs import define, field, frozen
 
+from bronzebeam.routing.instance_share import ShareRatios
+
 UNREADABLE_LIMIT: Final = "not_a_number"
 NEGATIVE_LIMIT: Final = "negative"
-# Of the limit; the rest is for instances that the others don't know yet.
-USABLE_SHARE: Final = 0.9
-OWNERS_SHARE: Final = 0.8
-OTHERS_SHARE: Final = 0.1  # for instances that send in place of owners
+LIMIT_RATIOS: Final = ShareRatios(all_instances=0.9, owners=0.8, others=0.1)
 # Replies show when a replica that takes no requests accepts them again.
 MIN_LIMIT_PER_SECOND: Final = 0.25
 # Unused turns expire, or a burst of callers could use those of all instances at once.
@@ -57,23 +56,6 @@
     return NamedLimit(per_second=per_second)
 
 
-def limit_share(
-    *, instance_count: int, owner_count: int | None, is_owner: bool
-) -> float:
-    """
-    Return an instance's share of the limit of one replica.
-
-    :param instance_count: number of live instances, this one included.
-    :param owner_count: number of owners of the shard; None if all instances send to it.
-    :param is_owner: this instance is one of the owners.
-    """
-    if owner_count is None:
-        return USABLE_SHARE / max(1, instance_count)
-    if is_owner:
-        return OWNERS_SHARE / max(1, owner_count)
-    return OTHERS_SHARE / max(1, instance_count - owner_count)
-
-
 @define(kw_only=True, eq=False, repr=False)
 class SendTurns:
     """
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -16,9 +16,9 @@
 )
 from bronzebeam.routing.record_merge import RECORD_BYTES, merge_greatest
 from bronzebeam.routing.repeat_budget import (
+    SLACK_RATIOS,
     RepeatBudget,
     RepeatLimits,
-    slack_share,
 )
 from bronzebeam.routing.replica_estimate import (
     FAILURE_COST_MS,
@@ -277,7 +277,7 @@
         while now < end:
             now += 0.25
             for number, budget in enumerate(budgets):
-                share = slack_share(
+                share = SLACK_RATIOS.share(
                     instance_count=instances,
                     owner_count=len(set(owners)),
                     is_owner=number in owners,
@@ -291,15 +291,17 @@
 
 def test_slack_shares_leave_room_for_changes_of_owners() -> None:
     for instances, owners in ((8, 3), (63, 9), (3, 3)):
-        total = owners * slack_share(
+        total = owners * SLACK_RATIOS.share(
             instance_count=instances, owner_count=owners, is_owner=True
         )
         others = instances - owners
-        total += others * slack_share(
+        total += others * SLACK_RATIOS.share(
             instance_count=instances, owner_count=owners, is_owner=False
         )
         assert 0.4 < total <= 0.55
-    assert slack_share(instance_count=8, owner_count=None, is_owner=True) == 1 / 8
+    assert (
+        SLACK_RATIOS.share(instance_count=8, owner_count=None, is_owner=True) == 1 / 8
+    )
 
 
 def test_two_late_replies_in_a_row_prove_a_slow_replica() -> None:
--- a/tests/test_routing_replica_signals.py
+++ b/tests/test_routing_replica_signals.py
@@ -8,11 +8,11 @@
 from bronzebeam.routing.older_copy import KnownState, is_doubtful
 from bronzebeam.routing.replica_limit import (
     FORMER_INSTANCE_SECONDS,
+    LIMIT_RATIOS,
     MIN_TURN_LIFETIME_SECONDS,
     TURN_LIFETIME_REQUESTS,
     RecentInstanceCount,
     SendTurns,
-    limit_share,
     read_limit,
 )
 from bronzebeam.routing.replica_pause import (
@@ -83,7 +83,9 @@
     instances: int, limit: float, gaps: list[float], rng: random.Random
 ) -> None:
     turns = SendTurns(rng=rng)
-    share = limit_share(instance_count=instances, owner_count=None, is_owner=False)
+    share = LIMIT_RATIOS.share(
+        instance_count=instances, owner_count=None, is_owner=False
+    )
     now_seconds, used_at = 100.0, []
     turns.set_rate(limit_per_second=limit, share=share, now_seconds=now_seconds)
     for gap in gaps:
