Log the steps of a search that was late or partial, and measure its delays

Cause: the log did not tell whether a late search waited for peers, was planned too slowly, or was in time by the instance's own clock.

Change: request_ended of a request that was not served in full and in time has target_ms, round_trip_ms and new_connection, and for a search sent_ms, sufficient_ms and cutoff_ms; peers have the times of sending and reply. Two metrics: from the cut-off to the answer, and from a peer's cut-off to its reply. No change of logic.

Test: test_log_of_a_partial_search_shows_when_its_steps_ended; the count of documented metrics is now 10.

--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -88,6 +88,9 @@
     peer_is_impaired: bool = False
     unreachable: frozenset[str] = frozenset()
     late: bool = False
+    _sent_at_seconds: float | None = None
+    _due_at_seconds: float = 0.0
+    _ended_at_seconds: float | None = None
 
     @property
     def is_in_progress(self) -> bool:
@@ -114,6 +117,14 @@
             if signature is not None
         }
 
+    def times(self) -> str:
+        """Return when the request was sent, and when it ended, for the log line."""
+        return "".join(
+            f"@+{self.routed.ms_after_arrival(at_seconds)}ms"
+            for at_seconds in (self._sent_at_seconds, self._ended_at_seconds)
+            if at_seconds is not None
+        )
+
     def drop_reply(self) -> None:
         """Leave the reply out of the answer."""
         self.signatures, self.body = [], b""
@@ -122,6 +133,7 @@
     def _send(self, connection: ClientConnection) -> None:
         now_seconds = self.context.loop.time()
         self._connection = connection
+        self._sent_at_seconds = now_seconds
         routed = self.routed
         request = DelegationRequest(
             route=routed.route.name,
@@ -139,6 +151,7 @@
             ),
             repeated=self.previous is not None,
         )
+        self._due_at_seconds = now_seconds + request.cutoff_ms / MS_PER_SECOND
         remaining_ms = (routed.deadline_at_seconds - now_seconds) * MS_PER_SECOND
         head = self.context.header_codec.attempt_head(
             remaining_ms=max(1.0, remaining_ms), replica=None
@@ -197,6 +210,7 @@
         elif not self.late:
             self.peer.record_reply()
         self.signatures, self.body = signatures, reply.body
+        self._record_delay()
         self._end(DelegationResult.ANSWERED, "")
 
     def on_failure(
@@ -210,6 +224,12 @@
             self._avoid_peer(failure.value)
             self._end(DelegationResult.UNKNOWN, failure.value)
 
+    def _record_delay(self) -> None:
+        """Record how long after the peer's cut-off its reply has arrived."""
+        delay_seconds = self.context.loop.time() - self._due_at_seconds
+        if delay_seconds > 0.0 and None in self.signatures:
+            self.context.metrics.record_peer_delay(delay_seconds)
+
     def _avoid_peer(self, cause: str) -> None:
         self.peer.avoid(cause, self.context.log, self.context.loop.time())
 
@@ -217,6 +237,7 @@
         if self.ended:
             return
         self.ended = True
+        self._ended_at_seconds = self.context.loop.time()
         self.cause = cause
         self.context.metrics.count_delegation(cause or result.value)
         self.handler.on_delegation_ended(self, result)
--- a/src/bronzebeam/gateway/delegator.py
+++ b/src/bronzebeam/gateway/delegator.py
@@ -302,7 +302,7 @@
         """Describe the delegations that were late or failed, for the log line."""
         return [
             f"{item.peer.record.instance}:{len(item.shards)}"
-            f":{item.cause or ('ok' if item.body else 'no_reply')}"
+            f":{item.cause or ('ok' if item.body else 'no_reply')}{item.times()}"
             for item in self.delegations
             if not item.body or item.late
         ]
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -73,6 +73,7 @@
     _done: bool = False
     _cutoff_reached: bool = False
     _cutoff_at_seconds: float = 0.0
+    _sent_at_seconds: float | None = None
     _peers_lost_at_seconds: float = 0.0
     _hedge_timer: asyncio.TimerHandle | None = None
     _timers: list[asyncio.TimerHandle] = field(factory=list)
@@ -109,6 +110,7 @@
             cutoff_at_seconds=self._cutoff_at_seconds,
         )
         self._send_to_all_shards()
+        self._sent_at_seconds = loop.time()
         if self._done:
             return
         self._timers = [
@@ -476,6 +478,10 @@
             self._fail(cause=TOO_FEW_SHARDS, status=BAD_GATEWAY)
 
     def _answer(self) -> None:
+        if self._cutoff_reached and not self.routed.is_for_peer:
+            self.context.metrics.record_cutoff_delay(
+                self.context.loop.time() - self._cutoff_at_seconds
+            )
         self._finish(sample_elapsed=True)
         self.responder.answer(
             self._progress.shards,
@@ -538,4 +544,9 @@
                 f"{shard.service}:{shard.cause}" for shard in self._progress.missing
             ],
             peers=self._delegator.describe_failures(),
+            steps={
+                "sent_ms": self._sent_at_seconds,
+                "sufficient_ms": self._progress.sufficient_at_seconds,
+                "cutoff_ms": self._cutoff_at_seconds,
+            },
         )
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -20,6 +20,8 @@
     registry: MetricRegistry = field(factory=MetricRegistry)
     _requests: MetricFamily[Counter] = field(init=False)
     _latency: MetricFamily[LatencyMetric] = field(init=False)
+    _cutoff_delay: MetricFamily[LatencyMetric] = field(init=False)
+    _peer_delay: MetricFamily[LatencyMetric] = field(init=False)
     _disconnects: MetricFamily[Counter] = field(init=False)
     _repeats: MetricFamily[Counter] = field(init=False)
     _delegations: MetricFamily[Counter] = field(init=False)
@@ -38,6 +40,14 @@
             help_text="Time from the first byte of a request to its answer.",
             label_names=("route",),
         )
+        self._cutoff_delay = self.registry.latency(
+            name="bronzebeam_gateway_cutoff_delay_seconds",
+            help_text="Time from the cut-off of a fan-out to its answer.",
+        )
+        self._peer_delay = self.registry.latency(
+            name="bronzebeam_gateway_peer_delay_seconds",
+            help_text="Time from a peer's cut-off to the arrival of its reply.",
+        )
         self._disconnects = self.registry.counter(
             name="bronzebeam_gateway_callers_left_total",
             help_text="Requests whose caller left before the answer.",
@@ -93,6 +103,14 @@
         seconds = now - routed.request.arrived_at_seconds
         self._latency.labels(route=name).record(seconds=seconds)
 
+    def record_cutoff_delay(self, seconds: float) -> None:
+        """Record the time from the cut-off of a fan-out to its answer."""
+        self._cutoff_delay.labels().record(seconds=seconds)
+
+    def record_peer_delay(self, seconds: float) -> None:
+        """Record the time from a peer's cut-off to the arrival of its reply."""
+        self._peer_delay.labels().record(seconds=seconds)
+
     def count_rejection(self, reason: str) -> None:
         """Count a request that was rejected before a route was found."""
         self._requests.labels(route="none", status=reason).increment()
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -1,9 +1,9 @@
 """Final answers to callers, with the log lines and metrics of requests."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
-from attrs import define
+from attrs import define, field
 
 from bronzebeam.gateway.base_attempt import BaseAttempt
 from bronzebeam.gateway.context import GatewayContext
@@ -26,6 +26,7 @@
     :ivar included: number of shards in the answer; None outside a fan-out.
     :ivar missing: shards that are not in the answer, each with its cause.
     :ivar peers: delegations that were late or failed.
+    :ivar steps: monotonic times of the steps of a fan-out, by the name of their field.
     """
 
     attempts: Sequence[BaseAttempt]
@@ -33,6 +34,7 @@
     included: int | None = None
     missing: Sequence[str] = ()
     peers: Sequence[str] = ()
+    steps: Mapping[str, float | None] = field(factory=dict)
 
     def log(
         self,
@@ -49,7 +51,8 @@
         :param good: served in full and in time; fewer of these lines are logged.
         """
         now_seconds = context.loop.time()
-        elapsed_ms = (now_seconds - routed.request.arrived_at_seconds) * MS_PER_SECOND
+        request = routed.request
+        elapsed_ms = (now_seconds - request.arrived_at_seconds) * MS_PER_SECOND
         fields: dict[str, Any] = {
             "request": routed.metadata.attempt_id.decode("latin-1"),
             "route": routed.route.name,
@@ -61,6 +64,14 @@
             fields["late_ms"] = round(
                 (now_seconds - routed.target_at_seconds) * MS_PER_SECOND, 1
             )
+        if not good:
+            fields["target_ms"] = routed.ms_after_arrival(routed.target_at_seconds)
+            if not routed.is_for_peer:
+                fields["round_trip_ms"] = round(request.round_trip_ms, 1)
+                fields["new_connection"] = request.is_first
+            for name, at_seconds in self.steps.items():
+                if at_seconds is not None:
+                    fields[name] = routed.ms_after_arrival(at_seconds)
         if self.cause:
             fields["cause"] = self.cause
         if self.included is not None:
--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -6,6 +6,7 @@
 from bronzebeam.routing.crash_suspects import fingerprint
 from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import HttpRequest
+from bronzebeam.units import MS_PER_SECOND
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -28,6 +29,11 @@
     target_at_seconds: float
     head: bytes
 
+    def ms_after_arrival(self, at_seconds: float) -> float:
+        """Return the time from the request's arrival, as log lines show it."""
+        elapsed_seconds = at_seconds - self.request.arrived_at_seconds
+        return round(elapsed_seconds * MS_PER_SECOND, 1)
+
     @property
     def is_for_peer(self) -> bool:
         """Whether a peer has delegated the request to this instance."""
--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -85,6 +85,7 @@
         self._pending_requests: deque[HttpRequest] = deque()
         self._measured_round_trip_ms: float | None = None
         self._closing = False
+        self._received_any = False
         self._request_started_at_seconds: float | None = None
         self._rejection: tuple[int, str] | None = None
         self._reset_request()
@@ -186,9 +187,11 @@
                 arrived_at_seconds=started_at_seconds or self.active_at_seconds,
                 writer=self,
                 round_trip_ms=self._round_trip_ms(),
+                is_first=not self._received_any,
                 keep_alive=self._parser.should_keep_alive(),
             )
         )
+        self._received_any = True
         self._reset_request()
 
     # Methods for requests and the server.
--- a/src/bronzebeam/transport/caller_request.py
+++ b/src/bronzebeam/transport/caller_request.py
@@ -62,6 +62,7 @@
     :ivar arrived_at_seconds: monotonic time at which its first byte was received.
     :ivar on_disconnect: called once if the caller disconnects before the response.
     :ivar round_trip_ms: network round-trip time to the caller.
+    :ivar is_first: no other request was received on the connection before.
     """
 
     method: bytes
@@ -71,6 +72,7 @@
     arrived_at_seconds: float
     writer: ResponseWriter
     round_trip_ms: float = 0.0
+    is_first: bool = False
     keep_alive: bool = True
     responded: bool = False
     disconnected: bool = False
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -68,6 +68,24 @@
     run_scenario(scenario)
 
 
+def test_log_of_a_partial_search_shows_when_its_steps_ended() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_search_cluster(cluster)
+        for replica in replicas_of_service(cluster, "shard-0"):
+            replica.work_seconds = 0.3
+        await cluster.send_request(gateway, FAN_OUT_PATH, attempt_id="part-1")
+        log_line = final_log_line(gateway, "part-1")
+        assert log_line["new_connection"] == "true"
+        steps = [
+            float(log_line[name])
+            for name in ("sent_ms", "sufficient_ms", "cutoff_ms", "target_ms")
+        ]
+        assert 0.0 <= steps[0] <= steps[1] < steps[2] < steps[3] <= 90.0
+        assert steps[2] <= float(log_line["elapsed_ms"]) < steps[3]
+
+    run_scenario(scenario)
+
+
 def test_log_of_a_rejected_request_leads_to_the_overload() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_search_cluster(cluster)
@@ -157,5 +175,5 @@
     page = PAGE.read_text()
     source = (SOURCE_FOLDER / "gateway" / "gateway_metrics.py").read_text()
     names = re.findall(r'name="(bronzebeam_[a-z_]+)"', source)
-    assert len(names) == 8
+    assert len(names) == 10
     assert [name for name in names if name not in page] == []
