--- a/tests/virtual_net.py
+++ b/tests/virtual_net.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextvars
 import selectors
+import struct
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from attrs import define, field
 
+from bronzebeam.transport.caller_connection import TCP_INFO_RTT_OFFSET
+
 ResultT = TypeVar("ResultT")
 Address = tuple[str, int]
 ONE_WAY_DELAY_SECONDS = 0.0005
@@ -35,14 +38,24 @@
         return []
 
 
+@define(kw_only=True, eq=False)
 class FakeSocket:
-    """Ignores socket options and fails to read any."""
+    """
+    Ignores socket options, and reads none but the round-trip time.
+
+    :ivar round_trip_seconds: reported by TCP_INFO; None to fail.
+    """
+
+    round_trip_seconds: float | None
 
     def setsockopt(self, *args: Any) -> None:
         pass
 
     def getsockopt(self, *args: Any) -> bytes:
-        raise OSError("not a real socket")
+        if self.round_trip_seconds is None:
+            raise OSError("not a real socket")
+        round_trip_us = struct.pack("I", round(self.round_trip_seconds * 1e6))
+        return bytes(TCP_INFO_RTT_OFFSET) + round_trip_us
 
 
 def context_of_host(host: str) -> contextvars.Context:
@@ -68,7 +81,14 @@
         self.sent_bytes = b""
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return FakeSocket() if name == "socket" else default
+        if name != "socket":
+            return default
+        delay_seconds = self.net.one_way_seconds(self.local_host, self.remote_host)
+        return FakeSocket(
+            round_trip_seconds=(
+                2 * delay_seconds if self.net.reports_round_trips else None
+            )
+        )
 
     def is_closing(self) -> bool:
         return self.closed
@@ -89,7 +109,7 @@
         if self.closed:
             return
         self.sent_bytes += bytes(data)
-        self._send(lambda end: end._receive(bytes(data)))
+        self._send(lambda end: end._receive(bytes(data)), byte_count=len(data))
 
     def close(self) -> None:
         self._close(reset=False)
@@ -108,13 +128,14 @@
             context=context_of_host(self.local_host),
         )
 
-    def _send(self, deliver: Callable[["FakeTransport"], None]) -> None:
+    def _send(
+        self, deliver: Callable[["FakeTransport"], None], *, byte_count: int = 0
+    ) -> None:
         peer = self.peer
         if peer is None or self.net.is_partitioned(self.local_host, self.remote_host):
             return
-        pair = frozenset((self.local_host, self.remote_host))
-        self.net.loop.call_later(
-            ONE_WAY_DELAY_SECONDS + self.net.delayed_pairs.get(pair, 0.0),
+        self.net.loop.call_at(
+            self.net.delivery_at_seconds(self.local_host, self.remote_host, byte_count),
             deliver,
             peer,
             context=context_of_host(peer.local_host),
@@ -162,6 +183,11 @@
     :ivar refusing_pairs: pairs of hosts whose new connections are refused, while open
         ones go on.
     :ivar delayed_pairs: additional one-way delay in seconds, by pair of hosts.
+    :ivar link_bytes_per_second: rate of the outgoing link of a host; unlimited if it
+        is missing.
+    :ivar processing_seconds: time that a host takes to read what one write sent, one
+        after the other.
+    :ivar reports_round_trips: sockets know the round-trip time.
     """
 
     loop: "VirtualLoop"
@@ -172,6 +198,30 @@
     delayed_pairs: dict[frozenset[str], float] = field(factory=dict)
     transports: list[FakeTransport] = field(factory=list)
     connect_attempts: list[Address] = field(factory=list)
+    link_bytes_per_second: dict[str, float] = field(factory=dict)
+    processing_seconds: dict[str, float] = field(factory=dict)
+    reports_round_trips: bool = False
+    _link_free_at_seconds: dict[str, float] = field(factory=dict)
+    _host_free_at_seconds: dict[str, float] = field(factory=dict)
+
+    def one_way_seconds(self, one: str, other: str) -> float:
+        """Return the delay between two hosts."""
+        pair = frozenset((one, other))
+        return ONE_WAY_DELAY_SECONDS + self.delayed_pairs.get(pair, 0.0)
+
+    def delivery_at_seconds(self, sender: str, receiver: str, byte_count: int) -> float:
+        """Return when the receiver has read what is sent now."""
+        at_seconds = self.loop.time()
+        if sender in self.link_bytes_per_second:
+            at_seconds = max(at_seconds, self._link_free_at_seconds.get(sender, 0.0))
+            at_seconds += byte_count / self.link_bytes_per_second[sender]
+            self._link_free_at_seconds[sender] = at_seconds
+        at_seconds += self.one_way_seconds(sender, receiver)
+        if receiver in self.processing_seconds:
+            at_seconds = max(at_seconds, self._host_free_at_seconds.get(receiver, 0.0))
+            at_seconds += self.processing_seconds[receiver]
+            self._host_free_at_seconds[receiver] = at_seconds
+        return at_seconds
 
     def is_partitioned(self, one: str, other: str) -> bool:
         if one in self.partitioned_hosts or other in self.partitioned_hosts:
