Count the opening of a connection in the time of its first request

Cause: a caller's time starts before it opens a connection. Only the difference from the longest time-out seen on the route stood for that, so an instance that had only seen first requests counted nothing.

Change: the first request of a connection has spent a round trip.

Ruled out: that requests wait in the event loop before they are read.

test_partial_answer_on_a_new_connection_arrives_by_the_target failed before (93 ms for 90).

--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -69,12 +69,14 @@
         if remaining_ms is None:
             remaining_ms = route.timeout_ms
         elapsed_ms = self.context.state.earlier_attempts_ms(route, remaining_ms)
+        # A caller's time starts before it opens a connection, which is one round trip.
+        opening_ms = request.round_trip_ms if request.is_first else 0.0
         limit_ms = min(remaining_ms - DEADLINE_MARGIN_MS, route.timeout_ms)
         target_ms = remaining_target_ms(
             target_latency_ms=route.target_latency_ms
             - request.round_trip_ms
             - CALLER_OVERHEAD_MS,
-            elapsed_ms=elapsed_ms,
+            elapsed_ms=max(elapsed_ms, opening_ms),
             typical_ms=self.context.state.typical_latency(route).typical_ms,
         )
         arrived_at = request.arrived_at_seconds
--- a/src/bronzebeam/routing/fan_out_timing.py
+++ b/src/bronzebeam/routing/fan_out_timing.py
@@ -18,12 +18,13 @@
     """
     Return the target latency of a request, counted from its arrival.
 
-    The time that the caller has spent on earlier, rejected attempts is subtracted. If
+    The time that the caller has spent on earlier, rejected attempts, or on opening a
+    connection, is subtracted. If
     the target of the first attempt can no longer be met, the request gets the full
     target like a new one: with what is left, it would be answered without shards that
     were about to reply.
 
-    :param elapsed_ms: time that earlier attempts of the caller have taken.
+    :param elapsed_ms: time that the caller has spent before it sent the request.
     :param typical_ms: typical reply time of a sub-request.
     """
     remaining_ms = target_latency_ms - elapsed_ms
