Count the time that an answer takes on the instance's link

Cause: an instance took off the round trip and a fixed 1.5 ms. An answer over 90 to 135 shards is 3 to 4 KB, which takes 2 to 2.5 ms of a link of 13 Mbit/s.

Change: the settings' link rate is read, and the transmission of a whole answer is taken off the target. Nothing changes where the rate is unknown.

test_long_partial_answer_over_a_slow_link_arrives_by_the_target failed before; its gateway is now told the rate of its link.

--- a/src/bronzebeam/gateway/context.py
+++ b/src/bronzebeam/gateway/context.py
@@ -14,7 +14,11 @@
 
 @define(kw_only=True, eq=False, repr=False)
 class GatewayContext:
-    """The shared objects, passed to every request handler."""
+    """
+    The shared objects, passed to every request handler.
+
+    :ivar link_bits_per_second: see `GatewaySettings`.
+    """
 
     state: FleetState
     header_codec: HeaderCodec
@@ -23,3 +27,4 @@
     metrics: GatewayMetrics
     rng: random.Random
     suspect_reporter: SuspectReporter
+    link_bits_per_second: float
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -228,6 +228,7 @@
             metrics=self.metrics,
             rng=self.rng,
             suspect_reporter=self._suspect_reporter,
+            link_bits_per_second=settings.link_bits_per_second,
         )
         router = Router(
             context=context,
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -12,6 +12,7 @@
 from bronzebeam.gateway.outcome import Outcome, answer_failure
 from bronzebeam.gateway.peer_codec import without_peer_headers
 from bronzebeam.gateway.routed_request import RoutedRequest, request_fingerprint
+from bronzebeam.routing.answer_size import transmission_ms
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS
 from bronzebeam.routing.fan_out_timing import remaining_target_ms
 from bronzebeam.routing.hedge_timing import hedge_delay_ms
@@ -75,7 +76,12 @@
         target_ms = remaining_target_ms(
             target_latency_ms=route.target_latency_ms
             - request.round_trip_ms
-            - CALLER_OVERHEAD_MS,
+            - CALLER_OVERHEAD_MS
+            - transmission_ms(
+                shard_count=len(route.shards),
+                top_records=route.top_records,
+                link_bits_per_second=self.context.link_bits_per_second,
+            ),
             elapsed_ms=max(elapsed_ms, opening_ms),
             typical_ms=self.context.state.typical_latency(route).typical_ms,
         )
--- a/src/bronzebeam/gateway/settings.py
+++ b/src/bronzebeam/gateway/settings.py
@@ -18,6 +18,7 @@
     :ivar peer_listen: address for peers and metrics; None if peers can't connect.
     :ivar store: address of the platform's store.
     :ivar processor_cores: CPU cores that the process may use.
+    :ivar link_bits_per_second: rate of the network link; 0 if unknown.
     :ivar lease_min_ms: shortest lease time that the store grants.
     :ivar stop_bound_seconds: time from SIGTERM until the process is killed.
     :ivar change_bound_seconds: time within which changes of the store must be active.
@@ -35,6 +36,7 @@
     peer_listen: SocketAddress | None
     store: SocketAddress
     processor_cores: float
+    link_bits_per_second: float
     lease_min_ms: float
     stop_bound_seconds: float
     change_bound_seconds: float
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -10,7 +10,7 @@
 from bronzebeam.platform.settings_file import CALLER_ADDRESS_FIELD, parse_fields
 from bronzebeam.routing.repeat_budget import RepeatLimits
 from bronzebeam.socket_address import SocketAddress
-from bronzebeam.units import MS_PER_SECOND
+from bronzebeam.units import BITS_PER_MEGABIT, MS_PER_SECOND
 
 # Defaults for missing fields; each is the value of the present deployments.
 DEFAULT_STOP_BOUND_SECONDS: Final = 6.0
@@ -68,6 +68,7 @@
             reader.number("limits.cpuShare", 1.0)
             * reader.number("limits.cpuCores", 1.0),
         ),
+        link_bits_per_second=reader.number("limits.linkMbps", 0.0) * BITS_PER_MEGABIT,
         lease_min_ms=reader.number("platform.minTtlMs", DEFAULT_MIN_LEASE_MS),
         change_bound_seconds=min(
             reader.number("bounds.drainTimeoutMs", DEFAULT_CHANGE_BOUND_MS),
--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -374,6 +374,7 @@
     domains: tuple[str, str] = ("zone-a", "zone-a"),
     least: float = 0.75,
     top: int = 5,
+    gateway_settings: dict[str, str] | None = None,
     **route_overrides: Any,
 ) -> RunningGateway:
     """Start a gateway and two replicas of each shard; a shard has three records."""
@@ -392,7 +393,7 @@
             **route_overrides,
         )
     )
-    gateway = cluster.start_gateway("g-1")
+    gateway = cluster.start_gateway("g-1", **(gateway_settings or {}))
     await asyncio.sleep(SETTLE_SECONDS)
     return gateway
 
--- a/tests/test_gateway_in_time.py
+++ b/tests/test_gateway_in_time.py
@@ -54,7 +54,12 @@
 
 def test_long_partial_answer_over_a_slow_link_arrives_by_the_target() -> None:
     async def scenario(cluster: Cluster) -> None:
-        gateway = await start_search_cluster(cluster, shards=40, top=100)
+        gateway = await start_search_cluster(
+            cluster,
+            shards=40,
+            top=100,
+            gateway_settings={"limits.linkMbps": "4.0"},
+        )
         delay_callers(cluster)
         cluster.loop.net.link_bytes_per_second[gateway.host] = 500_000.0
         for replica in replicas_of_service(cluster, "shard-0"):
