Measure the delays around the cut-off of a search instead of assuming them

Seen by callers: searches that lack a shard came a millisecond or two past the target, or lacked all shards of a peer that was a moment late.

Cause: fixed times for what depends on the hardware and the load. A peer was asked to answer 3 ms before the sender's cut-off, and the sender kept 1.5 ms.

Change: each instance estimates the 95th percentile of both delays from what it sees, and sets the cut-off of its peers and its own by them. A peer keeps at least 0.6 of the time.

--- a/src/bronzebeam/gateway/context.py
+++ b/src/bronzebeam/gateway/context.py
@@ -3,12 +3,13 @@
 import asyncio
 import random
 
-from attrs import define
+from attrs import define, field
 
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.gateway_metrics import GatewayMetrics
 from bronzebeam.gateway.header_codec import HeaderCodec
 from bronzebeam.gateway.suspect_reports import SuspectReporter
+from bronzebeam.routing.fan_out_delays import FanOutDelays
 from bronzebeam.telemetry.decisions import DecisionLog
 
 
@@ -18,6 +19,7 @@
     The shared objects, passed to every request handler.
 
     :ivar link_bits_per_second: see `GatewaySettings`.
+    :ivar delays: what fan-outs allow for around their cut-off.
     """
 
     state: FleetState
@@ -28,3 +30,4 @@
     rng: random.Random
     suspect_reporter: SuspectReporter
     link_bits_per_second: float
+    delays: FanOutDelays = field(factory=FanOutDelays)
--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -1,7 +1,7 @@
 """A delegation: some shards of a fan-out that a peer gathers for this instance."""
 
 from enum import Enum
-from typing import Final, Protocol
+from typing import Protocol
 
 from attrs import define, field
 
@@ -31,8 +31,6 @@
 )
 from bronzebeam.units import MS_PER_SECOND
 
-PEER_OVERHEAD_MS: Final = 3.0  # round trip to the peer, and the merge there
-
 
 class DelegationResult(Enum):
     """
@@ -143,10 +141,8 @@
             target_latency_ms=routed.route.target_latency_ms,
             hedge_after_ms=round(max(1.0, self.hedge_after_ms)),
             cutoff_ms=round(
-                max(
-                    1.0,
+                self.context.delays.peer_cutoff_ms(
                     (self.cutoff_at_seconds - now_seconds) * MS_PER_SECOND
-                    - PEER_OVERHEAD_MS,
                 )
             ),
             repeated=self.previous is not None,
@@ -229,6 +225,7 @@
         delay_seconds = self.context.loop.time() - self._due_at_seconds
         if delay_seconds > 0.0 and None in self.signatures:
             self.context.metrics.record_peer_delay(delay_seconds)
+            self.context.delays.peers.observe(delay_seconds * MS_PER_SECOND)
 
     def _avoid_peer(self, cause: str) -> None:
         self.peer.avoid(cause, self.context.log, self.context.loop.time())
--- a/src/bronzebeam/gateway/delegator.py
+++ b/src/bronzebeam/gateway/delegator.py
@@ -217,6 +217,7 @@
                 target_at_seconds=routed.target_at_seconds,
                 now_seconds=self.context.loop.time(),
                 typical_ms=self.context.state.typical_latency(routed.route).typical_ms,
+                answer_delay_ms=self.context.delays.answer.delay_ms,
             ),
         )
 
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -89,6 +89,7 @@
                 target_at_seconds=routed.target_at_seconds,
                 now_seconds=loop.time(),
                 typical_ms=self.context.state.typical_latency(routed.route).typical_ms,
+                answer_delay_ms=self.context.delays.answer.delay_ms,
             )
         self._peers_lost_at_seconds = loop.time() + (
             peer_timeout_ms(self.hedge_after_ms) / MS_PER_SECOND
@@ -440,6 +441,10 @@
     def _on_cutoff(self) -> None:
         self._cutoff_reached = True
         self._answer_if_complete()
+        if self._done and not self.routed.is_for_peer:
+            delay_seconds = self.context.loop.time() - self._cutoff_at_seconds
+            self.context.metrics.record_cutoff_delay(delay_seconds)
+            self.context.delays.answer.observe(delay_seconds * MS_PER_SECOND)
 
     def _on_deadline(self) -> None:
         if not self._done:
@@ -478,10 +483,6 @@
             self._fail(cause=TOO_FEW_SHARDS, status=BAD_GATEWAY)
 
     def _answer(self) -> None:
-        if self._cutoff_reached and not self.routed.is_for_peer:
-            self.context.metrics.record_cutoff_delay(
-                self.context.loop.time() - self._cutoff_at_seconds
-            )
         self._finish(sample_elapsed=True)
         self.responder.answer(
             self._progress.shards,
--- a/src/bronzebeam/routing/fan_out_timing.py
+++ b/src/bronzebeam/routing/fan_out_timing.py
@@ -4,7 +4,6 @@
 
 from bronzebeam.units import MS_PER_SECOND
 
-ANSWER_MARGIN_MS: Final = 1.5  # time to merge and send the answer
 # Estimates are medians: half of all replies are faster.
 SKIP_ESTIMATE_FACTOR: Final = 1.15
 MIN_TARGET_FACTOR: Final = 3.0  # covers the slowest of many ordinary replies
@@ -36,7 +35,11 @@
 
 
 def partial_answer_at_seconds(
-    *, target_at_seconds: float, now_seconds: float, typical_ms: float
+    *,
+    target_at_seconds: float,
+    now_seconds: float,
+    typical_ms: float,
+    answer_delay_ms: float,
 ) -> float:
     """
     Return the monotonic time at which a fan-out stops waiting for further shards.
@@ -44,8 +47,10 @@
     Until the target latency, waiting for another shard costs nothing. After it, the
     whole answer loses most of its value, even if replicas are slow and further shards
     would reply soon. A request that arrives too late for its target waits briefly.
+
+    :param answer_delay_ms: time to merge and send the answer.
     """
-    at_seconds = target_at_seconds - ANSWER_MARGIN_MS / MS_PER_SECOND
+    at_seconds = target_at_seconds - answer_delay_ms / MS_PER_SECOND
     typical_seconds = typical_ms / MS_PER_SECOND
     if at_seconds - now_seconds >= typical_seconds:
         return at_seconds
--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given, strategies as st
 
+from bronzebeam.routing.fan_out_delays import DelayEstimate, FanOutDelays
 from bronzebeam.routing.fan_out_timing import (
     partial_answer_at_seconds,
     should_skip_shard,
@@ -371,18 +372,41 @@
     ]
 
 
+def test_delay_estimate_covers_nearly_all_delays_of_any_hardware() -> None:
+    rng = random.Random(5)
+    for typical_ms in (0.7, 6.0, 15.0):
+        estimate = DelayEstimate(delay_ms=5.0)
+        delays_ms = [typical_ms * (0.8 + 0.4 * rng.random()) for _ in range(2_000)]
+        covered = 0
+        for number, delay_ms in enumerate(delays_ms):
+            covered += number >= 1_000 and delay_ms <= estimate.delay_ms
+            estimate.observe(delay_ms)
+        assert covered >= 900
+        assert estimate.delay_ms <= typical_ms * 1.2 + 1.0
+
+
+def test_peers_keep_most_of_the_time_however_late_they_are() -> None:
+    delays = FanOutDelays()
+    assert delays.peer_cutoff_ms(80.0) == 75.0
+    for _ in range(100):
+        delays.peers.observe(500.0)
+    assert delays.peer_cutoff_ms(80.0) == 60.0
+    assert delays.peer_cutoff_ms(20.0) == 12.0
+    assert delays.peer_cutoff_ms(0.5) == 1.0
+
+
 def test_fan_out_waits_for_a_slow_shard_until_the_target_or_briefly_after_it() -> None:
     at = partial_answer_at_seconds(
-        target_at_seconds=10.09, now_seconds=10.0, typical_ms=10.0
+        target_at_seconds=10.09, now_seconds=10.0, typical_ms=10.0, answer_delay_ms=1.5
     )
     assert 10.08 < at < 10.09
     late = partial_answer_at_seconds(
-        target_at_seconds=9.5, now_seconds=10.0, typical_ms=10.0
+        target_at_seconds=9.5, now_seconds=10.0, typical_ms=10.0, answer_delay_ms=1.5
     )
     assert late == 10.04
     # Slow replicas do not extend the wait, since a late answer has little value.
     slow = partial_answer_at_seconds(
-        target_at_seconds=10.09, now_seconds=10.0, typical_ms=40.0
+        target_at_seconds=10.09, now_seconds=10.0, typical_ms=40.0, answer_delay_ms=1.5
     )
     assert slow == at
 
