Leave shards to a late peer if the next one declines them

Cause: shards of a peer that had sent nothing in time were delegated to another owner, and from then on only that delegation counted. If it declined (it had no repeats left, or found the rest of the time too short), its shards were sent from here, past the connection limits, or given up, although the first peer was about to reply: it had only been a few milliseconds late.

Change: shards are in progress as long as any of their delegations is. That an earlier peer may have sent them is remembered when it ends, so that a send after both is counted as a repeat.

test_owner_that_declines_leaves_the_shards_to_the_late_one failed before: the replicas ran more than one request a shard.

--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -95,6 +95,13 @@
         """Whether the peer has sent an interim reply."""
         return self._connection is not None and self._connection.interim_seen
 
+    @property
+    def may_reply(self) -> bool:
+        """Whether the peer, or an earlier one of these shards, may still reply."""
+        if not self.ended:
+            return True
+        return self.previous is not None and self.previous.may_reply
+
     def send(self) -> None:
         """Send the request as soon as the peer has a free connection."""
         self._queue_on(self.peer.pool, require_fresh=False)
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -173,14 +173,16 @@
             shard = self._progress.shards[index]
             if signature is not None:
                 self._progress.include(shard, signature, None, self.context.loop.time())
-            elif not shard.is_settled and not shard.is_in_progress:
+            elif not shard.is_settled:
+                # A peer that could not connect to a replica has sent it nothing.
+                if sent and shard.service not in delegation.unreachable:
+                    shard.may_have_run_at_peer = True
+                if shard.is_in_progress:
+                    continue
                 shard.cause = delegation.cause or "missing_at_peer"
                 if self._crash_evidence.is_suspect:
                     continue
-                # A peer that could not connect to a replica has sent it nothing.
-                repeat = sent and shard.service not in delegation.unreachable
-                shard.may_have_run_at_peer = shard.may_have_run_at_peer or repeat
-                if not self._send_again(shard, repeat=repeat):
+                if not self._send_again(shard, repeat=shard.may_have_run_at_peer):
                     missing.append(shard)
             if self._done:
                 return
--- a/src/bronzebeam/gateway/shard_state.py
+++ b/src/bronzebeam/gateway/shard_state.py
@@ -61,7 +61,7 @@
     @property
     def is_in_progress(self) -> bool:
         """Whether an attempt or a delegation has not ended yet."""
-        if self.delegation is not None and not self.delegation.ended:
+        if self.delegation is not None and self.delegation.may_reply:
             return True
         return any(not item.ended for item in self.attempts)
 
--- a/tests/test_gateway_owners.py
+++ b/tests/test_gateway_owners.py
@@ -20,14 +20,22 @@
 
 
 async def start_large_fleet(
-    cluster: Cluster, *, least: float = 0.75
+    cluster: Cluster,
+    *,
+    least: float = 0.75,
+    gateway_settings: dict[str, str] | None = None,
 ) -> list[RunningGateway]:
     """Start more instances than the connection limit of each replica allows."""
     for number in range(2, 13):
         domain = "zone-a" if number % 2 else "zone-b"
-        cluster.start_gateway(f"g-{number}", domain=domain)
+        cluster.start_gateway(f"g-{number}", domain=domain, **(gateway_settings or {}))
     await start_search_cluster(
-        cluster, shards=10, domains=("zone-a", "zone-b"), top=2, least=least
+        cluster,
+        shards=10,
+        domains=("zone-a", "zone-b"),
+        top=2,
+        least=least,
+        gateway_settings=gateway_settings,
     )
     await asyncio.sleep(2.0)
     return list(cluster.gateways.values())
@@ -102,6 +110,30 @@
     run_scenario(scenario)
 
 
+def test_owner_that_declines_leaves_the_shards_to_the_late_one() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        # Without repeats, an owner declines what another one may have sent.
+        gateways = await start_large_fleet(
+            cluster,
+            gateway_settings={
+                "bounds.retryBudgetRatio": "0",
+                "bounds.retryBudgetSlack": "0",
+            },
+        )
+        await asyncio.sleep(10.0)
+        sender = gateways[-1]
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.06
+        for gateway in gateways[:-1]:
+            drop_writes(cluster, gateway, sender, b"102 Processing")
+        answer = await cluster.send_request(sender, FAN_OUT_PATH, attempt_id="d-1")
+        assert answer is not None and answer.status == 200 and answer.missing == 0
+        assert sender.log_lines("peer_avoided")
+        assert cluster.run_count("d-1") == 10
+
+    run_scenario(scenario)
+
+
 def test_late_reply_of_an_owner_duplicates_no_record() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await start_large_fleet(cluster)
