Count the time-out of peers from when they are asked

Seen by callers: more searches with shards asked for twice, and answers without the shards of a peer that was about to reply.

Cause: the time after which a silent peer counts as lost ran from before the search was planned. Planning 135 shards takes 9 ms on half a core, of the 12 ms that the time-out allows beyond the peer's own delay.

Change: the time-out starts when the delegations have been sent.

test_time_to_plan_a_search_does_not_make_its_peers_late failed before.

--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -74,7 +74,6 @@
     _cutoff_reached: bool = False
     _cutoff_at_seconds: float = 0.0
     _sent_at_seconds: float | None = None
-    _peers_lost_at_seconds: float = 0.0
     _hedge_timer: asyncio.TimerHandle | None = None
     _timers: list[asyncio.TimerHandle] = field(factory=list)
 
@@ -91,9 +90,6 @@
                 typical_ms=self.context.state.typical_latency(routed.route).typical_ms,
                 answer_delay_ms=self.context.delays.answer.delay_ms,
             )
-        self._peers_lost_at_seconds = loop.time() + (
-            peer_timeout_ms(self.hedge_after_ms) / MS_PER_SECOND
-        )
         self._progress = FanOutProgress(route=routed.route)
         self._chooser = ShardReplicaChooser(
             context=self.context,
@@ -119,8 +115,11 @@
             loop.call_at(self._cutoff_at_seconds, self._on_cutoff),
         ]
         if self._delegator.delegations:
+            timeout_seconds = peer_timeout_ms(self.hedge_after_ms) / MS_PER_SECOND
             self._timers.append(
-                loop.call_at(self._peers_lost_at_seconds, self._replace_lost_peers)
+                loop.call_at(
+                    self._sent_at_seconds + timeout_seconds, self._replace_lost_peers
+                )
             )
         self._schedule_hedges()
         self._answer_if_complete()
--- a/tests/test_gateway_owners.py
+++ b/tests/test_gateway_owners.py
@@ -1,7 +1,10 @@
 """Tests of shard owners in a large fleet, in virtual time."""
 
 import asyncio
+from typing import Any
+from unittest import mock
 
+from bronzebeam.gateway.peers import Peer, PeerSet
 from tests.fixtures_gateway import (
     BOOKING_SERVICE,
     FAN_OUT_PATH,
@@ -110,6 +113,30 @@
     run_scenario(scenario)
 
 
+def test_time_to_plan_a_search_does_not_make_its_peers_late() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_large_fleet(cluster)
+        await asyncio.sleep(10.0)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.05
+        owners = gateways[0].gateway._state.owners
+        assert owners is not None
+        others = owners.members["zone-a"].keys() - owners.owners("zone-a", 0)
+        sender = cluster.gateways[min(others)]
+        choose = PeerSet.choose
+
+        def choose_slowly(*args: Any, **options: Any) -> Peer | None:
+            cluster.loop.virtual_selector.now_seconds += 0.016
+            return choose(*args, **options)
+
+        with mock.patch.object(PeerSet, "choose", choose_slowly):
+            answer = await cluster.send_request(sender, FAN_OUT_PATH)
+        assert answer is not None and answer.status == 200
+        assert not sender.log_lines("peer_avoided")
+
+    run_scenario(scenario)
+
+
 def test_owner_that_declines_leaves_the_shards_to_the_late_one() -> None:
     async def scenario(cluster: Cluster) -> None:
         # Without repeats, an owner declines what another one may have sent.
