Send changes to peers without the fields that hold their default

The first source that is upgraded cuts its older followers off from all changes, until they find another source or watch the store themselves.

Cause: all fields of a record are encoded, also those that say nothing.

Change: fields that hold their default are left out.

test_changes_have_no_fields_that_the_earlier_build_rejects failed before.

--- a/src/bronzebeam/gateway/change_codec.py
+++ b/src/bronzebeam/gateway/change_codec.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 import orjson
-from attrs import asdict, frozen
+from attrs import Attribute, asdict, frozen
 
 from bronzebeam.gateway.records import (
     Change,
@@ -140,10 +140,20 @@
             "limits": asdict(value.limits),
         }
     elif value is not None:
-        item["value"] = asdict(value)
+        item["value"] = asdict(value, filter=_differs_from_default)
     return item
 
 
+def _differs_from_default(attribute: "Attribute[Any]", value: Any) -> bool:
+    """
+    Whether a field has to be encoded.
+
+    Earlier builds reject fields that they don't know, and new fields mostly have their
+    default.
+    """
+    return bool(value != attribute.default)
+
+
 def _decode_change(item: dict[str, Any]) -> Change:
     kind = RecordKind(item["kind"])
     fields = item.get("value")
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import orjson
 from hypothesis import given, strategies as st
 
 from bronzebeam.gateway.change_codec import (
@@ -367,6 +368,15 @@
     assert repr(decoded) == repr(change)
 
 
+def test_changes_have_no_fields_that_the_earlier_build_rejects() -> None:
+    record = InstanceRecord(instance="g-1", failure_domain="a", host="h", port=1)
+    change = Change(kind=RecordKind.INSTANCE, name="g-1", value=record)
+    [item] = orjson.loads(encode_changes([change]))
+    # The fields that build 2daecfa knows.
+    known = {"instance", "failure_domain", "host", "port", "processor_cores"}
+    assert item["value"].keys() <= known
+
+
 @HYPOTHESIS_SETTINGS
 @given(data=st.one_of(st.binary(max_size=80), st.text(max_size=80).map(str.encode)))
 def test_arbitrary_bytes_decode_or_are_malformed(data: bytes) -> None:
