Ignore fields and kinds of later builds in the change feed

Cause: the decoder passes all fields of a message to the record's type, so one field that a later build adds makes a follower reject the whole response: configuration, replicas and peers.

Change: fields and kinds of records that this build doesn't know are left out. The next build can add some without cutting this one off.

test_fields_and_kinds_of_later_builds_are_ignored failed before (MalformedFeedResponse).

--- a/src/bronzebeam/gateway/change_codec.py
+++ b/src/bronzebeam/gateway/change_codec.py
@@ -2,10 +2,10 @@
 
 import zlib
 from collections.abc import Iterable
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import orjson
-from attrs import Attribute, asdict, frozen
+from attrs import Attribute, AttrsInstance, asdict, fields_dict, frozen
 
 from bronzebeam.gateway.records import (
     Change,
@@ -23,12 +23,14 @@
     WeightedService,
 )
 
+RecordT = TypeVar("RecordT", bound=AttrsInstance)
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024  # memory for one decompressed response
 RECORD_TYPES: Final = {
     RecordKind.REPLICA: ReplicaRecord,
     RecordKind.INSTANCE: InstanceRecord,
     RecordKind.SUSPECT: SuspectRecord,
 }
+KNOWN_KINDS: Final = frozenset(kind.value for kind in RecordKind)
 
 
 class MalformedFeedResponse(Exception):
@@ -116,7 +118,11 @@
             is_up_to_date=bool(document["following"]),
             era=_decode_era(document.get("era")),
             is_complete=bool(document.get("complete", False)),
-            changes=tuple(_decode_change(item) for item in document["changes"]),
+            changes=tuple(
+                _decode_change(item)
+                for item in document["changes"]
+                if item["kind"] in KNOWN_KINDS
+            ),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MalformedFeedResponse(repr(error)) from error
@@ -161,7 +167,7 @@
     if fields is not None and kind is RecordKind.CONFIGURATION:
         value = _decode_table(fields)
     elif fields is not None:
-        value = RECORD_TYPES[kind](**fields)
+        value = _decode_record(RECORD_TYPES[kind], fields)
     return Change(kind=kind, name=item["name"], value=value)
 
 
@@ -169,19 +175,31 @@
     return RouteTable(
         version=fields["version"],
         routes=tuple(_decode_route(item) for item in fields["routes"]),
-        services={item["name"]: BackendService(**item) for item in fields["services"]},
-        limits=CallerLimits(**fields["limits"]),
+        services={
+            item["name"]: _decode_record(BackendService, item)
+            for item in fields["services"]
+        },
+        limits=_decode_record(CallerLimits, fields["limits"]),
     )
 
 
 def _decode_route(fields: dict[str, Any]) -> Route:
-    return Route(
-        **fields
+    return _decode_record(
+        Route,
+        fields
         | {
             "path_prefix": fields["path_prefix"].encode("latin-1"),
             "destinations": tuple(
-                WeightedService(**item) for item in fields["destinations"]
+                _decode_record(WeightedService, item) for item in fields["destinations"]
             ),
             "shards": tuple(fields["shards"]),
-        }
+        },
+    )
+
+
+def _decode_record(record_type: type[RecordT], fields: dict[str, Any]) -> RecordT:
+    """Return a record without the fields that only later builds know."""
+    known = fields_dict(record_type)
+    return record_type(
+        **{name: value for name, value in fields.items() if name in known}
     )
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -377,6 +377,28 @@
     assert item["value"].keys() <= known
 
 
+def add_unknown_fields(value: object) -> object:
+    """Return a JSON document in which each object has one more field."""
+    if isinstance(value, list):
+        return [add_unknown_fields(item) for item in value]
+    if isinstance(value, dict):
+        items = {name: add_unknown_fields(item) for name, item in value.items()}
+        return items | {"of_a_later_build": [1]}
+    return value
+
+
+def test_fields_and_kinds_of_later_builds_are_ignored() -> None:
+    table = Change(kind=RecordKind.CONFIGURATION, name="", value=TABLE)
+    data = encode_feed_response(
+        revision=9, is_up_to_date=True, changes=encode_changes([*CHANGES, table])
+    )
+    document = orjson.loads(data)
+    document["changes"].insert(1, {"kind": "later", "name": "x", "value": {"a": 1}})
+    decoded = decode_feed_response(orjson.dumps(add_unknown_fields(document)))
+    assert decoded.changes[:-1] == tuple(CHANGES)
+    assert repr(decoded.changes[-1]) == repr(table)
+
+
 @HYPOTHESIS_SETTINGS
 @given(data=st.one_of(st.binary(max_size=80), st.text(max_size=80).map(str.encode)))
 def test_arbitrary_bytes_decode_or_are_malformed(data: bytes) -> None:
