Leave peers three quarters of a search's time, whatever delay is measured

Of the 31 ms that a peer of a short search has, up to two fifths went, and peers left out shards that were about to reply.

Change: at most a quarter of the time, and the 90th percentile instead of the 95th. In the tests the bound of the share follows, and the share of delays that has to be covered is that of the new percentile.

--- a/src/bronzebeam/routing/fan_out_delays.py
+++ b/src/bronzebeam/routing/fan_out_delays.py
@@ -4,14 +4,14 @@
 
 from attrs import define, field
 
-QUANTILE: Final = 0.95  # of the delays is expected to be at most the estimate
+QUANTILE: Final = 0.9  # of the delays is expected to be at most the estimate
 STEP_MS: Final = 1.0
 MIN_DELAY_MS: Final = 0.5
 MAX_DELAY_MS: Final = 20.0
 # Before the first observations; those of an instance with half a processor core.
 INITIAL_ANSWER_DELAY_MS: Final = 1.5
 INITIAL_PEER_DELAY_MS: Final = 5.0
-MAX_PEER_DELAY_SHARE: Final = 0.4  # of the time that is left when a peer is asked
+MAX_PEER_DELAY_SHARE: Final = 0.25  # of the time that is left when a peer is asked
 
 
 @define(kw_only=True, eq=False, repr=False)
