--- a/src/bronzebeam/routing/replica_estimate.py
+++ b/src/bronzebeam/routing/replica_estimate.py
@@ -15,8 +15,7 @@
 OTHER_DOMAIN_COST_MS: Final = 4.0  # network latency, and traffic that is charged for
 
 
-# Not frozen: creating a frozen object takes four times as long, and a search over many
-# shards creates hundreds.
+# Not frozen: a search over many shards creates hundreds, and frozen ones take longer.
 @define(kw_only=True)
 class ReplicaLoad:
     """
