Ask peers for shards whose reachable replicas are too slow

Seen by callers: searches failed within milliseconds (502 or 503, too_few_shards) at instances that had lost some of their links, while peers reached replicas of the shard.

Cause: a peer is asked if none of a shard's replicas can be reached. With one that can, but is stuck or too slow for the request, the shard was given up as too slow, although the others only can't be reached from here.

Change: such a shard counts as unreachable, so that a peer is asked, unless peers have said that they reach none either.

test_stuck_connection_to_one_replica_does_not_keep_a_shard_from_peers failed before: 8 of 24 searches 502 or 503.

--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -341,6 +341,19 @@
         replicas = self._by_service.get(service, ())
         if not replicas or any(item.pool.is_reachable for item in replicas):
             return False
+        return self._may_ask_peers(service)
+
+    def may_reach_more_through_peer(self, service: str) -> bool:
+        """Whether peers may reach replicas of a service that this instance does not."""
+        return self._may_ask_peers(service) and any(
+            not item.pool.is_reachable
+            and not item.is_leaving
+            and item.removed_at_seconds is None
+            for item in self._by_service.get(service, ())
+        )
+
+    def _may_ask_peers(self, service: str) -> bool:
+        """Whether peers are not known to reach no replica of a service either."""
         return self.loop.time() >= self._unreachable_until_seconds.get(service, 0.0)
 
     def _send_waiting_elsewhere(self, replica: Replica, cause: str) -> None:
--- a/src/bronzebeam/gateway/shard_replica_chooser.py
+++ b/src/bronzebeam/gateway/shard_replica_chooser.py
@@ -123,6 +123,8 @@
             max_missing=int(skippable),
         ):
             shard.cause = TOO_SLOW
+            if state.replicas.may_reach_more_through_peer(shard.service):
+                shard.cause = REPLICAS_UNREACHABLE
             return None
         return choice
 
--- a/tests/test_gateway_cut_off.py
+++ b/tests/test_gateway_cut_off.py
@@ -431,6 +431,40 @@
     run_scenario(scenario)
 
 
+def test_stuck_connection_to_one_replica_does_not_keep_a_shard_from_peers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_large_fleet(cluster, least=1.0)
+        await asyncio.sleep(10.0)
+        stuck = [
+            next(
+                item
+                for item in replicas_of_service(cluster, f"shard-{index}")
+                if item.domain == "zone-b"
+            )
+            for index in range(5)
+        ]
+        for replica in stuck:
+            replica.fault = fault_always(Fault.UNRESPONSIVE)
+        await send_searches(cluster, gateways, rounds=2)
+        cut_off = gateways[1::2]  # those of one domain
+        cut_hosts = {gateway.host for gateway in cut_off}
+        lost_hosts = {item.host for item in cluster.replicas.values()}
+        lost_hosts -= {item.host for item in stuck}
+        for gateway in cut_off:
+            cluster.loop.net.refusing_pairs |= replica_links(cluster, gateway)
+        for transport in list(cluster.loop.net.transports):
+            if (
+                transport.local_host in cut_hosts
+                and transport.remote_host in lost_hosts
+            ):
+                transport.abort()
+        responses = await send_searches(cluster, cut_off, rounds=4)
+        # Those sent to a silent replica before it was known to be stuck time out.
+        assert not {502, 503} & set(statuses(responses))
+
+    run_scenario(scenario)
+
+
 def test_owners_of_a_domain_that_reach_some_shards_do_not_hide_the_others() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await start_large_fleet(cluster, least=0.95)
