Decode accounts, keys, cold limits and evacuations, and refuse unknown keys

The adapter now decodes accounts, public routes, cold limits, evacuations, regions and the headers of account and load. Keys are kept and passed on as digests. Callers without a known key are answered 401, or 503 while the view of the store is out of date. The replica gets the name of the account and never the key.

A source of an earlier build omits accounts and evacuations from the changes that it passes on, so followers use only sources that state that they pass them on.

--- a/src/bronzebeam/gateway/change_codec.py
+++ b/src/bronzebeam/gateway/change_codec.py
@@ -9,12 +9,14 @@
 
 from bronzebeam.gateway.records import (
     Change,
+    EvacuationRecord,
     InstanceRecord,
     RecordKind,
     RecordValue,
     ReplicaRecord,
     SuspectRecord,
 )
+from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.routes import (
     BackendService,
     CallerLimits,
@@ -29,7 +31,11 @@
     RecordKind.REPLICA: ReplicaRecord,
     RecordKind.INSTANCE: InstanceRecord,
     RecordKind.SUSPECT: SuspectRecord,
+    RecordKind.EVACUATION: EvacuationRecord,
 }
+# What a source passes on beyond what the first builds did. Followers use no source that
+# omits some of it.
+PASSED_ON: Final = frozenset({"accounts", "evacuations"})
 KNOWN_KINDS: Final = frozenset(kind.value for kind in RecordKind)
 
 
@@ -48,6 +54,7 @@
     :ivar era: era of the store that the revision belongs to; None if unknown.
     :ivar is_complete: the changes are all records, not only those after the requested
         revision; records that are missing no longer exist.
+    :ivar omitted: what the peer, an earlier build, leaves out of the changes.
     """
 
     revision: int
@@ -55,6 +62,7 @@
     era: int | None = None
     is_complete: bool = False
     changes: tuple[Change, ...] = ()
+    omitted: frozenset[str] = frozenset()
 
 
 def encode_changes(changes: Iterable[Change]) -> bytes:
@@ -75,12 +83,17 @@
 
     :param changes: result of `encode_changes`.
     """
-    return b'{"revision":%d,"era":%s,"following":%s,"complete":%s,"changes":%s}' % (
-        revision,
-        b"null" if era is None else b"%d" % era,
-        b"true" if is_up_to_date else b"false",
-        b"true" if is_complete else b"false",
-        changes,
+    return (
+        b'{"revision":%d,"era":%s,"following":%s,"complete":%s,"passed_on":%s,'
+        b'"changes":%s}'
+        % (
+            revision,
+            b"null" if era is None else b"%d" % era,
+            b"true" if is_up_to_date else b"false",
+            b"true" if is_complete else b"false",
+            orjson.dumps(sorted(PASSED_ON)),
+            changes,
+        )
     )
 
 
@@ -123,6 +136,7 @@
                 for item in document["changes"]
                 if item["kind"] in KNOWN_KINDS
             ),
+            omitted=PASSED_ON - frozenset(map(str, document.get("passed_on", ()))),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MalformedFeedResponse(repr(error)) from error
@@ -138,18 +152,33 @@
     if isinstance(value, RouteTable):
         item["value"] = {
             "version": value.version,
-            "routes": [
-                asdict(route) | {"path_prefix": route.path_prefix.decode("latin-1")}
-                for route in value.routes
+            "routes": [_encode_route(route) for route in value.routes],
+            "services": [
+                asdict(service, filter=_differs_from_default)
+                for service in value.services.values()
             ],
-            "services": [asdict(service) for service in value.services.values()],
             "limits": asdict(value.limits),
         }
+        if value.accounts:
+            item["value"]["accounts"] = [
+                asdict(account, filter=_differs_from_default)
+                for account in value.accounts
+            ]
     elif value is not None:
         item["value"] = asdict(value, filter=_differs_from_default)
     return item
 
 
+def _encode_route(route: Route) -> dict[str, Any]:
+    # The first builds need the fields that they know, also those with their default.
+    fields = asdict(route) | {"path_prefix": route.path_prefix.decode("latin-1")}
+    if not route.is_public:
+        del fields["is_public"]
+    if not route.regions:
+        del fields["regions"]
+    return fields
+
+
 def _differs_from_default(attribute: "Attribute[Any]", value: Any) -> bool:
     """
     Whether a field has to be encoded.
@@ -180,6 +209,18 @@
             for item in fields["services"]
         },
         limits=_decode_record(CallerLimits, fields["limits"]),
+        accounts=tuple(_decode_account(item) for item in fields.get("accounts", ())),
+    )
+
+
+def _decode_account(fields: dict[str, Any]) -> Account:
+    return _decode_record(
+        Account,
+        fields
+        | {
+            "key_digests": tuple(fields.get("key_digests", ())),
+            "regions": tuple(fields.get("regions", ())),
+        },
     )
 
 
@@ -193,6 +234,7 @@
                 _decode_record(WeightedService, item) for item in fields["destinations"]
             ),
             "shards": tuple(fields["shards"]),
+            "regions": tuple(fields.get("regions", ())),
         },
     )
 
--- a/src/bronzebeam/gateway/change_feed.py
+++ b/src/bronzebeam/gateway/change_feed.py
@@ -192,6 +192,10 @@
             )
         except MalformedFeedResponse as error:
             raise FeedUnavailable(f"malformed response: {error}") from error
+        if response.omitted:
+            raise FeedUnavailable(
+                f"the source is an earlier build and omits {sorted(response.omitted)}"
+            )
         if not response.is_up_to_date:
             raise FeedUnavailable("the source has lost contact with the store")
         is_earlier_era = (response.era or 0) < (era or 0)
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -234,6 +234,7 @@
             context=context,
             admission=Admission(rng=self.rng, log=self.log),
             started_at_seconds=loop.time(),
+            configuration_bound_seconds=settings.configuration_bound_seconds,
         )
         self._state.on_first_configuration = router.on_first_configuration
         self._caller_server = CallerServer(handle=router.handle, loop=loop)
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -1,6 +1,7 @@
 """An instance's view of the configuration, the replicas and its peers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
@@ -64,6 +65,8 @@
     :ivar replicas: all replicas that may still be used.
     :ivar peers: the registered live instances.
     :ivar registration_timeout_seconds: see `OlderCopy`.
+    :ivar synced_at_seconds: monotonic time of the latest response of the store, or of a
+        source of changes that is in contact with it.
     :ivar suspects: requests suspected of crashing replicas.
     """
 
@@ -84,6 +87,7 @@
     peers: PeerSet = field(init=False)
     _older_copy: OlderCopy = field(init=False)
     started_at_seconds: float = 0.0
+    synced_at_seconds: float = -math.inf
     suspects: CrashSuspects = field(factory=CrashSuspects)
     _suspect_records: dict[str, SuspectRecord] = field(factory=dict)
     _unconfirmed_suspects: dict[str, float] = field(factory=dict)
--- a/src/bronzebeam/gateway/header_codec.py
+++ b/src/bronzebeam/gateway/header_codec.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from attrs import frozen
+from attrs import field, frozen
 
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.transport.http_reply import Headers
@@ -16,10 +16,15 @@
 
     :ivar attempt_id: identifier of this attempt at the request; empty if missing.
     :ivar remaining_ms: time until the caller's deadline; None if not stated.
+    :ivar key: the key that identifies the caller's account; empty if missing.
+    :ivar account: name of the account, as a peer states it; empty if missing. A
+        caller's own statement must not be used.
     """
 
     attempt_id: bytes
     remaining_ms: float | None
+    key: bytes = field(default=b"", repr=False)
+    account: bytes = b""
 
 
 @frozen(kw_only=True)
@@ -34,6 +39,8 @@
     :ivar retry_after: time for which it wants no requests, as sent; empty if missing.
     :ivar limit: requests a second that it takes from all instances together, as sent;
         empty if it names no limit.
+    :ivar load: the load that it states, as sent; empty if it states none.
+    :ivar cold_ms: time for which it stays cold, as sent; empty if it states none.
     """
 
     attempt_id: bytes
@@ -42,6 +49,8 @@
     leaving: bool = False
     retry_after: bytes = b""
     limit: bytes = b""
+    load: bytes = b""
+    cold_ms: bytes = b""
 
 
 class HeaderCodec(Protocol):
@@ -50,8 +59,14 @@
     def read_request(self, headers: Headers) -> RequestMetadata:
         """Decode the headers of a request; names are in lower case."""
 
-    def request_head(self, request: HttpRequest) -> bytes:
-        """Encode the request line and the headers common to all attempts."""
+    def request_head(self, request: HttpRequest, *, account: bytes = b"") -> bytes:
+        """
+        Encode the request line and the headers common to all attempts.
+
+        The caller's key is left out.
+
+        :param account: name of the caller's account; empty if there is none.
+        """
 
     def attempt_head(self, *, remaining_ms: float, replica: str | None) -> bytes:
         """
--- a/src/bronzebeam/gateway/peer_request.py
+++ b/src/bronzebeam/gateway/peer_request.py
@@ -46,5 +46,5 @@
         version=0,
         deadline_at_seconds=arrived_at + remaining_ms / MS_PER_SECOND,
         target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
-        head=context.header_codec.request_head(request),
+        head=context.header_codec.request_head(request, account=metadata.account),
     )
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -75,6 +75,13 @@
     losses: int
 
 
+@frozen(kw_only=True)
+class EvacuationRecord:
+    """An operator's request to send nothing more to the replicas of a domain."""
+
+    failure_domain: str
+
+
 class RecordKind(Enum):
     """Type of record that a change concerns."""
 
@@ -82,9 +89,12 @@
     REPLICA = "replica"
     INSTANCE = "instance"
     SUSPECT = "suspect"
+    EVACUATION = "evacuation"
 
 
-RecordValue = RouteTable | ReplicaRecord | InstanceRecord | SuspectRecord
+RecordValue = (
+    RouteTable | ReplicaRecord | InstanceRecord | SuspectRecord | EvacuationRecord
+)
 
 
 @frozen(kw_only=True)
@@ -92,7 +102,8 @@
     """
     A change of one record.
 
-    :ivar name: name of the replica, instance or report; empty for the configuration.
+    :ivar name: name of the replica, instance, report or evacuated domain; empty for the
+        configuration.
     :ivar value: the new record; None if it was deleted or can't be decoded.
     """
 
@@ -116,6 +127,7 @@
     replicas: Mapping[str, ReplicaRecord] = field(factory=dict)
     instances: Mapping[str, InstanceRecord] = field(factory=dict)
     suspects: Mapping[str, SuspectRecord] = field(factory=dict)
+    evacuations: Mapping[str, EvacuationRecord] = field(factory=dict)
 
 
 def snapshot_from_changes(
@@ -125,6 +137,7 @@
     replicas: dict[str, ReplicaRecord] = {}
     instances: dict[str, InstanceRecord] = {}
     suspects: dict[str, SuspectRecord] = {}
+    evacuations: dict[str, EvacuationRecord] = {}
     table: RouteTable | None = None
     for change in changes:
         if isinstance(change.value, ReplicaRecord):
@@ -135,6 +148,8 @@
             instances[change.name] = change.value
         elif isinstance(change.value, SuspectRecord):
             suspects[change.name] = change.value
+        elif isinstance(change.value, EvacuationRecord):
+            evacuations[change.name] = change.value
     return StoreSnapshot(
         revision=revision,
         era=era,
@@ -142,6 +157,7 @@
         replicas=replicas,
         instances=instances,
         suspects=suspects,
+        evacuations=evacuations,
     )
 
 
--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 from bronzebeam.gateway.header_codec import RequestMetadata
+from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.crash_suspects import fingerprint
 from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import HttpRequest
@@ -19,6 +20,8 @@
     :ivar deadline_at_seconds: monotonic time after which the caller stops waiting.
     :ivar target_at_seconds: monotonic time at which the target latency is reached.
     :ivar head: request line and headers common to all attempts.
+    :ivar account: the caller's account; None if there is none, or for a peer's request.
+    :ivar is_retry: the caller has tried before, and was refused or not served.
     """
 
     request: HttpRequest
@@ -28,6 +31,8 @@
     deadline_at_seconds: float
     target_at_seconds: float
     head: bytes
+    account: Account | None = None
+    is_retry: bool = False
 
     def ms_after_arrival(self, at_seconds: float) -> float:
         """Return the time from the request's arrival, as log lines show it."""
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -9,14 +9,17 @@
 from bronzebeam.gateway.fan_out import FanOutRequest
 from bronzebeam.gateway.fan_out_responder import CallerResponder
 from bronzebeam.gateway.forward import ReplicaRequest
+from bronzebeam.gateway.header_codec import RequestMetadata
 from bronzebeam.gateway.outcome import Outcome, answer_failure
 from bronzebeam.gateway.peer_codec import without_peer_headers
 from bronzebeam.gateway.routed_request import RoutedRequest, request_fingerprint
+from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.answer_size import transmission_ms
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS
 from bronzebeam.routing.fan_out_timing import remaining_target_ms
 from bronzebeam.routing.hedge_timing import hedge_delay_ms
 from bronzebeam.routing.retry_delay import retry_after_seconds
+from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.transport.http_reply import Headers
 from bronzebeam.units import MS_PER_SECOND
@@ -28,6 +31,8 @@
 RETRY_DETECTION_MS: Final = 15.0
 STARTUP_TIMEOUT_SECONDS: Final = 0.15  # ten times as long as reading the store takes
 STARTUP_RETRY_MS: Final = 400.0  # an instance reads its configuration in less time
+UNKNOWN_KEY: Final = "unknown_key"
+KEY_UNCONFIRMED: Final = "key_unconfirmed"
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -36,12 +41,14 @@
     Finds the route of each request and starts its handling.
 
     :ivar started_at_seconds: monotonic time at which the process started.
+    :ivar configuration_bound_seconds: see `GatewaySettings`.
     :ivar _queued: requests that arrived before the first configuration was read.
     """
 
     context: GatewayContext
     admission: Admission
     started_at_seconds: float
+    configuration_bound_seconds: float
     _queued: list[HttpRequest] = field(factory=list)
 
     def handle(self, request: HttpRequest) -> None:
@@ -62,10 +69,34 @@
         if route is None:
             self._reject(request, 404, "no_route")
             return
+        account = table.account_by_key(metadata.key)
+        if account is None and table.accounts and not route.is_public:
+            self._reject_unknown_key(request)
+            return
         suspects = self.context.state.suspects
         if suspects and suspects.is_quarantined(request_fingerprint(request)):
             self._reject(request, 503, "quarantined", return_seconds=QUARANTINE_SECONDS)
             return
+        self._start(
+            self._routed_request(request, metadata, table, route, account), table
+        )
+
+    def on_first_configuration(self) -> None:
+        """Handle the requests that were queued until the first configuration."""
+        queued, self._queued = self._queued, []
+        for request in queued:
+            if not request.disconnected:
+                self.handle(request)
+
+    def _routed_request(
+        self,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+        table: RouteTable,
+        route: Route,
+        account: Account | None,
+    ) -> RoutedRequest:
+        """Return the request with its route, and the times at which it is due."""
         remaining_ms = metadata.remaining_ms
         if remaining_ms is None:
             remaining_ms = route.timeout_ms
@@ -86,17 +117,25 @@
             typical_ms=self.context.state.typical_latency(route).typical_ms,
         )
         arrived_at = request.arrived_at_seconds
-        routed = RoutedRequest(
+        return RoutedRequest(
             request=request,
             metadata=metadata,
             route=route,
             version=table.version,
             deadline_at_seconds=arrived_at + limit_ms / MS_PER_SECOND,
             target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
-            head=self.context.header_codec.request_head(request),
+            head=self.context.header_codec.request_head(
+                request, account=b"" if account is None else account.name.encode()
+            ),
+            account=account,
+            is_retry=elapsed_ms > RETRY_DETECTION_MS,
         )
+
+    def _start(self, routed: RoutedRequest, table: RouteTable) -> None:
+        """Admit the request and send it, or refuse it at once."""
+        route = routed.route
         permit = self.admission.admit(
-            table=table, route=route, is_retry=elapsed_ms > RETRY_DETECTION_MS
+            table=table, route=route, is_retry=routed.is_retry
         )
         if permit is None:
             self._reject_overload(routed)
@@ -121,13 +160,6 @@
                 permit=permit,
             ).start()
 
-    def on_first_configuration(self) -> None:
-        """Handle the requests that were queued until the first configuration."""
-        queued, self._queued = self._queued, []
-        for request in queued:
-            if not request.disconnected:
-                self.handle(request)
-
     def _queue_until_configured(self, request: HttpRequest) -> None:
         loop = self.context.loop
         if loop.time() - self.started_at_seconds > STARTUP_TIMEOUT_SECONDS:
@@ -145,6 +177,16 @@
             if not request.disconnected:
                 self._reject(request, 503, "no_configuration")
 
+    def _reject_unknown_key(self, request: HttpRequest) -> None:
+        """Refuse a request whose key, if there is one, belongs to no account."""
+        state = self.context.state
+        age_seconds = self.context.loop.time() - state.synced_at_seconds
+        if age_seconds <= self.configuration_bound_seconds:
+            self._reject(request, 401, UNKNOWN_KEY)
+        else:
+            # The key may have been added since; other instances may know it.
+            self._reject(request, 503, KEY_UNCONFIRMED)
+
     def _reject_overload(self, routed: RoutedRequest) -> None:
         limit = self.admission.limit_for(routed.route)
         in_flight = limit.in_flight if limit is not None else 0
--- a/src/bronzebeam/gateway/settings.py
+++ b/src/bronzebeam/gateway/settings.py
@@ -1,7 +1,11 @@
 """Settings of a gateway process."""
 
+from collections.abc import Mapping
+
 from attrs import frozen
 
+from bronzebeam.routing.cold_limits import ColdTolerance
+from bronzebeam.routing.quotas import QuotaTolerance
 from bronzebeam.routing.repeat_budget import RepeatLimits
 from bronzebeam.socket_address import SocketAddress
 
@@ -26,6 +30,13 @@
     :ivar registration_timeout_seconds: time after which the store drops the
         registration of a replica that has not renewed it.
     :ivar repeats: limits on repeats (hedges and retries), over all instances.
+    :ivar quota_tolerance: what accounts may send beyond their quotas.
+    :ivar cold_tolerance: what a cold replica bears beyond its stated rate.
+    :ivar configuration_bound_seconds: time within which a configuration must be active.
+    :ivar evacuation_bound_seconds: time after which the replicas of an evacuated domain
+        must get no requests.
+    :ivar region: region of this instance; empty if unknown.
+    :ivar region_by_domain: regions of the known failure domains.
     """
 
     instance: str
@@ -43,3 +54,9 @@
     drain_bound_seconds: float
     registration_timeout_seconds: float
     repeats: RepeatLimits
+    quota_tolerance: QuotaTolerance
+    cold_tolerance: ColdTolerance
+    configuration_bound_seconds: float
+    evacuation_bound_seconds: float
+    region: str
+    region_by_domain: Mapping[str, str]
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -169,6 +169,7 @@
             if response.era < known_era:
                 # The source has not noticed yet that the store was restored.
                 return revision
+        self.state.synced_at_seconds = self.loop.time()
         if not response.is_complete:
             changed_to = max(revision, response.revision)
             self._apply_changes(changed_to, response.changes)
@@ -221,7 +222,7 @@
                 if not self._is_watch_verified:
                     continue
                 latest = await self.store.latest_revision()
-                self._last_response_at_seconds = self.loop.time()
+                self._record_contact()
                 if latest <= revision:
                     continue
                 done, _ = await asyncio.wait(
@@ -245,9 +246,13 @@
         age_seconds = self.loop.time() - self._last_response_at_seconds
         return max(WATCH_CHECK_INTERVAL_SECONDS - age_seconds, MIN_CHECK_DELAY_SECONDS)
 
+    def _record_contact(self) -> None:
+        self._last_response_at_seconds = self.loop.time()
+        self.state.synced_at_seconds = self.loop.time()
+
     def _record_response(self, revision: int) -> None:
         self._backoff.reset()
-        self._last_response_at_seconds = self.loop.time()
+        self._record_contact()
         if self.connected:
             return
         self.connected = True
--- a/src/bronzebeam/platform/configuration.py
+++ b/src/bronzebeam/platform/configuration.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from bronzebeam.routing.accounts import Account, digest_key
 from bronzebeam.routing.routes import (
     BackendService,
     CallerLimits,
@@ -37,10 +38,13 @@
                 item["name"]: BackendService(
                     name=item["name"],
                     connection_limit=int(item.get("connectionLimit") or 0),
+                    cold_start_seconds=float(item.get("coldStartS") or 0.0),
+                    cold_rate_per_second=float(item.get("coldPerS") or 0.0),
                 )
                 for item in document.get("services", ())
             },
             limits=_parse_limits(document.get("limits") or {}),
+            accounts=tuple(map(_parse_account, document.get("tenants") or ())),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MalformedRecord(f"configuration: {error!r}") from error
@@ -72,9 +76,25 @@
             shards=tuple(item.get("fanoutServices") or ()),
             top_records=int(item.get("topK") or 0),
             least_shard_share=float(item.get("minShardFraction") or 0.0),
+            is_public=bool(item.get("public")),
+            regions=tuple(item.get("allowedRegions") or ()),
         )
 
 
+def _parse_account(item: dict[str, Any]) -> Account:
+    priority = item.get("priority")
+    return Account(
+        name=item["name"],
+        key_digests=tuple(
+            digest_key(key.encode()) for key in item.get("apiKeys") or ()
+        ),
+        priority=None if priority is None else int(priority),
+        rate_per_second=max(0.0, float(item.get("ratePerS") or 0.0)),
+        burst_count=max(0.0, float(item.get("burst") or 0.0)),
+        regions=tuple(item.get("allowedRegions") or ()),
+    )
+
+
 def _parse_limits(item: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
--- a/src/bronzebeam/platform/constants.py
+++ b/src/bronzebeam/platform/constants.py
@@ -7,5 +7,7 @@
 REPLICA_PREFIX: Final = "servers/"
 INSTANCE_PREFIX: Final = "instances/"
 SUSPECT_PREFIX: Final = "suspects/"
+# Followed by a failure domain; the value is empty.
+EVACUATION_PREFIX: Final = "op/evacuate/"
 
 READY_PATH: Final = b"/ready"
--- a/src/bronzebeam/platform/headers.py
+++ b/src/bronzebeam/platform/headers.py
@@ -19,11 +19,18 @@
 LEAVING_VALUE: Final = b"1"
 # Requests a second, a decimal number, that a replica in need takes from all instances.
 LIMIT: Final = b"server-limit"
+# Identifies the account of a caller; never passed on.
+KEY: Final = b"x-bronzebeam-key"
+# Name of the account, for the replica; a caller's own value is dropped.
+ACCOUNT: Final = b"x-bronzebeam-tenant-name"
+# Requests running, waiting and slots of a replica, and its pace in percent.
+LOAD: Final = b"x-bronzebeam-replica-load"
+COLD_REMAINING_MS: Final = b"x-bronzebeam-cold-remaining-ms"
 RETRY_AFTER: Final = b"retry-after"  # seconds, with optional fractions
 SHARD_SIGNATURES: Final = b"X-Bronzebeam-Shard-Signatures"
 MISSING_SHARDS: Final = b"X-Bronzebeam-Missing-Shards"
 # Headers that are set for each attempt; values sent by the caller are dropped.
-OVERRIDDEN: Final = frozenset({REMAINING_MS, EXPECTED_REPLICA})
+OVERRIDDEN: Final = frozenset({REMAINING_MS, EXPECTED_REPLICA, KEY, ACCOUNT})
 
 
 class PlatformHeaderCodec:
@@ -31,16 +38,22 @@
 
     def read_request(self, headers: Headers) -> RequestMetadata:
         """Read the metadata of a caller's request."""
-        attempt_id = b""
+        attempt_id = key = account = b""
         remaining_ms = None
         for name, value in headers:
             if name == ATTEMPT_ID:
                 attempt_id = value
             elif name == REMAINING_MS:
                 remaining_ms = _parse_remaining_ms(value)
-        return RequestMetadata(attempt_id=attempt_id, remaining_ms=remaining_ms)
+            elif name == KEY:
+                key = value
+            elif name == ACCOUNT:
+                account = value
+        return RequestMetadata(
+            attempt_id=attempt_id, remaining_ms=remaining_ms, key=key, account=account
+        )
 
-    def request_head(self, request: HttpRequest) -> bytes:
+    def request_head(self, request: HttpRequest, *, account: bytes = b"") -> bytes:
         """Return the request line and the headers that every attempt carries."""
         # No optional whitespace: traffic between failure domains is billed by bytes.
         lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
@@ -53,6 +66,8 @@
             lines.append(b"content-length:%d\r\n" % len(request.body))
         elif request.header(b"transfer-encoding"):
             lines.append(b"content-length:0\r\n")
+        if account:
+            lines.append(b"%s:%s\r\n" % (ACCOUNT, account))
         return b"".join(lines)
 
     def attempt_head(self, *, remaining_ms: float, replica: str | None) -> bytes:
@@ -64,7 +79,7 @@
 
     def read_reply(self, headers: Headers) -> ReplyMetadata:
         """Read the metadata of a replica's reply."""
-        attempt_id = signature = retry_after = limit = b""
+        attempt_id = signature = retry_after = limit = load = cold_ms = b""
         not_run = leaving = False
         for name, value in headers:
             if name == ATTEMPT_ID:
@@ -79,6 +94,10 @@
                 retry_after = value
             elif name == LIMIT:
                 limit = value
+            elif name == LOAD:
+                load = value
+            elif name == COLD_REMAINING_MS:
+                cold_ms = value
         return ReplyMetadata(
             attempt_id=attempt_id,
             signature=signature,
@@ -86,6 +105,8 @@
             leaving=leaving,
             retry_after=retry_after,
             limit=limit,
+            load=load,
+            cold_ms=cold_ms,
         )
 
     def merged_headers(
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -8,6 +8,8 @@
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.platform.constants import READY_PATH
 from bronzebeam.platform.settings_file import CALLER_ADDRESS_FIELD, parse_fields
+from bronzebeam.routing.cold_limits import ColdTolerance
+from bronzebeam.routing.quotas import QuotaTolerance
 from bronzebeam.routing.repeat_budget import RepeatLimits
 from bronzebeam.socket_address import SocketAddress
 from bronzebeam.units import BITS_PER_MEGABIT, MS_PER_SECOND
@@ -22,6 +24,10 @@
 DEFAULT_REPEAT_WINDOW_SECONDS: Final = 10.0
 MIN_PROCESSOR_CORES: Final = 0.1  # used as a weight, which must be above 0
 DEFAULT_MIN_LEASE_MS: Final = 1_000.0
+DEFAULT_QUOTA_WINDOW_SECONDS: Final = 5.0
+DEFAULT_COLD_OVERAGE_RATIO: Final = 1.0
+DEFAULT_EVACUATION_BOUND_MS: Final = 5_000.0
+DOMAIN_FIELD_PREFIX: Final = "zones."
 
 
 def read_settings(path: str) -> GatewaySettings:
@@ -73,6 +79,7 @@
         change_bound_seconds=min(
             reader.number("bounds.drainTimeoutMs", DEFAULT_CHANGE_BOUND_MS),
             reader.number("bounds.configApplyMs", DEFAULT_CHANGE_BOUND_MS),
+            reader.number("bounds.evacuationMs", DEFAULT_EVACUATION_BOUND_MS),
         )
         / MS_PER_SECOND,
         drain_bound_seconds=reader.number(
@@ -92,6 +99,29 @@
                 "bounds.budgetWindowS", DEFAULT_REPEAT_WINDOW_SECONDS
             ),
         ),
+        quota_tolerance=QuotaTolerance(
+            window_seconds=reader.number(
+                "bounds.quotaWindowS", DEFAULT_QUOTA_WINDOW_SECONDS
+            ),
+            overage_ratio=reader.number("bounds.quotaOverage", 0.0),
+            slack_count=reader.number("bounds.quotaSlack", 0.0),
+        ),
+        cold_tolerance=ColdTolerance(
+            overage_ratio=reader.number(
+                "bounds.coldOverage", DEFAULT_COLD_OVERAGE_RATIO
+            ),
+            slack_count=reader.number("bounds.coldSlack", 0.0),
+        ),
+        configuration_bound_seconds=reader.number(
+            "bounds.configApplyMs", DEFAULT_CHANGE_BOUND_MS
+        )
+        / MS_PER_SECOND,
+        evacuation_bound_seconds=reader.number(
+            "bounds.evacuationMs", DEFAULT_EVACUATION_BOUND_MS
+        )
+        / MS_PER_SECOND,
+        region=reader.optional("region"),
+        region_by_domain=reader.with_prefix(DOMAIN_FIELD_PREFIX),
     )
     if reader.findings:
         raise FindingsError(subject=subject, findings=reader.findings)
@@ -109,6 +139,14 @@
         """Return a field, or an empty string."""
         return self._fields.get(name, "")
 
+    def with_prefix(self, prefix: str) -> dict[str, str]:
+        """Return the fields whose names begin with a prefix, without that prefix."""
+        return {
+            name.removeprefix(prefix): value
+            for name, value in self._fields.items()
+            if name.startswith(prefix)
+        }
+
     def required(self, name: str) -> str:
         """Return a required field."""
         value = self.optional(name)
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -10,6 +10,7 @@
 
 from bronzebeam.gateway.records import (
     Change,
+    EvacuationRecord,
     HistoryLost,
     InstanceRecord,
     Lease,
@@ -23,6 +24,7 @@
 from bronzebeam.platform.configuration import MalformedRecord, decode_configuration
 from bronzebeam.platform.constants import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     INSTANCE_PREFIX,
     REPLICA_PREFIX,
     SUSPECT_PREFIX,
@@ -268,6 +270,13 @@
             name=name,
             value=decode_suspect(name, _decode_value(item)),
         )
+    if key.startswith(EVACUATION_PREFIX):
+        domain = key.removeprefix(EVACUATION_PREFIX)
+        return Change(
+            kind=RecordKind.EVACUATION,
+            name=domain,
+            value=EvacuationRecord(failure_domain=domain),
+        )
     if key == CONFIGURATION_KEY:
         return Change(
             kind=RecordKind.CONFIGURATION,
@@ -289,6 +298,7 @@
         (INSTANCE_PREFIX, RecordKind.INSTANCE),
         (REPLICA_PREFIX, RecordKind.REPLICA),
         (SUSPECT_PREFIX, RecordKind.SUSPECT),
+        (EVACUATION_PREFIX, RecordKind.EVACUATION),
     ):
         if key.startswith(prefix):
             return Change(
--- a/src/bronzebeam/routing/routes.py
+++ b/src/bronzebeam/routing/routes.py
@@ -5,6 +5,8 @@
 
 from attrs import field, frozen
 
+from bronzebeam.routing.accounts import Account, digest_key, index_by_digest
+
 PATH_SEPARATOR: Final = b"/"
 
 
@@ -36,6 +38,8 @@
         otherwise empty.
     :ivar top_records: number of records in the merged answer of a fan-out.
     :ivar least_shard_share: share of the shards (0 to 1) below which a fan-out fails.
+    :ivar is_public: requests need no key where the configuration has accounts.
+    :ivar regions: regions that its requests may be sent to; empty for any.
     """
 
     name: str
@@ -50,6 +54,8 @@
     shards: tuple[str, ...] = ()
     top_records: int = 0
     least_shard_share: float = 0.0
+    is_public: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -63,10 +69,15 @@
     A service of backend servers.
 
     :ivar connection_limit: connections that one of its replicas accepts in total.
+    :ivar cold_start_seconds: time for which a replica stays cold after its start.
+    :ivar cold_rate_per_second: requests a second that a cold replica takes from all
+        instances together; 0 for no limit.
     """
 
     name: str
     connection_limit: int
+    cold_start_seconds: float = 0.0
+    cold_rate_per_second: float = 0.0
 
 
 @frozen(kw_only=True)
@@ -94,19 +105,27 @@
 @frozen(kw_only=True, eq=False)
 class RouteTable:
     """
-    The routes and limits of one version of the configuration.
+    The routes, accounts and limits of one version of the configuration.
 
     :ivar version: increases with each change.
+    :ivar accounts: client accounts; if there are none, requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, BackendService]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[Account, ...] = ()
     _index: dict[str, dict[bytes, Route]] = field(init=False, repr=False)
     _named: dict[str, Route] = field(init=False, repr=False)
+    _account_by_digest: dict[str, Account] = field(init=False, repr=False)
+    _account_by_name: dict[str, Account] = field(init=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
+        object.__setattr__(self, "_account_by_digest", index_by_digest(self.accounts))
+        object.__setattr__(
+            self, "_account_by_name", {item.name: item for item in self.accounts}
+        )
         object.__setattr__(self, "_index", _index_routes(self.routes))
         object.__setattr__(self, "_named", {item.name: item for item in self.routes})
 
@@ -114,6 +133,16 @@
         """Return the route with this name."""
         return self._named.get(name)
 
+    def account_by_name(self, name: str) -> Account | None:
+        """Return the account with this name."""
+        return self._account_by_name.get(name)
+
+    def account_by_key(self, key: bytes) -> Account | None:
+        """Return the account that holds a key; None if none does."""
+        if not key or not self.accounts:
+            return None
+        return self._account_by_digest.get(digest_key(key))
+
     def find(self, *, host: str, path: bytes) -> Route | None:
         """
         Return the route with the longest prefix of `path` on `host`.
