Prefer the only replica of a shard in the own failure domain, without a spread

The spread is meant for replicas that are equally near. A replica that is alone in its domain is now compared with its plain estimate; the others, and single requests, as before.

The new test failed before.

--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -20,6 +20,7 @@
 # Replicas whose score is within this ratio of the best are considered equivalent.
 SUITABLE_SCORE_RATIO: Final = 1.6
 ESTIMATE_SPREAD: Final = 0.15  # random; spreads instances over similar replicas
+MIN_SPREAD_REPLICAS: Final = 2  # in one domain; a single one is preferred as it is
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -89,6 +90,11 @@
             item not in preferred for item in excluded
         ):
             replicas = preferred
+    # With a spread, one in five sub-requests left the domain although its only replica
+    # of the shard was no slower.
+    spreads_own_domain = not route.shards or MIN_SPREAD_REPLICAS <= sum(
+        item.record.failure_domain == own_domain for item in replicas
+    )
     for replica in replicas:
         if replica in excluded or not replica.is_usable(
             now_seconds, leaving_grace_seconds, ignore_limit=ignore_limit
@@ -96,7 +102,9 @@
             continue
         load = replica.load(now_seconds, own_domain)
         estimate_ms = estimate_reply_ms(load, typical_ms=typical_ms)
-        score_ms = estimate_ms * (1.0 + ESTIMATE_SPREAD * rng.random())
+        score_ms = estimate_ms
+        if spreads_own_domain or not load.in_own_domain:
+            score_ms *= 1.0 + ESTIMATE_SPREAD * rng.random()
         score_ms += extra_cost_ms(load, failure_cost_ms=failure_ms)
         if replica.is_leaving or replica.removed_at_seconds is not None:
             score_ms += LAST_RESORT_PENALTY_MS
--- a/tests/test_gateway_fan_out.py
+++ b/tests/test_gateway_fan_out.py
@@ -47,6 +47,28 @@
     run_scenario(scenario)
 
 
+def test_search_stays_in_its_domain_while_no_other_replica_is_faster() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_search_cluster(
+            cluster, domains=("zone-a", "zone-b", "zone-c"), targetLatencyMs=234
+        )
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.045
+        for number in range(30):
+            if number == 10:  # the usual reply time is known from here on
+                for replica in cluster.replicas.values():
+                    replica.runs.clear()
+            await cluster.send_request(
+                gateway, FAN_OUT_PATH, attempt_id=f"f-{number}", remaining_ms=1_500
+            )
+        own = [item for item in cluster.replicas.values() if item.domain == "zone-a"]
+        others = [item for item in cluster.replicas.values() if item not in own]
+        assert sum(len(item.runs) for item in others) == 0
+        assert sum(len(item.runs) for item in own) == 20 * SHARDS
+
+    run_scenario(scenario)
+
+
 def test_unavailable_shard_is_reported_missing_without_delay() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_search_cluster(cluster)
