Keep quotas of accounts over all instances by an owner and deputies

A limited account had a rate and a burst in the configuration, and nothing kept them. Each limited account now has an owner, the first instance in the rendezvous ranking of its name, which grants tokens to all. Instances ask for them with POST /quota on the peer port, one question in flight for each account, and refuse with 429 without one. Deputies grant from the tolerance while the owner does not answer. Accounts without a limit, and configurations without quotas, take the path of before.

No figure on real sockets yet.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -12,6 +12,7 @@
 
 from bronzebeam.findings import FindingsError
 from bronzebeam.gateway.admission import Admission
+from bronzebeam.gateway.boot_clock import boot_seconds
 from bronzebeam.gateway.change_feed import FEED_PATH, ChangeFeedClient, ChangeFeedServer
 from bronzebeam.gateway.change_log import ChangeLog
 from bronzebeam.gateway.connection_pool import ConnectionPool
@@ -22,14 +23,22 @@
 from bronzebeam.gateway.graceful_shutdown import GracefulShutdown
 from bronzebeam.gateway.header_codec import HeaderCodec
 from bronzebeam.gateway.peer_codec import DELEGATION_HEADER, RELAY_HEADER
+from bronzebeam.gateway.quota_asker import QuotaAsker
+from bronzebeam.gateway.quota_gate import QuotaGate
+from bronzebeam.gateway.quota_message import QUOTA_PATH
 from bronzebeam.gateway.readiness import Readiness
 from bronzebeam.gateway.records import GatewayStore, InstanceRecord
 from bronzebeam.gateway.relay_handler import RelayRequestHandler
 from bronzebeam.gateway.replica_set import LEAVING_GRACE_SECONDS
 from bronzebeam.gateway.router import Router
 from bronzebeam.gateway.settings import GatewaySettings
-from bronzebeam.gateway.store_watch import InstanceRegistration, StoreWatch
+from bronzebeam.gateway.store_watch import (
+    LEASE_SECONDS,
+    InstanceRegistration,
+    StoreWatch,
+)
 from bronzebeam.gateway.suspect_reports import SuspectReporter
+from bronzebeam.routing.quota_members import RegistrationTimes
 from bronzebeam.socket_address import SocketAddress
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.telemetry.metrics import CONTENT_TYPE
@@ -78,6 +87,7 @@
         is unknown at present.
     :ivar create_store: creates the client of the platform's store.
     :ivar rng: source of all random choices of the process.
+    :ivar boot_seconds: a clock that goes on while the process is suspended.
     :ivar background_tasks: tasks that run until the process ends.
     """
 
@@ -90,6 +100,7 @@
     log: DecisionLog
     rng: random.Random = field(factory=random.Random)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
+    boot_seconds: Callable[[], float] = boot_seconds
     _loop: asyncio.AbstractEventLoop = field(init=False)
     _state: FleetState = field(init=False)
     _caller_server: CallerServer = field(init=False)
@@ -97,6 +108,8 @@
     _ready_server: CallerServer = field(init=False)
     _delegation_handler: DelegationRequestHandler = field(init=False)
     _relay_handler: RelayRequestHandler = field(init=False)
+    _quotas: QuotaGate = field(init=False)
+    _registration_times: RegistrationTimes = field(init=False)
     _readiness: Readiness = field(init=False)
     _suspect_reporter: SuspectReporter = field(init=False)
     _store_watch: StoreWatch = field(init=False)
@@ -141,7 +154,8 @@
             record=self._instance_record(),
             log=self.log,
             rng=self.rng,
-            min_lease_seconds=self.settings.lease_min_ms / MS_PER_SECOND,
+            times=self._registration_times,
+            boot_seconds=self.boot_seconds,
         )
         self._state.on_own_removal = registration.on_removed
         self._state.on_reach_change = registration.set_reaches_replicas
@@ -206,6 +220,7 @@
             log=self.log,
             limits=settings.repeats,
             rng=self.rng,
+            boot_seconds=self.boot_seconds,
             started_at_seconds=loop.time(),
             registration_timeout_seconds=settings.registration_timeout_seconds,
             leaving_grace_seconds=min(
@@ -230,9 +245,24 @@
             suspect_reporter=self._suspect_reporter,
             link_bits_per_second=settings.link_bits_per_second,
         )
+        self._registration_times = RegistrationTimes(
+            lease_seconds=max(LEASE_SECONDS, settings.lease_min_ms / MS_PER_SECOND)
+        )
+        self._quotas = QuotaGate(
+            context=context,
+            asker=QuotaAsker(
+                state=self._state,
+                registration=self._registration_times,
+                tolerance=settings.quota_tolerance,
+                rng=self.rng,
+                boot_seconds=self.boot_seconds,
+                count_ask=self.metrics.quotas.count_asked,
+            ),
+        )
         router = Router(
             context=context,
             admission=Admission(rng=self.rng, log=self.log),
+            quotas=self._quotas,
             started_at_seconds=loop.time(),
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
@@ -275,6 +305,8 @@
             self._delegation_handler.handle(request)
         elif request.header(RELAY_HEADER):
             self._relay_handler.handle(request)
+        elif request.path == QUOTA_PATH:
+            self._quotas.handle_message(request)
         elif request.path == FEED_PATH:
             self._feed_server.handle(request)
         else:
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -454,6 +454,8 @@
     def _on_caller_disconnected(self) -> None:
         if self._done:
             return
+        if not self._progress.may_have_run:
+            self.routed.give_back_token()
         self._finish(sample_elapsed=False)
         for shard in self._progress.shards:
             for attempt in shard.attempts:
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.boot_clock import boot_seconds
 from bronzebeam.gateway.connection_pool import Connect
 from bronzebeam.gateway.older_copy import OlderCopy
 from bronzebeam.gateway.peers import PeerSet
@@ -26,6 +27,7 @@
 from bronzebeam.gateway.shard_ownership import ShardOwnership
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS, CrashSuspects
 from bronzebeam.routing.instance_share import ShareRatios
+from bronzebeam.routing.quota_members import QuotaMembers
 from bronzebeam.routing.repeat_budget import (
     SLACK_RATIOS,
     RepeatBudget,
@@ -67,6 +69,9 @@
     :ivar registration_timeout_seconds: see `OlderCopy`.
     :ivar synced_at_seconds: monotonic time of the latest response of the store, or of a
         source of changes that is in contact with it.
+    :ivar boot_seconds: a clock that goes on while the process is suspended.
+    :ivar quota_members: the live instances as owners of accounts; kept only while the
+        configuration has quotas.
     :ivar suspects: requests suspected of crashing replicas.
     """
 
@@ -83,6 +88,8 @@
     on_reach_change: Callable[[bool], None] | None = None
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
     registration_timeout_seconds: float
+    boot_seconds: Callable[[], float] = boot_seconds
+    quota_members: QuotaMembers = field(init=False)
     replicas: ReplicaSet = field(init=False)
     peers: PeerSet = field(init=False)
     _older_copy: OlderCopy = field(init=False)
@@ -111,6 +118,7 @@
         self._ownership = ShardOwnership(
             instance=self.instance, own_domain=self.own_domain
         )
+        self.quota_members = QuotaMembers(instance=self.instance)
         self.peers = PeerSet(
             instance=self.instance,
             own_domain=self.own_domain,
@@ -220,6 +228,15 @@
             )
         return changes
 
+    def confirm_members(self, as_of_seconds: float) -> None:
+        """
+        Record that all instances are known that were registered at a time.
+
+        :param as_of_seconds: boot time at which the call was sent that shows it.
+        """
+        if self.table is not None and self.table.has_quotas:
+            self.quota_members.confirm(as_of_seconds, self.boot_seconds())
+
     def apply_limits(self, limits: RepeatLimits) -> None:
         """Apply new limits on repeats."""
         self.limits = limits
@@ -318,8 +335,12 @@
         share = self._share(SLACK_RATIOS, service, instance_count=self.peers.live_count)
         return self.repeat_budget(service).available(self.loop.time(), share=share)
 
+    def recent_instance_count(self) -> int:
+        """Return how many instances may be sending, including some that are gone."""
+        return self._recent_instances.highest(self.loop.time())
+
     def _limit_share(self, service: str) -> float:
-        instance_count = self._recent_instances.highest(self.loop.time())
+        instance_count = self.recent_instance_count()
         return self._share(LIMIT_RATIOS, service, instance_count=instance_count)
 
     def _share(
@@ -349,6 +370,11 @@
         if members_changed:
             self._owners_changed_at_seconds = self.loop.time()
         self._recent_instances.observe(self.peers.live_count, self.loop.time())
+        if self.table is not None and self.table.has_quotas:
+            self.quota_members.update(
+                [name for name, item in self.peers.records.items() if item.host],
+                self.boot_seconds(),
+            )
         self._allocate_connections()
         callback = self.on_first_configuration
         if self.table is not None and callback is not None:
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -215,6 +215,8 @@
         if self._done:
             return
         self._finish()
+        if not any(attempt.reached_replica for attempt in self.attempts):
+            self.routed.give_back_token()
         if self.routed.route.idempotent:
             for attempt in self.attempts:
                 attempt.abandon()
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.quota_metrics import QuotaMetrics
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.routing.routes import Route
 from bronzebeam.telemetry.metrics import (
@@ -18,6 +19,7 @@
     """Counters and latency histograms of requests and sub-requests."""
 
     registry: MetricRegistry = field(factory=MetricRegistry)
+    quotas: QuotaMetrics = field(init=False)
     _requests: MetricFamily[Counter] = field(init=False)
     _latency: MetricFamily[LatencyMetric] = field(init=False)
     _cutoff_delay: MetricFamily[LatencyMetric] = field(init=False)
@@ -78,6 +80,7 @@
             help_text="Known replicas, by whether a connection to them is open.",
             label_names=("connected",),
         )
+        self.quotas = QuotaMetrics(registry=self.registry)
 
     def count_delegation(self, result: str) -> None:
         """Count a completed delegation of shards to a peer."""
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -135,6 +135,8 @@
     :param return_seconds: time after which it can be served; None if unknown.
     """
     headers: Headers = []
+    if status == 503:
+        routed.give_back_token()
     if status in (502, 503):
         seconds = retry_after_seconds(
             target_latency_ms=routed.route.target_latency_ms, rng=context.rng
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -13,6 +13,7 @@
 from bronzebeam.units import MS_PER_SECOND
 
 MAX_CONNECTIONS: Final = 4  # for each peer; bounds concurrent delegations to it
+MAX_CONTROL_CONNECTIONS: Final = 2  # one may be busy with a message that was lost
 WARM_CONNECTIONS: Final = 1
 MIN_AVOID_SECONDS: Final = 0.5  # after one failure or late reply; doubles with each
 MAX_AVOID_SECONDS: Final = 8.0
@@ -30,11 +31,14 @@
     """
     Another instance.
 
+    :ivar control_pool: connections for short messages that must not wait for the end of
+        a delegation; opened when they are needed.
     :ivar avoided_until_seconds: monotonic time until which nothing is delegated to it.
     """
 
     record: InstanceRecord
     pool: ConnectionPool
+    control_pool: ConnectionPool
     avoided_until_seconds: float = 0.0
     _failures: int = 0
 
@@ -87,6 +91,10 @@
         """Return the number of live instances, including this one."""
         return len(self.records.keys() | {self.instance})
 
+    def get(self, name: str) -> Peer | None:
+        """Return a peer; None if it is not known or serves no peers."""
+        return self._peers.get(name)
+
     def is_isolated(self, now_seconds: float) -> bool:
         """Whether most peers have been unreachable for a while."""
         reached = sum(1 for item in self._peers.values() if item.pool.open_connections)
@@ -180,16 +188,22 @@
         )
         if name == self.instance or not record.host:
             return
-        pool = ConnectionPool(
-            name=name,
+        self._peers[name] = Peer(
+            record=record,
+            pool=self._new_pool(record, MAX_CONNECTIONS),
+            control_pool=self._new_pool(record, MAX_CONTROL_CONNECTIONS),
+        )
+
+    def _new_pool(self, record: InstanceRecord, max_connections: int) -> ConnectionPool:
+        return ConnectionPool(
+            name=record.instance,
             host=record.host,
             port=record.port,
             loop=self.loop,
             connect=self.connect,
             log=self.log,
-            max_connections=MAX_CONNECTIONS,
+            max_connections=max_connections,
         )
-        self._peers[name] = Peer(record=record, pool=pool)
 
     def _update_reach(self, record: InstanceRecord) -> None:
         self.records[record.instance] = record
@@ -209,8 +223,9 @@
             return
         peer = self._peers.pop(name, None)
         if peer is not None:
-            peer.pool.closing = True
-            peer.pool.close()
+            for pool in (peer.pool, peer.control_pool):
+                pool.closing = True
+                pool.close()
         self.log.event("peer_gone", peer=name, live_instances=self.live_count)
 
     def maintain(self, now_seconds: float, max_exchange_seconds: float) -> None:
@@ -218,6 +233,9 @@
         for peer in self._peers.values():
             peer.pool.close_stuck(now_seconds, max_exchange_seconds)
             peer.pool.keep_warm(now_seconds, WARM_CONNECTIONS)
+            if peer.control_pool.open_connections:
+                peer.control_pool.close_stuck(now_seconds, max_exchange_seconds)
+                peer.control_pool.keep_warm(now_seconds, 0)
 
     def choose(
         self,
--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -1,5 +1,7 @@
 """A request together with the route that was found for it."""
 
+from collections.abc import Callable
+
 from attrs import define
 
 from bronzebeam.gateway.header_codec import RequestMetadata
@@ -21,6 +23,8 @@
     :ivar target_at_seconds: monotonic time at which the target latency is reached.
     :ivar head: request line and headers common to all attempts.
     :ivar account: the caller's account; None if there is none, or for a peer's request.
+    :ivar return_token: gives back the request's token of its account's quota; None if
+        it has none.
     :ivar is_retry: the caller has tried before, and was refused or not served.
     """
 
@@ -33,6 +37,13 @@
     head: bytes
     account: Account | None = None
     is_retry: bool = False
+    return_token: Callable[[], None] | None = None
+
+    def give_back_token(self) -> None:
+        """Give the token back, if there is one, since no replica gets the request."""
+        return_token, self.return_token = self.return_token, None
+        if return_token is not None:
+            return_token()
 
     def ms_after_arrival(self, at_seconds: float) -> float:
         """Return the time from the request's arrival, as log lines show it."""
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -12,6 +12,7 @@
 from bronzebeam.gateway.header_codec import RequestMetadata
 from bronzebeam.gateway.outcome import Outcome, answer_failure
 from bronzebeam.gateway.peer_codec import without_peer_headers
+from bronzebeam.gateway.quota_gate import QuotaGate
 from bronzebeam.gateway.routed_request import RoutedRequest, request_fingerprint
 from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.answer_size import transmission_ms
@@ -47,6 +48,7 @@
 
     context: GatewayContext
     admission: Admission
+    quotas: QuotaGate
     started_at_seconds: float
     configuration_bound_seconds: float
     _queued: list[HttpRequest] = field(factory=list)
@@ -77,9 +79,11 @@
         if suspects and suspects.is_quarantined(request_fingerprint(request)):
             self._reject(request, 503, "quarantined", return_seconds=QUARANTINE_SECONDS)
             return
-        self._start(
-            self._routed_request(request, metadata, table, route, account), table
-        )
+        routed = self._routed_request(request, metadata, table, route, account)
+        if account is not None and account.is_limited:
+            self.quotas.admit(routed, account, lambda: self._start(routed, table))
+        else:
+            self._start(routed, table)
 
     def on_first_configuration(self) -> None:
         """Handle the requests that were queued until the first configuration."""
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from attrs import define, evolve, field
@@ -24,6 +24,7 @@
     StoreUnavailable,
     snapshot_from_changes,
 )
+from bronzebeam.routing.quota_members import RegistrationTimes
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.units import MS_PER_SECOND
 
@@ -94,13 +95,19 @@
                 if revision is None or self._must_read_again():
                     revision = await self._load_snapshot()
                 elif self.feed.is_available():
+                    sent_at = self.state.boot_seconds()
                     response = await self.feed.watch(revision, self._era)
                     revision = self._apply_feed_response(revision, response)
+                    # The source may have last read the store some time before.
+                    self._confirm_members(sent_at - MAX_RESPONSE_AGE_SECONDS)
                 else:
+                    sent_at = self.state.boot_seconds()
                     revision, changes = await self._watch(revision)
                     self._is_watch_verified = True
                     self._record_response(revision)
                     self._apply_changes(revision, changes)
+                    if len(changes) < MIN_BACKLOG_CHANGES:
+                        self._confirm_members(sent_at)
                     if 0 < len(changes) < MIN_BACKLOG_CHANGES:
                         await asyncio.sleep(self._coalesce_seconds(changes))
             except HistoryLost as error:
@@ -142,9 +149,12 @@
         # than none. Later, they might contradict what has been acknowledged.
         is_first = self.state.table is None and not self._was_stale_read
         self._was_stale_read = True
+        sent_at = self.state.boot_seconds()
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
         self._record_response(snapshot.revision)
         self._apply_snapshot(snapshot)
+        if not is_first:
+            self._confirm_members(sent_at)
         return snapshot.revision
 
     def _must_read_again(self) -> bool:
@@ -200,6 +210,10 @@
             self.state.apply_changes(changes)
         self.change_log.append(revision, changes)
 
+    def _confirm_members(self, as_of_seconds: float) -> None:
+        if not self._is_restored:
+            self.state.confirm_members(as_of_seconds)
+
     async def _watch(self, revision: int) -> tuple[int, list[Change]]:
         """Wait for changes; check regularly that the store still serves the watch."""
         wait_seconds = (
@@ -221,9 +235,11 @@
             )[0]:
                 if not self._is_watch_verified:
                     continue
+                sent_at = self.state.boot_seconds()
                 latest = await self.store.latest_revision()
                 self._record_contact()
                 if latest <= revision:
+                    self._confirm_members(sent_at)
                     continue
                 done, _ = await asyncio.wait(
                     {watch}, timeout=LATE_CHANGE_TIMEOUT_SECONDS
@@ -278,13 +294,19 @@
 
 @define(kw_only=True, eq=False, repr=False)
 class InstanceRegistration:
-    """Keeps this instance registered, so that its peers count it as live."""
+    """
+    Keeps this instance registered, so that its peers count it as live.
+
+    :ivar times: since when this instance is registered, and how fresh its lease is.
+    :ivar boot_seconds: the clock of `times`.
+    """
 
     store: GatewayStore
     record: InstanceRecord
     log: DecisionLog
     rng: random.Random
-    min_lease_seconds: float
+    times: RegistrationTimes
+    boot_seconds: Callable[[], float]
     _backoff: Backoff = field(init=False)
     _lease: Lease | None = None
     _written: InstanceRecord | None = None
@@ -299,6 +321,7 @@
 
     async def deregister(self) -> None:
         """Remove the registration, so that peers delegate no more to this instance."""
+        self.times.registered_at_seconds = None
         lease, self._lease = self._lease, None
         if lease is None:
             return
@@ -316,11 +339,12 @@
 
     def on_removed(self) -> None:
         """Register again, since the store no longer has the registration."""
+        self.times.registered_at_seconds = None
         self._removed.set()
 
     async def run(self) -> None:
         """Keep the registration until cancelled."""
-        ttl_seconds = max(LEASE_SECONDS, self.min_lease_seconds)
+        ttl_seconds = self.times.lease_seconds
         renewal_seconds = ttl_seconds * LEASE_RENEWAL_FRACTION
         loop = asyncio.get_running_loop()
         while True:
@@ -328,15 +352,19 @@
             self._removed.clear()
             self._changed.clear()
             try:
+                sent_at = self.boot_seconds()
                 if lease is None:
+                    self.times.registered_at_seconds = None
                     self._lease = lease = await self.store.register(
                         record=record, ttl_seconds=ttl_seconds
                     )
                     self._renew_at_seconds = loop.time() + renewal_seconds
+                    self.times.record_renewal(sent_at, self.boot_seconds())
                     self.log.event("instance_registered", lease=lease.number)
                 elif not await self._refresh(lease, record, renewal_seconds):
                     self.log.event("lease_ended", lease=lease.number)
                     self._lease = None
+                    self.times.registered_at_seconds = None
                     continue
                 self._written = record
                 self._backoff.reset()
@@ -351,7 +379,10 @@
         """Write the record if it has changed, else renew the lease."""
         if record != self._written:
             return await self.store.update_registration(record=record, lease=lease)
+        sent_at = self.boot_seconds()
         renewed = await self.store.renew_lease(lease=lease)
+        if renewed:
+            self.times.record_renewal(sent_at, self.boot_seconds())
         self._renew_at_seconds = asyncio.get_running_loop().time() + renewal_seconds
         return renewed
 
--- a/src/bronzebeam/routing/rendezvous.py
+++ b/src/bronzebeam/routing/rendezvous.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing: a ranking of members for a key, the same on all nodes."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 WEIGHT_BYTES: Final = 8
@@ -15,14 +15,20 @@
     The weight of a member does not depend on the others, so a change of the membership
     does not reorder the remaining members.
     """
+    weigh = weigher(key)
+    return tuple(member for _, member in sorted(map(weigh, members), reverse=True))
+
+
+def weigher(key: str) -> Callable[[str], tuple[bytes, str]]:
+    """Return a function that returns a member's weight for `key`, and its name."""
     base = hashlib.blake2b(key.encode() + b"\0", digest_size=WEIGHT_BYTES)
-    weighted = []
-    for member in members:
+
+    def weigh(member: str) -> tuple[bytes, str]:
         state = base.copy()
         state.update(member.encode())
-        weighted.append((state.digest(), member))
-    weighted.sort(reverse=True)
-    return tuple(member for _, member in weighted)
+        return state.digest(), member
+
+    return weigh
 
 
 class RendezvousRanking:
--- a/src/bronzebeam/routing/routes.py
+++ b/src/bronzebeam/routing/routes.py
@@ -109,6 +109,7 @@
 
     :ivar version: increases with each change.
     :ivar accounts: client accounts; if there are none, requests need no key.
+    :ivar has_quotas: whether any account has a quota.
     """
 
     version: int
@@ -116,6 +117,7 @@
     services: Mapping[str, BackendService]
     limits: CallerLimits = CallerLimits()
     accounts: tuple[Account, ...] = ()
+    has_quotas: bool = field(init=False, default=False)
     _index: dict[str, dict[bytes, Route]] = field(init=False, repr=False)
     _named: dict[str, Route] = field(init=False, repr=False)
     _account_by_digest: dict[str, Account] = field(init=False, repr=False)
@@ -126,6 +128,9 @@
         object.__setattr__(
             self, "_account_by_name", {item.name: item for item in self.accounts}
         )
+        object.__setattr__(
+            self, "has_quotas", any(item.is_limited for item in self.accounts)
+        )
         object.__setattr__(self, "_index", _index_routes(self.routes))
         object.__setattr__(self, "_named", {item.name: item for item in self.routes})
 
--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -278,6 +278,7 @@
                 instance=name, write=write, monotonic_seconds=self.loop.time
             ),
             rng=random.Random(number),
+            boot_seconds=self.loop.time,
         )
         task = self.loop.create_task(gateway.run(), context=context_of_host(host))
         running = RunningGateway(
