Reject accounts, public marks and cold limits of a wrong type

An account's apiKeys that is a text counted each of its characters as a key, tenants of a wrong type counted as none, so that no request needed a key, and a route whose mark public is "false" was public. A name with a line break wrote headers to replicas. A rate of "nan" was no limit. Such a configuration is now malformed: the one in force stays, and the reason, which names no value, is logged.

--- a/src/bronzebeam/platform/configuration.py
+++ b/src/bronzebeam/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration into a route table."""
 
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -38,13 +39,13 @@
                 item["name"]: BackendService(
                     name=item["name"],
                     connection_limit=int(item.get("connectionLimit") or 0),
-                    cold_start_seconds=float(item.get("coldStartS") or 0.0),
-                    cold_rate_per_second=float(item.get("coldPerS") or 0.0),
+                    cold_start_seconds=_amount(item, "coldStartS"),
+                    cold_rate_per_second=_amount(item, "coldPerS"),
                 )
                 for item in document.get("services", ())
             },
             limits=_parse_limits(document.get("limits") or {}),
-            accounts=tuple(map(_parse_account, document.get("tenants") or ())),
+            accounts=tuple(map(_parse_account, _list(document, "tenants"))),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MalformedRecord(f"configuration: {error!r}") from error
@@ -76,25 +77,67 @@
             shards=tuple(item.get("fanoutServices") or ()),
             top_records=int(item.get("topK") or 0),
             least_shard_share=float(item.get("minShardFraction") or 0.0),
-            is_public=bool(item.get("public")),
-            regions=tuple(item.get("allowedRegions") or ()),
+            is_public=_flag(item, "public"),
+            regions=_texts(item, "allowedRegions"),
         )
 
 
 def _parse_account(item: dict[str, Any]) -> Account:
+    name = item["name"]
+    # Replicas get the name in a header.
+    if not isinstance(name, str) or not name.strip() or not name.isprintable():
+        raise MalformedRecord("the name of an account is not a printable text")
     priority = item.get("priority")
     return Account(
-        name=item["name"],
-        key_digests=tuple(
-            digest_key(key.encode()) for key in item.get("apiKeys") or ()
-        ),
-        priority=None if priority is None else int(priority),
-        rate_per_second=max(0.0, float(item.get("ratePerS") or 0.0)),
-        burst_count=max(0.0, float(item.get("burst") or 0.0)),
-        regions=tuple(item.get("allowedRegions") or ()),
+        name=name.strip(),
+        key_digests=tuple(digest_key(key.encode()) for key in _texts(item, "apiKeys")),
+        priority=None if priority is None else int(_amount(item, "priority")),
+        rate_per_second=_amount(item, "ratePerS"),
+        burst_count=_amount(item, "burst"),
+        regions=_texts(item, "allowedRegions"),
     )
 
 
+# These decide who may send requests and how many, so a value of another type must not
+# pass for a default. The messages are logged and name no value, which may be a key.
+
+
+def _list(item: dict[str, Any], name: str) -> list[Any]:
+    """Return a list, or an empty one if the field is missing."""
+    value = item.get(name)
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise MalformedRecord(f"{name} is not a list")
+    return value
+
+
+def _texts(item: dict[str, Any], name: str) -> tuple[str, ...]:
+    values = _list(item, name)
+    if not all(isinstance(value, str) for value in values):
+        raise MalformedRecord(f"{name} is not a list of texts")
+    return tuple(values)
+
+
+def _flag(item: dict[str, Any], name: str) -> bool:
+    value = item.get(name)
+    if value is not None and not isinstance(value, bool):
+        raise MalformedRecord(f"{name} is neither true nor false")
+    return bool(value)
+
+
+def _amount(item: dict[str, Any], name: str) -> float:
+    """Return a number of at least 0; 0 if the field is missing."""
+    value = item.get(name)
+    if value is None:
+        return 0.0
+    if not isinstance(value, (int, float)) or isinstance(value, bool):
+        raise MalformedRecord(f"{name} is not a number")
+    if not math.isfinite(value):
+        raise MalformedRecord(f"{name} is not finite")
+    return max(0.0, float(value))
+
+
 def _parse_limits(item: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
