Read changes as often as before where no bound of evacuations is stated

Deployments whose bounds of changes are above 5 s read the store more often than with, since the default bound of evacuations, 5 s, counted too. It now counts where the settings state it; else an evacuation takes effect after at most the 2 s between watches and the 2.2 s of a follower whose source falls silent.

Run: tests.test_platform_formats, tests.test_settings; the new test failed before.

--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -1,5 +1,6 @@
 """Reads and validates the platform's settings file, lines of ``a.b=value``."""
 
+import math
 import socket
 from collections.abc import Mapping
 from typing import Final
@@ -79,7 +80,9 @@
         change_bound_seconds=min(
             reader.number("bounds.drainTimeoutMs", DEFAULT_CHANGE_BOUND_MS),
             reader.number("bounds.configApplyMs", DEFAULT_CHANGE_BOUND_MS),
-            reader.number("bounds.evacuationMs", DEFAULT_EVACUATION_BOUND_MS),
+            # Only where stated: changes are read more often for a shorter bound, and
+            # the default leaves time enough for the longest interval between reads.
+            reader.number("bounds.evacuationMs", math.inf),
         )
         / MS_PER_SECOND,
         drain_bound_seconds=reader.number(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -419,3 +419,15 @@
     assert tolerance.window_seconds == 4.0
     assert (tolerance.overage_ratio, tolerance.slack_count) == (0.1, 20.0)
     assert settings.cold_tolerance.max_per_second(10.0) == 20.0
+
+
+def test_bounds_of_changes_are_those_that_the_settings_state() -> None:
+    def parse(**bounds: str) -> float:
+        fields = {f"bounds.{name}": value for name, value in bounds.items()}
+        text = make_settings_text("n-1", "10.0.0.1", "zone-a", **fields)
+        return parse_settings(text, subject="file").change_bound_seconds
+
+    assert parse(drainTimeoutMs="5000", configApplyMs="4000") == 4.0
+    assert parse(drainTimeoutMs="5000", configApplyMs="4000", evacuationMs="2000") == 2
+    # Without evacuations, changes are read as rarely as before.
+    assert parse(drainTimeoutMs="6000", configApplyMs="6000") == 6.0
