--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -237,7 +237,7 @@
         for item in items:
             key = _key_field(item)
             try:
-                change = _decode_change(key, item)
+                change = decode_change(key, item)
             except MalformedRecord as error:
                 self._log_malformed(key, error)
                 change = _deletion(key)
@@ -252,7 +252,12 @@
             self.log.event("malformed_record_ignored", key=key, cause=str(error))
 
 
-def _decode_change(key: str, item: dict[str, Any]) -> Change | None:
+def decode_change(key: str, item: dict[str, Any]) -> Change | None:
+    """
+    Decode one item of the store; None if its key is of no known kind.
+
+    :raises MalformedRecord: if the value can't be decoded.
+    """
     # "compacted" means that the key was deleted, not that history was compacted.
     if item.get("compacted"):
         return _deletion(key)
@@ -272,6 +277,8 @@
         )
     if key.startswith(EVACUATION_PREFIX):
         domain = key.removeprefix(EVACUATION_PREFIX)
+        if not domain:
+            return None
         return Change(
             kind=RecordKind.EVACUATION,
             name=domain,
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -7,11 +7,13 @@
 from hypothesis import given, strategies as st
 
 from bronzebeam.findings import FindingsError
+from bronzebeam.gateway.records import Change, EvacuationRecord, RecordKind
 from bronzebeam.platform.configuration import MalformedRecord, decode_configuration
 from bronzebeam.platform.headers import PlatformHeaderCodec
 from bronzebeam.platform.instance_codec import decode_instance
 from bronzebeam.platform.node_settings import parse_settings, read_settings
 from bronzebeam.platform.replica_codec import decode_replica
+from bronzebeam.platform.store import decode_change
 from bronzebeam.platform.suspect_codec import decode_suspect
 from bronzebeam.routing.accounts import digest_key
 from bronzebeam.transport.caller_request import HttpRequest
@@ -431,3 +433,18 @@
     assert parse(drainTimeoutMs="5000", configApplyMs="4000", evacuationMs="2000") == 2
     # Without evacuations, changes are read as rarely as before.
     assert parse(drainTimeoutMs="6000", configApplyMs="6000") == 6.0
+
+
+def test_evacuations_are_decoded_whatever_their_value_is() -> None:
+    for value in ({"value": "e30="}, {"value": "?"}, {}):
+        assert decode_change("op/evacuate/zone-a", value) == Change(
+            kind=RecordKind.EVACUATION,
+            name="zone-a",
+            value=EvacuationRecord(failure_domain="zone-a"),
+        )
+    assert decode_change("op/evacuate/zone-a", {"compacted": True}) == Change(
+        kind=RecordKind.EVACUATION, name="zone-a"
+    )
+    # Neither names a failure domain.
+    assert decode_change("op/evacuate/", {}) is None
+    assert decode_change("op/evacuate", {}) is None
