Answer requests without a key with 401, whatever the age of the view

A missing key got 503 with Retry-After while the view of the store was old, though no configuration makes up for a key that is not there; its caller came back for ever. The log line tells a missing key from an unknown one. 401 has its reason phrase.

Also tests accounts and keys on the virtual network, which had no tests: stand-ins record the headers that replicas get, a repeated header as its values joined by a comma, and the store may answer stale reads from an older copy.

--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -31,6 +31,7 @@
 RETRY_DETECTION_MS: Final = 15.0
 STARTUP_TIMEOUT_SECONDS: Final = 0.15  # ten times as long as reading the store takes
 STARTUP_RETRY_MS: Final = 400.0  # an instance reads its configuration in less time
+MISSING_KEY: Final = "missing_key"
 UNKNOWN_KEY: Final = "unknown_key"
 KEY_UNCONFIRMED: Final = "key_unconfirmed"
 
@@ -71,7 +72,7 @@
             return
         account = table.account_by_key(metadata.key)
         if account is None and table.accounts and not route.is_public:
-            self._reject_unknown_key(request)
+            self._reject_key(request, metadata.key)
             return
         suspects = self.context.state.suspects
         if suspects and suspects.is_quarantined(request_fingerprint(request)):
@@ -177,8 +178,11 @@
             if not request.disconnected:
                 self._reject(request, 503, "no_configuration")
 
-    def _reject_unknown_key(self, request: HttpRequest) -> None:
-        """Refuse a request whose key, if there is one, belongs to no account."""
+    def _reject_key(self, request: HttpRequest, key: bytes) -> None:
+        """Refuse a request without a key, or whose key belongs to no account."""
+        if not key:
+            self._reject(request, 401, MISSING_KEY)
+            return
         state = self.context.state
         age_seconds = self.context.loop.time() - state.synced_at_seconds
         if age_seconds <= self.configuration_bound_seconds:
--- a/src/bronzebeam/transport/caller_request.py
+++ b/src/bronzebeam/transport/caller_request.py
@@ -10,6 +10,7 @@
 REASON_PHRASES: Final = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/tests/standin_http.py
+++ b/tests/standin_http.py
@@ -86,7 +86,10 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode().lower()] = value.decode()
+        key, text = name.decode().lower(), value.decode()
+        # A header given twice counts as its values joined by a comma.
+        known = self._headers.get(key)
+        self._headers[key] = text if known is None else f"{known}, {text}"
 
     def on_body(self, body: bytes) -> None:
         self._body += body
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -13,6 +13,8 @@
 SIGNATURE_HEADER = "X-Bronzebeam-Replica-Signature"
 LEAVING_HEADER = "Server-Leaving"
 LIMIT_HEADER = "Server-Limit"
+KEY_HEADER = "X-Bronzebeam-Key"
+ACCOUNT_HEADER = "X-Bronzebeam-Tenant-Name"
 NOT_EXECUTED_HEADER = "X-Bronzebeam-Not-Executed"
 RESTART_SECONDS = 2.0
 ENDLESS_WRITE_BYTES = 64 * 1024
@@ -107,6 +109,7 @@
     :ivar limit: names this limit on requests a second in all replies; empty for none.
     :ivar received_at_seconds: times at which it received the requests in
         `received_ids`.
+    :ivar received_headers: headers of the requests in `received_ids`.
     :ivar sequence: number of the next registration.
     """
 
@@ -130,6 +133,7 @@
     runs: list[Run] = field(factory=list)
     received_ids: list[str] = field(factory=list)
     received_at_seconds: list[float] = field(factory=list)
+    received_headers: list[dict[str, str]] = field(factory=list)
     accepted_count: int = 0
     connections: set[StandinConnection] = field(factory=set)
     _running_count: int = 0
@@ -175,6 +179,7 @@
         attempt_id = request.headers.get("x-bronzebeam-attempt-id", "")
         self.received_ids.append(attempt_id)
         self.received_at_seconds.append(self.loop.time())
+        self.received_headers.append(request.headers)
         signals = self._signals()
         if expected not in (None, self.replica):
             request.respond(421, headers={NOT_EXECUTED_HEADER: "1", **signals})
--- a/tests/standin_store.py
+++ b/tests/standin_store.py
@@ -78,6 +78,7 @@
     :ivar calls: methods and paths of all calls received.
     :ivar response_seconds: response time.
     :ivar era: stated in all responses; rises when the store returns from a copy.
+    :ivar stale_copy: what reads that may be stale return; None for the latest contents.
     """
 
     loop: Any
@@ -92,6 +93,7 @@
     leases: dict[int, Lease] = field(factory=dict)
     calls: list[str] = field(factory=list)
     era: int = 1
+    stale_copy: "StoreCopy | None" = None
     _watchers: list[Watcher] = field(factory=list)
     _next_lease: int = 100
 
@@ -249,16 +251,19 @@
     def _kv_range(
         self, request: StandinRequest, path: str, query: dict[str, str]
     ) -> Any:
+        items, revision = self.items, self.revision
+        if "staleOk" in query and self.stale_copy is not None:
+            items, revision = self.stale_copy.items, self.stale_copy.revision
         keys = sorted(
             key
-            for key in self.items
+            for key in items
             if key.startswith(query["pathPrefix"]) and key > query.get("after", "")
         )
         page = keys[:PAGE_SIZE]
         return 200, {
-            "items": [_encode_item(key, self.items[key]) for key in page],
+            "items": [_encode_item(key, items[key]) for key in page],
             "hasMore": len(keys) > len(page),
-            "atRevision": self.revision,
+            "atRevision": revision,
         }
 
     def _kv_watch(
