Count a follower's view of the store as old as its source's may be

A source passes changes on for 3 s after the store's last response, and its followers counted their view as current until then. So a key that had been added up to 8 s ago was refused with 401 where the bound is 5 s. The time of contact is now 3 s earlier for a follower.

Run: tests.test_gateway_accounts, tests.test_gateway_feed; the new test failed before.

--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -169,7 +169,11 @@
             if response.era < known_era:
                 # The source has not noticed yet that the store was restored.
                 return revision
-        self.state.synced_at_seconds = self.loop.time()
+        # The source may have lost the store up to this long ago.
+        heard_at_seconds = self.loop.time() - MAX_RESPONSE_AGE_SECONDS
+        self.state.synced_at_seconds = max(
+            self.state.synced_at_seconds, heard_at_seconds
+        )
         if not response.is_complete:
             changed_to = max(revision, response.revision)
             self._apply_changes(changed_to, response.changes)
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -21,6 +21,7 @@
 from tests.standin_replica import ACCOUNT_HEADER, KEY_HEADER
 from tests.standin_store import StoreFault, fault_always
 from tests.test_gateway_cut_off import cut_off_first, start_fleet
+from tests.test_gateway_feed import find_followers, start_large_domain
 
 PUBLIC_PATH = "/open/"
 CONFIGURATION_BOUND_SECONDS = 3.0  # the default of the settings
@@ -353,3 +354,19 @@
             await asyncio.sleep(0.1)
 
     run_scenario(scenario)
+
+
+def test_view_of_a_follower_is_as_old_as_that_of_its_source() -> None:
+    # A source answers for 3 s after it has lost the store.
+    async def scenario(cluster: Cluster) -> None:
+        await start_large_domain(cluster)
+        configure_accounts(cluster, LIBRARY, public=False)
+        await asyncio.sleep(5.0)
+        followers = find_followers(cluster)
+        assert await status_of(cluster, followers[0], "secret-x") == 401
+        cluster.store.fault = fault_always(StoreFault.UNRESPONSIVE)
+        await asyncio.sleep(5.0 + 0.2)
+        for follower in followers:
+            assert await status_of(cluster, follower, "secret-x") == 503
+
+    run_scenario(scenario)
