Take the account of an earlier build's request from its key

Build passes on what its caller sent. A delegation or relay from it named any account that the caller chose, and the replica got that name. Such a request still has the key, by which it is recognized; the name is that of the key's account, or none.

--- a/src/bronzebeam/gateway/peer_request.py
+++ b/src/bronzebeam/gateway/peer_request.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.header_codec import RequestMetadata
 from bronzebeam.gateway.peer_codec import without_peer_headers
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.routing.routes import Route
@@ -46,5 +47,21 @@
         version=0,
         deadline_at_seconds=arrived_at + remaining_ms / MS_PER_SECOND,
         target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
-        head=context.header_codec.request_head(request, account=metadata.account),
+        head=context.header_codec.request_head(
+            request, account=_account_name(context, metadata)
+        ),
     )
+
+
+def _account_name(context: GatewayContext, metadata: RequestMetadata) -> bytes:
+    """
+    Return the name of the account that a peer sends a request for.
+
+    A peer has checked the key and removed it. Build 9582a90 knows no accounts: it
+    passes on the key, and whatever name its caller has sent.
+    """
+    if not metadata.key:
+        return metadata.account
+    table = context.state.table
+    account = table.account_by_key(metadata.key) if table is not None else None
+    return b"" if account is None else account.name.encode()
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -8,6 +8,7 @@
     BOOKING_PATH,
     BOOKING_SERVICE,
     FAN_OUT_PATH,
+    PEER_PORT,
     READ_PATH,
     SETTLE_SECONDS,
     Cluster,
@@ -370,3 +371,26 @@
             assert await status_of(cluster, follower, "secret-x") == 503
 
     run_scenario(scenario)
+
+
+def test_request_of_an_earlier_build_has_the_account_of_its_key() -> None:
+    # An earlier build passes on what its caller sent: the key, and any name.
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_one(cluster)
+        relay = '["r-read","booking",true,90.0]'
+        for key, name in (
+            (LIBRARY_KEY, "library"),
+            ("secret-unknown", None),
+        ):
+            caller = await cluster.connect(gateway, port=PEER_PORT)
+            headers = make_headers(key, "archive") | {"bb-relay": relay}
+            attempt_id = f"of-{name}"
+            caller.send(
+                encode_request(READ_PATH, attempt_id=attempt_id, headers=headers)
+            )
+            response = await caller.responses.get()
+            assert response is not None and response.status == 200
+            assert names_at_replicas(cluster, attempt_id) == [name]
+        check_no_key_leaves(cluster)
+
+    run_scenario(scenario)
