Use no keys of a stale read before a current read confirms them

A process starts with a stale read of the store, which is some seconds old. A key that was removed in that time was in force again: for some milliseconds as a rule, until the first watch returned, and for as long as the store turned watches away. Where the stale read has accounts, the configuration alone is now read again, not stale, and everything if its version differs. Until then the instance has no configuration, and answers 503. Without accounts the calls to the store are as before.

Weighed and left: a first watch with a short wait (it returns after the wait if there is nothing new, which delays each start), and a current read of everything at each start (ten times the price, and its rate is limited).

--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -202,6 +202,9 @@
             less; a watch from the snapshot's revision brings the later changes.
         """
 
+    async def read_configuration(self) -> RouteTable | None:
+        """Read the latest configuration; None if it is missing or malformed."""
+
     async def watch(
         self, *, after: int, wait_seconds: float
     ) -> tuple[int, list[Change]]:
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -143,6 +143,13 @@
         is_first = self.state.table is None and not self._was_stale_read
         self._was_stale_read = True
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
+        if is_first and snapshot.table is not None and snapshot.table.accounts:
+            # A key may have been removed since. The next watch would tell, but it may
+            # fail for as long as the store does.
+            latest = await self.store.read_configuration()
+            if latest is None or latest.version != snapshot.table.version:
+                # Its replicas may be missing in the earlier read.
+                snapshot = await self.store.read_snapshot()
         self._record_response(snapshot.revision)
         self._apply_snapshot(snapshot)
         return snapshot.revision
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -36,6 +36,7 @@
     encode_suspect,
     suspect_key,
 )
+from bronzebeam.routing.routes import RouteTable
 from bronzebeam.socket_address import SocketAddress
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.http_call import CallFailed, HttpCallClient
@@ -96,6 +97,15 @@
                 return snapshot_from_changes(changes, revision=revision, era=era)
             after = _key_field(items[-1])
 
+    async def read_configuration(self) -> RouteTable | None:
+        """Read the latest configuration."""
+        page = _parse_object(
+            await self._request("GET", f"/kv-range?pathPrefix={CONFIGURATION_KEY}")
+        )
+        changes = self._decode_changes(_list_field(page, "items"))
+        tables = [item.value for item in changes if isinstance(item.value, RouteTable)]
+        return tables[0] if tables else None
+
     async def watch(
         self, *, after: int, wait_seconds: float
     ) -> tuple[int, list[Change]]:
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -1,6 +1,7 @@
 """Tests of client accounts and their keys, in virtual time."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from bronzebeam.routing.accounts import digest_key
@@ -19,6 +20,7 @@
     run_scenario,
     start_small_cluster,
 )
+from tests.standin_http import StandinRequest
 from tests.standin_replica import ACCOUNT_HEADER, KEY_HEADER
 from tests.standin_store import StoreFault, fault_always
 from tests.test_gateway_cut_off import cut_off_first, start_fleet
@@ -394,3 +396,74 @@
         check_no_key_leaves(cluster)
 
     run_scenario(scenario)
+
+
+def remove_key_unseen_by_stale_reads(cluster: Cluster) -> None:
+    """Remove a key in a configuration that stale reads do not return yet."""
+    cluster.store.stale_copy = cluster.store.copy()
+    configure_accounts(cluster, LIBRARY | {"apiKeys": [SECOND_KEY]}, ARCHIVE)
+
+
+def test_removed_key_stays_removed_for_a_process_that_starts_with_a_stale_read() -> (
+    None
+):
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_one(cluster)
+        remove_key_unseen_by_stale_reads(cluster)
+        await asyncio.sleep(CONFIGURATION_BOUND_SECONDS)
+        gateway.kill(cluster)
+        gateway = cluster.start_gateway("g-1")
+        requests = []
+        for _ in range(100):
+            requests.append(
+                asyncio.ensure_future(status_of(cluster, gateway, LIBRARY_KEY))
+            )
+            await asyncio.sleep(0.002)
+        assert set(await asyncio.gather(*requests)) == {401}
+        assert await status_of(cluster, gateway, SECOND_KEY) == 200
+
+    run_scenario(scenario)
+
+
+def answer_stale_reads_only(fault: StoreFault) -> Callable[[Any], StoreFault]:
+    def choose(request: StandinRequest) -> StoreFault:
+        is_stale = "staleOk" in request.target
+        return StoreFault.NONE if is_stale else fault
+
+    return choose
+
+
+def test_keys_of_a_stale_read_are_not_used_while_nothing_confirms_them() -> None:
+    # The store answers stale reads also while it turns other calls away.
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_one(cluster)
+        remove_key_unseen_by_stale_reads(cluster)
+        await asyncio.sleep(CONFIGURATION_BOUND_SECONDS)
+        gateway.kill(cluster)
+        for fault in (StoreFault.UNRESPONSIVE, StoreFault.RATE_LIMITED):
+            cluster.store.fault = answer_stale_reads_only(fault)
+            gateway = cluster.start_gateway("g-1")
+            for _ in range(40):
+                for key in (LIBRARY_KEY, SECOND_KEY):
+                    assert await status_of(cluster, gateway, key) == 503
+                await asyncio.sleep(0.1)
+            cluster.store.fault = fault_always(StoreFault.NONE)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert await status_of(cluster, gateway, LIBRARY_KEY) == 401
+            assert await status_of(cluster, gateway, SECOND_KEY) == 200
+            gateway.kill(cluster)
+
+    run_scenario(scenario)
+
+
+def test_process_without_accounts_starts_with_one_stale_read() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        gateway.kill(cluster)
+        cluster.store.calls.clear()
+        cluster.store.fault = answer_stale_reads_only(StoreFault.UNRESPONSIVE)
+        gateway = cluster.start_gateway("g-1")
+        assert await status_of(cluster, gateway, "") == 200
+        assert cluster.store.calls.count("GET /kv-range") == 1
+
+    run_scenario(scenario)
