Ignore fields that later builds add to delegations and relays

A field more made the request malformed, so that a later build could not add one while instances of this build run.

Run: tests.test_gateway_builds, tests.test_gateway_peers; the property test failed before.

--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -1,4 +1,9 @@
-"""Encoding of delegation requests, by which peers gather shards for each other."""
+"""
+Encoding of delegation requests, by which peers gather shards for each other.
+
+Fields are told apart by their position. Those that later builds add at the end are
+ignored, but builds up to 9582a90 reject requests with more fields than they know.
+"""
 
 from collections.abc import Iterable, Sequence
 from typing import Final
@@ -168,8 +173,9 @@
     :raises MalformedDelegation: if it can't be decoded.
     """
     try:
-        fields = orjson.loads(value)
-        route, shards, top, attempts, target_ms, hedge_ms, cutoff_ms, repeated = fields
+        route, shards, top, attempts, target_ms, hedge_ms, cutoff_ms, repeated, *_ = (
+            orjson.loads(value)
+        )
         return DelegationRequest(
             route=route,
             shards=tuple(shards),
@@ -196,7 +202,7 @@
     :raises MalformedDelegation: if it can't be decoded.
     """
     try:
-        route, service, idempotent, target_latency_ms = orjson.loads(value)
+        route, service, idempotent, target_latency_ms, *_ = orjson.loads(value)
         return RelayRequest(
             route=route,
             service=service,
@@ -215,7 +221,8 @@
 def decode_relay_outcome(value: bytes) -> RelayOutcome | None:
     """Decode the value of `RELAYED_HEADER`; None if it is malformed."""
     try:
-        result, cause, connection_lost, replica, started_at_ms = orjson.loads(value)
+        fields = orjson.loads(value)
+        result, cause, connection_lost, replica, started_at_ms, *_ = fields
         return RelayOutcome(
             result=result,
             cause=cause,
--- a/tests/test_gateway_builds.py
+++ b/tests/test_gateway_builds.py
@@ -157,6 +157,7 @@
 UNKNOWN_FIELDS = st.dictionaries(
     st.text(max_size=5).map(lambda name: f"later_{name}"), JSON_VALUES, max_size=2
 )
+UNKNOWN_ITEMS = st.lists(JSON_VALUES, max_size=3)
 
 
 def decode_recorded(name: str) -> FeedResponse:
@@ -326,6 +327,19 @@
     assert decode_instance("g", orjson.dumps(record)) == CHANGES[1].value
 
 
+@HYPOTHESIS_SETTINGS
+@given(items=UNKNOWN_ITEMS)
+def test_unknown_items_of_delegations_and_relays_are_ignored(items: list[Any]) -> None:
+    def extended(data: bytes) -> bytes:
+        return orjson.dumps(orjson.loads(data) + items)
+
+    assert decode_delegation(extended(encode_delegation(DELEGATION))) == DELEGATION
+    assert decode_relay(extended(encode_relay(RELAY))) == RELAY
+    for outcome in OUTCOMES:
+        encoded = extended(encode_relay_outcome(outcome))
+        assert decode_relay_outcome(encoded) == outcome
+
+
 def respond_as_earlier_build(hosts: set[str]) -> Any:
     """Patch the change feed of these hosts to omit what build 9582a90 does not know."""
     encode = encode_feed_response
