Take the configuration of peers at a start on an older copy of the store

An instance that started after the store had come back from an older copy believed its configuration until the operator wrote again, with keys that had been removed since. Instances keep nothing on disk, but those that run keep the latest configuration in force. Without accounts it asks nobody.

Run: tests.test_gateway_accounts, test_gateway_store, test_gateway_restored_store, test_gateway_feed, test_gateway_builds, test_operations_page; the test of a start on an older copy fails without the question to peers.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -22,6 +22,11 @@
 from bronzebeam.gateway.graceful_shutdown import GracefulShutdown
 from bronzebeam.gateway.header_codec import HeaderCodec
 from bronzebeam.gateway.peer_codec import DELEGATION_HEADER, RELAY_HEADER
+from bronzebeam.gateway.peer_configuration import (
+    CONFIGURATION_PATH,
+    PeerConfigurations,
+    answer_configuration_request,
+)
 from bronzebeam.gateway.readiness import Readiness
 from bronzebeam.gateway.records import GatewayStore, InstanceRecord
 from bronzebeam.gateway.relay_handler import RelayRequestHandler
@@ -126,6 +131,9 @@
             rng=self.rng,
             change_log=self._change_log,
             change_bound_seconds=self.settings.change_bound_seconds,
+            peer_configurations=PeerConfigurations(
+                instance=self.settings.instance, log=self.log, rng=self.rng
+            ),
             feed=ChangeFeedClient(
                 change_bound_seconds=self.settings.change_bound_seconds,
                 instance=self.settings.instance,
@@ -277,6 +285,8 @@
             self._relay_handler.handle(request)
         elif request.path == FEED_PATH:
             self._feed_server.handle(request)
+        elif request.path == CONFIGURATION_PATH:
+            answer_configuration_request(request, table=self._state.table)
         else:
             self._handle_internal_request(request)
 
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -13,6 +13,7 @@
 from bronzebeam.gateway.change_feed import ChangeFeedClient, FeedUnavailable
 from bronzebeam.gateway.change_log import ChangeLog
 from bronzebeam.gateway.fleet_state import FleetState
+from bronzebeam.gateway.peer_configuration import PeerConfigurations
 from bronzebeam.gateway.records import (
     Change,
     GatewayStore,
@@ -62,6 +63,7 @@
 
     :ivar changes: log of the applied changes, served to peers.
     :ivar feed: reads changes from a peer instead of the store, where one is available.
+    :ivar peer_configurations: asks peers for a newer configuration at the start.
     :ivar change_bound_seconds: time within which changes must be active.
     :ivar connected: whether the last call to the store succeeded.
     """
@@ -73,6 +75,7 @@
     rng: random.Random
     change_log: ChangeLog
     feed: ChangeFeedClient
+    peer_configurations: PeerConfigurations
     change_bound_seconds: float
     connected: bool = False
     _backoff: Backoff = field(init=False)
@@ -143,17 +146,33 @@
         is_first = self.state.table is None and not self._was_stale_read
         self._was_stale_read = True
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
-        if is_first and snapshot.table is not None and snapshot.table.accounts:
-            # A key may have been removed since. The next watch would tell, but it may
-            # fail for as long as the store does.
-            latest = await self.store.read_configuration()
-            if latest is None or latest.version != snapshot.table.version:
-                # Its replicas may be missing in the earlier read.
-                snapshot = await self.store.read_snapshot()
+        if self.state.table is None:
+            snapshot = await self._confirm_accounts(snapshot, may_be_stale=is_first)
         self._record_response(snapshot.revision)
         self._apply_snapshot(snapshot)
         return snapshot.revision
 
+    async def _confirm_accounts(
+        self, snapshot: StoreSnapshot, *, may_be_stale: bool
+    ) -> StoreSnapshot:
+        """Return the records for a start, without keys that have been removed."""
+        table = snapshot.table
+        if table is None or not table.accounts:
+            return snapshot
+        if may_be_stale:
+            # The next watch would tell of a removed key, but it may fail for as long as
+            # the store does.
+            latest = await self.store.read_configuration()
+            if latest is None or latest.version != table.version:
+                # The earlier read may lack replicas of this configuration.
+                snapshot = await self.store.read_snapshot()
+        if snapshot.table is None:
+            return snapshot
+        newest = await self.peer_configurations.newest(
+            snapshot.table, snapshot.instances.values()
+        )
+        return evolve(snapshot, table=newest)
+
     def _must_read_again(self) -> bool:
         """
         Whether to read the store, which came back from an older copy, at once.
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -467,3 +467,71 @@
         assert cluster.store.calls.count("GET /kv-range") == 1
 
     run_scenario(scenario)
+
+
+async def start_and_restore_without_removal(cluster: Cluster) -> None:
+    """Remove a key from a fleet, and let the store come back from an older copy."""
+    for number in range(3):
+        cluster.start_gateway(f"g-{number + 2}")
+    await start_one(cluster)
+    copy = cluster.store.copy()
+    configure_accounts(cluster, LIBRARY | {"apiKeys": [SECOND_KEY]}, ARCHIVE)
+    await asyncio.sleep(CONFIGURATION_BOUND_SECONDS)
+    cluster.store.restore(copy)
+
+
+def test_removed_key_stays_removed_for_a_process_that_starts_on_an_older_copy() -> None:
+    # Only the other instances still know of the removal.
+    async def scenario(cluster: Cluster) -> None:
+        await start_and_restore_without_removal(cluster)
+        for _ in range(4):
+            gateway = cluster.gateways["g-1"]
+            gateway.kill(cluster)
+            gateway = cluster.start_gateway("g-1")
+            for _ in range(20):
+                assert await status_of(cluster, gateway, LIBRARY_KEY) == 401
+                assert await status_of(cluster, gateway, SECOND_KEY) == 200
+                await asyncio.sleep(0.1)
+            assert gateway.log_lines("configuration_of_peer")
+        configure_accounts(cluster, LIBRARY, ARCHIVE)
+        configure_accounts(cluster, LIBRARY | {"apiKeys": [LIBRARY_KEY]}, ARCHIVE)
+        await asyncio.sleep(CONFIGURATION_BOUND_SECONDS)
+        assert await status_of(cluster, gateway, LIBRARY_KEY) == 200
+        assert await status_of(cluster, gateway, SECOND_KEY) == 401
+
+    run_scenario(scenario)
+
+
+def test_start_does_not_wait_long_for_peers_that_do_not_answer() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        await start_and_restore_without_removal(cluster)
+        gateway = cluster.gateways["g-1"]
+        gateway.kill(cluster)
+        for other in cluster.gateways.values():
+            if other is not gateway:
+                cluster.loop.net.partitioned_pairs.add(
+                    frozenset((gateway.host, other.host))
+                )
+        gateway = cluster.start_gateway("g-1")
+        response = await send(cluster, gateway, READ_PATH, key=SECOND_KEY)
+        assert response.status == 200 and response.elapsed_seconds < 0.15
+
+    run_scenario(scenario)
+
+
+def test_malformed_request_for_a_configuration_is_rejected() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_one(cluster)
+        for target, status in (
+            ("/configuration", 400),
+            ("/configuration?newer_than=x", 400),
+            ("/configuration?newer_than=-1", 400),
+            ("/configuration?newer_than=999", 200),
+        ):
+            caller = await cluster.connect(gateway, port=PEER_PORT)
+            caller.send(encode_request(target, remaining_ms=None))
+            response = await caller.responses.get()
+            assert response is not None and response.status == status
+            assert b"tenant" not in response.body and b"library" not in response.body
+
+    run_scenario(scenario)
