Name the account in the log line of a request

Operators could not tell whose request was refused or late. Requests without an account have the lines that they had.

Run: tests.test_gateway_accounts, tests.test_operations_page; the new test failed before.

--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -60,6 +60,8 @@
             "status": status,
             "elapsed_ms": round(elapsed_ms, 1),
         }
+        if routed.account is not None:
+            fields["account"] = routed.account.name
         if now_seconds > routed.target_at_seconds:
             fields["late_ms"] = round(
                 (now_seconds - routed.target_at_seconds) * MS_PER_SECOND, 1
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -535,3 +535,16 @@
             assert b"tenant" not in response.body and b"library" not in response.body
 
     run_scenario(scenario)
+
+
+def test_log_line_of_a_request_names_its_account() -> None:
+    # Operators go from a refused request to the account's quota or keys.
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_one(cluster)
+        await send(cluster, gateway, READ_PATH, key=ARCHIVE_KEY, attempt_id="l-1")
+        await send(cluster, gateway, PUBLIC_PATH, name="archive", attempt_id="l-2")
+        lines = gateway.log_lines("request_ended")
+        assert [" account=archive " in line for line in lines] == [True, False]
+        assert "account=" not in lines[1]
+
+    run_scenario(scenario)
