--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -23,6 +23,11 @@
 from bronzebeam.gateway.graceful_shutdown import GracefulShutdown
 from bronzebeam.gateway.header_codec import HeaderCodec
 from bronzebeam.gateway.peer_codec import DELEGATION_HEADER, RELAY_HEADER
+from bronzebeam.gateway.peer_configuration import (
+    CONFIGURATION_PATH,
+    PeerConfigurations,
+    answer_configuration_request,
+)
 from bronzebeam.gateway.quota_asker import QuotaAsker
 from bronzebeam.gateway.quota_gate import QuotaGate
 from bronzebeam.gateway.quota_message import QUOTA_PATH
@@ -139,6 +144,9 @@
             rng=self.rng,
             change_log=self._change_log,
             change_bound_seconds=self.settings.change_bound_seconds,
+            peer_configurations=PeerConfigurations(
+                instance=self.settings.instance, log=self.log, rng=self.rng
+            ),
             feed=ChangeFeedClient(
                 change_bound_seconds=self.settings.change_bound_seconds,
                 instance=self.settings.instance,
@@ -309,6 +317,8 @@
             self._quotas.handle_message(request)
         elif request.path == FEED_PATH:
             self._feed_server.handle(request)
+        elif request.path == CONFIGURATION_PATH:
+            answer_configuration_request(request, table=self._state.table)
         else:
             self._handle_internal_request(request)
 
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -13,6 +13,7 @@
 from bronzebeam.gateway.change_feed import ChangeFeedClient, FeedUnavailable
 from bronzebeam.gateway.change_log import ChangeLog
 from bronzebeam.gateway.fleet_state import FleetState
+from bronzebeam.gateway.peer_configuration import PeerConfigurations
 from bronzebeam.gateway.records import (
     Change,
     GatewayStore,
@@ -63,6 +64,7 @@
 
     :ivar changes: log of the applied changes, served to peers.
     :ivar feed: reads changes from a peer instead of the store, where one is available.
+    :ivar peer_configurations: asks peers for a newer configuration at the start.
     :ivar change_bound_seconds: time within which changes must be active.
     :ivar connected: whether the last call to the store succeeded.
     """
@@ -74,6 +76,7 @@
     rng: random.Random
     change_log: ChangeLog
     feed: ChangeFeedClient
+    peer_configurations: PeerConfigurations
     change_bound_seconds: float
     connected: bool = False
     _backoff: Backoff = field(init=False)
@@ -151,12 +154,35 @@
         self._was_stale_read = True
         sent_at = self.state.boot_seconds()
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
+        if self.state.table is None:
+            snapshot = await self._confirm_accounts(snapshot, may_be_stale=is_first)
         self._record_response(snapshot.revision)
         self._apply_snapshot(snapshot)
         if not is_first:
             self._confirm_members(sent_at)
         return snapshot.revision
 
+    async def _confirm_accounts(
+        self, snapshot: StoreSnapshot, *, may_be_stale: bool
+    ) -> StoreSnapshot:
+        """Return the records for a start, without keys that have been removed."""
+        table = snapshot.table
+        if table is None or not table.accounts:
+            return snapshot
+        if may_be_stale:
+            # The next watch would tell of a removed key, but it may fail for as long as
+            # the store does.
+            latest = await self.store.read_configuration()
+            if latest is None or latest.version != table.version:
+                # The earlier read may lack replicas of this configuration.
+                snapshot = await self.store.read_snapshot()
+        if snapshot.table is None:
+            return snapshot
+        newest = await self.peer_configurations.newest(
+            snapshot.table, snapshot.instances.values()
+        )
+        return evolve(snapshot, table=newest)
+
     def _must_read_again(self) -> bool:
         """
         Whether to read the store, which came back from an older copy, at once.
@@ -179,7 +205,11 @@
             if response.era < known_era:
                 # The source has not noticed yet that the store was restored.
                 return revision
-        self.state.synced_at_seconds = self.loop.time()
+        # The source may have lost the store up to this long ago.
+        heard_at_seconds = self.loop.time() - MAX_RESPONSE_AGE_SECONDS
+        self.state.synced_at_seconds = max(
+            self.state.synced_at_seconds, heard_at_seconds
+        )
         if not response.is_complete:
             changed_to = max(revision, response.revision)
             self._apply_changes(changed_to, response.changes)
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -36,6 +36,7 @@
     encode_suspect,
     suspect_key,
 )
+from bronzebeam.routing.routes import RouteTable
 from bronzebeam.socket_address import SocketAddress
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.http_call import CallFailed, HttpCallClient
@@ -96,6 +97,15 @@
                 return snapshot_from_changes(changes, revision=revision, era=era)
             after = _key_field(items[-1])
 
+    async def read_configuration(self) -> RouteTable | None:
+        """Read the latest configuration."""
+        page = _parse_object(
+            await self._request("GET", f"/kv-range?pathPrefix={CONFIGURATION_KEY}")
+        )
+        changes = self._decode_changes(_list_field(page, "items"))
+        tables = [item.value for item in changes if isinstance(item.value, RouteTable)]
+        return tables[0] if tables else None
+
     async def watch(
         self, *, after: int, wait_seconds: float
     ) -> tuple[int, list[Change]]:
@@ -237,7 +247,7 @@
         for item in items:
             key = _key_field(item)
             try:
-                change = _decode_change(key, item)
+                change = decode_change(key, item)
             except MalformedRecord as error:
                 self._log_malformed(key, error)
                 change = _deletion(key)
@@ -252,7 +262,12 @@
             self.log.event("malformed_record_ignored", key=key, cause=str(error))
 
 
-def _decode_change(key: str, item: dict[str, Any]) -> Change | None:
+def decode_change(key: str, item: dict[str, Any]) -> Change | None:
+    """
+    Decode one item of the store; None if its key is of no known kind.
+
+    :raises MalformedRecord: if the value can't be decoded.
+    """
     # "compacted" means that the key was deleted, not that history was compacted.
     if item.get("compacted"):
         return _deletion(key)
@@ -272,6 +287,8 @@
         )
     if key.startswith(EVACUATION_PREFIX):
         domain = key.removeprefix(EVACUATION_PREFIX)
+        if not domain:
+            return None
         return Change(
             kind=RecordKind.EVACUATION,
             name=domain,
