Send no requests to the replicas of evacuated failure domains

Cause: the key op/evacuate/DOMAIN was decoded and passed on by the change feed, but nothing applied it, so evacuated domains got requests as before.

ReplicaSet leaves the replicas of evacuated domains out of every choice, of when a service can be used, and of the domains that its owners are taken from. Requests that wait for a connection move elsewhere or end as not sent; those that were sent may finish, and connections stay open. The cause is domain_evacuated. An evacuation that an older copy of the store lacks is kept as long as other records are doubted.

--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -9,10 +9,12 @@
 from attrs import define, field
 
 from bronzebeam.gateway.connection_pool import Connect
+from bronzebeam.gateway.evacuations import Evacuations
 from bronzebeam.gateway.older_copy import OlderCopy
 from bronzebeam.gateway.peers import PeerSet
 from bronzebeam.gateway.records import (
     Change,
+    EvacuationRecord,
     InstanceRecord,
     RecordKind,
     ReplicaRecord,
@@ -50,9 +52,9 @@
     State that `StoreWatch` writes and request handlers read.
 
     What the store has acknowledged once stays in force if the store comes back from an
-    older copy: the configuration until there is a newer one, registrations of replicas
-    and peers until they should have been written again, and reports of suspect requests
-    until they would have expired.
+    older copy: the configuration until there is a newer one, evacuations and
+    registrations of replicas and peers until they should have been written again, and
+    reports of suspect requests until they would have expired.
 
     :ivar own_domain: failure domain of this instance.
     :ivar limits: limits on repeats (hedges and retries).
@@ -86,6 +88,7 @@
     replicas: ReplicaSet = field(init=False)
     peers: PeerSet = field(init=False)
     _older_copy: OlderCopy = field(init=False)
+    _evacuations: Evacuations = field(init=False)
     started_at_seconds: float = 0.0
     synced_at_seconds: float = -math.inf
     suspects: CrashSuspects = field(factory=CrashSuspects)
@@ -134,6 +137,10 @@
             replicas=self.replicas,
             registration_timeout_seconds=self.registration_timeout_seconds,
         )
+        self._evacuations = Evacuations(
+            replicas=self.replicas,
+            registration_timeout_seconds=self.registration_timeout_seconds,
+        )
 
     @property
     def owners(self) -> ShardOwners | None:
@@ -167,6 +174,7 @@
                 self.replicas.put(record)
             for name in self.replicas.names - snapshot.replicas.keys():
                 self.replicas.mark_removed(name)
+        self._evacuations.apply(snapshot.evacuations, keep_missing=is_first_of_era)
         self._update_derived_state()
         self.maintain()
 
@@ -192,6 +200,10 @@
                 self._apply_suspect(change.name, value)
             elif change.kind is RecordKind.SUSPECT:
                 self._remove_suspect(change.name)
+            elif isinstance(value, EvacuationRecord):
+                self._evacuations.put(change.name)
+            elif change.kind is RecordKind.EVACUATION:
+                self._evacuations.remove(change.name)
         self._update_derived_state()
 
     def all_records(self) -> list[Change]:
@@ -214,6 +226,7 @@
             for name, suspect in self._suspect_records.items()
             if name not in self._unconfirmed_suspects
         )
+        changes.extend(self._evacuations.registered())
         if self.table is not None:
             changes.append(
                 Change(kind=RecordKind.CONFIGURATION, name="", value=self.table)
@@ -233,7 +246,8 @@
             if now_seconds >= expire_at:
                 self._remove_suspect(name)
         self._older_copy.settle(now_seconds)
-        if self.peers.settle_older_copy(now_seconds):
+        evacuations_ended = self._evacuations.settle(now_seconds)
+        if self.peers.settle_older_copy(now_seconds) or evacuations_ended:
             self._update_derived_state()
         self.peers.maintain(now_seconds, self._max_exchange_seconds)
         self._update_isolation(now_seconds)
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of the gateway."""
 
+from collections.abc import Mapping
+
 from attrs import define, field
 
 from bronzebeam.gateway.routed_request import RoutedRequest
@@ -28,6 +30,8 @@
     _relays: MetricFamily[Counter] = field(init=False)
     _limited_sends: MetricFamily[Counter] = field(init=False)
     _replicas: MetricFamily[Gauge] = field(init=False)
+    _evacuated: MetricFamily[Gauge] = field(init=False)
+    _evacuated_domains: frozenset[str] = frozenset()
 
     def __attrs_post_init__(self) -> None:
         self._requests = self.registry.counter(
@@ -78,6 +82,11 @@
             help_text="Known replicas, by whether a connection to them is open.",
             label_names=("connected",),
         )
+        self._evacuated = self.registry.gauge(
+            name="bronzebeam_gateway_evacuated_domain_count",
+            help_text="Replicas that get no requests, and requests they still run.",
+            label_names=("domain", "kind"),
+        )
 
     def count_delegation(self, result: str) -> None:
         """Count a completed delegation of shards to a peer."""
@@ -96,6 +105,21 @@
         self._replicas.labels(connected="true").set(connected)
         self._replicas.labels(connected="false").set(unconnected)
 
+    def set_evacuated(self, counts: Mapping[str, tuple[int, int]]) -> None:
+        """
+        Set the figures of the evacuated failure domains.
+
+        :param counts: number of replicas and of running requests of each domain.
+        """
+        ended = self._evacuated_domains - counts.keys()
+        self._evacuated_domains |= counts.keys()
+        for domain, (replicas, running) in (
+            *counts.items(),
+            *((domain, (0, 0)) for domain in ended),
+        ):
+            self._evacuated.labels(domain=domain, kind="replicas").set(replicas)
+            self._evacuated.labels(domain=domain, kind="running").set(running)
+
     def count_response(self, routed: RoutedRequest, *, status: int, now: float) -> None:
         """Count a response and record its latency."""
         name = routed.route.name
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -4,7 +4,7 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from typing import Final
 
 from attrs import define, field, frozen
@@ -55,6 +55,7 @@
 REPLICAS_PAUSED: Final = "replicas_paused"
 REPLICAS_LIMITED: Final = "replicas_limited"
 REPLICAS_UNREACHABLE: Final = "replicas_unreachable"
+DOMAIN_EVACUATED: Final = "domain_evacuated"
 
 
 @frozen(kw_only=True)
@@ -70,6 +71,20 @@
     cause: str = ""
 
 
+@frozen(kw_only=True)
+class DomainCounts:
+    """
+    The replicas of a failure domain, and this instance's requests to them.
+
+    :ivar running: requests that were sent and have no reply yet.
+    :ivar waiting: requests without a connection.
+    """
+
+    replicas: int
+    running: int
+    waiting: int
+
+
 @frozen(kw_only=True)
 class StoppedReplica:
     """
@@ -95,6 +110,8 @@
         after its latest outage.
     :ivar limits: the limits on requests that replicas name.
     :ivar links: whether this instance reaches any replica.
+    :ivar evacuated: failure domains whose replicas get no requests. Connections to them
+        are kept, so that they can be used as soon as the evacuation ends.
     :ivar _unreachable_until_seconds: until when peers are not asked for a service that
         they don't reach either.
     :ivar _announced: the replicas that have said that they stop.
@@ -109,6 +126,7 @@
     limits: ReplicaLimits
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
     store_recovered_at_seconds: float = -math.inf
+    evacuated: frozenset[str] = frozenset()
     _replicas: dict[str, Replica] = field(factory=dict)
     _announced: set[Replica] = field(factory=set)
     _stopped: OrderedDict[str, StoppedReplica] = field(factory=OrderedDict)
@@ -121,28 +139,59 @@
         self.links = ReplicaLinks(loop=self.loop, log=self.log)
 
     def domains_by_service(self) -> dict[str, frozenset[str]]:
-        """Return the failure domains of the registered replicas of each service."""
+        """Return the failure domains that serve each service; see `domains`."""
         return {
             service: frozenset(
                 item.record.failure_domain
-                for item in replicas
+                for item in self._serving(service)
                 if item.removed_at_seconds is None
             )
-            for service, replicas in self._by_service.items()
+            for service in self._by_service
         }
 
     def domains(self, service: str) -> tuple[str, ...]:
-        """Return the failure domains of the registered replicas of a service."""
+        """Return the domains of a service's replicas, without evacuated domains."""
         return tuple(
             sorted(
                 {
                     item.record.failure_domain
-                    for item in self._by_service.get(service, ())
+                    for item in self._serving(service)
                     if item.removed_at_seconds is None
                 }
             )
         )
 
+    def counts_in(self, domain: str) -> DomainCounts:
+        """Count the replicas of a failure domain and the requests to them."""
+        pools = [
+            item.pool
+            for item in self._replicas.values()
+            if item.record.failure_domain == domain
+        ]
+        return DomainCounts(
+            replicas=len(pools),
+            running=sum(len(pool.busy) for pool in pools),
+            waiting=sum(len(pool.waiting) for pool in pools),
+        )
+
+    def evacuated_counts(self) -> dict[str, tuple[int, int]]:
+        """Return the replicas and running requests of each evacuated domain."""
+        counts = {domain: self.counts_in(domain) for domain in self.evacuated}
+        return {
+            domain: (item.replicas, item.running) for domain, item in counts.items()
+        }
+
+    def _serving(self, service: str) -> Sequence[Replica]:
+        """Return the replicas of a service that are not in evacuated domains."""
+        replicas = self._by_service.get(service, ())
+        if not self.evacuated:
+            return replicas
+        return [
+            item
+            for item in replicas
+            if item.record.failure_domain not in self.evacuated
+        ]
+
     def registered(self) -> list[ReplicaRecord]:
         """Return the registrations of all replicas that are not removed."""
         return [
@@ -244,6 +293,18 @@
             was_draining=replica.record.leaving,
         )
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """
+        Set the failure domains whose replicas get no requests.
+
+        Requests that wait for a connection there go elsewhere, or end as not sent;
+        those that were sent may finish.
+        """
+        added, self.evacuated = domains - self.evacuated, domains
+        for replica in list(self._replicas.values()):
+            if replica.record.failure_domain in added:
+                replica.pool.fail_waiting(DOMAIN_EVACUATED)
+
     def record_announced_leaving(
         self, replica: Replica, *, is_misdirected: bool
     ) -> None:
@@ -303,7 +364,7 @@
     def next_use(self, service: str) -> NextUse:
         """Return when a replica of a service may be used."""
         now_seconds = self.loop.time()
-        replicas = self._by_service.get(service, ())
+        replicas = self._serving(service)
         if any(
             item.is_usable(now_seconds, self.leaving_grace_seconds) for item in replicas
         ):
@@ -325,9 +386,11 @@
                     NextUse(after_seconds=seconds, cause=REPLICAS_LIMITED)
                 )
         if not possible_uses:
-            cause = (
-                REPLICAS_UNREACHABLE if self._may_reach_through_peer(service) else ""
-            )
+            cause = ""
+            if self._may_reach_through_peer(service):
+                cause = REPLICAS_UNREACHABLE
+            elif len(replicas) < len(self._by_service.get(service, ())):
+                cause = DOMAIN_EVACUATED
             return NextUse(after_seconds=math.inf, cause=cause)
         return min(possible_uses, key=lambda item: item.after_seconds)
 
@@ -338,7 +401,7 @@
 
     def _may_reach_through_peer(self, service: str) -> bool:
         """Whether peers may reach the replicas of a service, and this instance none."""
-        replicas = self._by_service.get(service, ())
+        replicas = self._serving(service)
         if not replicas or any(item.pool.is_reachable for item in replicas):
             return False
         return self._may_ask_peers(service)
@@ -349,7 +412,7 @@
             not item.pool.is_reachable
             and not item.is_leaving
             and item.removed_at_seconds is None
-            for item in self._by_service.get(service, ())
+            for item in self._serving(service)
         )
 
     def _may_ask_peers(self, service: str) -> bool:
@@ -362,7 +425,7 @@
         if any(
             not item.is_leaving
             and item.is_usable(now_seconds, self.leaving_grace_seconds)
-            for item in self._by_service[replica.record.service]
+            for item in self._serving(replica.record.service)
         ):
             replica.pool.fail_waiting(cause)
 
@@ -452,7 +515,7 @@
     ) -> ReplicaChoice | None:
         """Select a replica of a service; see `choose_replica`."""
         return choose_replica(
-            self._by_service.get(service, ()),
+            self._serving(service),
             excluded=excluded,
             route=route,
             typical_ms=typical_ms,
