Let instances that restart within their lease grant quotas at once

After all processes of a fleet were killed, no instance granted tokens for 8 s, the time after which a newly registered one may count as an owner: the test that kills four gateways got few of its requests served. Others take over only when the registration is gone. If the new registration replaces an earlier one that was still there, nobody has, so the wait is needless. The store says so by the revision at which the key was created; one read after a start, only where the configuration has quotas.

Not covered: a process that dies within 8 s of its first registration, before its predecessor in the ranking has learnt of it, and restarts. Both grant then until the predecessor learns of it, 6 s after the first registration at the latest.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -165,6 +165,7 @@
             times=self._registration_times,
             boot_seconds=self.boot_seconds,
         )
+        self._state.on_quotas = registration.on_quotas
         self._state.on_own_removal = registration.on_removed
         self._state.on_reach_change = registration.set_reaches_replicas
         registration_task = loop.create_task(
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -63,6 +63,8 @@
     :ivar table: active configuration; None until one has been loaded.
     :ivar on_first_configuration: called once, after the first configuration has been
         applied.
+    :ivar on_quotas: called when the configuration has accounts with a quota for the
+        first time.
     :ivar on_own_removal: called when this instance's own registration was removed.
     :ivar on_reach_change: called when this instance's links to the replicas are broken,
         with false, or are mended, with true.
@@ -86,6 +88,7 @@
     rng: random.Random
     table: RouteTable | None = None
     on_first_configuration: Callable[[], None] | None = None
+    on_quotas: Callable[[], None] | None = None
     on_own_removal: Callable[[], None] | None = None
     on_reach_change: Callable[[bool], None] | None = None
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
@@ -448,6 +451,11 @@
             (route.timeout_ms / MS_PER_SECOND for route in table.routes), default=0.0
         )
         self._remove_unused(table)
+        if self.on_quotas is not None and any(
+            account.is_limited for account in table.accounts
+        ):
+            self.on_quotas()
+            self.on_quotas = None
         self.log.event(
             "configuration_in_force",
             version=table.version,
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -176,10 +176,13 @@
 
     :ivar era: era of the store in which it was granted. In a later one the same number
         may belong to another instance.
+    :ivar revision: revision of the store at which the registration was written under
+        it; 0 if none was.
     """
 
     number: int
     era: int | None
+    revision: int = 0
 
 
 class GatewayStore(Protocol):
@@ -226,6 +229,13 @@
     ) -> bool:
         """Replace an instance's record; False if its lease has ended."""
 
+    async def has_replaced_registration(self, *, instance: str, lease: Lease) -> bool:
+        """
+        Whether the registration under a lease replaced an earlier one of the instance.
+
+        Then the instance was registered without a gap since the earlier one.
+        """
+
     async def report_suspects(
         self, *, records: Sequence[SuspectRecord], ttl_seconds: float
     ) -> None:
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -343,6 +343,8 @@
     _renew_at_seconds: float = 0.0
     _removed: asyncio.Event = field(factory=asyncio.Event)
     _changed: asyncio.Event = field(factory=asyncio.Event)
+    _has_quotas: bool = False
+    _checked_lease: Lease | None = None
 
     def __attrs_post_init__(self) -> None:
         self._backoff = Backoff(
@@ -351,7 +353,7 @@
 
     async def deregister(self) -> None:
         """Remove the registration, so that peers delegate no more to this instance."""
-        self.times.registered_at_seconds = None
+        self.times.record_end()
         lease, self._lease = self._lease, None
         if lease is None:
             return
@@ -367,9 +369,19 @@
         self.record = evolve(self.record, reaches_replicas=reaches_replicas)
         self._changed.set()
 
+    def on_quotas(self) -> None:
+        """
+        Find out whether an earlier process of this instance was registered until now.
+
+        Without that, a fleet whose processes were all killed would grant no tokens for
+        several seconds, since each instance would wait for others to learn of it.
+        """
+        self._has_quotas = True
+        self._changed.set()
+
     def on_removed(self) -> None:
         """Register again, since the store no longer has the registration."""
-        self.times.registered_at_seconds = None
+        self.times.record_end()
         self._removed.set()
 
     async def run(self) -> None:
@@ -384,7 +396,7 @@
             try:
                 sent_at = self.boot_seconds()
                 if lease is None:
-                    self.times.registered_at_seconds = None
+                    self.times.record_end()
                     self._lease = lease = await self.store.register(
                         record=record, ttl_seconds=ttl_seconds
                     )
@@ -394,15 +406,24 @@
                 elif not await self._refresh(lease, record, renewal_seconds):
                     self.log.event("lease_ended", lease=lease.number)
                     self._lease = None
-                    self.times.registered_at_seconds = None
+                    self.times.record_end()
                     continue
                 self._written = record
                 self._backoff.reset()
+                await self._check_earlier_registration(lease)
                 await self._wait_for_renewal(lease)
             except StoreUnavailable as error:
                 self.log.event("registration_delayed", cause=str(error))
                 await asyncio.sleep(self._backoff.next_seconds())
 
+    async def _check_earlier_registration(self, lease: Lease) -> None:
+        if not self._has_quotas or self._checked_lease is lease:
+            return
+        self._checked_lease = lease
+        self.times.is_continued = await self.store.has_replaced_registration(
+            instance=self.record.instance, lease=lease
+        )
+
     async def _refresh(
         self, lease: Lease, record: InstanceRecord, renewal_seconds: float
     ) -> bool:
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 import orjson
-from attrs import define, field
+from attrs import define, evolve, field
 
 from bronzebeam.gateway.records import (
     Change,
@@ -144,8 +144,22 @@
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> Lease:
         """Write an instance's record under a new lease and return the lease."""
         lease = await self._grant_lease(ttl_seconds)
-        await self._write(lease, [_put_instance(record, lease)])
-        return lease
+        revision = await self._write(lease, [_put_instance(record, lease)])
+        return evolve(lease, revision=revision)
+
+    async def has_replaced_registration(self, *, instance: str, lease: Lease) -> bool:
+        """Whether the registration under a lease replaced an earlier one."""
+        key = INSTANCE_PREFIX + instance
+        page = _parse_object(
+            await self._request("GET", f"/kv-range?pathPrefix={_quote(key)}")
+        )
+        # A later write under the lease leaves the revision of the creation as it is.
+        return lease.era == self.era.number and any(
+            _key_field(item) == key
+            and item.get("leaseId") == lease.number
+            and _int_field(item, "createdRevision") < lease.revision
+            for item in _list_field(page, "items")
+        )
 
     async def update_registration(
         self, *, record: InstanceRecord, lease: Lease
@@ -205,11 +219,12 @@
         response = _parse_object(await self._request("POST", "/kv-lease", body=body))
         return Lease(number=_int_field(response, "leaseId"), era=self.era.number)
 
-    async def _write(self, lease: Lease, puts: Sequence[dict[str, Any]]) -> None:
-        """Write keys under a lease."""
-        await self._request("POST", "/kv-txn", body={"putOps": puts})
+    async def _write(self, lease: Lease, puts: Sequence[dict[str, Any]]) -> int:
+        """Write keys under a lease; return the store's revision."""
+        reply = await self._request("POST", "/kv-txn", body={"putOps": puts})
         if lease.era != self.era.number:
             raise StoreUnavailable("the store was restored after it granted the lease")
+        return _int_field(_parse_object(reply), "revision")
 
     async def _request(
         self,
--- a/src/bronzebeam/routing/quota_members.py
+++ b/src/bronzebeam/routing/quota_members.py
@@ -33,11 +33,19 @@
     :ivar renewed_at_seconds: when the latest successful renewal was sent.
     :ivar registered_at_seconds: since when it has been registered without a gap; None
         if it is not.
+    :ivar is_continued: the registration replaced that of an earlier process, so no
+        other instance has become an owner in its place since then.
     """
 
     lease_seconds: float
     renewed_at_seconds: float = -math.inf
     registered_at_seconds: float | None = None
+    is_continued: bool = False
+
+    def record_end(self) -> None:
+        """Record that there is no registration, or none that is certain."""
+        self.registered_at_seconds = None
+        self.is_continued = False
 
     def record_renewal(self, sent_at_seconds: float, now_seconds: float) -> None:
         """Record that the registration was written, or its lease renewed."""
@@ -56,6 +64,8 @@
         """Return from when on this instance may be an owner."""
         if self.registered_at_seconds is None:
             return math.inf
+        if self.is_continued:
+            return self.registered_at_seconds
         return self.registered_at_seconds + MIN_REGISTERED_SECONDS
 
 
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -326,6 +326,27 @@
     run_scenario(scenario)
 
 
+def test_quota_is_granted_soon_after_all_instances_were_killed() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_quota_cluster(cluster, make_account())
+        # Nearly the whole quota was used when the processes died.
+        await send_load(cluster, gateways, per_second=60.0, seconds=3.0)
+        for gateway in gateways:
+            gateway.kill(cluster)
+        await asyncio.sleep(1.0)
+        restarted = [
+            cluster.start_gateway(gateway.name, **QUOTA_SETTINGS)
+            for gateway in gateways
+        ]
+        await asyncio.sleep(2.0)
+        responses = await send_load(cluster, restarted, per_second=10.0, seconds=5.0)
+        assert statuses(responses).count(200) >= 0.95 * len(responses)
+        await send_load(cluster, restarted, per_second=60.0, seconds=3.0)
+        assert most_in_window(cluster) <= allowed_in_window(20.0, 20.0)
+
+    run_scenario(scenario)
+
+
 def test_quota_holds_while_instances_are_added_and_cut_off() -> None:
     """Guards against a new owner beside a former one that has not learnt of it."""
 
