--- a/src/bronzebeam/gateway/account_queue.py
+++ b/src/bronzebeam/gateway/account_queue.py
@@ -85,6 +85,7 @@
     _expected_at_seconds: float = 0.0
     _retry_seconds: float = 0.0
     _granted_count: int = 0
+    _alone_seconds: float = 0.0
     _is_return_due: bool = False
 
     @property
@@ -141,7 +142,9 @@
             )
         self._serve()
         if is_late:
-            self._schedule_return()
+            # Requests that wait are decided on when the round ends.
+            if not self._waiting:
+                self._schedule_return()
             return False
         self._granted_count += grant.granted_count
         retry_seconds = grant.retry_after_seconds
@@ -158,6 +161,28 @@
         self._end_round()
         return True
 
+    def are_requests_waiting(self, *, may_admit_alone: bool) -> bool:
+        """
+        Whether requests wait for tokens.
+
+        :param may_admit_alone: admit some first by this instance's own turns.
+        """
+        while self._waiting:
+            if self._waiting[0].cancelled:
+                self._waiting.popleft()
+                continue
+            if not may_admit_alone:
+                return True
+            self._alone_seconds = self.turn_seconds(self)
+            if self._alone_seconds > 0.0:
+                return True
+            self.tokens.use_turn()
+            # It was not granted by an owner, so it can't be given back.
+            self._waiting.popleft().on_granted(
+                self.links.boot_seconds(), GrantedBy.ALONE
+            )
+        return False
+
     def on_round_failed(self) -> None:
         """Refuse the waiting requests, or admit some by this instance's own turns."""
         assert self._round is not None
@@ -167,8 +192,12 @@
                 self._retry_seconds or MAX_DEPUTY_PAUSE_SECONDS,
                 max_seconds=MAX_DEPUTY_PAUSE_SECONDS,
             )
-        else:
-            self._serve_alone()
+        elif self.are_requests_waiting(may_admit_alone=True):
+            self._refuse_waiting(
+                GrantedBy.ALONE,
+                min(self._alone_seconds, MAX_ALONE_RETRY_SECONDS),
+                max_seconds=0.0,
+            )
         self._end_round()
 
     def _start_round(self) -> None:
@@ -212,20 +241,6 @@
                 return
             self._waiting.popleft().on_granted(expires_at, self._role)
 
-    def _serve_alone(self) -> None:
-        waiting, self._waiting = self._waiting, deque()
-        for request in waiting:
-            if request.cancelled:
-                continue
-            wait_seconds = self.turn_seconds(self)
-            if wait_seconds > 0.0:
-                retry_seconds = min(wait_seconds, MAX_ALONE_RETRY_SECONDS)
-                request.on_refused(self._refusal(GrantedBy.ALONE, retry_seconds))
-                continue
-            self.tokens.use_turn()
-            # It was not granted by an owner, so it can't be given back.
-            request.on_granted(self.links.boot_seconds(), GrantedBy.ALONE)
-
     def _refuse_waiting(
         self, role: GrantedBy, retry_seconds: float, *, max_seconds: float
     ) -> None:
--- a/src/bronzebeam/gateway/quota_message.py
+++ b/src/bronzebeam/gateway/quota_message.py
@@ -133,7 +133,6 @@
     One request for tokens, sent to one peer.
 
     :ivar asked_at_seconds: when it was created, by the clock of the tokens' expiry.
-    :ivar overdue: the answer did not come in time; another instance was asked.
     """
 
     handler: QuotaMessageHandler
@@ -141,18 +140,17 @@
     pool: ConnectionPool
     ask: QuotaAsk
     asked_at_seconds: float
-    overdue: bool = False
 
     def send(self) -> None:
         """Send the request as soon as the pool has a free connection."""
         self._queue_on(self.pool, require_fresh=False)
 
-    def expire(self) -> None:
-        """Stop waiting for the answer; one that comes later still counts."""
-        self.overdue = True
+    def expire(self) -> bool:
+        """Stop waiting for the answer; return whether one may still come."""
         if self._connection is None:
             # Not sent yet: the tokens would be spent for nothing.
             self.discard()
+        return self._connection is not None
 
     def _send(self, connection: ClientConnection) -> None:
         self._connection = connection
--- a/src/bronzebeam/gateway/quota_round.py
+++ b/src/bronzebeam/gateway/quota_round.py
@@ -66,6 +66,13 @@
     ) -> bool:
         """Use an answer; return whether no other instance has to be asked."""
 
+    def are_requests_waiting(self, *, may_admit_alone: bool) -> bool:
+        """
+        Whether requests wait for tokens.
+
+        :param may_admit_alone: admit first what this instance may by itself.
+        """
+
     def on_round_failed(self) -> None:
         """Handle that no instance has answered for all waiting requests."""
 
@@ -77,7 +84,9 @@
 
     :ivar candidates: instances to ask, the first in rank first.
     :ivar deadline_at_seconds: monotonic time at which the round ends.
-    :ivar peer_answers: number of peers that have answered in time.
+    :ivar peer_answers: number of peers that have answered.
+    :ivar _overdue_count: messages whose answer may still come.
+    :ivar _is_over: all instances were asked, and only late answers may come.
     """
 
     links: QuotaLinks
@@ -86,6 +95,8 @@
     deadline_at_seconds: float
     peer_answers: int = 0
     _position: int = 0
+    _overdue_count: int = 0
+    _is_over: bool = False
     _message: QuotaMessage | None = None
     _timer: asyncio.TimerHandle | None = None
 
@@ -111,6 +122,23 @@
             if message is not None:
                 self._send(message, now)
                 return
+        self._wait_for_late_answers()
+
+    def _wait_for_late_answers(self) -> None:
+        """End the round, unless an answer may still come for requests that wait."""
+        self._is_over = True
+        loop = self.links.state.loop
+        if (
+            self._overdue_count
+            and loop.time() < self.deadline_at_seconds
+            and self.handler.are_requests_waiting(may_admit_alone=not self.peer_answers)
+        ):
+            self._timer = loop.call_at(self.deadline_at_seconds, self._on_deadline)
+        else:
+            self.handler.on_round_failed()
+
+    def _on_deadline(self) -> None:
+        self._timer = None
         self.handler.on_round_failed()
 
     def _send(self, message: QuotaMessage, now_seconds: float) -> None:
@@ -125,8 +153,9 @@
     def _on_timeout(self, message: QuotaMessage) -> None:
         if self._message is not message:
             return
-        message.expire()
-        self._message = None
+        if message.expire():
+            self._overdue_count += 1
+        self._end_message()
         state = self.links.state
         self.links.count_ask(LATE)
         self.links.silent.record_unanswered(
@@ -138,15 +167,20 @@
         """Use the tokens that a peer has granted, also if the answer is late."""
         self.links.silent.record_answer(message.peer)
         is_late = self._message is not message
-        if not is_late:
+        self.peer_answers += 1
+        if is_late:
+            self._overdue_count -= 1
+        else:
             self._end_message()
-            self.peer_answers += 1
             self.links.count_ask(OWNER if grant.as_owner else DEPUTY)
         is_done = self.handler.on_answer(
             message.peer, message.asked_at_seconds, grant, is_late=is_late
         )
         if not is_late and not is_done:
             self.ask_next()
+        elif is_late and self._is_waiting_for_late():
+            self._end_message()
+            self._wait_for_late_answers()
 
     def on_quota_failure(self, message: QuotaMessage, cause: str) -> None:
         """Ask the next instance, since this one will not answer."""
@@ -154,6 +188,14 @@
         if self._message is message:
             self._end_message()
             self.ask_next()
+            return
+        self._overdue_count -= 1
+        if self._is_waiting_for_late():
+            self._end_message()
+            self._wait_for_late_answers()
+
+    def _is_waiting_for_late(self) -> bool:
+        return self._is_over and self._timer is not None
 
     def _end_message(self) -> None:
         self._message = None
