Keep the requests to cold replicas within the rate of their service

Cause: a cold replica got as many requests as a warm one that is 1.6 times slower, from each instance by itself. A replica that bears coldPerS requests crashes.

Change: while a replica is cold and its service states a cold rate, few instances send to it, each at a minimum interval. With n senders and an interval of i, at most n * (1 / i + 1) requests fall within a second, also if all send at the same moment. The senders of one view of the fleet use half of coldPerS * coldOverage + coldSlack, so that a second set, which goes by an earlier view, keeps the bound as well. New instances, and those that learn that a process is cold again, wait for 5 s. Cold replicas rank behind all warm ones of the shard. A peer that declines shards names them, so that no repeat is spent on them and it is not avoided. A single request may go through one sender as a relay. Services without coldPerS are served as before.

The turns of limits that replicas name are not reused: they add up over 1.5 s and more, and each of many instances has one.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -8,6 +8,7 @@
 from bronzebeam.gateway.header_codec import ReplyMetadata
 from bronzebeam.gateway.limited_traffic import SendKind
 from bronzebeam.gateway.replica import Replica
+from bronzebeam.routing.cold_limits import ColdTurns, read_cold_seconds
 from bronzebeam.routing.replica_limit import SendTurns, read_limit
 from bronzebeam.routing.replica_pause import read_pause
 from bronzebeam.transport.http_reply import (
@@ -29,12 +30,16 @@
     replica: Replica
     reply_metadata: ReplyMetadata | None = None
     _turns: SendTurns | None = None
+    _cold_turns: ColdTurns | None = None
 
     def send(self) -> None:
         """Send the request as soon as the replica has a free connection."""
         if self.replica.limited is not None:
             self._turns = self.replica.limited.turns
             self._turns.use()
+        if self.replica.cold is not None:
+            self._cold_turns = self.replica.cold.turns
+            self._cold_turns.use()
         self._queue_on(
             self.replica.pool, require_fresh=not self.routed.route.idempotent
         )
@@ -68,7 +73,7 @@
             replica=None if connection.proven else self.replica.record.replica,
         )
         request = self.routed.request
-        self._count_limited_send()
+        self._count_limited_send(now_seconds)
         self.replica.pool.record_sent(connection, now_seconds)
         connection.send(
             self.routed.head + head + request.body,
@@ -132,19 +137,29 @@
         turns, self._turns = self._turns, None
         if turns is not None:
             turns.give_back()
-
-    def _count_limited_send(self) -> None:
-        """Count the request if the replica limits its requests."""
-        limited = self.replica.limited
-        if limited is None:
+        cold_turns, self._cold_turns = self._cold_turns, None
+        if cold_turns is not None:
+            cold_turns.give_back()
+
+    def _count_limited_send(self, now_seconds: float) -> None:
+        """Count the request if requests to the replica are limited."""
+        limited, cold = self.replica.limited, self.replica.cold
+        cold_turns, self._cold_turns = self._cold_turns, None
+        if cold_turns is not None:
+            cold_turns.record_sent(now_seconds)
+        if limited is None and cold is None:
             return
         kind = SendKind.FIRST_ATTEMPT
         if self.routed.is_for_peer:
             kind = SendKind.FOR_PEER
         elif self.is_repeat:
             kind = SendKind.REPEAT
-        limited.record_sent(kind)
-        self.context.metrics.count_limited_send(kind.value)
+        if limited is not None:
+            limited.record_sent(kind)
+            self.context.metrics.count_limited_send(kind.value)
+        if cold is not None:
+            cold.record_sent(kind)
+            self.context.metrics.count_cold_send(kind.value)
 
     def _record_signals(self, status: int, metadata: ReplyMetadata) -> None:
         """Record that the replica is leaving or wants a pause, before any retry."""
@@ -153,6 +168,10 @@
             replicas.record_announced_leaving(
                 self.replica, is_misdirected=status == MISDIRECTED_STATUS
             )
+        if metadata.cold_ms and status != MISDIRECTED_STATUS:
+            self.context.state.record_cold(
+                self.replica, read_cold_seconds(metadata.cold_ms)
+            )
         if metadata.retry_after and status == UNAVAILABLE_STATUS:
             pause = read_pause(metadata.retry_after)
             replicas.record_pause(self.replica, pause)
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -208,6 +208,7 @@
             rng=self.rng,
             started_at_seconds=loop.time(),
             registration_timeout_seconds=settings.registration_timeout_seconds,
+            cold_tolerance=settings.cold_tolerance,
             leaving_grace_seconds=min(
                 LEAVING_GRACE_SECONDS,
                 settings.drain_bound_seconds * MAX_LEAVING_GRACE_SHARE,
@@ -350,6 +351,7 @@
             return
         previous, self.settings = self.settings, settings
         self._state.apply_limits(settings.repeats)
+        self._state.cold.tolerance = settings.cold_tolerance
         if settings.store != previous.store:
             self._store.set_address(settings.store)
         self.log.event("reloaded", changed=settings != previous)
--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -7,6 +7,7 @@
 
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.peer_codec import (
+    DECLINED_HEADER,
     DELEGATION_HEADER,
     IMPAIRED_HEADER,
     LEAVING_HEADER,
@@ -70,6 +71,7 @@
     :ivar body: merged records of those shards.
     :ivar peer_is_impaired: the peer's links to the replicas are broken, all or many.
     :ivar unreachable: services that the peer has replicas of, but reaches none.
+    :ivar declined: services whose replicas the peer was not allowed to send to.
     :ivar late: the reply is overdue; the shards may have been sent elsewhere.
     """
 
@@ -85,6 +87,7 @@
     body: bytes = b""
     peer_is_impaired: bool = False
     unreachable: frozenset[str] = frozenset()
+    declined: frozenset[str] = frozenset()
     late: bool = False
     _sent_at_seconds: float | None = None
     _due_at_seconds: float = 0.0
@@ -102,6 +105,11 @@
             return True
         return self.previous is not None and self.previous.may_reply
 
+    @property
+    def unsent(self) -> frozenset[str]:
+        """Return the services that the peer has certainly sent nothing to."""
+        return self.unreachable | self.declined
+
     def send(self) -> None:
         """Send the request as soon as the peer has a free connection."""
         self._queue_on(self.peer.pool, require_fresh=False)
@@ -194,9 +202,12 @@
                 self.peer_is_impaired = True
             elif name == UNREACHABLE_HEADER:
                 self.unreachable = decode_services(value)
+            elif name == DECLINED_HEADER:
+                self.declined = decode_services(value)
         self.peer.pool.record_reply(connection.sent_at_seconds)
         if reply.status == NOT_RUN_STATUS:
-            self._avoid_peer("no_replica")
+            if not self.declined:
+                self._avoid_peer("no_replica")
             self._end(DelegationResult.NOT_RUN, "peer_knows_no_replica")
             return
         if reply.status == REPLICAS_LOST_STATUS:
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -170,8 +170,8 @@
         sent = result is not DelegationResult.NOT_RUN
         for index, signature in zip(delegation.shards, signatures):
             shard = self._progress.shards[index]
-            # A peer that could not connect to a replica has sent it nothing.
-            if sent and shard.service not in delegation.unreachable:
+            # A peer that could not or must not send to a replica has sent it nothing.
+            if sent and shard.service not in delegation.unsent:
                 shard.may_have_run_at_peer = True
             if signature is not None:
                 self._progress.include(shard, signature, None, self.context.loop.time())
@@ -218,6 +218,10 @@
         if unknown and self._delegator.delegate_again(delegation, unknown):
             unknown = []
         left.extend(self._progress.shards[index] for index in unreachable + unknown)
+        declined = [item for item in left if item.service in delegation.declined]
+        for shard in declined:
+            left.remove(shard)
+            self._progress.mark_failed(shard, shard.cause)
         if left and not self._delegator.request_missing(delegation, left):
             for shard in left:
                 self._progress.mark_failed(shard, shard.cause)
--- a/src/bronzebeam/gateway/fan_out_responder.py
+++ b/src/bronzebeam/gateway/fan_out_responder.py
@@ -1,13 +1,14 @@
 """Responders: they send the result of a fan-out to a caller or to a peer."""
 
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import define
 
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_merged
 from bronzebeam.gateway.peer_codec import (
+    DECLINED_HEADER,
     IMPAIRED_HEADER,
     LEAVING_HEADER,
     RESULT_HEADER,
@@ -16,11 +17,18 @@
     encode_result,
     encode_services,
 )
-from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE
+from bronzebeam.gateway.replica_set import (
+    DOMAIN_EVACUATED,
+    REPLICAS_COLD,
+    REPLICAS_UNREACHABLE,
+)
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.gateway.shard_state import ShardState
 from bronzebeam.transport.http_reply import Headers
 
+# Why this instance has sent nothing to a shard whose replicas it reaches.
+DECLINED_CAUSES: Final = frozenset({DOMAIN_EVACUATED, REPLICAS_COLD})
+
 
 class FanOutResponder(Protocol):
     """
@@ -143,7 +151,7 @@
         )
 
     def _reach_headers(self, shards: Sequence[ShardState]) -> Headers:
-        """Return the headers that say what this instance does not reach."""
+        """Return the headers that say what this instance could not send to."""
         headers: Headers = []
         if self.context.state.replicas.links.is_impaired:
             headers.append((IMPAIRED_HEADER, b"1"))
@@ -152,4 +160,13 @@
         ]
         if unreachable:
             headers.append((UNREACHABLE_HEADER, encode_services(unreachable)))
+        declined = [
+            shard.service
+            for shard in shards
+            if shard.cause in DECLINED_CAUSES
+            and shard.signature is None
+            and not shard.may_have_run
+        ]
+        if declined:
+            headers.append((DECLINED_HEADER, encode_services(declined)))
         return headers
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.cold_limits import ColdLimits, Members
 from bronzebeam.gateway.connection_pool import Connect
 from bronzebeam.gateway.evacuations import Evacuations
 from bronzebeam.gateway.older_copy import OlderCopy
@@ -26,6 +27,7 @@
 from bronzebeam.gateway.replica_limits import ReplicaLimits
 from bronzebeam.gateway.replica_set import LEAVING_GRACE_SECONDS, ReplicaSet
 from bronzebeam.gateway.shard_ownership import ShardOwnership
+from bronzebeam.routing.cold_limits import ColdTolerance
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS, CrashSuspects
 from bronzebeam.routing.instance_share import ShareRatios
 from bronzebeam.routing.repeat_budget import (
@@ -67,6 +69,8 @@
     :ivar replicas: all replicas that may still be used.
     :ivar peers: the registered live instances.
     :ivar registration_timeout_seconds: see `OlderCopy`.
+    :ivar cold_tolerance: see `GatewaySettings`.
+    :ivar cold: the limits on requests to cold replicas.
     :ivar synced_at_seconds: monotonic time of the latest response of the store, or of a
         source of changes that is in contact with it.
     :ivar suspects: requests suspected of crashing replicas.
@@ -85,6 +89,8 @@
     on_reach_change: Callable[[bool], None] | None = None
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
     registration_timeout_seconds: float
+    cold_tolerance: ColdTolerance
+    cold: ColdLimits = field(init=False)
     replicas: ReplicaSet = field(init=False)
     peers: PeerSet = field(init=False)
     _older_copy: OlderCopy = field(init=False)
@@ -106,6 +112,7 @@
     _fan_out_services: frozenset[str] = frozenset()
     _routed_services: frozenset[str] = frozenset()
     _is_isolated: bool = False
+    _serving_members: Members = field(factory=dict)
     _owners_changed_at_seconds: float = field(init=False)
     _max_exchange_seconds: float = EXCHANGE_MARGIN_SECONDS
 
@@ -137,6 +144,14 @@
             replicas=self.replicas,
             registration_timeout_seconds=self.registration_timeout_seconds,
         )
+        self.cold = ColdLimits(
+            instance=self.instance,
+            loop=self.loop,
+            log=self.log,
+            rng=self.rng,
+            tolerance=self.cold_tolerance,
+            candidates_of=self._cold_candidates,
+        )
         self._evacuations = Evacuations(
             replicas=self.replicas,
             registration_timeout_seconds=self.registration_timeout_seconds,
@@ -174,6 +189,8 @@
                 self.replicas.put(record)
             for name in self.replicas.names - snapshot.replicas.keys():
                 self.replicas.mark_removed(name)
+        # An evacuation moves requests that wait, also to replicas that are cold.
+        self.cold.update(self.replicas.all(), members_changed=False)
         self._evacuations.apply(snapshot.evacuations, keep_missing=is_first_of_era)
         self._update_derived_state()
         self.maintain()
@@ -201,6 +218,7 @@
             elif change.kind is RecordKind.SUSPECT:
                 self._remove_suspect(change.name)
             elif isinstance(value, EvacuationRecord):
+                self.cold.update(self.replicas.all(), members_changed=False)
                 self._evacuations.put(change.name)
             elif change.kind is RecordKind.EVACUATION:
                 self._evacuations.remove(change.name)
@@ -239,6 +257,13 @@
         for budget in self._budget_by_service.values():
             budget.limits = limits
 
+    def record_cold(self, replica: Replica, seconds: float) -> None:
+        """Record that a replica states in a reply for how long it stays cold."""
+        if seconds > 0.0 and self.cold.has_rate(replica.record.service):
+            replica.record_cold(seconds, self.loop.time())
+            if replica.cold is None:
+                self.cold.update(self.replicas.all(), members_changed=False)
+
     def maintain(self) -> None:
         """Remove replicas and peers that are gone; keep the others connected."""
         now_seconds = self.loop.time()
@@ -252,6 +277,7 @@
         self.peers.maintain(now_seconds, self._max_exchange_seconds)
         self._update_isolation(now_seconds)
         self.replicas.maintain(now_seconds, self._max_exchange_seconds)
+        self.cold.update(self.replicas.all(), members_changed=False)
         if self._reach.update(
             is_cut_off=self.replicas.links.lost_at_seconds is not None,
             is_impaired=self.replicas.links.is_impaired,
@@ -282,6 +308,15 @@
             ignore_limit=ignore_limit,
         )
 
+    def cold_senders(self, service: str) -> frozenset[str]:
+        """Return the instances that send to the cold replicas of a service."""
+        return frozenset(
+            name
+            for replica in self.replicas.of_service(service)
+            if replica.cold is not None
+            for name in replica.cold.senders
+        )
+
     def typical_latency(self, route: Route) -> TypicalLatency:
         """Return the typical reply time of a route's sub-requests."""
         typical = self._typical_latency_by_route.get(route.name)
@@ -347,16 +382,39 @@
             is_owner=service in self._ownership.owned,
         )
 
+    def _cold_candidates(self, record: ReplicaRecord) -> Members:
+        """
+        Return the instances that may send to a replica while it is cold.
+
+        Where a shard has owners, these are the ones in the replica's domain, to which
+        its shard is delegated; all owners if there is none.
+        """
+        owners = self._ownership.owners_of(record.service)
+        if owners is None:
+            return self._serving_members
+        domains = owners.owner_domains(record.service)
+        if record.failure_domain in domains:
+            domains = [record.failure_domain]
+        candidates = {}
+        for domain in domains:
+            number = owners.slice_number_of(record.service, domain)
+            members = owners.members[domain]
+            candidates[domain] = {
+                name: members[name] for name in owners.owners(domain, number)
+            }
+        return candidates
+
     def _update_derived_state(self) -> None:
         """Recompute what depends on the replicas, the peers and the configuration."""
         services = self.table.services if self.table is not None else {}
+        self._serving_members = self.peers.serving_members(
+            is_impaired=not self._reach.reaches_replicas
+        )
         members_changed = self._ownership.update(
             services=services,
             shards=self._fan_out_services,
             routed=self._routed_services,
-            members=self.peers.serving_members(
-                is_impaired=not self._reach.reaches_replicas
-            ),
+            members=self._serving_members,
             instance_count=self.peers.live_count,
             replica_domains=self.replicas.domains_by_service(),
         )
@@ -364,6 +422,9 @@
             self._owners_changed_at_seconds = self.loop.time()
         self._recent_instances.observe(self.peers.live_count, self.loop.time())
         self._allocate_connections()
+        if self.instance in self.peers.records:
+            self.cold.record_registered()
+        self.cold.update(self.replicas.all(), members_changed=True)
         callback = self.on_first_configuration
         if self.table is not None and callback is not None:
             self.on_first_configuration = None
@@ -422,6 +483,7 @@
             (route.timeout_ms / MS_PER_SECOND for route in table.routes), default=0.0
         )
         self._remove_unused(table)
+        self.cold.set_services(table.services)
         self.log.event(
             "configuration_in_force",
             version=table.version,
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -15,6 +15,7 @@
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_set import (
     PEERS_FOR_GONE_REPLICAS,
+    REPLICAS_COLD,
     REPLICAS_UNREACHABLE,
 )
 from bronzebeam.gateway.routed_request import RoutedRequest
@@ -25,7 +26,10 @@
 from bronzebeam.units import MS_PER_SECOND
 
 ELAPSED_PER_MEDIAN: Final = 1.3  # most replies arrive within this multiple
-MAX_RELAYS: Final = 4  # of one request, if peers don't reach the replicas either
+# Of one request, by why this instance has no replica for it. Several peers may not
+# reach the replicas either. For cold replicas, asking more peers for a turn would cost
+# more than the few requests that such replicas take are worth.
+MAX_RELAYS_BY_CAUSE: Final = {REPLICAS_UNREACHABLE: 4, REPLICAS_COLD: 1}
 MAX_REJECTIONS: Final = 4  # of one request, before it is refused
 
 
@@ -155,11 +159,17 @@
     def _relay(self, *, repeat: bool) -> RelayedAttempt | None:
         """Return an attempt through a peer, if only this instance has no replica."""
         state = self.context.state
-        if state.replicas.next_use(self.service).cause != REPLICAS_UNREACHABLE:
+        cause = state.replicas.next_use(self.service).cause
+        max_relays = MAX_RELAYS_BY_CAUSE.get(cause, 0)
+        if len(self._tried_peers) >= max_relays:
             return None
-        if len(self._tried_peers) >= MAX_RELAYS:
-            return None
-        peer = state.peers.choose_any([state.own_domain], excluded=self._tried_peers)
+        peer = state.peers.choose_any(
+            [state.own_domain],
+            excluded=self._tried_peers,
+            among=(
+                state.cold_senders(self.service) if cause == REPLICAS_COLD else None
+            ),
+        )
         if peer is None:
             return None
         self._tried_peers.add(peer)
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -29,6 +29,7 @@
     _delegations: MetricFamily[Counter] = field(init=False)
     _relays: MetricFamily[Counter] = field(init=False)
     _limited_sends: MetricFamily[Counter] = field(init=False)
+    _cold_sends: MetricFamily[Counter] = field(init=False)
     _replicas: MetricFamily[Gauge] = field(init=False)
     _evacuated: MetricFamily[Gauge] = field(init=False)
     _evacuated_domains: frozenset[str] = frozenset()
@@ -77,6 +78,11 @@
             help_text="Requests sent to replicas that limit their requests, by kind.",
             label_names=("kind",),
         )
+        self._cold_sends = self.registry.counter(
+            name="bronzebeam_gateway_cold_sends_total",
+            help_text="Requests sent to cold replicas with a limit, by kind.",
+            label_names=("kind",),
+        )
         self._replicas = self.registry.gauge(
             name="bronzebeam_gateway_replicas_count",
             help_text="Known replicas, by whether a connection to them is open.",
@@ -100,6 +106,10 @@
         """Count a request sent to a replica that limits its requests."""
         self._limited_sends.labels(kind=kind).increment()
 
+    def count_cold_send(self, kind: str) -> None:
+        """Count a request sent to a cold replica whose service states a cold rate."""
+        self._cold_sends.labels(kind=kind).increment()
+
     def set_replica_counts(self, *, connected: int, unconnected: int) -> None:
         """Set the number of known replicas."""
         self._replicas.labels(connected="true").set(connected)
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -19,6 +19,8 @@
 IMPAIRED_HEADER: Final = b"bb-impaired"
 # In replies: the services that the peer has replicas of, but reaches none.
 UNREACHABLE_HEADER: Final = b"bb-unreachable"
+# In replies: the services whose replicas the peer was not allowed to send to.
+DECLINED_HEADER: Final = b"bb-declined"
 # Headers that peers add to a caller's request.
 PEER_HEADERS: Final = frozenset({DELEGATION_HEADER, LEAVING_HEADER, RELAY_HEADER})
 LEAVING_SEPARATOR: Final = b","
@@ -141,12 +143,12 @@
 
 
 def encode_services(services: Iterable[str]) -> bytes:
-    """Encode names of services as the value of `UNREACHABLE_HEADER`."""
+    """Encode names of services as the value of a header."""
     return orjson.dumps(list(services))
 
 
 def decode_services(value: bytes) -> frozenset[str]:
-    """Decode the value of `UNREACHABLE_HEADER`; a malformed one names no service."""
+    """Undo `encode_services`; a malformed value names no service."""
     try:
         names = orjson.loads(value)
     except ValueError:
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -259,13 +259,18 @@
         return min(available, key=self._load)
 
     def choose_any(
-        self, preferred_domains: Sequence[str], *, excluded: Collection[Peer]
+        self,
+        preferred_domains: Sequence[str],
+        *,
+        excluded: Collection[Peer],
+        among: Collection[str] | None = None,
     ) -> Peer | None:
         """
         Return a healthy peer of any failure domain; None if there is none.
 
         :param preferred_domains: are tried first, in this order.
         :param excluded: peers that must not be selected; their domains are tried last.
+        :param among: names of the only peers that may be selected; None for any.
         """
         excluded_domains = {item.record.failure_domain for item in excluded}
         others = {item.record.failure_domain for item in self._peers.values()}
@@ -276,7 +281,11 @@
         for ignore_reach in (False, True):  # a registration may be out of date
             for domain in domains:
                 peer = self.choose(
-                    domain, excluded=excluded, may_wait=True, ignore_reach=ignore_reach
+                    domain,
+                    excluded=excluded,
+                    among=among,
+                    may_wait=True,
+                    ignore_reach=ignore_reach,
                 )
                 if peer is not None:
                     return peer
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from bronzebeam.gateway.connection_pool import ConnectionPool
-from bronzebeam.gateway.limited_traffic import LimitedTraffic
+from bronzebeam.gateway.limited_traffic import ColdTraffic, LimitedTraffic
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.routing.replica_estimate import ReplicaLoad
 from bronzebeam.routing.replica_latency import FailureRate, RelativeLatency
@@ -24,6 +24,8 @@
     :ivar relative_latency: its reply time relative to that of other replicas.
     :ivar failure_rate: share of its recent replies that were failures.
     :ivar cold_until_seconds: monotonic time until which it is still warming up.
+    :ivar cold_again_at_seconds: monotonic time at which a process that had been warm
+        was found to be cold again.
     :ivar removed_at_seconds: monotonic time at which it was removed from the store;
         None while it is registered.
     :ivar last_resort_until_seconds: monotonic time until which a removed replica may
@@ -33,6 +35,7 @@
         reply that it is about to stop; None if it has not.
     :ivar paused_until_seconds: monotonic time until which it wants no requests.
     :ivar limited: the limit on requests that it names; None if it names none.
+    :ivar cold: the limit on requests while it is cold; None if there is none.
     :ivar mismatched: another process has answered at its address.
     :ivar warm_connections: number of connections to keep open while they are idle.
     """
@@ -42,12 +45,14 @@
     relative_latency: RelativeLatency = field(factory=RelativeLatency)
     failure_rate: FailureRate = field(factory=FailureRate)
     cold_until_seconds: float = 0.0
+    cold_again_at_seconds: float = 0.0
     removed_at_seconds: float | None = None
     last_resort_until_seconds: float = 0.0
     leaving_since_seconds: float | None = None
     announced_leaving_at_seconds: float | None = None
     paused_until_seconds: float = 0.0
     limited: LimitedTraffic | None = None
+    cold: ColdTraffic | None = None
     mismatched: bool = False
     warm_connections: int = 1
     _deprioritized_cause: str = ""
@@ -61,11 +66,29 @@
         """Whether it has asked for a pause that is not over."""
         return now_seconds < self.paused_until_seconds
 
+    def record_cold(self, seconds: float, now_seconds: float) -> None:
+        """Record for how long a process that is known already says that it is cold."""
+        if seconds > 0.0 and self.cold_until_seconds <= now_seconds:
+            self.cold_again_at_seconds = now_seconds
+        self.cold_until_seconds = now_seconds + seconds
+
     def seconds_until_turn(self, now_seconds: float) -> float:
-        """Return the time until this instance may send to it by its limit."""
-        if self.limited is None:
-            return 0.0
-        return self.limited.turns.seconds_until_next(now_seconds)
+        """Return the time until this instance may send to it by its limits."""
+        seconds = 0.0
+        if self.limited is not None:
+            seconds = self.limited.turns.seconds_until_next(now_seconds)
+        if self.cold is not None and now_seconds < self.cold_until_seconds:
+            cold_seconds = min(
+                self.cold.turns.seconds_until_next(now_seconds),
+                self.cold_until_seconds - now_seconds,
+            )
+            seconds = max(seconds, cold_seconds)
+        return seconds
+
+    @property
+    def has_limit(self) -> bool:
+        """Whether requests to it are limited, so that each needs a turn."""
+        return self.limited is not None or self.cold is not None
 
     def is_usable(
         self,
@@ -78,7 +101,7 @@
         Whether a request may be sent to it now.
 
         :param leaving_grace_seconds: time for which a leaving replica may be used.
-        :param ignore_limit: the limit that it names is considered by another instance.
+        :param ignore_limit: its limits are considered by another instance.
         """
         if self.mismatched or not self.pool.is_reachable or self.is_paused(now_seconds):
             return False
--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -17,6 +17,9 @@
 
 # Ranks draining and removed replicas after all others.
 LAST_RESORT_PENALTY_MS: Final = 10_000.0
+# Ranks cold replicas with a limit after warm ones: they bear few requests, and take
+# longer.
+COLD_PENALTY_MS: Final = 5_000.0
 # Replicas whose score is within this ratio of the best are considered equivalent.
 SUITABLE_SCORE_RATIO: Final = 1.6
 ESTIMATE_SPREAD: Final = 0.15  # random; spreads instances over similar replicas
@@ -100,6 +103,8 @@
         score_ms += extra_cost_ms(load, failure_cost_ms=failure_ms)
         if replica.is_leaving or replica.removed_at_seconds is not None:
             score_ms += LAST_RESORT_PENALTY_MS
+        if replica.cold is not None:
+            score_ms += COLD_PENALTY_MS
         candidates.append((score_ms, estimate_ms, replica))
     if not candidates:
         return None
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -54,6 +54,7 @@
 # Why no replica of a service may be used.
 REPLICAS_PAUSED: Final = "replicas_paused"
 REPLICAS_LIMITED: Final = "replicas_limited"
+REPLICAS_COLD: Final = "replicas_cold"
 REPLICAS_UNREACHABLE: Final = "replicas_unreachable"
 DOMAIN_EVACUATED: Final = "domain_evacuated"
 
@@ -200,6 +201,14 @@
             if item.removed_at_seconds is None
         ]
 
+    def all(self) -> Iterable[Replica]:
+        """Return all replicas."""
+        return self._replicas.values()
+
+    def of_service(self, service: str) -> Sequence[Replica]:
+        """Return the replicas of a service that are not in evacuated domains."""
+        return self._serving(service)
+
     def find(self, name: str, *, started_at_ms: int) -> Replica | None:
         """Return a replica; None if it is unknown, or was started at another time."""
         replica = self._replicas.get(name)
@@ -231,6 +240,7 @@
         now_seconds = self.loop.time()
         if replica is not None and _is_same_process(replica.record, record):
             self._log_state_change(replica, record, now_seconds)
+            replica.record_cold(record.cold_ms / MS_PER_SECOND, now_seconds)
             replica.record = record
             replica.removed_at_seconds = None
             replica.pool.closing = False
@@ -382,9 +392,8 @@
                 now_seconds, self.leaving_grace_seconds, ignore_limit=True
             ):
                 seconds = item.seconds_until_turn(now_seconds)
-                possible_uses.append(
-                    NextUse(after_seconds=seconds, cause=REPLICAS_LIMITED)
-                )
+                cause = REPLICAS_LIMITED if item.cold is None else REPLICAS_COLD
+                possible_uses.append(NextUse(after_seconds=seconds, cause=cause))
         if not possible_uses:
             cause = ""
             if self._may_reach_through_peer(service):
--- a/src/bronzebeam/gateway/shard_replica_chooser.py
+++ b/src/bronzebeam/gateway/shard_replica_chooser.py
@@ -73,7 +73,7 @@
                     plan.unreachable.append(shard)
                 else:
                     self.progress.mark_failed(shard, shard.cause)
-            elif choice.replica.limited is not None and not is_for_owners:
+            elif choice.replica.has_limit and not is_for_owners:
                 plan.limited[shard.index] = choice
             elif self.may_delegate and (
                 choice.replica.record.failure_domain != state.own_domain
