--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -232,6 +232,7 @@
             boot_seconds=self.boot_seconds,
             started_at_seconds=loop.time(),
             registration_timeout_seconds=settings.registration_timeout_seconds,
+            cold_tolerance=settings.cold_tolerance,
             leaving_grace_seconds=min(
                 LEAVING_GRACE_SECONDS,
                 settings.drain_bound_seconds * MAX_LEAVING_GRACE_SHARE,
@@ -393,6 +394,7 @@
             return
         previous, self.settings = self.settings, settings
         self._state.apply_limits(settings.repeats)
+        self._state.cold.tolerance = settings.cold_tolerance
         if settings.store != previous.store:
             self._store.set_address(settings.store)
         self.log.event("reloaded", changed=settings != previous)
