--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -18,6 +18,7 @@
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation_handler import DelegationRequestHandler
+from bronzebeam.gateway.explanation import EXPLAIN_PATH, Explainer
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.gateway_metrics import GatewayMetrics
 from bronzebeam.gateway.graceful_shutdown import GracefulShutdown
@@ -115,6 +116,7 @@
     _relay_handler: RelayRequestHandler = field(init=False)
     _quotas: QuotaGate = field(init=False)
     _registration_times: RegistrationTimes = field(init=False)
+    _explainer: Explainer = field(init=False)
     _readiness: Readiness = field(init=False)
     _suspect_reporter: SuspectReporter = field(init=False)
     _store_watch: StoreWatch = field(init=False)
@@ -269,9 +271,15 @@
                 count_ask=self.metrics.quotas.count_asked,
             ),
         )
+        admission = Admission(rng=self.rng, log=self.log)
+        self._explainer = Explainer(
+            context=context,
+            admission=admission,
+            configuration_bound_seconds=settings.configuration_bound_seconds,
+        )
         router = Router(
             context=context,
-            admission=Admission(rng=self.rng, log=self.log),
+            admission=admission,
             quotas=self._quotas,
             started_at_seconds=loop.time(),
             configuration_bound_seconds=settings.configuration_bound_seconds,
@@ -321,6 +329,8 @@
             self._feed_server.handle(request)
         elif request.path == CONFIGURATION_PATH:
             answer_configuration_request(request, table=self._state.table)
+        elif request.path == EXPLAIN_PATH:
+            self._explainer.handle(request)
         else:
             self._handle_internal_request(request)
 
