Admit uneven requests that stay within a quota over its window

The bucket now holds 0.4 of the tolerance beyond the burst; deputies have the other 0.6, less what tokens used late take. The sum in a window stays within the quota and the tolerance, which the property test over simulated fleets checks as before.

--- a/src/bronzebeam/routing/quota_grants.py
+++ b/src/bronzebeam/routing/quota_grants.py
@@ -9,7 +9,6 @@
 from bronzebeam.routing.quota_members import Standing
 from bronzebeam.routing.quotas import (
     MAX_ASKED_COUNT,
-    MIN_BUCKET_COUNT,
     MIN_TOKEN_LIFETIME_SECONDS,
     QuotaAsk,
     QuotaGrant,
@@ -125,7 +124,7 @@
     ) -> QuotaGrant:
         bucket = buckets.owner
         rate = account.rate_per_second
-        size = max(account.burst_count, MIN_BUCKET_COUNT)
+        size = self.tolerance.bucket_size_count(account)
         if since_seconds > bucket.updated_at_seconds:
             bucket.restart(since_seconds)
         elapsed_seconds = max(0.0, now_seconds - bucket.updated_at_seconds)
--- a/src/bronzebeam/routing/quotas.py
+++ b/src/bronzebeam/routing/quotas.py
@@ -12,7 +12,11 @@
 # An asker waits this long for tokens, so they have to live as long.
 MIN_TOKEN_LIFETIME_SECONDS: Final = 0.06
 # Of the tolerance; tokens granted before a window and used in it take the rest.
-LIFETIME_SHARE: Final = 0.5
+LIFETIME_SHARE: Final = 0.4
+# Of the tolerance, what the owner's bucket holds beyond the burst. Requests that come
+# unevenly, but stay within the quota over a window, are not refused then: an account
+# with a rate and a burst of 1 may send 6 requests in a window, two of them at once.
+OWNER_SHARE: Final = 0.4
 MIN_BUCKET_COUNT: Final = 1.0  # a smaller bucket never holds a whole token
 MAX_ASKED_COUNT: Final = 10_000  # bounds the numbers that a peer may state
 
@@ -45,6 +49,11 @@
             MAX_TOKEN_LIFETIME_SECONDS, max(MIN_TOKEN_LIFETIME_SECONDS, allowed_seconds)
         )
 
+    def bucket_size_count(self, account: Account) -> float:
+        """Return the tokens of an account that its owner may grant at once."""
+        size = account.burst_count + OWNER_SHARE * self.reserve_count(account)
+        return max(size, MIN_BUCKET_COUNT)
+
     def deputy_reserve_count(self, account: Account) -> float:
         """
         Return what deputies and instances alone may grant together in one window.
@@ -55,7 +64,8 @@
         """
         late_count = account.rate_per_second * self.lifetime_seconds(account)
         rounding_count = max(0.0, MIN_BUCKET_COUNT - account.burst_count)
-        return max(0.0, self.reserve_count(account) - late_count - rounding_count)
+        reserve_count = (1.0 - OWNER_SHARE) * self.reserve_count(account)
+        return max(0.0, reserve_count - late_count - rounding_count)
 
 
 @frozen(kw_only=True)
