--- a/tests/fixtures_quotas.py
+++ b/tests/fixtures_quotas.py
@@ -162,6 +162,7 @@
     One process; a restarted instance is another process with the same name.
 
     :ivar follows: it reads changes from a peer, whose view may be some seconds old.
+    :ivar part: part of the fleet; messages between different parts are lost.
     :ivar paused_until_seconds: events of this instance wait until then.
     """
 
@@ -177,6 +178,7 @@
     is_stopping: bool = False
     store_cut: bool = False
     peers_cut: bool = False
+    part: int = 0
     paused_until_seconds: float = 0.0
     _seen_as_of_seconds: float = 0.0
     _recent: RecentInstanceCount = field(factory=RecentInstanceCount)
@@ -385,7 +387,7 @@
             self.schedule(at_seconds, lambda: self._request(names), None)
 
     def is_lost(self, one: SimInstance, other: SimInstance) -> bool:
-        if one.peers_cut or other.peers_cut:
+        if one.peers_cut or other.peers_cut or one.part != other.part:
             return True
         return self.rng.random() < self.loss_ratio
 
--- a/tests/test_routing_quotas.py
+++ b/tests/test_routing_quotas.py
@@ -201,6 +201,60 @@
     assert not fleet.refused
 
 
+def cut_off(fleet: SimFleet, names: list[str], part: int) -> None:
+    """Cut instances off from the store and from all others but each other."""
+    for name in names:
+        fleet.instances[name].store_cut = True
+        fleet.instances[name].part = part
+
+
+def test_quota_holds_for_a_part_of_the_fleet_that_is_cut_off() -> None:
+    """Guards against the former owner's part of the fleet having a quota of its own."""
+    for seed in range(2):
+        fleet = make_fleet(instances=8, seed=seed)
+        order = list(rank_members(ACCOUNT.name, fleet.instances))
+        cut, left = order[::2], order[1::2]
+        fleet.run_until(fleet.now + 5.0)
+        for names in (cut, left):
+            fleet.send_load(per_second=200.0, seconds=40.0, names=names)
+        fleet.run_until(fleet.now + 1.0)
+        cut_off(fleet, cut, 1)
+        fleet.run_until(fleet.now + 41.0)
+        assert fleet.most_in_window() <= fleet.allowed_in_window()
+        late = [name for at, _, name in fleet.admitted if at > fleet.now - 15.0]
+        assert sum(name in left for name in late) >= 0.9 * 20 * 13
+        assert any(name in cut for name in late)
+
+
+def test_quota_holds_for_instances_cut_off_one_after_the_other() -> None:
+    """Guards against each of several former owners granting as the first in rank."""
+    for seed in range(3):
+        fleet = make_fleet(instances=9, seed=seed)
+        order = list(rank_members(ACCOUNT.name, fleet.instances))
+        for part in (1, 2, 3):
+            # The next in the ranking is the owner by then.
+            cut_off(fleet, [order[part - 1], order[8 - part]], part)
+            fleet.run_until(fleet.now + 26.0)
+        fleet.run_until(fleet.now + 10.0)
+        # All buckets are full, and callers come at once everywhere.
+        fleet.loss_ratio = 0.3
+        for name in fleet.instances:
+            fleet.send_load(per_second=100.0, seconds=8.0, names=[name])
+        fleet.run_until(fleet.now + 9.0)
+        assert fleet.most_in_window() <= fleet.allowed_in_window()
+
+
+def test_quota_holds_while_all_are_cut_off_from_each_other() -> None:
+    """Guards against each instance using the whole part of instances alone."""
+    fleet = make_fleet(instances=8)
+    fleet.send_load(per_second=400.0, seconds=40.0)
+    fleet.run_until(fleet.now + 2.0)
+    for part, name in enumerate(fleet.instances):
+        cut_off(fleet, [name], part)
+    fleet.run_until(fleet.now + 39.0)
+    assert fleet.most_in_window() <= fleet.allowed_in_window()
+
+
 def test_hot_account_at_two_of_71_instances_gets_its_quota() -> None:
     """Guards against shares: two instances would get 2/71 of the rate."""
     fleet = make_fleet(instances=71)
