--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import orjson
@@ -53,7 +53,7 @@
     *accounts: dict[str, Any],
     instances: int = 4,
     settle_seconds: float = OWNER_SECONDS,
-    **settings: str,
+    gateway_settings: Mapping[str, str] | None = None,
 ) -> list[RunningGateway]:
     """Start gateways and four replicas of one service, with limited accounts."""
     for _ in range(4):
@@ -64,7 +64,9 @@
         tenants=list(accounts),
     )
     gateways = [
-        cluster.start_gateway(f"g-{number}", **(QUOTA_SETTINGS | settings))
+        cluster.start_gateway(
+            f"g-{number}", **(QUOTA_SETTINGS | dict(gateway_settings or {}))
+        )
         for number in range(1, instances + 1)
     ]
     await asyncio.sleep(SETTLE_SECONDS + settle_seconds)
@@ -191,7 +193,7 @@
         gateways = await start_quota_cluster(
             cluster,
             make_account(rate=1, burst=2),
-            **(LOW_TOLERANCE | {"bounds.quotaSlack": "0"}),
+            gateway_settings=LOW_TOLERANCE | {"bounds.quotaSlack": "0"},
         )
         responses = [await send_as(cluster, gateways[0]) for _ in range(4)]
         assert statuses(responses) == [200, 200, 429, 429]
@@ -249,7 +251,7 @@
             cluster,
             make_account(rate=0.1, burst=1),
             settle_seconds=25.0,
-            **LOW_TOLERANCE,
+            gateway_settings=LOW_TOLERANCE,
         )
         owner = owner_of(gateways)
         asker = next(item for item in gateways if item is not owner)
@@ -275,7 +277,7 @@
             cluster,
             make_account(rate=0.1, burst=1),
             settle_seconds=25.0,
-            **LOW_TOLERANCE,
+            gateway_settings=LOW_TOLERANCE,
         )
         owner = owner_of(gateways)
         asker = next(item for item in gateways if item is not owner)
