Keep requests and their bodies in the regions of their route and account

Cause: allowedRegions of routes and accounts were decoded, but requests went to replicas and peers of any region.

Change: the instance that the caller is connected to combines both restrictions and keeps the result with the request. Each choice of a replica (first attempts, hedges, retries, for peers too) takes only domains of these regions by the settings; peers get the body for a delegation or relay only in these regions or in the instance's own. Delegations and relays carry the regions in a further field, if there are any. Earlier builds reject a request with an unexpected field before they send anything, where they would ignore a header and send to any region; the sender takes that as not run and asks them no more for a minute. The cause is outside_regions.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -209,6 +209,7 @@
             started_at_seconds=loop.time(),
             registration_timeout_seconds=settings.registration_timeout_seconds,
             cold_tolerance=settings.cold_tolerance,
+            regions=settings.regions,
             leaving_grace_seconds=min(
                 LEAVING_GRACE_SECONDS,
                 settings.drain_bound_seconds * MAX_LEAVING_GRACE_SHARE,
@@ -352,6 +353,7 @@
         previous, self.settings = self.settings, settings
         self._state.apply_limits(settings.repeats)
         self._state.cold.tolerance = settings.cold_tolerance
+        self._state.regions = settings.regions
         if settings.store != previous.store:
             self._store.set_address(settings.store)
         self.log.event("reloaded", changed=settings != previous)
--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -12,6 +12,8 @@
     IMPAIRED_HEADER,
     LEAVING_HEADER,
     NOT_RUN_STATUS,
+    REGIONS_DECLINED,
+    REJECTED_STATUS,
     REPLICAS_LOST_STATUS,
     RESULT_HEADER,
     UNREACHABLE_HEADER,
@@ -161,6 +163,7 @@
                 )
             ),
             repeated=self.previous is not None,
+            regions=routed.regions,
         )
         self._due_at_seconds = now_seconds + request.cutoff_ms / MS_PER_SECOND
         remaining_ms = (routed.deadline_at_seconds - now_seconds) * MS_PER_SECOND
@@ -213,6 +216,10 @@
         if reply.status == REPLICAS_LOST_STATUS:
             self._end(DelegationResult.REPLICAS_LOST, "replicas_lost_at_peer")
             return
+        if reply.status == REJECTED_STATUS and self.routed.regions is not None:
+            self.peer.record_regions_declined(self.context.loop.time())
+            self._end(DelegationResult.NOT_RUN, REGIONS_DECLINED)
+            return
         value = next((v for n, v in reply.headers if n == RESULT_HEADER), b"")
         signatures = decode_result(value, count=len(self.shards))
         if reply.status != 200 or signatures is None:
--- a/src/bronzebeam/gateway/delegation_handler.py
+++ b/src/bronzebeam/gateway/delegation_handler.py
@@ -39,6 +39,7 @@
                 delegation, timeout_ms=timeout_ms
             ),
             target_ms=delegation.cutoff_ms,
+            regions=delegation.regions,
         )
         if routed is None:
             return
--- a/src/bronzebeam/gateway/delegator.py
+++ b/src/bronzebeam/gateway/delegator.py
@@ -90,7 +90,10 @@
             group.domain,
             # A peer may get several groups that it owns, since only the owners keep
             # warm connections to the replicas.
-            excluded=used_peers if group.owners is None or previous is not None else (),
+            excluded=[
+                *(used_peers if group.owners is None or previous is not None else ()),
+                *self._barred_peers(),
+            ],
             among=group.owners,
         )
         if peer is None:
@@ -138,15 +141,16 @@
         shards = self.routed.route.shards
         domains = {}
         for index in indexes:
-            holding = state.replicas.domains(shards[index])
+            holding = state.replicas.domains(shards[index], self.routed.replica_domains)
             untried = [domain for domain in holding if domain not in tried_domains]
             domains[index] = untried or holding
         by_domain = group_by_domain(domains, rng=self.context.rng)
+        excluded = [*tried, *self._barred_peers()]
         left: list[int] = []
         for group in self._divide_for_peers(by_domain):
             peer = state.peers.choose(
-                group.domain, excluded=tried, among=group.owners, may_wait=True
-            ) or state.peers.choose_any([group.domain], excluded=tried)
+                group.domain, excluded=excluded, among=group.owners, may_wait=True
+            ) or state.peers.choose_any([group.domain], excluded=excluded)
             if peer is None:
                 left.extend(group.shards)
             else:
@@ -155,8 +159,8 @@
 
     def delegate_to_any(self, group: ShardGroup) -> bool:
         """Delegate a group to a peer of any domain; return whether there is one."""
-        tried = self._peers_tried_for(group.shards)
-        peer = self.context.state.peers.choose_any([group.domain], excluded=tried)
+        excluded = [*self._peers_tried_for(group.shards), *self._barred_peers()]
+        peer = self.context.state.peers.choose_any([group.domain], excluded=excluded)
         if peer is not None:
             self._send_unreachable(peer, group.shards)
         return peer is not None
@@ -170,7 +174,9 @@
         tried = self._peers_tried_for(indexes)
         # Only peers of one domain prefer the same replicas; see `SharedShard`.
         peer = self.context.state.peers.choose(
-            failed.peer.record.failure_domain, excluded=tried, may_wait=True
+            failed.peer.record.failure_domain,
+            excluded=[*tried, *self._barred_peers()],
+            may_wait=True,
         )
         if peer is None or len(tried) >= MAX_PEERS_PER_SHARD:
             return False
@@ -195,6 +201,9 @@
             )
         ]
 
+    def _barred_peers(self) -> list[Peer]:
+        return self.context.state.barred_peers(self.routed.regions)
+
     def _peers_tried_for(self, indexes: Sequence[int]) -> list[Peer]:
         wanted = set(indexes)
         return [
--- a/src/bronzebeam/gateway/fan_out_responder.py
+++ b/src/bronzebeam/gateway/fan_out_responder.py
@@ -19,6 +19,7 @@
 )
 from bronzebeam.gateway.replica_set import (
     DOMAIN_EVACUATED,
+    OUTSIDE_REGIONS,
     REPLICAS_COLD,
     REPLICAS_UNREACHABLE,
 )
@@ -27,7 +28,7 @@
 from bronzebeam.transport.http_reply import Headers
 
 # Why this instance has sent nothing to a shard whose replicas it reaches.
-DECLINED_CAUSES: Final = frozenset({DOMAIN_EVACUATED, REPLICAS_COLD})
+DECLINED_CAUSES: Final = frozenset({DOMAIN_EVACUATED, REPLICAS_COLD, OUTSIDE_REGIONS})
 
 
 class FanOutResponder(Protocol):
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -12,7 +12,7 @@
 from bronzebeam.gateway.connection_pool import Connect
 from bronzebeam.gateway.evacuations import Evacuations
 from bronzebeam.gateway.older_copy import OlderCopy
-from bronzebeam.gateway.peers import PeerSet
+from bronzebeam.gateway.peers import Peer, PeerSet
 from bronzebeam.gateway.records import (
     Change,
     EvacuationRecord,
@@ -30,6 +30,7 @@
 from bronzebeam.routing.cold_limits import ColdTolerance
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS, CrashSuspects
 from bronzebeam.routing.instance_share import ShareRatios
+from bronzebeam.routing.regions import RegionMap
 from bronzebeam.routing.repeat_budget import (
     SLACK_RATIOS,
     RepeatBudget,
@@ -70,6 +71,7 @@
     :ivar peers: the registered live instances.
     :ivar registration_timeout_seconds: see `OlderCopy`.
     :ivar cold_tolerance: see `GatewaySettings`.
+    :ivar regions: regions of the failure domains.
     :ivar cold: the limits on requests to cold replicas.
     :ivar synced_at_seconds: monotonic time of the latest response of the store, or of a
         source of changes that is in contact with it.
@@ -90,6 +92,7 @@
     leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
     registration_timeout_seconds: float
     cold_tolerance: ColdTolerance
+    regions: RegionMap
     cold: ColdLimits = field(init=False)
     replicas: ReplicaSet = field(init=False)
     peers: PeerSet = field(init=False)
@@ -297,6 +300,7 @@
         route: Route,
         shared: SharedShard | None = None,
         ignore_limit: bool = False,
+        domains: frozenset[str] | None = None,
     ) -> ReplicaChoice | None:
         """Choose a replica of a service; see `ReplicaSet.choose`."""
         return self.replicas.choose(
@@ -306,13 +310,28 @@
             typical_ms=self.typical_latency(route).typical_ms,
             shared=shared,
             ignore_limit=ignore_limit,
+            domains=domains,
         )
 
-    def cold_senders(self, service: str) -> frozenset[str]:
-        """Return the instances that send to the cold replicas of a service."""
+    def barred_peers(self, regions: frozenset[str] | None) -> list[Peer]:
+        """
+        Return the peers that must not get the body of a request.
+
+        :param regions: regions that the request may be sent to; None for any.
+        """
+        return self.peers.outside(self.regions.peer_domains(regions))
+
+    def cold_senders(
+        self, service: str, domains: frozenset[str] | None
+    ) -> frozenset[str]:
+        """
+        Return the instances that send to the cold replicas of a service.
+
+        :param domains: see `ReplicaSet.choose`.
+        """
         return frozenset(
             name
-            for replica in self.replicas.of_service(service)
+            for replica in self.replicas.of_service(service, domains)
             if replica.cold is not None
             for name in replica.cold.senders
         )
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -135,6 +135,7 @@
             service=self.service,
             excluded=self._tried,
             route=self.routed.route,
+            domains=self.routed.replica_domains,
         )
         attempt: Attempt | RelayedAttempt | None
         if choice is None:
@@ -159,15 +160,18 @@
     def _relay(self, *, repeat: bool) -> RelayedAttempt | None:
         """Return an attempt through a peer, if only this instance has no replica."""
         state = self.context.state
-        cause = state.replicas.next_use(self.service).cause
+        domains = self.routed.replica_domains
+        cause = state.replicas.next_use(self.service, domains).cause
         max_relays = MAX_RELAYS_BY_CAUSE.get(cause, 0)
         if len(self._tried_peers) >= max_relays:
             return None
         peer = state.peers.choose_any(
             [state.own_domain],
-            excluded=self._tried_peers,
+            excluded=[*self._tried_peers, *state.barred_peers(self.routed.regions)],
             among=(
-                state.cold_senders(self.service) if cause == REPLICAS_COLD else None
+                state.cold_senders(self.service, domains)
+                if cause == REPLICAS_COLD
+                else None
             ),
         )
         if peer is None:
@@ -197,7 +201,9 @@
     def _fail(self, cause: str) -> None:
         self._finish()
         ran = any(item.may_have_run for item in self.attempts)
-        next_use = self.context.state.replicas.next_use(self.service)
+        next_use = self.context.state.replicas.next_use(
+            self.service, self.routed.replica_domains
+        )
         return_seconds = return_after_seconds(pauses=[next_use.after_seconds], needed=1)
         if next_use.cause and cause == NO_REPLICA:
             cause = next_use.cause
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -1,7 +1,7 @@
 """Encoding of delegation requests, by which peers gather shards for each other."""
 
 from collections.abc import Iterable, Sequence
-from typing import Final
+from typing import Any, Final
 
 import orjson
 from attrs import astuple, field, frozen, validators
@@ -26,6 +26,8 @@
 LEAVING_SEPARATOR: Final = b","
 START_SEPARATOR: Final = b"@"
 NOT_RUN_STATUS: Final = 503  # the peer has sent the request to no replica
+REJECTED_STATUS: Final = 400  # the peer can't read the request
+REGIONS_DECLINED: Final = "peer_declines_regions"  # it is of an earlier build
 # All connections on which the peer sent the request were closed without a reply.
 REPLICAS_LOST_STATUS: Final = 424
 SIGNATURE_SEPARATOR: Final = b","
@@ -50,6 +52,9 @@
         sends an interim reply.
     :ivar cutoff_ms: time after which the peer answers without missing shards.
     :ivar repeated: another peer may have sent the request to replicas already.
+    :ivar regions: regions whose replicas may get the request; None for any. Then the
+        field is not sent. Peers of builds that don't know it reject the request, which
+        they would send to any region.
     """
 
     route: str = field(validator=validators.instance_of(str))
@@ -65,6 +70,7 @@
     hedge_after_ms: float = field(converter=float)
     cutoff_ms: float = field(converter=float)
     repeated: bool = field(converter=bool)
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -75,12 +81,14 @@
     :ivar route: name of the request's route, by which reply times are recorded.
     :ivar service: service that the replica is chosen from.
     :ivar idempotent: whether the request may run more than once.
+    :ivar regions: see `DelegationRequest`.
     """
 
     route: str = field(validator=validators.instance_of(str))
     service: str = field(validator=validators.instance_of(str))
     idempotent: bool = field(converter=bool)
     target_latency_ms: float = field(converter=float)
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -160,7 +168,7 @@
 
 def encode_delegation(delegation: DelegationRequest) -> bytes:
     """Encode a delegation request as the value of `DELEGATION_HEADER`."""
-    return orjson.dumps(astuple(delegation, recurse=False))
+    return _encode_with_regions(delegation)
 
 
 def decode_delegation(value: bytes) -> DelegationRequest:
@@ -170,7 +178,7 @@
     :raises MalformedDelegation: if it can't be decoded.
     """
     try:
-        fields = orjson.loads(value)
+        fields, regions = _split_regions(orjson.loads(value), field_count=8)
         route, shards, top, attempts, target_ms, hedge_ms, cutoff_ms, repeated = fields
         return DelegationRequest(
             route=route,
@@ -181,14 +189,37 @@
             hedge_after_ms=hedge_ms,
             cutoff_ms=cutoff_ms,
             repeated=repeated,
+            regions=regions,
         )
     except (TypeError, ValueError) as error:
         raise MalformedDelegation(str(error)) from error
 
 
+def _encode_with_regions(request: DelegationRequest | RelayRequest) -> bytes:
+    """Encode the fields of a request, the last one only if it restricts regions."""
+    *fields, regions = astuple(request, recurse=False)
+    return orjson.dumps(fields if regions is None else [*fields, sorted(regions)])
+
+
+def _split_regions(
+    fields: list[Any], *, field_count: int
+) -> tuple[list[Any], frozenset[str] | None]:
+    """Return the fields that are always sent, and the regions if there are any."""
+    if len(fields) <= field_count:
+        return fields, None
+    *others, regions = fields
+    if not isinstance(regions, list) or not all(map(_is_text, regions)):
+        raise ValueError("the regions are no list of names")
+    return others, frozenset(regions)
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str)
+
+
 def encode_relay(relay: RelayRequest) -> bytes:
     """Encode a relayed request as the value of `RELAY_HEADER`."""
-    return orjson.dumps(astuple(relay))
+    return _encode_with_regions(relay)
 
 
 def decode_relay(value: bytes) -> RelayRequest:
@@ -198,12 +229,14 @@
     :raises MalformedDelegation: if it can't be decoded.
     """
     try:
-        route, service, idempotent, target_latency_ms = orjson.loads(value)
+        fields, regions = _split_regions(orjson.loads(value), field_count=4)
+        route, service, idempotent, target_latency_ms = fields
         return RelayRequest(
             route=route,
             service=service,
             idempotent=idempotent,
             target_latency_ms=target_latency_ms,
+            regions=regions,
         )
     except (TypeError, ValueError) as error:
         raise MalformedDelegation(str(error)) from error
--- a/src/bronzebeam/gateway/peer_request.py
+++ b/src/bronzebeam/gateway/peer_request.py
@@ -24,12 +24,14 @@
     *,
     make_route: Callable[[float], Route],
     target_ms: float,
+    regions: frozenset[str] | None,
 ) -> RoutedRequest | None:
     """
     Return a peer's request with its route, which need not be in the configuration.
 
     :param make_route: returns the route for a time-out in milliseconds.
     :param target_ms: time after which the peer answers without what is missing.
+    :param regions: regions that the request may be sent to; None for any.
     :return: None if the request was rejected, since it states no time-out.
     """
     request.headers = without_peer_headers(request.headers)
@@ -47,4 +49,6 @@
         deadline_at_seconds=arrived_at + remaining_ms / MS_PER_SECOND,
         target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
         head=context.header_codec.request_head(request, account=metadata.account),
+        regions=regions,
+        replica_domains=context.state.regions.domains_in(regions),
     )
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -22,6 +22,8 @@
 MIN_REACHED_SHARE: Final = 0.5  # below, too few owners are left for delegations
 # A live instance that an older copy of the store lacks has registered again by then.
 LOST_REGISTRATION_GRACE_SECONDS: Final = 5.0
+# A peer of a build that doesn't know restrictions of regions may be replaced by then.
+REGIONS_DECLINED_SECONDS: Final = 60.0
 MAX_STALLED_MS: Final = 30.0  # longer than a healthy peer usually takes to reply
 
 
@@ -31,11 +33,14 @@
     Another instance.
 
     :ivar avoided_until_seconds: monotonic time until which nothing is delegated to it.
+    :ivar declines_regions_until_seconds: monotonic time until which it gets no requests
+        whose regions are restricted, since it is of an earlier build.
     """
 
     record: InstanceRecord
     pool: ConnectionPool
     avoided_until_seconds: float = 0.0
+    declines_regions_until_seconds: float = 0.0
     _failures: int = 0
 
     def record_failure(self, now_seconds: float) -> float:
@@ -55,6 +60,10 @@
             avoided_ms=round(seconds * MS_PER_SECOND),
         )
 
+    def record_regions_declined(self, now_seconds: float) -> None:
+        """Record that the peer rejects requests whose regions are restricted."""
+        self.declines_regions_until_seconds = now_seconds + REGIONS_DECLINED_SECONDS
+
     def record_reply(self) -> None:
         """Record that the peer has answered in time."""
         self._failures = 0
@@ -258,6 +267,22 @@
             return None
         return min(available, key=self._load)
 
+    def outside(self, domains: Collection[str] | None) -> list[Peer]:
+        """
+        Return the peers that must not get the body of a request.
+
+        :param domains: failure domains whose instances may get it; None for any.
+        """
+        if domains is None:
+            return []
+        now_seconds = self.loop.time()
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.record.failure_domain not in domains
+            or now_seconds < peer.declines_regions_until_seconds
+        ]
+
     def choose_any(
         self,
         preferred_domains: Sequence[str],
--- a/src/bronzebeam/gateway/relay.py
+++ b/src/bronzebeam/gateway/relay.py
@@ -8,6 +8,8 @@
 from bronzebeam.gateway.base_attempt import AttemptResult, BaseAttempt
 from bronzebeam.gateway.peer_codec import (
     IMPAIRED_HEADER,
+    REGIONS_DECLINED,
+    REJECTED_STATUS,
     RELAY_HEADER,
     RELAYED_HEADER,
     RelayOutcome,
@@ -69,6 +71,7 @@
             service=self.service,
             idempotent=routed.route.idempotent,
             target_latency_ms=routed.route.target_latency_ms,
+            regions=routed.regions,
         )
         remaining_ms = (routed.deadline_at_seconds - now_seconds) * MS_PER_SECOND
         head = self.context.header_codec.attempt_head(
@@ -105,6 +108,12 @@
             elif name == IMPAIRED_HEADER:
                 self.peer_is_impaired = True
         outcome = decode_relay_outcome(value)
+        is_restricted = self.routed.regions is not None
+        if outcome is None and reply.status == REJECTED_STATUS and is_restricted:
+            self.peer.record_regions_declined(self.context.loop.time())
+            self.sent_at_seconds = None
+            self._end(AttemptResult.NOT_SENT, REGIONS_DECLINED)
+            return
         if outcome is None:
             self._avoid_peer(f"status_{reply.status}")
             self._end(
--- a/src/bronzebeam/gateway/relay_handler.py
+++ b/src/bronzebeam/gateway/relay_handler.py
@@ -46,6 +46,7 @@
             request,
             make_route=lambda timeout_ms: _route_from(relay, timeout_ms=timeout_ms),
             target_ms=relay.target_latency_ms,
+            regions=relay.regions,
         )
         if routed is None:
             return
@@ -112,10 +113,16 @@
         """
         state = self.context.state
         choice = state.choose_replica(
-            service=self.service, excluded=self._tried, route=self.routed.route
+            service=self.service,
+            excluded=self._tried,
+            route=self.routed.route,
+            domains=self.routed.replica_domains,
         )
         if choice is None:
-            cause = state.replicas.next_use(self.service).cause or cause
+            next_use = state.replicas.next_use(
+                self.service, self.routed.replica_domains
+            )
+            cause = next_use.cause or cause
             self._respond(AttemptResult.NOT_SENT, cause, status=503)
             return
         self._tried.add(choice.replica)
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -57,6 +57,7 @@
 REPLICAS_COLD: Final = "replicas_cold"
 REPLICAS_UNREACHABLE: Final = "replicas_unreachable"
 DOMAIN_EVACUATED: Final = "domain_evacuated"
+OUTSIDE_REGIONS: Final = "outside_regions"
 
 
 @frozen(kw_only=True)
@@ -150,13 +151,19 @@
             for service in self._by_service
         }
 
-    def domains(self, service: str) -> tuple[str, ...]:
-        """Return the domains of a service's replicas, without evacuated domains."""
+    def domains(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> tuple[str, ...]:
+        """
+        Return the domains of a service's replicas, without evacuated domains.
+
+        :param allowed: the only domains to return; None for any.
+        """
         return tuple(
             sorted(
                 {
                     item.record.failure_domain
-                    for item in self._serving(service)
+                    for item in self._serving(service, allowed)
                     if item.removed_at_seconds is None
                 }
             )
@@ -182,15 +189,22 @@
             domain: (item.replicas, item.running) for domain, item in counts.items()
         }
 
-    def _serving(self, service: str) -> Sequence[Replica]:
-        """Return the replicas of a service that are not in evacuated domains."""
+    def _serving(
+        self, service: str, domains: frozenset[str] | None = None
+    ) -> Sequence[Replica]:
+        """
+        Return the replicas of a service that are not in evacuated domains.
+
+        :param domains: the only domains that the request may be sent to; None for any.
+        """
         replicas = self._by_service.get(service, ())
-        if not self.evacuated:
+        if not self.evacuated and domains is None:
             return replicas
         return [
             item
             for item in replicas
             if item.record.failure_domain not in self.evacuated
+            and (domains is None or item.record.failure_domain in domains)
         ]
 
     def registered(self) -> list[ReplicaRecord]:
@@ -205,9 +219,11 @@
         """Return all replicas."""
         return self._replicas.values()
 
-    def of_service(self, service: str) -> Sequence[Replica]:
-        """Return the replicas of a service that are not in evacuated domains."""
-        return self._serving(service)
+    def of_service(
+        self, service: str, domains: frozenset[str] | None = None
+    ) -> Sequence[Replica]:
+        """Return the replicas of a service that may be used; see `choose`."""
+        return self._serving(service, domains)
 
     def find(self, name: str, *, started_at_ms: int) -> Replica | None:
         """Return a replica; None if it is unknown, or was started at another time."""
@@ -371,10 +387,14 @@
         replica.paused_until_seconds = max(replica.paused_until_seconds, until_seconds)
         replica.pool.fail_waiting(PAUSED)
 
-    def next_use(self, service: str) -> NextUse:
-        """Return when a replica of a service may be used."""
+    def next_use(self, service: str, domains: frozenset[str] | None = None) -> NextUse:
+        """
+        Return when a replica of a service may be used.
+
+        :param domains: the only domains that the request may be sent to; None for any.
+        """
         now_seconds = self.loop.time()
-        replicas = self._serving(service)
+        replicas = self._serving(service, domains)
         if any(
             item.is_usable(now_seconds, self.leaving_grace_seconds) for item in replicas
         ):
@@ -396,10 +416,10 @@
                 possible_uses.append(NextUse(after_seconds=seconds, cause=cause))
         if not possible_uses:
             cause = ""
-            if self._may_reach_through_peer(service):
+            if self._may_reach_through_peer(service, replicas):
                 cause = REPLICAS_UNREACHABLE
-            elif len(replicas) < len(self._by_service.get(service, ())):
-                cause = DOMAIN_EVACUATED
+            elif service in self._by_service:
+                cause = self._exclusion_cause(service, domains)
             return NextUse(after_seconds=math.inf, cause=cause)
         return min(possible_uses, key=lambda item: item.after_seconds)
 
@@ -408,20 +428,34 @@
         until_seconds = self.loop.time() + UNREACHABLE_AT_PEERS_SECONDS
         self._unreachable_until_seconds[service] = until_seconds
 
-    def _may_reach_through_peer(self, service: str) -> bool:
-        """Whether peers may reach the replicas of a service, and this instance none."""
-        replicas = self._serving(service)
+    def _exclusion_cause(self, service: str, domains: frozenset[str] | None) -> str:
+        """Return why replicas of a service are left out; empty if none is."""
+        allowed = [
+            item.record.failure_domain
+            for item in self._by_service[service]
+            if domains is None or item.record.failure_domain in domains
+        ]
+        if not allowed:
+            return OUTSIDE_REGIONS
+        return DOMAIN_EVACUATED if not self.evacuated.isdisjoint(allowed) else ""
+
+    def _may_reach_through_peer(
+        self, service: str, replicas: Sequence[Replica]
+    ) -> bool:
+        """Whether peers may reach these replicas, and this instance none of them."""
         if not replicas or any(item.pool.is_reachable for item in replicas):
             return False
         return self._may_ask_peers(service)
 
-    def may_reach_more_through_peer(self, service: str) -> bool:
+    def may_reach_more_through_peer(
+        self, service: str, domains: frozenset[str] | None = None
+    ) -> bool:
         """Whether peers may reach replicas of a service that this instance does not."""
         return self._may_ask_peers(service) and any(
             not item.pool.is_reachable
             and not item.is_leaving
             and item.removed_at_seconds is None
-            for item in self._serving(service)
+            for item in self._serving(service, domains)
         )
 
     def _may_ask_peers(self, service: str) -> bool:
@@ -521,10 +555,15 @@
         typical_ms: float,
         shared: SharedShard | None = None,
         ignore_limit: bool = False,
+        domains: frozenset[str] | None = None,
     ) -> ReplicaChoice | None:
-        """Select a replica of a service; see `choose_replica`."""
+        """
+        Select a replica of a service; see `choose_replica`.
+
+        :param domains: the only domains that the request may be sent to; None for any.
+        """
         return choose_replica(
-            self._serving(service),
+            self._serving(service, domains),
             excluded=excluded,
             route=route,
             typical_ms=typical_ms,
--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -21,6 +21,8 @@
     :ivar target_at_seconds: monotonic time at which the target latency is reached.
     :ivar head: request line and headers common to all attempts.
     :ivar account: the caller's account; None if there is none, or for a peer's request.
+    :ivar regions: regions that it may be sent to; None for any.
+    :ivar replica_domains: failure domains whose replicas may get it; None for any.
     :ivar is_retry: the caller has tried before, and was refused or not served.
     """
 
@@ -32,6 +34,8 @@
     target_at_seconds: float
     head: bytes
     account: Account | None = None
+    regions: frozenset[str] | None = None
+    replica_domains: frozenset[str] | None = None
     is_retry: bool = False
 
     def ms_after_arrival(self, at_seconds: float) -> float:
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -18,6 +18,7 @@
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS
 from bronzebeam.routing.fan_out_timing import remaining_target_ms
 from bronzebeam.routing.hedge_timing import hedge_delay_ms
+from bronzebeam.routing.regions import combine_regions
 from bronzebeam.routing.retry_delay import retry_after_seconds
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.transport.caller_request import HttpRequest
@@ -117,6 +118,7 @@
             typical_ms=self.context.state.typical_latency(route).typical_ms,
         )
         arrived_at = request.arrived_at_seconds
+        regions = combine_regions(route.regions, account.regions if account else ())
         return RoutedRequest(
             request=request,
             metadata=metadata,
@@ -128,6 +130,8 @@
                 request, account=b"" if account is None else account.name.encode()
             ),
             account=account,
+            regions=regions,
+            replica_domains=self.context.state.regions.domains_in(regions),
             is_retry=elapsed_ms > RETRY_DETECTION_MS,
         )
 
--- a/src/bronzebeam/gateway/settings.py
+++ b/src/bronzebeam/gateway/settings.py
@@ -6,6 +6,7 @@
 
 from bronzebeam.routing.cold_limits import ColdTolerance
 from bronzebeam.routing.quotas import QuotaTolerance
+from bronzebeam.routing.regions import RegionMap
 from bronzebeam.routing.repeat_budget import RepeatLimits
 from bronzebeam.socket_address import SocketAddress
 
@@ -60,3 +61,12 @@
     evacuation_bound_seconds: float
     region: str
     region_by_domain: Mapping[str, str]
+
+    @property
+    def regions(self) -> RegionMap:
+        """Return the regions of the failure domains."""
+        return RegionMap(
+            own_domain=self.failure_domain,
+            own_region=self.region,
+            region_by_domain=self.region_by_domain,
+        )
--- a/src/bronzebeam/gateway/shard_replica_chooser.py
+++ b/src/bronzebeam/gateway/shard_replica_chooser.py
@@ -10,7 +10,7 @@
 from bronzebeam.gateway.fan_out_progress import FanOutProgress
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_choice import ReplicaChoice, SharedShard
-from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE
+from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE, NextUse
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.gateway.shard_state import ShardState
 from bronzebeam.routing.fan_out_timing import should_skip_shard
@@ -107,9 +107,10 @@
             route=self.routed.route,
             shared=self._shared_shard(shard),
             ignore_limit=ignore_limit,
+            domains=self.routed.replica_domains,
         )
         if choice is None:
-            shard.cause = state.replicas.next_use(shard.service).cause or shard.cause
+            shard.cause = self._next_use(shard).cause or shard.cause
             return None
         left_seconds = self.routed.target_at_seconds - self.context.loop.time()
         skippable = len(self.progress.shards) * (
@@ -123,7 +124,9 @@
             max_missing=int(skippable),
         ):
             shard.cause = TOO_SLOW
-            if state.replicas.may_reach_more_through_peer(shard.service):
+            if state.replicas.may_reach_more_through_peer(
+                shard.service, self.routed.replica_domains
+            ):
                 shard.cause = REPLICAS_UNREACHABLE
             return None
         return choice
@@ -141,13 +144,18 @@
         available = self.progress.included + self.progress.pending
         return return_after_seconds(
             pauses=[
-                self.context.state.replicas.next_use(shard.service).after_seconds
+                self._next_use(shard).after_seconds
                 for shard in self.progress.shards
                 if shard.failed
             ],
             needed=math.ceil(self.progress.min_included) - available,
         )
 
+    def _next_use(self, shard: ShardState) -> NextUse:
+        return self.context.state.replicas.next_use(
+            shard.service, self.routed.replica_domains
+        )
+
     def _shared_shard(self, shard: ShardState) -> SharedShard | None:
         """Return how the shard is shared with another instance; None if it is not."""
         if not self.may_delegate:
