Tell peers which domains are evacuated with the requests they handle

Cause: an instance in contact with the store delegates or relays to a peer that has lost it, and the peer sends to a domain that was evacuated since.

Change: delegations and relays name the evacuated domains in a header, if there are any. The peer sends none of this request there. Callers can't set the header.

--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -19,10 +19,11 @@
     UNREACHABLE_HEADER,
     DelegationRequest,
     decode_leaving,
+    decode_names,
     decode_result,
-    decode_services,
     encode_delegation,
     encode_leaving,
+    evacuated_header,
 )
 from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.pooled_send import PooledSend
@@ -174,6 +175,7 @@
         leaving = self.context.state.replicas.announced_leaving(request.shards)
         if leaving:
             head = b"%s:%s\r\n%s" % (LEAVING_HEADER, encode_leaving(leaving), head)
+        head = evacuated_header(self.context.state.replicas.evacuated) + head
         connection.send(
             b"%s%s:%s\r\n%s%s"
             % (
@@ -204,9 +206,9 @@
             elif name == IMPAIRED_HEADER:
                 self.peer_is_impaired = True
             elif name == UNREACHABLE_HEADER:
-                self.unreachable = decode_services(value)
+                self.unreachable = decode_names(value)
             elif name == DECLINED_HEADER:
-                self.declined = decode_services(value)
+                self.declined = decode_names(value)
         self.peer.pool.record_reply(connection.sent_at_seconds)
         if reply.status == NOT_RUN_STATUS:
             if not self.declined:
--- a/src/bronzebeam/gateway/fan_out_responder.py
+++ b/src/bronzebeam/gateway/fan_out_responder.py
@@ -14,8 +14,8 @@
     RESULT_HEADER,
     UNREACHABLE_HEADER,
     encode_leaving,
+    encode_names,
     encode_result,
-    encode_services,
 )
 from bronzebeam.gateway.replica_set import (
     DOMAIN_EVACUATED,
@@ -160,7 +160,7 @@
             shard.service for shard in shards if shard.cause == REPLICAS_UNREACHABLE
         ]
         if unreachable:
-            headers.append((UNREACHABLE_HEADER, encode_services(unreachable)))
+            headers.append((UNREACHABLE_HEADER, encode_names(unreachable)))
         declined = [
             shard.service
             for shard in shards
@@ -169,5 +169,5 @@
             and not shard.may_have_run
         ]
         if declined:
-            headers.append((DECLINED_HEADER, encode_services(declined)))
+            headers.append((DECLINED_HEADER, encode_names(declined)))
         return headers
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -313,6 +313,24 @@
             domains=domains,
         )
 
+    def domains_for_peer(
+        self, regions: frozenset[str] | None, evacuated: frozenset[str]
+    ) -> frozenset[str] | None:
+        """
+        Return the failure domains whose replicas may get a peer's request.
+
+        :param regions: regions that the request may be sent to; None for any.
+        :param evacuated: domains that the peer knows to be evacuated. This instance may
+            have lost the store.
+        :return: None for any domain.
+        """
+        domains = self.regions.domains_in(regions)
+        if evacuated <= self.replicas.evacuated:
+            return domains
+        if domains is None:
+            domains = self.replicas.all_domains()
+        return domains - evacuated
+
     def barred_peers(self, regions: frozenset[str] | None) -> list[Peer]:
         """
         Return the peers that must not get the body of a request.
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -1,6 +1,6 @@
 """Encoding of delegation requests, by which peers gather shards for each other."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Any, Final
 
 import orjson
@@ -15,6 +15,8 @@
 # A request of one replica that a peer sends for this instance, and how that ended.
 RELAY_HEADER: Final = b"bb-relay"
 RELAYED_HEADER: Final = b"bb-relayed"
+# In requests to peers: the failure domains that this instance knows to be evacuated.
+EVACUATED_HEADER: Final = b"bb-evacuated"
 # In replies of a peer whose links to the replicas are broken, all or many of them.
 IMPAIRED_HEADER: Final = b"bb-impaired"
 # In replies: the services that the peer has replicas of, but reaches none.
@@ -22,7 +24,9 @@
 # In replies: the services whose replicas the peer was not allowed to send to.
 DECLINED_HEADER: Final = b"bb-declined"
 # Headers that peers add to a caller's request.
-PEER_HEADERS: Final = frozenset({DELEGATION_HEADER, LEAVING_HEADER, RELAY_HEADER})
+PEER_HEADERS: Final = frozenset(
+    {DELEGATION_HEADER, EVACUATED_HEADER, LEAVING_HEADER, RELAY_HEADER}
+)
 LEAVING_SEPARATOR: Final = b","
 START_SEPARATOR: Final = b"@"
 NOT_RUN_STATUS: Final = 503  # the peer has sent the request to no replica
@@ -150,13 +154,13 @@
     return replicas
 
 
-def encode_services(services: Iterable[str]) -> bytes:
-    """Encode names of services as the value of a header."""
-    return orjson.dumps(list(services))
+def encode_names(names: Iterable[str]) -> bytes:
+    """Encode names of services or failure domains as the value of a header."""
+    return orjson.dumps(list(names))
 
 
-def decode_services(value: bytes) -> frozenset[str]:
-    """Undo `encode_services`; a malformed value names no service."""
+def decode_names(value: bytes) -> frozenset[str]:
+    """Undo `encode_names`; a malformed value holds no name."""
     try:
         names = orjson.loads(value)
     except ValueError:
@@ -166,6 +170,13 @@
     return frozenset(name for name in names if isinstance(name, str))
 
 
+def evacuated_header(domains: Collection[str]) -> bytes:
+    """Return the header line that names evacuated domains; empty if there are none."""
+    if not domains:
+        return b""
+    return b"%s:%s\r\n" % (EVACUATED_HEADER, encode_names(sorted(domains)))
+
+
 def encode_delegation(delegation: DelegationRequest) -> bytes:
     """Encode a delegation request as the value of `DELEGATION_HEADER`."""
     return _encode_with_regions(delegation)
--- a/src/bronzebeam/gateway/peer_request.py
+++ b/src/bronzebeam/gateway/peer_request.py
@@ -3,7 +3,11 @@
 from collections.abc import Callable
 
 from bronzebeam.gateway.context import GatewayContext
-from bronzebeam.gateway.peer_codec import without_peer_headers
+from bronzebeam.gateway.peer_codec import (
+    EVACUATED_HEADER,
+    decode_names,
+    without_peer_headers,
+)
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import HttpRequest
@@ -34,6 +38,7 @@
     :param regions: regions that the request may be sent to; None for any.
     :return: None if the request was rejected, since it states no time-out.
     """
+    evacuated = decode_names(request.header(EVACUATED_HEADER) or b"[]")
     request.headers = without_peer_headers(request.headers)
     metadata = context.header_codec.read_request(request.headers)
     remaining_ms = metadata.remaining_ms
@@ -50,5 +55,5 @@
         target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
         head=context.header_codec.request_head(request, account=metadata.account),
         regions=regions,
-        replica_domains=context.state.regions.domains_in(regions),
+        replica_domains=context.state.domains_for_peer(regions, evacuated),
     )
--- a/src/bronzebeam/gateway/relay.py
+++ b/src/bronzebeam/gateway/relay.py
@@ -16,6 +16,7 @@
     RelayRequest,
     decode_relay_outcome,
     encode_relay,
+    evacuated_header,
 )
 from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE
@@ -77,6 +78,7 @@
         head = self.context.header_codec.attempt_head(
             remaining_ms=max(1.0, remaining_ms), replica=None
         )
+        head = evacuated_header(self.context.state.replicas.evacuated) + head
         self.peer.pool.record_sent(connection, now_seconds)
         connection.send(
             b"%s%s:%s\r\n%s%s"
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -169,6 +169,10 @@
             )
         )
 
+    def all_domains(self) -> frozenset[str]:
+        """Return the failure domains of all replicas."""
+        return frozenset(item.record.failure_domain for item in self._replicas.values())
+
     def counts_in(self, domain: str) -> DomainCounts:
         """Count the replicas of a failure domain and the requests to them."""
         pools = [
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -182,6 +182,38 @@
     run_scenario(scenario)
 
 
+def test_peer_that_does_not_know_is_told_with_the_requests_it_handles() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_fleet(cluster, instances=6)
+        unaware = [item for item in gateways if item.name in ("g-2", "g-3")]
+        await send_each_kind(cluster, gateways, rounds=5)
+        for gateway in unaware:
+            cluster.loop.net.partitioned_pairs.add(
+                frozenset((gateway.host, cluster.store.host))
+            )
+        sender = gateways[0]
+        # All that it does goes through the peers that don't know.
+        cluster.loop.net.refusing_pairs |= replica_links(cluster, sender)
+        cluster.loop.net.reset_connections(sender.host)
+        for other in gateways[3:]:
+            cluster.loop.net.partitioned_pairs.add(frozenset((sender.host, other.host)))
+        await asyncio.sleep(2.0)
+        evacuated = replicas_in(cluster, "zone-b")
+        evacuate(cluster, "zone-b")
+        await asyncio.sleep(EVACUATION_BOUND_SECONDS)
+        assert sender.log_lines("domain_evacuated")
+        for replica in replicas_in(cluster, "zone-a"):
+            replica.work_seconds = 0.03  # so that peers would hedge
+        before = received_count(evacuated)
+        served = received_count(replicas_in(cluster, "zone-a"))
+        await send_each_kind(cluster, [sender], rounds=30)
+        assert not any(item.log_lines("domain_evacuated") for item in unaware)
+        assert received_count(replicas_in(cluster, "zone-a")) > served
+        assert received_count(evacuated) == before
+
+    run_scenario(scenario)
+
+
 def test_evacuation_survives_a_store_that_returns_from_an_older_copy() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await start_fleet(cluster, instances=3)
