Spend no repeats on relays to cold replicas

Cause: a hedge or retry without a turn was relayed to a peer, and counted as a repeat before the peer declined it. A request that a peer had relayed could be hedged to the same replica, which took two of its few requests.

Change: only first attempts are relayed to the senders of cold replicas, and such a request is not repeated at a cold replica.

Run: the new test fails without the change; the tests of cold replicas, forwarding and cut-off instances pass.

--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -137,6 +137,9 @@
             route=self.routed.route,
             domains=self.routed.replica_domains,
         )
+        if repeat and choice is not None and choice.replica.cold is not None:
+            if self._tried_peers:
+                return False  # a peer may have sent the request to this replica
         attempt: Attempt | RelayedAttempt | None
         if choice is None:
             attempt = self._relay(repeat=repeat)
@@ -162,9 +165,10 @@
         state = self.context.state
         domains = self.routed.replica_domains
         cause = state.replicas.next_use(self.service, domains).cause
-        max_relays = MAX_RELAYS_BY_CAUSE.get(cause, 0)
-        if len(self._tried_peers) >= max_relays:
+        if len(self._tried_peers) >= MAX_RELAYS_BY_CAUSE.get(cause, 0):
             return None
+        if repeat and cause == REPLICAS_COLD:
+            return None  # the peer may decline, and the repeat would be spent
         peer = state.peers.choose_any(
             [state.own_domain],
             excluded=[*self._tried_peers, *state.barred_peers(self.routed.regions)],
--- a/tests/test_gateway_cold.py
+++ b/tests/test_gateway_cold.py
@@ -334,6 +334,28 @@
     )
 
 
+def test_requests_that_a_peer_relays_to_cold_replicas_are_not_hedged() -> None:
+    """Guards against repeats that are spent on peers without a turn."""
+
+    async def scenario(cluster: Cluster) -> None:
+        replicas = await start_cold_service(
+            cluster, instances=6, per_second=10, replicas=1
+        )
+        gateways = list(cluster.gateways.values())
+        replicas[0].work_seconds = 0.2  # first attempts would be hedged
+        await send_from_callers(
+            cluster, gateways, READ_PATH, per_second=40, seconds=5.0
+        )
+        assert received_count(replicas) > 0
+        for gateway in gateways:
+            budget = gateway.gateway._state._budget_by_service[BOOKING_SERVICE]
+            assert budget._repeat_count == 0.0
+        ids = replicas[0].received_ids
+        assert len(set(ids)) == len(ids)
+
+    run_scenario(scenario)
+
+
 def test_domain_that_comes_back_cold_is_carried_by_the_others() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_search_cluster(
