Count the cold time of a replica from its registration, not from each reading

Cause: a registration that is read again, after a loss of the store's history or its return from an older copy, started the cold time again that it states. All replicas that had been cold once would have been limited on all instances.

Change: only a registration that differs from the known one, and is not older, says for how long the process is cold.

--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -260,7 +260,12 @@
         now_seconds = self.loop.time()
         if replica is not None and _is_same_process(replica.record, record):
             self._log_state_change(replica, record, now_seconds)
-            replica.record_cold(record.cold_ms / MS_PER_SECOND, now_seconds)
+            # Registrations are read again after a loss of the store, and say how long
+            # the replica was cold when they were written.
+            if record != replica.record and (
+                record.age_order >= replica.record.age_order
+            ):
+                replica.record_cold(record.cold_ms / MS_PER_SECOND, now_seconds)
             replica.record = record
             replica.removed_at_seconds = None
             replica.pool.closing = False
@@ -277,7 +282,11 @@
                 link_times=self.links.times,
                 reply_memory=self._reply_memory,
             )
-            replica = Replica(record=record, pool=pool)
+            replica = Replica(
+                record=record,
+                pool=pool,
+                cold_until_seconds=now_seconds + record.cold_ms / MS_PER_SECOND,
+            )
             stopped = self._stopped.pop(record.replica, None)
             if stopped is not None and _is_same_process(stopped.record, record):
                 replica.announced_leaving_at_seconds = (
@@ -295,7 +304,6 @@
                 leaving=record.leaving,
                 cold_ms=record.cold_ms,
             )
-        replica.cold_until_seconds = now_seconds + record.cold_ms / MS_PER_SECOND
         if not record.leaving:
             replica.leaving_since_seconds = None
         elif replica.leaving_since_seconds is None:
--- a/tests/test_gateway_cold.py
+++ b/tests/test_gateway_cold.py
@@ -74,12 +74,17 @@
 
 
 async def start_cold_service(
-    cluster: Cluster, *, instances: int, per_second: float, replicas: int = 2
+    cluster: Cluster,
+    *,
+    instances: int,
+    per_second: float,
+    replicas: int = 2,
+    cold_ms: int = COLD_MS,
 ) -> list[StandinReplica]:
     """Start instances, and a service whose replicas are all cold."""
     for _ in range(replicas):
         replica = cluster.add_replica(BOOKING_SERVICE, slots=20)
-        cluster.register(replica, coldRemainingMs=COLD_MS)
+        cluster.register(replica, coldRemainingMs=cold_ms)
     set_cold_rate(
         cluster, per_second, make_route("r-read", READ_PATH, service=BOOKING_SERVICE)
     )
@@ -260,6 +265,34 @@
     run_scenario(scenario)
 
 
+def test_warm_replicas_stay_warm_when_their_registrations_are_read_again() -> None:
+    """Guards against cold times that are counted from when the store is read."""
+
+    async def scenario(cluster: Cluster) -> None:
+        replicas = await start_cold_service(
+            cluster, instances=2, per_second=5, cold_ms=10_000
+        )
+        gateways = list(cluster.gateways.values())
+        await asyncio.sleep(10.0)
+        copy = cluster.store.copy()
+        for lose_history in (
+            cluster.store.compact,
+            lambda: cluster.store.restore(copy),
+        ):
+            lose_history()
+            await asyncio.sleep(4.0)
+            before = received_count(replicas)
+            responses = await send_from_callers(
+                cluster, gateways, READ_PATH, per_second=60, seconds=3.0
+            )
+            assert {item.status if item else 0 for item in responses} == {200}
+            assert received_count(replicas) - before >= len(responses)
+        for gateway in gateways:
+            assert len(gateway.log_lines("replica_cold")) == len(replicas)
+
+    run_scenario(scenario)
+
+
 def test_waiting_requests_leave_a_replica_that_becomes_cold_again() -> None:
     async def scenario(cluster: Cluster) -> None:
         replica = cluster.add_replica(BOOKING_SERVICE, slots=20, work_seconds=0.5)
