Do not limit replicas for new instances by the cold time of old registrations

Cause: a registration states how long the replica is cold when it is written. An instance that starts later can't tell its age, took all replicas for cold whose registration was never written again, and sent next to nothing for that time.

Change: if a registration read from the store was never written again, and the process started longer ago than the service's coldStartS and 10 s for differences of clocks, the replica is not limited. The store's revisions tell whether it was written again; this is not passed on by the change feed.

--- a/src/bronzebeam/gateway/change_codec.py
+++ b/src/bronzebeam/gateway/change_codec.py
@@ -8,6 +8,7 @@
 from attrs import Attribute, AttrsInstance, asdict, fields_dict, frozen
 
 from bronzebeam.gateway.records import (
+    LOCAL,
     Change,
     EvacuationRecord,
     InstanceRecord,
@@ -186,7 +187,7 @@
     Earlier builds reject fields that they don't know, and new fields mostly have their
     default.
     """
-    return bool(value != attribute.default)
+    return bool(value != attribute.default) and LOCAL not in attribute.metadata
 
 
 def _decode_change(item: dict[str, Any]) -> Change:
--- a/src/bronzebeam/gateway/cold_limits.py
+++ b/src/bronzebeam/gateway/cold_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
@@ -16,6 +17,7 @@
     ColdTolerance,
     ColdTurns,
     choose_senders,
+    is_start_over,
     share_cold_rate,
 )
 from bronzebeam.routing.routes import BackendService
@@ -34,6 +36,7 @@
     :ivar tolerance: what a cold replica bears.
     :ivar candidates_of: returns the processor cores of the instances that may send to
         a replica, by failure domain.
+    :ivar wall_seconds: returns the wall-clock time.
     :ivar _known_since_seconds: monotonic time at which this instance first saw its own
         registration; None before.
     """
@@ -44,7 +47,9 @@
     rng: random.Random
     tolerance: ColdTolerance
     candidates_of: Callable[[ReplicaRecord], Members]
+    wall_seconds: Callable[[], float] = time.time
     _rates: dict[str, float] = field(factory=dict)
+    _services: Mapping[str, BackendService] = field(factory=dict)
     _limited: dict[str, Replica] = field(factory=dict)
     _known_since_seconds: float | None = None
 
@@ -55,6 +60,7 @@
 
     def set_services(self, services: Mapping[str, BackendService]) -> None:
         """Apply the cold rates of a configuration."""
+        self._services = services
         self._rates = {
             name: service.cold_rate_per_second
             for name, service in services.items()
@@ -101,9 +107,19 @@
             replica.pool.fail_waiting(REPLICA_COLD)
 
     def _is_limited(self, replica: Replica, now_seconds: float) -> bool:
-        return (
-            now_seconds < replica.cold_until_seconds
-            and replica.record.service in self._rates
+        record = replica.record
+        if now_seconds >= replica.cold_until_seconds:
+            return False
+        if record.service not in self._rates:
+            return False
+        return not (
+            replica.is_age_unknown
+            and record.is_first
+            and is_start_over(
+                started_at_ms=record.started_at_ms,
+                cold_start_seconds=self._services[record.service].cold_start_seconds,
+                wall_seconds=self.wall_seconds(),
+            )
         )
 
     def _start(self, replica: Replica) -> None:
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -185,6 +185,7 @@
             else:
                 self._remove_suspect(name)
         self.peers.replace(snapshot.instances, keep_missing=is_first_of_era)
+        new_replicas = snapshot.replicas.keys() - self.replicas.names
         if self._was_restored:
             self._older_copy.apply(snapshot.replicas, keep_missing=is_first_of_era)
         else:
@@ -192,6 +193,7 @@
                 self.replicas.put(record)
             for name in self.replicas.names - snapshot.replicas.keys():
                 self.replicas.mark_removed(name)
+        self.replicas.mark_age_unknown(new_replicas)
         # An evacuation moves requests that wait, also to replicas that are cold.
         self.cold.update(self.replicas.all(), members_changed=False)
         self._evacuations.apply(snapshot.evacuations, keep_missing=is_first_of_era)
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from enum import Enum
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import field, frozen
 
@@ -10,6 +10,8 @@
 from bronzebeam.routing.routes import RouteTable
 from bronzebeam.socket_address import SocketAddress
 
+LOCAL: Final = "local"  # metadata of fields that are not passed on to peers
+
 
 @frozen(kw_only=True)
 class ReplicaRecord:
@@ -23,6 +25,8 @@
     :ivar started_at_ms: time of its start on its own clock; 0 if unknown. Another value
         means another process, even under the same identifier.
     :ivar sequence: number of the registration, which rises while the process runs.
+    :ivar is_first: it has not been written again since the replica registered. Known
+        from the store only, and not passed on to peers.
     """
 
     replica: str
@@ -35,6 +39,7 @@
     cold_ms: float
     started_at_ms: int = 0
     sequence: int = 0
+    is_first: bool = field(default=False, eq=False, metadata={LOCAL: True})
 
     @property
     def age_order(self) -> tuple[int, int]:
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -26,6 +26,8 @@
     :ivar cold_until_seconds: monotonic time until which it is still warming up.
     :ivar cold_again_at_seconds: monotonic time at which a process that had been warm
         was found to be cold again.
+    :ivar is_age_unknown: its registration was found in the store, and may have been
+        written long before.
     :ivar removed_at_seconds: monotonic time at which it was removed from the store;
         None while it is registered.
     :ivar last_resort_until_seconds: monotonic time until which a removed replica may
@@ -46,6 +48,7 @@
     failure_rate: FailureRate = field(factory=FailureRate)
     cold_until_seconds: float = 0.0
     cold_again_at_seconds: float = 0.0
+    is_age_unknown: bool = False
     removed_at_seconds: float | None = None
     last_resort_until_seconds: float = 0.0
     leaving_since_seconds: float | None = None
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -223,6 +223,13 @@
         """Return all replicas."""
         return self._replicas.values()
 
+    def mark_age_unknown(self, names: Iterable[str]) -> None:
+        """Record that registrations may have been written long before."""
+        for name in names:
+            replica = self._replicas.get(name)
+            if replica is not None:
+                replica.is_age_unknown = True
+
     def of_service(
         self, service: str, domains: frozenset[str] | None = None
     ) -> Sequence[Replica]:
@@ -266,6 +273,7 @@
                 record.age_order >= replica.record.age_order
             ):
                 replica.record_cold(record.cold_ms / MS_PER_SECOND, now_seconds)
+                replica.is_age_unknown = False
             replica.record = record
             replica.removed_at_seconds = None
             replica.pool.closing = False
--- a/src/bronzebeam/platform/replica_codec.py
+++ b/src/bronzebeam/platform/replica_codec.py
@@ -11,12 +11,15 @@
 DRAINING: Final = "draining"
 
 
-def decode_replica(replica: str, value: bytes) -> ReplicaRecord:
+def decode_replica(
+    replica: str, value: bytes, *, is_first: bool = False
+) -> ReplicaRecord:
     """
     Decode the record of a replica.
 
     Other programs may write to the same keys, so every field is checked.
 
+    :param is_first: the record was not written again since it was created.
     :raises MalformedRecord: if the record does not describe a usable replica.
     """
     try:
@@ -48,6 +51,7 @@
         cold_ms=max(0.0, float(cold_ms)),
         started_at_ms=_count_field(item, "born"),
         sequence=_count_field(item, "sequence"),
+        is_first=is_first,
     )
 
 
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -288,7 +288,12 @@
         return Change(
             kind=RecordKind.REPLICA,
             name=name,
-            value=decode_replica(name, _decode_value(item)),
+            value=decode_replica(
+                name,
+                _decode_value(item),
+                is_first="revision" in item
+                and item.get("createdRevision") == item["revision"],
+            ),
         )
     return None
 
--- a/src/bronzebeam/routing/cold_limits.py
+++ b/src/bronzebeam/routing/cold_limits.py
@@ -29,6 +29,8 @@
 # then, those that know that a replica has become cold again leave it to those that
 # don't, and a new instance leaves cold replicas to those that don't know it.
 LEARNING_SECONDS: Final = 5.0
+# The clocks of replicas and instances differ by less.
+CLOCK_DIFFERENCE_SECONDS: Final = 10.0
 MAX_COLD_SECONDS: Final = 3_600.0  # replicas warm up within minutes
 
 
@@ -41,6 +43,26 @@
     return min(max(seconds, 0.0), MAX_COLD_SECONDS) if math.isfinite(seconds) else 0.0
 
 
+def is_start_over(
+    *, started_at_ms: int, cold_start_seconds: float, wall_seconds: float
+) -> bool:
+    """
+    Whether a process has certainly warmed up since its start.
+
+    Protects new instances from the statement of old registrations that a replica is
+    cold, which would limit their requests for as long again.
+
+    :param started_at_ms: wall-clock time of its start; 0 if unknown.
+    :param cold_start_seconds: time for which its service stays cold after a start; 0 if
+        unknown.
+    :param wall_seconds: the time now, by the clock of this instance.
+    """
+    if started_at_ms <= 0 or cold_start_seconds <= 0.0:
+        return False
+    age_seconds = wall_seconds - started_at_ms / MS_PER_SECOND
+    return age_seconds > cold_start_seconds + CLOCK_DIFFERENCE_SECONDS
+
+
 @frozen(kw_only=True)
 class ColdTolerance:
     """
--- a/tests/test_gateway_cold.py
+++ b/tests/test_gateway_cold.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -293,6 +294,34 @@
     run_scenario(scenario)
 
 
+def test_new_instance_does_not_limit_replicas_that_started_long_before() -> None:
+    """Guards against old registrations that state the cold time of the start."""
+    for age_seconds, is_limited in ((COLD_MS / 1000 + 60, False), (5, True)):
+
+        async def scenario(cluster: Cluster) -> None:
+            for _ in range(2):
+                replica = cluster.add_replica(
+                    BOOKING_SERVICE,
+                    slots=20,
+                    started_at_ms=int((time.time() - age_seconds) * 1000),
+                )
+                cluster.unregister(replica)
+                cluster.register(replica, coldRemainingMs=COLD_MS)
+            set_cold_rate(
+                cluster, 5.0, make_route("r-read", READ_PATH, service=BOOKING_SERVICE)
+            )
+            gateway = cluster.start_gateway("g-1", **SETTINGS)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert bool(gateway.log_lines("replica_cold")) is is_limited
+            # A later registration says that it is cold again.
+            for replica in cluster.replicas.values():
+                cluster.register(replica, coldRemainingMs=COLD_MS)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert gateway.log_lines("replica_cold")
+
+        run_scenario(scenario)
+
+
 def test_waiting_requests_leave_a_replica_that_becomes_cold_again() -> None:
     async def scenario(cluster: Cluster) -> None:
         replica = cluster.add_replica(BOOKING_SERVICE, slots=20, work_seconds=0.5)
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -434,3 +434,20 @@
         len(choose_feed_sources(name, domain="z", members=large)) for name in large
     ]
     assert sorted(counts) == [0, 0] + [2] * 14
+
+
+def test_fields_that_only_the_store_tells_are_not_passed_on() -> None:
+    """Guards against a message that differs for deployments without cold limits."""
+    record = ReplicaRecord(
+        replica="i-1",
+        service="s",
+        host="10.0.0.1",
+        port=8_000,
+        failure_domain="zone-a",
+        slots=2,
+        leaving=False,
+        cold_ms=5.0,
+        is_first=True,
+    )
+    change = Change(kind=RecordKind.REPLICA, name="i-1", value=record)
+    assert b"is_first" not in encode_changes([change])
--- a/tests/test_routing_cold_limits.py
+++ b/tests/test_routing_cold_limits.py
@@ -11,6 +11,7 @@
     ColdTolerance,
     ColdTurns,
     choose_senders,
+    is_start_over,
     read_cold_seconds,
     share_cold_rate,
 )
@@ -199,6 +200,24 @@
     assert 1.0 <= turns.seconds_until_next(21.0) <= 3.0
 
 
+def test_start_is_over_once_the_clocks_leave_no_doubt() -> None:
+    for age_seconds, cold_seconds, expected in (
+        (29.0, 20.0, False),
+        (31.0, 20.0, True),
+        (1e9, 0.0, False),
+        (-50.0, 20.0, False),
+    ):
+        over = is_start_over(
+            started_at_ms=1_700_000_000_000,
+            cold_start_seconds=cold_seconds,
+            wall_seconds=1_700_000_000 + age_seconds,
+        )
+        assert over is expected, age_seconds
+    assert not is_start_over(
+        started_at_ms=0, cold_start_seconds=20.0, wall_seconds=1_700_000_000
+    )
+
+
 def test_cold_time_in_a_reply_is_bounded() -> None:
     assert read_cold_seconds(b"1500") == 1.5
     for value in (b"", b"soon", b"-5", b"nan", b"inf", b"\xff"):
