--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -296,7 +296,7 @@
             self.metrics.set_replica_counts(
                 connected=connected, unconnected=known - connected
             )
-            self.metrics.set_evacuated(self._state.replicas.evacuated_counts())
+            self.metrics.set_evacuated(self._state.evacuations.counts())
             text = self.metrics.registry.render(now_seconds=self._loop.time())
             request.respond(
                 status=200,
--- a/src/bronzebeam/gateway/evacuations.py
+++ b/src/bronzebeam/gateway/evacuations.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from bronzebeam.gateway.records import Change, EvacuationRecord, RecordKind
 from bronzebeam.gateway.replica_set import ReplicaSet
@@ -10,6 +10,20 @@
 from bronzebeam.units import MS_PER_SECOND
 
 
+@frozen(kw_only=True)
+class DomainCounts:
+    """
+    The replicas of a failure domain, and this instance's requests to them.
+
+    :ivar running: requests that were sent and have no reply yet.
+    :ivar waiting: requests without a connection.
+    """
+
+    replicas: int
+    running: int
+    waiting: int
+
+
 @define(kw_only=True, eq=False, repr=False)
 class Evacuations:
     """
@@ -56,7 +70,7 @@
         if name in self._since_seconds:
             return
         self._since_seconds[name] = self.replicas.loop.time()
-        counts = self.replicas.counts_in(name)
+        counts = self._count(name)
         self.replicas.log.event(
             "domain_evacuated",
             domain=name,
@@ -78,7 +92,7 @@
         self.replicas.log.event(
             "domain_evacuation_ended",
             domain=name,
-            replicas=self.replicas.counts_in(name).replicas,
+            replicas=self._count(name).replicas,
             evacuated_ms=round(evacuated_seconds * MS_PER_SECOND),
         )
 
@@ -97,6 +111,22 @@
             self.remove(name)
         return bool(expired)
 
+    def counts(self) -> dict[str, DomainCounts]:
+        """Return the counts of each evacuated domain."""
+        return {name: self._count(name) for name in self._since_seconds}
+
+    def _count(self, domain: str) -> DomainCounts:
+        pools = [
+            item.pool
+            for item in self.replicas.all()
+            if item.record.failure_domain == domain
+        ]
+        return DomainCounts(
+            replicas=len(pools),
+            running=sum(len(pool.busy) for pool in pools),
+            waiting=sum(len(pool.waiting) for pool in pools),
+        )
+
     def registered(self) -> list[Change]:
         """Return the evacuations in the store, as changes."""
         return [
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -72,6 +72,7 @@
     :ivar registration_timeout_seconds: see `OlderCopy`.
     :ivar cold_tolerance: see `GatewaySettings`.
     :ivar regions: regions of the failure domains.
+    :ivar evacuations: the failure domains whose replicas get no requests.
     :ivar cold: the limits on requests to cold replicas.
     :ivar synced_at_seconds: monotonic time of the latest response of the store, or of a
         source of changes that is in contact with it.
@@ -96,8 +97,8 @@
     cold: ColdLimits = field(init=False)
     replicas: ReplicaSet = field(init=False)
     peers: PeerSet = field(init=False)
+    evacuations: Evacuations = field(init=False)
     _older_copy: OlderCopy = field(init=False)
-    _evacuations: Evacuations = field(init=False)
     started_at_seconds: float = 0.0
     synced_at_seconds: float = -math.inf
     suspects: CrashSuspects = field(factory=CrashSuspects)
@@ -155,7 +156,7 @@
             tolerance=self.cold_tolerance,
             candidates_of=self._cold_candidates,
         )
-        self._evacuations = Evacuations(
+        self.evacuations = Evacuations(
             replicas=self.replicas,
             registration_timeout_seconds=self.registration_timeout_seconds,
         )
@@ -196,7 +197,7 @@
         self.replicas.mark_age_unknown(new_replicas)
         # An evacuation moves requests that wait, also to replicas that are cold.
         self.cold.update(self.replicas.all(), members_changed=False)
-        self._evacuations.apply(snapshot.evacuations, keep_missing=is_first_of_era)
+        self.evacuations.apply(snapshot.evacuations, keep_missing=is_first_of_era)
         self._update_derived_state()
         self.maintain()
 
@@ -224,9 +225,9 @@
                 self._remove_suspect(change.name)
             elif isinstance(value, EvacuationRecord):
                 self.cold.update(self.replicas.all(), members_changed=False)
-                self._evacuations.put(change.name)
+                self.evacuations.put(change.name)
             elif change.kind is RecordKind.EVACUATION:
-                self._evacuations.remove(change.name)
+                self.evacuations.remove(change.name)
         self._update_derived_state()
 
     def all_records(self) -> list[Change]:
@@ -249,7 +250,7 @@
             for name, suspect in self._suspect_records.items()
             if name not in self._unconfirmed_suspects
         )
-        changes.extend(self._evacuations.registered())
+        changes.extend(self.evacuations.registered())
         if self.table is not None:
             changes.append(
                 Change(kind=RecordKind.CONFIGURATION, name="", value=self.table)
@@ -276,7 +277,7 @@
             if now_seconds >= expire_at:
                 self._remove_suspect(name)
         self._older_copy.settle(now_seconds)
-        evacuations_ended = self._evacuations.settle(now_seconds)
+        evacuations_ended = self.evacuations.settle(now_seconds)
         if self.peers.settle_older_copy(now_seconds) or evacuations_ended:
             self._update_derived_state()
         self.peers.maintain(now_seconds, self._max_exchange_seconds)
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.evacuations import DomainCounts
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.routing.routes import Route
 from bronzebeam.telemetry.metrics import (
@@ -115,20 +116,20 @@
         self._replicas.labels(connected="true").set(connected)
         self._replicas.labels(connected="false").set(unconnected)
 
-    def set_evacuated(self, counts: Mapping[str, tuple[int, int]]) -> None:
+    def set_evacuated(self, counts: Mapping[str, DomainCounts]) -> None:
         """
         Set the figures of the evacuated failure domains.
 
-        :param counts: number of replicas and of running requests of each domain.
+        :param counts: counts of each evacuated domain; those of others become 0.
         """
-        ended = self._evacuated_domains - counts.keys()
         self._evacuated_domains |= counts.keys()
-        for domain, (replicas, running) in (
-            *counts.items(),
-            *((domain, (0, 0)) for domain in ended),
-        ):
-            self._evacuated.labels(domain=domain, kind="replicas").set(replicas)
-            self._evacuated.labels(domain=domain, kind="running").set(running)
+        for domain in self._evacuated_domains:
+            item = counts.get(domain)
+            for kind, count in (
+                ("replicas", item.replicas if item is not None else 0),
+                ("running", item.running if item is not None else 0),
+            ):
+                self._evacuated.labels(domain=domain, kind=kind).set(count)
 
     def count_response(self, routed: RoutedRequest, *, status: int, now: float) -> None:
         """Count a response and record its latency."""
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -73,20 +73,6 @@
     cause: str = ""
 
 
-@frozen(kw_only=True)
-class DomainCounts:
-    """
-    The replicas of a failure domain, and this instance's requests to them.
-
-    :ivar running: requests that were sent and have no reply yet.
-    :ivar waiting: requests without a connection.
-    """
-
-    replicas: int
-    running: int
-    waiting: int
-
-
 @frozen(kw_only=True)
 class StoppedReplica:
     """
@@ -173,26 +159,6 @@
         """Return the failure domains of all replicas."""
         return frozenset(item.record.failure_domain for item in self._replicas.values())
 
-    def counts_in(self, domain: str) -> DomainCounts:
-        """Count the replicas of a failure domain and the requests to them."""
-        pools = [
-            item.pool
-            for item in self._replicas.values()
-            if item.record.failure_domain == domain
-        ]
-        return DomainCounts(
-            replicas=len(pools),
-            running=sum(len(pool.busy) for pool in pools),
-            waiting=sum(len(pool.waiting) for pool in pools),
-        )
-
-    def evacuated_counts(self) -> dict[str, tuple[int, int]]:
-        """Return the replicas and running requests of each evacuated domain."""
-        counts = {domain: self.counts_in(domain) for domain in self.evacuated}
-        return {
-            domain: (item.replicas, item.running) for domain, item in counts.items()
-        }
-
     def _serving(
         self, service: str, domains: frozenset[str] | None = None
     ) -> Sequence[Replica]:
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -267,7 +267,7 @@
         # A follower that gets all records from its source keeps the evacuation.
         source = find_followers(cluster)[0]
         names = [
-            change.name for change in source.gateway._state._evacuations.registered()
+            change.name for change in source.gateway._state.evacuations.registered()
         ]
         assert names == ["zone-b"]
         end_evacuation(cluster, "zone-b")
