Skip the limits of replicas that have none when choosing one

The check of a second limit cost a call for each replica of each choice, also where neither limit is there.

--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -108,8 +108,9 @@
         """
         if self.mismatched or not self.pool.is_reachable or self.is_paused(now_seconds):
             return False
-        if not ignore_limit and self.seconds_until_turn(now_seconds) > 0.0:
-            return False
+        if self.limited is not None or self.cold is not None:
+            if not ignore_limit and self.seconds_until_turn(now_seconds) > 0.0:
+                return False
         if self.removed_at_seconds is not None:
             if now_seconds > self.last_resort_until_seconds:
                 return False
