--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -13,16 +13,19 @@
     IMPAIRED_HEADER,
     LEAVING_HEADER,
     NOT_RUN_STATUS,
+    REGIONS_DECLINED,
+    REJECTED_STATUS,
     REPLICAS_LOST_STATUS,
     RESULT_HEADER,
     UNREACHABLE_HEADER,
     DelegationRequest,
     MalformedDelegation,
     decode_leaving,
+    decode_names,
     decode_result,
-    decode_services,
     encode_delegation,
     encode_leaving,
+    evacuated_header,
 )
 from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.pooled_send import PooledSend
@@ -166,6 +169,7 @@
                 )
             ),
             repeated=self.previous is not None,
+            regions=routed.regions,
         )
         self._due_at_seconds = now_seconds + request.cutoff_ms / MS_PER_SECOND
         remaining_ms = (routed.deadline_at_seconds - now_seconds) * MS_PER_SECOND
@@ -176,6 +180,7 @@
         leaving = self.context.state.replicas.announced_leaving(request.shards)
         if leaving:
             head = b"%s:%s\r\n%s" % (LEAVING_HEADER, encode_leaving(leaving), head)
+        head = evacuated_header(self.context.state.replicas.evacuated) + head
         connection.send(
             b"%s%s:%s\r\n%s%s"
             % (
@@ -206,9 +211,9 @@
             elif name == IMPAIRED_HEADER:
                 self.peer_is_impaired = True
             elif name == UNREACHABLE_HEADER:
-                self.unreachable = decode_services(value)
+                self.unreachable = decode_names(value)
             elif name == DECLINED_HEADER:
-                self.declined = decode_services(value)
+                self.declined = decode_names(value)
             elif name == LOAD_HEADER:
                 self._record_loads(value)
         self.peer.pool.record_reply(connection.sent_at_seconds)
@@ -221,6 +226,10 @@
         if reply.status == REPLICAS_LOST_STATUS:
             self._end(DelegationResult.REPLICAS_LOST, "replicas_lost_at_peer")
             return
+        if reply.status == REJECTED_STATUS and self.routed.regions is not None:
+            self.peer.record_regions_declined(self.context.loop.time())
+            self._end(DelegationResult.NOT_RUN, REGIONS_DECLINED)
+            return
         value = next((v for n, v in reply.headers if n == RESULT_HEADER), b"")
         signatures = decode_result(value, count=len(self.shards))
         if reply.status != 200 or signatures is None:
--- a/src/bronzebeam/gateway/fan_out_responder.py
+++ b/src/bronzebeam/gateway/fan_out_responder.py
@@ -15,11 +15,12 @@
     RESULT_HEADER,
     UNREACHABLE_HEADER,
     encode_leaving,
+    encode_names,
     encode_result,
-    encode_services,
 )
 from bronzebeam.gateway.replica_set import (
     DOMAIN_EVACUATED,
+    OUTSIDE_REGIONS,
     REPLICAS_COLD,
     REPLICAS_UNREACHABLE,
 )
@@ -28,7 +29,7 @@
 from bronzebeam.transport.http_reply import Headers
 
 # Why this instance has sent nothing to a shard whose replicas it reaches.
-DECLINED_CAUSES: Final = frozenset({DOMAIN_EVACUATED, REPLICAS_COLD})
+DECLINED_CAUSES: Final = frozenset({DOMAIN_EVACUATED, REPLICAS_COLD, OUTSIDE_REGIONS})
 
 
 class FanOutResponder(Protocol):
@@ -162,7 +163,7 @@
             shard.service for shard in shards if shard.cause == REPLICAS_UNREACHABLE
         ]
         if unreachable:
-            headers.append((UNREACHABLE_HEADER, encode_services(unreachable)))
+            headers.append((UNREACHABLE_HEADER, encode_names(unreachable)))
         declined = [
             shard.service
             for shard in shards
@@ -171,7 +172,7 @@
             and not shard.may_have_run
         ]
         if declined:
-            headers.append((DECLINED_HEADER, encode_services(declined)))
+            headers.append((DECLINED_HEADER, encode_names(declined)))
         return headers
 
     def _load_headers(self, shards: Sequence[ShardState]) -> Headers:
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -13,7 +13,7 @@
 from bronzebeam.gateway.connection_pool import Connect
 from bronzebeam.gateway.evacuations import Evacuations
 from bronzebeam.gateway.older_copy import OlderCopy
-from bronzebeam.gateway.peers import PeerSet
+from bronzebeam.gateway.peers import Peer, PeerSet
 from bronzebeam.gateway.records import (
     Change,
     EvacuationRecord,
@@ -32,6 +32,7 @@
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS, CrashSuspects
 from bronzebeam.routing.instance_share import ShareRatios
 from bronzebeam.routing.quota_members import QuotaMembers
+from bronzebeam.routing.regions import RegionMap
 from bronzebeam.routing.repeat_budget import (
     SLACK_RATIOS,
     RepeatBudget,
@@ -74,6 +75,8 @@
     :ivar peers: the registered live instances.
     :ivar registration_timeout_seconds: see `OlderCopy`.
     :ivar cold_tolerance: see `GatewaySettings`.
+    :ivar regions: regions of the failure domains.
+    :ivar evacuations: the failure domains whose replicas get no requests.
     :ivar cold: the limits on requests to cold replicas.
     :ivar synced_at_seconds: monotonic time of the latest response of the store, or of a
         source of changes that is in contact with it.
@@ -100,11 +103,12 @@
     cold_tolerance: ColdTolerance
     boot_seconds: Callable[[], float] = boot_seconds
     quota_members: QuotaMembers = field(init=False)
+    regions: RegionMap
     cold: ColdLimits = field(init=False)
     replicas: ReplicaSet = field(init=False)
     peers: PeerSet = field(init=False)
+    evacuations: Evacuations = field(init=False)
     _older_copy: OlderCopy = field(init=False)
-    _evacuations: Evacuations = field(init=False)
     started_at_seconds: float = 0.0
     synced_at_seconds: float = -math.inf
     suspects: CrashSuspects = field(factory=CrashSuspects)
@@ -163,7 +167,7 @@
             tolerance=self.cold_tolerance,
             candidates_of=self._cold_candidates,
         )
-        self._evacuations = Evacuations(
+        self.evacuations = Evacuations(
             replicas=self.replicas,
             registration_timeout_seconds=self.registration_timeout_seconds,
         )
@@ -193,6 +197,7 @@
             else:
                 self._remove_suspect(name)
         self.peers.replace(snapshot.instances, keep_missing=is_first_of_era)
+        new_replicas = snapshot.replicas.keys() - self.replicas.names
         if self._was_restored:
             self._older_copy.apply(snapshot.replicas, keep_missing=is_first_of_era)
         else:
@@ -200,9 +205,10 @@
                 self.replicas.put(record)
             for name in self.replicas.names - snapshot.replicas.keys():
                 self.replicas.mark_removed(name)
+        self.replicas.mark_age_unknown(new_replicas)
         # An evacuation moves requests that wait, also to replicas that are cold.
         self.cold.update(self.replicas.all(), members_changed=False)
-        self._evacuations.apply(snapshot.evacuations, keep_missing=is_first_of_era)
+        self.evacuations.apply(snapshot.evacuations, keep_missing=is_first_of_era)
         self._update_derived_state()
         self.maintain()
 
@@ -230,9 +236,9 @@
                 self._remove_suspect(change.name)
             elif isinstance(value, EvacuationRecord):
                 self.cold.update(self.replicas.all(), members_changed=False)
-                self._evacuations.put(change.name)
+                self.evacuations.put(change.name)
             elif change.kind is RecordKind.EVACUATION:
-                self._evacuations.remove(change.name)
+                self.evacuations.remove(change.name)
         self._update_derived_state()
 
     def all_records(self) -> list[Change]:
@@ -255,7 +261,7 @@
             for name, suspect in self._suspect_records.items()
             if name not in self._unconfirmed_suspects
         )
-        changes.extend(self._evacuations.registered())
+        changes.extend(self.evacuations.registered())
         if self.table is not None:
             changes.append(
                 Change(kind=RecordKind.CONFIGURATION, name="", value=self.table)
@@ -291,7 +297,7 @@
             if now_seconds >= expire_at:
                 self._remove_suspect(name)
         self._older_copy.settle(now_seconds)
-        evacuations_ended = self._evacuations.settle(now_seconds)
+        evacuations_ended = self.evacuations.settle(now_seconds)
         if self.peers.settle_older_copy(now_seconds) or evacuations_ended:
             self._update_derived_state()
         self.peers.maintain(now_seconds, self._max_exchange_seconds)
@@ -317,6 +323,7 @@
         route: Route,
         shared: SharedShard | None = None,
         ignore_limit: bool = False,
+        domains: frozenset[str] | None = None,
     ) -> ReplicaChoice | None:
         """Choose a replica of a service; see `ReplicaSet.choose`."""
         return self.replicas.choose(
@@ -326,13 +333,46 @@
             typical=self.typical_latency(route),
             shared=shared,
             ignore_limit=ignore_limit,
+            domains=domains,
         )
 
-    def cold_senders(self, service: str) -> frozenset[str]:
-        """Return the instances that send to the cold replicas of a service."""
+    def domains_for_peer(
+        self, regions: frozenset[str] | None, evacuated: frozenset[str]
+    ) -> frozenset[str] | None:
+        """
+        Return the failure domains whose replicas may get a peer's request.
+
+        :param regions: regions that the request may be sent to; None for any.
+        :param evacuated: domains that the peer knows to be evacuated. This instance may
+            have lost the store.
+        :return: None for any domain.
+        """
+        domains = self.regions.domains_in(regions)
+        if evacuated <= self.replicas.evacuated:
+            return domains
+        if domains is None:
+            domains = self.replicas.all_domains()
+        return domains - evacuated
+
+    def barred_peers(self, regions: frozenset[str] | None) -> list[Peer]:
+        """
+        Return the peers that must not get the body of a request.
+
+        :param regions: regions that the request may be sent to; None for any.
+        """
+        return self.peers.outside(self.regions.peer_domains(regions))
+
+    def cold_senders(
+        self, service: str, domains: frozenset[str] | None
+    ) -> frozenset[str]:
+        """
+        Return the instances that send to the cold replicas of a service.
+
+        :param domains: see `ReplicaSet.choose`.
+        """
         return frozenset(
             name
-            for replica in self.replicas.of_service(service)
+            for replica in self.replicas.of_service(service, domains)
             if replica.cold is not None
             for name in replica.cold.senders
         )
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -5,8 +5,8 @@
 ignored, but builds up to 9582a90 reject requests with more fields than they know.
 """
 
-from collections.abc import Iterable, Sequence
-from typing import Final
+from collections.abc import Collection, Iterable, Sequence
+from typing import Any, Final
 
 import orjson
 from attrs import astuple, field, frozen, validators
@@ -20,6 +20,8 @@
 # A request of one replica that a peer sends for this instance, and how that ended.
 RELAY_HEADER: Final = b"bb-relay"
 RELAYED_HEADER: Final = b"bb-relayed"
+# In requests to peers: the failure domains that this instance knows to be evacuated.
+EVACUATED_HEADER: Final = b"bb-evacuated"
 # In replies of a peer whose links to the replicas are broken, all or many of them.
 IMPAIRED_HEADER: Final = b"bb-impaired"
 # In replies: the services that the peer has replicas of, but reaches none.
@@ -27,10 +29,14 @@
 # In replies: the services whose replicas the peer was not allowed to send to.
 DECLINED_HEADER: Final = b"bb-declined"
 # Headers that peers add to a caller's request.
-PEER_HEADERS: Final = frozenset({DELEGATION_HEADER, LEAVING_HEADER, RELAY_HEADER})
+PEER_HEADERS: Final = frozenset(
+    {DELEGATION_HEADER, EVACUATED_HEADER, LEAVING_HEADER, RELAY_HEADER}
+)
 LEAVING_SEPARATOR: Final = b","
 START_SEPARATOR: Final = b"@"
 NOT_RUN_STATUS: Final = 503  # the peer has sent the request to no replica
+REJECTED_STATUS: Final = 400  # the peer can't read the request
+REGIONS_DECLINED: Final = "peer_declines_regions"  # it is of an earlier build
 # All connections on which the peer sent the request were closed without a reply.
 REPLICAS_LOST_STATUS: Final = 424
 SIGNATURE_SEPARATOR: Final = b","
@@ -55,6 +61,9 @@
         sends an interim reply.
     :ivar cutoff_ms: time after which the peer answers without missing shards.
     :ivar repeated: another peer may have sent the request to replicas already.
+    :ivar regions: regions whose replicas may get the request; None for any. Then the
+        field is not sent. Peers of builds that don't know it reject the request, which
+        they would send to any region.
     """
 
     route: str = field(validator=validators.instance_of(str))
@@ -70,6 +79,7 @@
     hedge_after_ms: float = field(converter=float)
     cutoff_ms: float = field(converter=float)
     repeated: bool = field(converter=bool)
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -80,12 +90,14 @@
     :ivar route: name of the request's route, by which reply times are recorded.
     :ivar service: service that the replica is chosen from.
     :ivar idempotent: whether the request may run more than once.
+    :ivar regions: see `DelegationRequest`.
     """
 
     route: str = field(validator=validators.instance_of(str))
     service: str = field(validator=validators.instance_of(str))
     idempotent: bool = field(converter=bool)
     target_latency_ms: float = field(converter=float)
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -147,13 +159,13 @@
     return replicas
 
 
-def encode_services(services: Iterable[str]) -> bytes:
-    """Encode names of services as the value of a header."""
-    return orjson.dumps(list(services))
+def encode_names(names: Iterable[str]) -> bytes:
+    """Encode names of services or failure domains as the value of a header."""
+    return orjson.dumps(list(names))
 
 
-def decode_services(value: bytes) -> frozenset[str]:
-    """Undo `encode_services`; a malformed value names no service."""
+def decode_names(value: bytes) -> frozenset[str]:
+    """Undo `encode_names`; a malformed value holds no name."""
     try:
         names = orjson.loads(value)
     except ValueError:
@@ -163,9 +175,16 @@
     return frozenset(name for name in names if isinstance(name, str))
 
 
+def evacuated_header(domains: Collection[str]) -> bytes:
+    """Return the header line that names evacuated domains; empty if there are none."""
+    if not domains:
+        return b""
+    return b"%s:%s\r\n" % (EVACUATED_HEADER, encode_names(sorted(domains)))
+
+
 def encode_delegation(delegation: DelegationRequest) -> bytes:
     """Encode a delegation request as the value of `DELEGATION_HEADER`."""
-    return orjson.dumps(astuple(delegation, recurse=False))
+    return _encode_with_regions(delegation)
 
 
 def decode_delegation(value: bytes) -> DelegationRequest:
@@ -175,9 +194,8 @@
     :raises MalformedDelegation: if it can't be decoded.
     """
     try:
-        route, shards, top, attempts, target_ms, hedge_ms, cutoff_ms, repeated, *_ = (
-            orjson.loads(value)
-        )
+        fields, regions = _split_regions(orjson.loads(value), field_count=8)
+        route, shards, top, attempts, target_ms, hedge_ms, cutoff_ms, repeated = fields
         return DelegationRequest(
             route=route,
             shards=tuple(shards),
@@ -187,14 +205,42 @@
             hedge_after_ms=hedge_ms,
             cutoff_ms=cutoff_ms,
             repeated=repeated,
+            regions=regions,
         )
     except (TypeError, ValueError) as error:
         raise MalformedDelegation(str(error)) from error
 
 
+def _encode_with_regions(request: DelegationRequest | RelayRequest) -> bytes:
+    """Encode the fields of a request, the last one only if it restricts regions."""
+    *fields, regions = astuple(request, recurse=False)
+    return orjson.dumps(fields if regions is None else [*fields, sorted(regions)])
+
+
+def _split_regions(
+    fields: list[Any], *, field_count: int
+) -> tuple[list[Any], frozenset[str] | None]:
+    """
+    Return the fields that are always sent, and the regions if there are any.
+
+    What later builds add behind the regions is ignored.
+    """
+    always, *added = fields[:field_count], *fields[field_count:]
+    if not added:
+        return always, None
+    regions = added[0]
+    if not isinstance(regions, list) or not all(map(_is_text, regions)):
+        raise ValueError("the regions are no list of names")
+    return always, frozenset(regions)
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str)
+
+
 def encode_relay(relay: RelayRequest) -> bytes:
     """Encode a relayed request as the value of `RELAY_HEADER`."""
-    return orjson.dumps(astuple(relay))
+    return _encode_with_regions(relay)
 
 
 def decode_relay(value: bytes) -> RelayRequest:
@@ -204,12 +250,14 @@
     :raises MalformedDelegation: if it can't be decoded.
     """
     try:
-        route, service, idempotent, target_latency_ms, *_ = orjson.loads(value)
+        fields, regions = _split_regions(orjson.loads(value), field_count=4)
+        route, service, idempotent, target_latency_ms = fields
         return RelayRequest(
             route=route,
             service=service,
             idempotent=idempotent,
             target_latency_ms=target_latency_ms,
+            regions=regions,
         )
     except (TypeError, ValueError) as error:
         raise MalformedDelegation(str(error)) from error
--- a/src/bronzebeam/gateway/peer_request.py
+++ b/src/bronzebeam/gateway/peer_request.py
@@ -4,7 +4,11 @@
 
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.header_codec import RequestMetadata
-from bronzebeam.gateway.peer_codec import without_peer_headers
+from bronzebeam.gateway.peer_codec import (
+    EVACUATED_HEADER,
+    decode_names,
+    without_peer_headers,
+)
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.routing.routes import Route
 from bronzebeam.transport.caller_request import HttpRequest
@@ -25,14 +29,17 @@
     *,
     make_route: Callable[[float], Route],
     target_ms: float,
+    regions: frozenset[str] | None,
 ) -> RoutedRequest | None:
     """
     Return a peer's request with its route, which need not be in the configuration.
 
     :param make_route: returns the route for a time-out in milliseconds.
     :param target_ms: time after which the peer answers without what is missing.
+    :param regions: regions that the request may be sent to; None for any.
     :return: None if the request was rejected, since it states no time-out.
     """
+    evacuated = decode_names(request.header(EVACUATED_HEADER) or b"[]")
     request.headers = without_peer_headers(request.headers)
     metadata = context.header_codec.read_request(request.headers)
     remaining_ms = metadata.remaining_ms
@@ -50,6 +57,8 @@
         head=context.header_codec.request_head(
             request, account=_account_name(context, metadata)
         ),
+        regions=regions,
+        replica_domains=context.state.domains_for_peer(regions, evacuated),
     )
 
 
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -32,6 +32,8 @@
     :ivar cold_until_seconds: monotonic time until which it is still warming up.
     :ivar cold_again_at_seconds: monotonic time at which a process that had been warm
         was found to be cold again.
+    :ivar is_age_unknown: its registration was found in the store, and may have been
+        written long before.
     :ivar removed_at_seconds: monotonic time at which it was removed from the store;
         None while it is registered.
     :ivar last_resort_until_seconds: monotonic time until which a removed replica may
@@ -53,6 +55,7 @@
     failure_rate: FailureRate = field(factory=FailureRate)
     cold_until_seconds: float = 0.0
     cold_again_at_seconds: float = 0.0
+    is_age_unknown: bool = False
     removed_at_seconds: float | None = None
     last_resort_until_seconds: float = 0.0
     leaving_since_seconds: float | None = None
@@ -114,8 +117,9 @@
         """
         if self.mismatched or not self.pool.is_reachable or self.is_paused(now_seconds):
             return False
-        if not ignore_limit and self.seconds_until_turn(now_seconds) > 0.0:
-            return False
+        if self.limited is not None or self.cold is not None:
+            if not ignore_limit and self.seconds_until_turn(now_seconds) > 0.0:
+                return False
         if self.removed_at_seconds is not None:
             if now_seconds > self.last_resort_until_seconds:
                 return False
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -60,6 +60,7 @@
 REPLICAS_COLD: Final = "replicas_cold"
 REPLICAS_UNREACHABLE: Final = "replicas_unreachable"
 DOMAIN_EVACUATED: Final = "domain_evacuated"
+OUTSIDE_REGIONS: Final = "outside_regions"
 
 
 @frozen(kw_only=True)
@@ -75,20 +76,6 @@
     cause: str = ""
 
 
-@frozen(kw_only=True)
-class DomainCounts:
-    """
-    The replicas of a failure domain, and this instance's requests to them.
-
-    :ivar running: requests that were sent and have no reply yet.
-    :ivar waiting: requests without a connection.
-    """
-
-    replicas: int
-    running: int
-    waiting: int
-
-
 @frozen(kw_only=True)
 class StoppedReplica:
     """
@@ -155,47 +142,44 @@
             for service in self._by_service
         }
 
-    def domains(self, service: str) -> tuple[str, ...]:
-        """Return the domains of a service's replicas, without evacuated domains."""
+    def domains(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> tuple[str, ...]:
+        """
+        Return the domains of a service's replicas, without evacuated domains.
+
+        :param allowed: the only domains to return; None for any.
+        """
         return tuple(
             sorted(
                 {
                     item.record.failure_domain
-                    for item in self._serving(service)
+                    for item in self._serving(service, allowed)
                     if item.removed_at_seconds is None
                 }
             )
         )
 
-    def counts_in(self, domain: str) -> DomainCounts:
-        """Count the replicas of a failure domain and the requests to them."""
-        pools = [
-            item.pool
-            for item in self._replicas.values()
-            if item.record.failure_domain == domain
-        ]
-        return DomainCounts(
-            replicas=len(pools),
-            running=sum(len(pool.busy) for pool in pools),
-            waiting=sum(len(pool.waiting) for pool in pools),
-        )
+    def all_domains(self) -> frozenset[str]:
+        """Return the failure domains of all replicas."""
+        return frozenset(item.record.failure_domain for item in self._replicas.values())
 
-    def evacuated_counts(self) -> dict[str, tuple[int, int]]:
-        """Return the replicas and running requests of each evacuated domain."""
-        counts = {domain: self.counts_in(domain) for domain in self.evacuated}
-        return {
-            domain: (item.replicas, item.running) for domain, item in counts.items()
-        }
+    def _serving(
+        self, service: str, domains: frozenset[str] | None = None
+    ) -> Sequence[Replica]:
+        """
+        Return the replicas of a service that are not in evacuated domains.
 
-    def _serving(self, service: str) -> Sequence[Replica]:
-        """Return the replicas of a service that are not in evacuated domains."""
+        :param domains: the only domains that the request may be sent to; None for any.
+        """
         replicas = self._by_service.get(service, ())
-        if not self.evacuated:
+        if not self.evacuated and domains is None:
             return replicas
         return [
             item
             for item in replicas
             if item.record.failure_domain not in self.evacuated
+            and (domains is None or item.record.failure_domain in domains)
         ]
 
     def registered(self) -> list[ReplicaRecord]:
@@ -210,9 +194,18 @@
         """Return all replicas."""
         return self._replicas.values()
 
-    def of_service(self, service: str) -> Sequence[Replica]:
-        """Return the replicas of a service that are not in evacuated domains."""
-        return self._serving(service)
+    def mark_age_unknown(self, names: Iterable[str]) -> None:
+        """Record that registrations may have been written long before."""
+        for name in names:
+            replica = self._replicas.get(name)
+            if replica is not None:
+                replica.is_age_unknown = True
+
+    def of_service(
+        self, service: str, domains: frozenset[str] | None = None
+    ) -> Sequence[Replica]:
+        """Return the replicas of a service that may be used; see `choose`."""
+        return self._serving(service, domains)
 
     def find(self, name: str, *, started_at_ms: int) -> Replica | None:
         """Return a replica; None if it is unknown, or was started at another time."""
@@ -245,7 +238,13 @@
         now_seconds = self.loop.time()
         if replica is not None and _is_same_process(replica.record, record):
             self._log_state_change(replica, record, now_seconds)
-            replica.record_cold(record.cold_ms / MS_PER_SECOND, now_seconds)
+            # Registrations are read again after a loss of the store, and say how long
+            # the replica was cold when they were written.
+            if record != replica.record and (
+                record.age_order >= replica.record.age_order
+            ):
+                replica.record_cold(record.cold_ms / MS_PER_SECOND, now_seconds)
+                replica.is_age_unknown = False
             replica.record = record
             replica.removed_at_seconds = None
             replica.pool.closing = False
@@ -262,7 +261,11 @@
                 link_times=self.links.times,
                 reply_memory=self._reply_memory,
             )
-            replica = Replica(record=record, pool=pool)
+            replica = Replica(
+                record=record,
+                pool=pool,
+                cold_until_seconds=now_seconds + record.cold_ms / MS_PER_SECOND,
+            )
             stopped = self._stopped.pop(record.replica, None)
             if stopped is not None and _is_same_process(stopped.record, record):
                 replica.announced_leaving_at_seconds = (
@@ -280,7 +283,6 @@
                 leaving=record.leaving,
                 cold_ms=record.cold_ms,
             )
-        replica.cold_until_seconds = now_seconds + record.cold_ms / MS_PER_SECOND
         if not record.leaving:
             replica.leaving_since_seconds = None
         elif replica.leaving_since_seconds is None:
@@ -404,10 +406,14 @@
         replica.paused_until_seconds = max(replica.paused_until_seconds, until_seconds)
         replica.pool.fail_waiting(PAUSED)
 
-    def next_use(self, service: str) -> NextUse:
-        """Return when a replica of a service may be used."""
+    def next_use(self, service: str, domains: frozenset[str] | None = None) -> NextUse:
+        """
+        Return when a replica of a service may be used.
+
+        :param domains: the only domains that the request may be sent to; None for any.
+        """
         now_seconds = self.loop.time()
-        replicas = self._serving(service)
+        replicas = self._serving(service, domains)
         if any(
             item.is_usable(now_seconds, self.leaving_grace_seconds) for item in replicas
         ):
@@ -429,10 +435,10 @@
                 possible_uses.append(NextUse(after_seconds=seconds, cause=cause))
         if not possible_uses:
             cause = ""
-            if self._may_reach_through_peer(service):
+            if self._may_reach_through_peer(service, replicas):
                 cause = REPLICAS_UNREACHABLE
-            elif len(replicas) < len(self._by_service.get(service, ())):
-                cause = DOMAIN_EVACUATED
+            elif service in self._by_service:
+                cause = self._exclusion_cause(service, domains)
             return NextUse(after_seconds=math.inf, cause=cause)
         return min(possible_uses, key=lambda item: item.after_seconds)
 
@@ -441,20 +447,34 @@
         until_seconds = self.loop.time() + UNREACHABLE_AT_PEERS_SECONDS
         self._unreachable_until_seconds[service] = until_seconds
 
-    def _may_reach_through_peer(self, service: str) -> bool:
-        """Whether peers may reach the replicas of a service, and this instance none."""
-        replicas = self._serving(service)
+    def _exclusion_cause(self, service: str, domains: frozenset[str] | None) -> str:
+        """Return why replicas of a service are left out; empty if none is."""
+        allowed = [
+            item.record.failure_domain
+            for item in self._by_service[service]
+            if domains is None or item.record.failure_domain in domains
+        ]
+        if not allowed:
+            return OUTSIDE_REGIONS
+        return DOMAIN_EVACUATED if not self.evacuated.isdisjoint(allowed) else ""
+
+    def _may_reach_through_peer(
+        self, service: str, replicas: Sequence[Replica]
+    ) -> bool:
+        """Whether peers may reach these replicas, and this instance none of them."""
         if not replicas or any(item.pool.is_reachable for item in replicas):
             return False
         return self._may_ask_peers(service)
 
-    def may_reach_more_through_peer(self, service: str) -> bool:
+    def may_reach_more_through_peer(
+        self, service: str, domains: frozenset[str] | None = None
+    ) -> bool:
         """Whether peers may reach replicas of a service that this instance does not."""
         return self._may_ask_peers(service) and any(
             not item.pool.is_reachable
             and not item.is_leaving
             and item.removed_at_seconds is None
-            for item in self._serving(service)
+            for item in self._serving(service, domains)
         )
 
     def _may_ask_peers(self, service: str) -> bool:
@@ -555,14 +575,16 @@
         shared: SharedShard | None = None,
         ignore_limit: bool = False,
         rng: random.Random | None = None,
+        domains: frozenset[str] | None = None,
     ) -> ReplicaChoice | None:
         """
         Select a replica of a service; see `choose_replica`.
 
         :param rng: source of the random spread; None for that of this instance.
+        :param domains: the only domains that the request may be sent to; None for any.
         """
         return choose_replica(
-            self._serving(service),
+            self._serving(service, domains),
             excluded=excluded,
             route=route,
             typical=typical,
--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -25,6 +25,8 @@
     :ivar account: the caller's account; None if there is none, or for a peer's request.
     :ivar return_token: gives back the request's token of its account's quota; None if
         it has none.
+    :ivar regions: regions that it may be sent to; None for any.
+    :ivar replica_domains: failure domains whose replicas may get it; None for any.
     :ivar is_retry: the caller has tried before, and was refused or not served.
     """
 
@@ -36,6 +38,8 @@
     target_at_seconds: float
     head: bytes
     account: Account | None = None
+    regions: frozenset[str] | None = None
+    replica_domains: frozenset[str] | None = None
     is_retry: bool = False
     return_token: Callable[[], None] | None = None
 
