Let the soak of gateways use accounts whose keys come and go

Callers send keys of three accounts, one of them far over its quota, and new, removed, future and unknown keys and a name of their own; each version of the configuration adds a key and removes one. New rules, from what callers and replicas see: no replica gets a key, each gets the name of the right account, nothing runs with a key that no configuration has had yet; and with bounds on real time: a removed key is out of force within 3 s and a new one in force, not counting harm to the store's calls and processes that started on an older copy. 401 counts as a refusal that must not have run.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -100,7 +100,8 @@
 
 
 async def harm_store_link(rig: SoakRig, rng: random.Random) -> None:
-    link = rng.choice(rig.gateways).store_link
+    gateway = rng.choice(rig.gateways)
+    link, start = gateway.store_link, rig.loop.time()
     link.fault = rng.choice(
         [
             LinkFault.REFUSED,
@@ -112,7 +113,9 @@
     )
     if rng.random() < 0.5:
         link.reset_connections()
-    await asyncio.sleep(rng.uniform(0.5, 5.0))
+    seconds = rng.uniform(0.5, 5.0)
+    rig.history.outages.append((gateway.name, start, start + seconds))
+    await asyncio.sleep(seconds)
     link.fault = LinkFault.NONE
 
 
@@ -134,13 +137,20 @@
         return fault if fault_rng.random() < share else StoreFault.NONE
 
     rig.store.fault = choose
-    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    await _harm_store_for(rig, rng.uniform(0.5, 3.0))
     rig.store.fault = lambda request: StoreFault.NONE
 
 
+async def _harm_store_for(rig: SoakRig, seconds: float) -> None:
+    """Wait while no gateway can be expected to follow the store."""
+    start = rig.loop.time()
+    rig.history.outages.append(("", start, start + seconds))
+    await asyncio.sleep(seconds)
+
+
 async def slow_store(rig: SoakRig, rng: random.Random) -> None:
     rig.store.response_seconds = rng.uniform(0.1, 0.6)
-    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    await _harm_store_for(rig, rng.uniform(0.5, 3.0))
     rig.store.response_seconds = 0.004
 
 
@@ -153,8 +163,10 @@
     copy = rig.store.copy()
     await asyncio.sleep(rng.uniform(0.5, 4.0))
     rig.store.restore(copy)
-    await asyncio.sleep(rng.uniform(0.0, 0.5))
+    start = rig.loop.time()
+    await _harm_store_for(rig, rng.uniform(0.0, 0.5))
     rig.configure()
+    rig.history.older_copies.append((start, rig.loop.time()))
     for replica in list(rig.replicas.values()):
         state = "draining" if replica.leaving else "ready"
         rig.store.put(f"servers/{replica.replica}", replica.store_record(state=state))
--- a/tests/soak_gateways.py
+++ b/tests/soak_gateways.py
@@ -25,10 +25,12 @@
     Caller,
     encode_request,
 )
+from tests.soak_accounts import check_accounts, check_keys_in_time, choose_key
 from tests.soak_faults import fault_schedule
 from tests.soak_history import RequestRow, check_history
 from tests.soak_link import LOOPBACK
 from tests.soak_rig import SoakGateway, SoakRig
+from tests.standin_replica import ACCOUNT_HEADER, KEY_HEADER
 
 CALLER_COUNT: Final = 10
 CALLER_INTERVAL_SECONDS: Final = (0.02, 0.2)
@@ -74,6 +76,9 @@
 
     def violations(self, *, timed: bool) -> dict[str, list[str]]:
         found = check_history(self.rig.history, timed=timed)
+        found["accounts"] = list(check_accounts(self.rig.history))
+        if timed:
+            found["keys_in_time"] = list(check_keys_in_time(self.rig.history))
         late = [
             row
             for row in self.rig.history.requests
@@ -113,7 +118,8 @@
                 incarnation = gateway.incarnation if gateway is not None else ("", 0)
             if caller is not None:
                 kind = rng.choice(["search", "search", "read", "book"])
-                caller = await self._send(caller, incarnation, kind)
+                key = choose_key(rng, self.rig.version)
+                caller = await self._send(caller, incarnation, kind, key=key)
             await asyncio.sleep(rng.uniform(*CALLER_INTERVAL_SECONDS))
 
     async def _probe(self, gateway: SoakGateway) -> None:
@@ -147,7 +153,13 @@
         return connected
 
     async def _send(
-        self, caller: Caller, incarnation: tuple[str, int], kind: str, version: int = 0
+        self,
+        caller: Caller,
+        incarnation: tuple[str, int],
+        kind: str,
+        version: int = 0,
+        *,
+        key: str = "",
     ) -> Caller | None:
         """Send one request; return the connection if it can be used again."""
         self._attempt_count += 1
@@ -167,6 +179,7 @@
             gateway=incarnation,
             sent_at_seconds=self.rig.loop.time(),
             version=version,
+            key=key,
         )
         self.rig.history.requests.append(row)
         caller.send(
@@ -176,6 +189,9 @@
                 method=method,
                 body=body,
                 remaining_ms=REMAINING_MS[kind],
+                # No replica may get this name.
+                headers={ACCOUNT_HEADER: "own-name"}
+                | ({KEY_HEADER: key} if key else {}),
             )
         )
         try:
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -2,12 +2,13 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
 
 from attrs import define, field
 
 from tests.fixtures_gateway import Response
 
-REFUSED_STATUSES = (408, 421, 429, 503)
+REFUSED_STATUSES = (401, 408, 421, 429, 503)
 PAUSE_NOTICE_SECONDS = 0.5
 MAX_REQUESTS_DURING_PAUSE = 2
 LIMIT_NOTICE_SECONDS = 4.0
@@ -24,6 +25,7 @@
     :ivar kind: `search`, `read`, `book` or `probe`.
     :ivar gateway: the process that it was sent to, as name and number of its start.
     :ivar version: version of the configuration that a probe asks for.
+    :ivar key: key of an account that the caller sent; empty if it sent none.
     :ivar response: None if there was none in time.
     :ivar closed: the gateway closed the connection without a response.
     """
@@ -35,6 +37,7 @@
     gateway: tuple[str, int]
     sent_at_seconds: float
     version: int = 0
+    key: str = ""
     response: Response | None = None
     ended_at_seconds: float | None = None
     closed: bool = False
@@ -49,6 +52,8 @@
     :ivar ran: it was run, and not turned away.
     :ivar broken: the replica did not reply to it as it should.
     :ivar pause_seconds: time that the replica asked for when it turned it away.
+    :ivar account: name of the account in its headers; None if there is none.
+    :ivar has_key: it has a caller's key.
     """
 
     replica: str
@@ -60,6 +65,8 @@
     ran: bool = False
     broken: bool = False
     pause_seconds: float = 0.0
+    account: str | None = None
+    has_key: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -85,6 +92,12 @@
     :ivar signatures: replica and service behind each signature that was given out.
     :ivar disturbed: times, with gateway, in which a gateway was stopped, paused or
         killed.
+    :ivar outages: times, with gateway, in which its calls to the store were harmed; an
+        empty name for all gateways.
+    :ivar older_copies: times from a return of the store from an older copy to the next
+        configuration.
+    :ivar keys: keys that a configuration has had, as `soak_accounts.KeyRow`.
+    :ivar starts: processes of gateways, and the time of their start.
     :ivar stops: gateways, and the time at which they were asked to stop.
     """
 
@@ -96,6 +109,10 @@
     bodies: dict[str, bytes] = field(factory=dict)
     disturbed: list[tuple[str, float, float]] = field(factory=list)
     limits: list[LimitRow] = field(factory=list)
+    outages: list[tuple[str, float, float]] = field(factory=list)
+    older_copies: list[tuple[float, float]] = field(factory=list)
+    keys: dict[str, Any] = field(factory=dict)
+    starts: dict[tuple[str, int], float] = field(factory=dict)
     stops: dict[tuple[str, int], float] = field(factory=dict)
     drain_timeout_seconds: float = 3.0
     top_records: int = 5
--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -22,10 +22,11 @@
     make_settings_text,
 )
 from tests.fixtures_serving import find_free_port
+from tests.soak_accounts import configure_accounts
 from tests.soak_history import ArrivalRow, SoakHistory
 from tests.soak_link import LOOPBACK, Link
 from tests.standin_http import StandinConnection, StandinRequest
-from tests.standin_replica import Fault, StandinReplica
+from tests.standin_replica import ACCOUNT_HEADER, Fault, StandinReplica
 from tests.standin_store import StandinStore
 
 SOURCE_FOLDER = Path(__file__).parent.parent / "src"
@@ -107,6 +108,8 @@
             path=request.target,
             at_seconds=self.loop.time(),
             pause_seconds=float(self.pause or 0.0),
+            account=request.headers.get(ACCOUNT_HEADER.lower()),
+            has_key=any("secret-" in value for value in request.headers.values()),
         )
         self.history.arrivals.append(row)
         self._rows[id(request)] = row
@@ -291,11 +294,15 @@
         ]
         for version in (self.version - 1, self.version):
             if version:
-                routes.append(make_route(f"r-{version}", f"/v{version}/", **single))
+                path = f"/v{version}/"
+                routes.append(make_route(f"r-{version}", path, public=True, **single))
         services = {item.service for item in self.replicas.values()}
         document = {
             "version": self.version,
             "routes": routes,
+            "tenants": configure_accounts(
+                self.history, version=self.version, at_seconds=self.loop.time()
+            ),
             "services": [
                 {"name": name, "healthPath": "/health", "connectionLimit": 60}
                 for name in sorted(services)
@@ -335,9 +342,14 @@
                 },
             )
         )
-        await gateway.start()
+        await self._start(gateway)
         self.gateways.append(gateway)
 
+    async def _start(self, gateway: SoakGateway) -> None:
+        now = self.loop.time()
+        self.history.starts[gateway.name, gateway.starts + 1] = now
+        await gateway.start()
+
     def _reset_store_connections(self) -> None:
         for gateway in self.gateways:
             gateway.store_link.reset_connections()
@@ -352,7 +364,7 @@
         if not gateway.is_running and not gateway.busy:
             gateway.busy = True
             await asyncio.sleep(RESTART_SECONDS)
-            await gateway.start()
+            await self._start(gateway)
             gateway.busy = False
         try:
             url = f"http://{LOOPBACK}:{gateway.ready_port}/ready"
--- a/tests/test_soak_gateways.py
+++ b/tests/test_soak_gateways.py
@@ -5,6 +5,14 @@
 from tempfile import TemporaryDirectory
 
 from tests.fixtures_gateway import Response
+from tests.soak_accounts import (
+    BOUND_SECONDS,
+    STABLE_SECONDS,
+    KeyRow,
+    check_accounts,
+    check_keys_in_time,
+    configure_accounts,
+)
 from tests.soak_gateways import run_soak
 from tests.soak_history import (
     ArrivalRow,
@@ -207,6 +215,91 @@
         assert not check_history(history, timed=True)["limits"]
 
 
+def history_of_key(
+    *, at_seconds: float, status: int = 200, until_seconds: float | None = None
+) -> tuple[SoakHistory, ArrivalRow]:
+    """Return a history of one request with a key that is in force from 2 s on."""
+    history = SoakHistory()
+    history.keys["k-1"] = KeyRow(
+        account="library", since_seconds=2.0, until_seconds=until_seconds
+    )
+    reaches = status != 401
+    arrival = add_request(
+        history, "r-1", respond(status), at_seconds=at_seconds, reaches=reaches
+    )
+    history.requests[0].key, arrival.account = "k-1", "library"
+    return history, arrival
+
+
+def test_wrong_accounts_and_keys_at_replicas_are_found() -> None:
+    history, arrival = history_of_key(at_seconds=2.5)
+    assert not list(check_accounts(history))
+    arrival.account = "archive"
+    assert list(check_accounts(history))
+    arrival.account = None
+    assert list(check_accounts(history))
+    arrival.account, arrival.has_key = "library", True
+    assert list(check_accounts(history))
+    arrival.has_key = False
+    for key in ("", "k-2"):
+        history.requests[0].key = key
+        assert list(check_accounts(history)), key
+    history.requests[0].kind = "probe"
+    assert list(check_accounts(history))
+    arrival.account = None
+    assert not list(check_accounts(history))
+    # Before the configuration was written.
+    history, _ = history_of_key(at_seconds=1.9)
+    assert list(check_accounts(history))
+
+
+def test_keys_that_are_removed_or_refused_too_late_are_found() -> None:
+    # Until 5 s; or in force from 2 s on.
+    for at_seconds, status, until_seconds, count in (
+        (5.0 + BOUND_SECONDS - 0.1, 200, 5.0, 0),
+        (5.0 + BOUND_SECONDS + 0.1, 200, 5.0, 1),
+        (2.0 + BOUND_SECONDS - 0.1, 401, None, 0),
+        (2.0 + BOUND_SECONDS + 0.1, 401, None, 1),
+        (5.2, 401, 5.0, 0),
+    ):
+        history, _ = history_of_key(
+            at_seconds=at_seconds, status=status, until_seconds=until_seconds
+        )
+        assert len(list(check_keys_in_time(history))) == count, at_seconds
+        # The gateway could not know better, until the store was back for a while.
+        history.outages.append(("g-1", 1.0, at_seconds))
+        assert len(list(check_keys_in_time(history))) == count
+        for name in ("", "g-0"):
+            history.outages[-1] = name, 1.0, at_seconds - 0.5
+            assert not list(check_keys_in_time(history))
+        history.outages[-1] = "", 0.1, 0.2
+        history.starts["g-0", 1] = 0.5
+        history.older_copies.append((0.4, 0.6))
+        assert not list(check_keys_in_time(history))
+    history, _ = history_of_key(at_seconds=30.0, until_seconds=5.0)
+    history.outages.append(("", 6.0, 30.0 - STABLE_SECONDS - BOUND_SECONDS - 1.0))
+    assert list(check_keys_in_time(history))
+
+
+def test_keys_of_the_soak_come_and_go_with_the_versions() -> None:
+    history = SoakHistory()
+    keys = [
+        {
+            key
+            for account in configure_accounts(
+                history, version=version, at_seconds=float(version)
+            )
+            for key in account["apiKeys"]
+        }
+        for version in range(1, 5)
+    ]
+    fixed = {"secret-library", "secret-archive", "secret-museum"}
+    assert keys[0] - fixed == {"secret-of-1"}
+    assert keys[3] - fixed == {"secret-of-3", "secret-of-4"}
+    assert history.keys["secret-of-2"].until_seconds == 4.0
+    assert history.keys["secret-of-2"].account != history.keys["secret-of-3"].account
+
+
 def test_short_soak_of_processes_breaks_no_rule() -> None:
     with TemporaryDirectory() as folder:
         run = asyncio.run(
@@ -215,3 +308,5 @@
         found = run.violations(timed=False)
     assert {name: rows for name, rows in found.items() if rows} == {}
     assert len(run.rig.history.requests) > 100
+    served = {item.account for item in run.rig.history.arrivals}
+    assert served == {"library", "archive", "museum", None}
