--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -11,6 +11,7 @@
 from tests.fixtures_gateway import (
     BOOKING_PATH,
     FAN_OUT_PATH,
+    READ_PATH,
     Cluster,
     RunningGateway,
     replicas_of_service,
@@ -158,6 +159,33 @@
     run_scenario(scenario)
 
 
+def test_log_of_a_refused_key_leads_to_the_malformed_configuration() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        library = {"name": "library", "apiKeys": ["secret-1"]}
+        cluster.configure(*cluster.routes, tenants=[library])
+        await asyncio.sleep(3.0)
+        in_force = cluster.version
+        archive = {"name": "archive", "apiKeys": "secret-2"}
+        cluster.configure(*cluster.routes, tenants=[library, archive])
+        await asyncio.sleep(3.0)
+        response = await cluster.send_request(
+            gateway,
+            READ_PATH,
+            attempt_id="k-2",
+            headers={"X-Bronzebeam-Key": "secret-2"},
+        )
+        assert response is not None and response.status == 401
+        log_line = final_log_line(gateway, "k-2")
+        assert log_line["cause"] == "unknown_key" and log_line["instance"] == "g-1"
+        assert log_line["version"] == str(in_force)
+        [malformed] = grep_log(gateway, "malformed_record_ignored", "key=op/config")
+        assert "apiKeys" in malformed["cause"]
+        assert not grep_log(gateway, "secret")
+
+    run_scenario(scenario)
+
+
 def test_every_event_of_the_gateway_is_documented() -> None:
     page = PAGE.read_text()
     logged = set()
