Repeat a failed confirmation of accounts without reading everything

If the store turned the read of the configuration away that follows a stale read, the next attempt read all records, not stale, at ten times the price of the first: a fleet that starts together would have stayed at the store's limit. Nothing has been applied by then, so a stale read and the one key are read again.

Run: tests.test_gateway_accounts, test_gateway_store, test_gateway_restored_store; the new test failed before.

--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -147,7 +147,12 @@
         self._was_stale_read = True
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
         if self.state.table is None:
-            snapshot = await self._confirm_accounts(snapshot, may_be_stale=is_first)
+            try:
+                snapshot = await self._confirm_accounts(snapshot, may_be_stale=is_first)
+            except StoreUnavailable:
+                # Nothing was applied, so the next read may be stale as well.
+                self._was_stale_read = not is_first
+                raise
         self._record_response(snapshot.revision)
         self._apply_snapshot(snapshot)
         return snapshot.revision
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -548,3 +548,27 @@
         assert "account=" not in lines[1]
 
     run_scenario(scenario)
+
+
+def test_confirmation_that_fails_is_repeated_without_reading_everything() -> None:
+    # A fleet that starts together meets the store's limit on calls; a current read of
+    # all records by each instance would keep it there.
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_one(cluster)
+        gateway.kill(cluster)
+        current_reads = []
+
+        def choose(request: StandinRequest) -> StoreFault:
+            if "/kv-range" in request.target and "staleOk" not in request.target:
+                current_reads.append(request.target)
+                if len(current_reads) <= 3:
+                    return StoreFault.RATE_LIMITED
+            return StoreFault.NONE
+
+        cluster.store.fault = choose
+        gateway = cluster.start_gateway("g-1")
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert await status_of(cluster, gateway, LIBRARY_KEY) == 200
+        assert current_reads == ["/kv-range?pathPrefix=op/config"] * 4
+
+    run_scenario(scenario)
