--- a/src/bronzebeam/gateway/peer_configuration.py
+++ b/src/bronzebeam/gateway/peer_configuration.py
@@ -1,11 +1,11 @@
-"""Configurations that peers have in force, for an instance that starts."""
+"""Confirmation of the configuration that an instance starts with."""
 
 import asyncio
 import random
 from collections.abc import Collection
 from typing import Final
 
-from attrs import define
+from attrs import define, evolve
 
 from bronzebeam.gateway.change_codec import (
     MalformedFeedResponse,
@@ -13,7 +13,13 @@
     encode_changes,
     encode_feed_response,
 )
-from bronzebeam.gateway.records import Change, InstanceRecord, RecordKind
+from bronzebeam.gateway.records import (
+    Change,
+    GatewayStore,
+    InstanceRecord,
+    RecordKind,
+    StoreSnapshot,
+)
 from bronzebeam.routing.routes import RouteTable
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.caller_request import HttpRequest
@@ -57,7 +63,30 @@
     log: DecisionLog
     rng: random.Random
 
-    async def newest(
+    async def confirm_accounts(
+        self, snapshot: StoreSnapshot, *, store: GatewayStore, may_be_stale: bool
+    ) -> StoreSnapshot:
+        """
+        Return the records for a start, without keys that have been removed.
+
+        :raises StoreUnavailable: if the store does not confirm a stale read.
+        """
+        table = snapshot.table
+        if table is None or not table.accounts:
+            return snapshot
+        if may_be_stale:
+            # The next watch would tell of a removed key, but it may fail for as long as
+            # the store does.
+            latest = await store.read_configuration()
+            if latest is None or latest.version != table.version:
+                # The earlier read may lack replicas of this configuration.
+                snapshot = await store.read_snapshot()
+        if snapshot.table is None:
+            return snapshot
+        newest = await self._newest(snapshot.table, snapshot.instances.values())
+        return evolve(snapshot, table=newest)
+
+    async def _newest(
         self, table: RouteTable, peers: Collection[InstanceRecord]
     ) -> RouteTable:
         """Return the newest configuration that some peers have, or the given one."""
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -148,7 +148,9 @@
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
         if self.state.table is None:
             try:
-                snapshot = await self._confirm_accounts(snapshot, may_be_stale=is_first)
+                snapshot = await self.peer_configurations.confirm_accounts(
+                    snapshot, store=self.store, may_be_stale=is_first
+                )
             except StoreUnavailable:
                 # Nothing was applied, so the next read may be stale as well.
                 self._was_stale_read = not is_first
@@ -157,27 +159,6 @@
         self._apply_snapshot(snapshot)
         return snapshot.revision
 
-    async def _confirm_accounts(
-        self, snapshot: StoreSnapshot, *, may_be_stale: bool
-    ) -> StoreSnapshot:
-        """Return the records for a start, without keys that have been removed."""
-        table = snapshot.table
-        if table is None or not table.accounts:
-            return snapshot
-        if may_be_stale:
-            # The next watch would tell of a removed key, but it may fail for as long as
-            # the store does.
-            latest = await self.store.read_configuration()
-            if latest is None or latest.version != table.version:
-                # The earlier read may lack replicas of this configuration.
-                snapshot = await self.store.read_snapshot()
-        if snapshot.table is None:
-            return snapshot
-        newest = await self.peer_configurations.newest(
-            snapshot.table, snapshot.instances.values()
-        )
-        return evolve(snapshot, table=newest)
-
     def _must_read_again(self) -> bool:
         """
         Whether to read the store, which came back from an older copy, at once.
