Choose replicas by the load that they report

An instance estimated a replica's queue from its own requests in flight. At 71 instances these are a small part of what fills a queue, so requests waited behind those of other instances.

The latest load that a replica states in a reply now takes the place of this guess, together with the requests sent since, and fades: the queue within two usual reply times, the pace within 200 ms. It is relative to the usual load of the route, so that replicas without a reading do not seem idle while all are busy. Relative latency is measured against what the reading let expect. Peers pass the readings of the replicas that they asked back in the header bb-load, which earlier builds ignore. Replicas that state nothing are chosen as before.

No figure of a running fleet.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -24,11 +24,17 @@
 
 @define(kw_only=True, eq=False, repr=False)
 class Attempt(BaseAttempt):
-    """One request sent to one replica."""
+    """
+    One request sent to one replica.
+
+    :ivar _explained_ratio: how much later than usual the reply was expected to be, by
+        the load that the replica had stated.
+    """
 
     replica: Replica
     reply_metadata: ReplyMetadata | None = None
     _turns: SendTurns | None = None
+    _explained_ratio: float = 1.0
 
     def send(self) -> None:
         """Send the request as soon as the replica has a free connection."""
@@ -69,6 +75,10 @@
         )
         request = self.routed.request
         self._count_limited_send()
+        if self.replica.reading is not None:
+            self._explained_ratio = self.replica.explained_ratio(
+                now_seconds, self.context.state.typical_latency(self.routed.route)
+            )
         self.replica.pool.record_sent(connection, now_seconds)
         connection.send(
             self.routed.head + head + request.body,
@@ -101,6 +111,10 @@
             self.context.state.replicas.limits.record(
                 self.replica, read_limit(metadata.limit)
             )
+        if is_own_reply and metadata.load:
+            state = self.context.state
+            typical = state.typical_latency(self.routed.route)
+            state.replicas.record_load(self.replica, metadata.load, typical.usual_load)
         if reply.status == MISDIRECTED_STATUS:
             self._record_mismatch(connection)
             self._end(AttemptResult.NOT_RUN, "another_replica_at_the_address")
@@ -173,7 +187,7 @@
         typical = self.context.state.typical_latency(self.routed.route)
         self.replica.observe_reply(
             latency_ms=latency_ms,
-            typical_ms=typical.typical_ms,
+            typical_ms=typical.typical_ms * self._explained_ratio,
             now_seconds=now_seconds,
         )
         typical.observe(latency_ms)
--- a/src/bronzebeam/gateway/connection_pool.py
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -141,6 +141,15 @@
         sent_at = self._unanswered_since_seconds()
         return 0.0 if sent_at is None else (now_seconds - sent_at) * MS_PER_SECOND
 
+    def sent_since(self, at_seconds: float) -> int:
+        """Return how many requests in flight were sent since a time, or wait."""
+        count = len(self.waiting)
+        for sent_at in reversed(self.busy.values()):
+            if sent_at < at_seconds:
+                break
+            count += 1
+        return count
+
     def link(self) -> ReplicaLink:
         """Return what shows whether the server can be reached."""
         return ReplicaLink(
--- a/src/bronzebeam/gateway/delegation.py
+++ b/src/bronzebeam/gateway/delegation.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.load_codec import LOAD_HEADER, decode_readings
 from bronzebeam.gateway.peer_codec import (
     DELEGATION_HEADER,
     IMPAIRED_HEADER,
@@ -15,6 +16,7 @@
     RESULT_HEADER,
     UNREACHABLE_HEADER,
     DelegationRequest,
+    MalformedDelegation,
     decode_leaving,
     decode_result,
     decode_services,
@@ -194,6 +196,8 @@
                 self.peer_is_impaired = True
             elif name == UNREACHABLE_HEADER:
                 self.unreachable = decode_services(value)
+            elif name == LOAD_HEADER:
+                self._record_loads(value)
         self.peer.pool.record_reply(connection.sent_at_seconds)
         if reply.status == NOT_RUN_STATUS:
             self._avoid_peer("no_replica")
@@ -227,6 +231,23 @@
             self._avoid_peer(failure.value)
             self._end(DelegationResult.UNKNOWN, failure.value)
 
+    def _record_loads(self, value: bytes) -> None:
+        """Record the load that replicas have stated to the peer."""
+        state = self.context.state
+        try:
+            readings = decode_readings(value, now_seconds=self.context.loop.time())
+        except MalformedDelegation as error:
+            self.context.log.request(
+                "peer_readings_unreadable",
+                good=False,
+                peer=self.peer.record.instance,
+                cause=str(error),
+            )
+            return
+        state.replicas.record_loads_at_peer(
+            readings, state.typical_latency(self.routed.route).usual_load
+        )
+
     def _record_delay(self) -> None:
         """Record how long after the peer's cut-off its reply has arrived."""
         delay_seconds = self.context.loop.time() - self._due_at_seconds
--- a/src/bronzebeam/gateway/fan_out_responder.py
+++ b/src/bronzebeam/gateway/fan_out_responder.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.load_codec import LOAD_HEADER, ReplicaReading, encode_readings
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_merged
 from bronzebeam.gateway.peer_codec import (
     IMPAIRED_HEADER,
@@ -126,6 +127,8 @@
         )
         if leaving:
             headers.append((LEAVING_HEADER, encode_leaving(leaving)))
+        if self.context.state.replicas.states_load:
+            headers.extend(self._load_headers(shards))
         self.routed.request.respond(status=200, headers=headers, body=records)
 
     def fail(
@@ -153,3 +156,18 @@
         if unreachable:
             headers.append((UNREACHABLE_HEADER, encode_services(unreachable)))
         return headers
+
+    def _load_headers(self, shards: Sequence[ShardState]) -> Headers:
+        """Return the header with the load of the replicas that were asked, if known."""
+        readings = [
+            ReplicaReading(
+                replica=attempt.replica.record.replica,
+                started_at_ms=attempt.replica.record.started_at_ms,
+                reading=attempt.replica.reading,
+            )
+            for shard in shards
+            for attempt in shard.attempts
+            if attempt.replica.reading is not None
+        ]
+        value = encode_readings(readings, now_seconds=self.context.loop.time())
+        return [(LOAD_HEADER, value)] if value else []
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -263,7 +263,7 @@
             service=service,
             excluded=excluded,
             route=route,
-            typical_ms=self.typical_latency(route).typical_ms,
+            typical=self.typical_latency(route),
             shared=shared,
             ignore_limit=ignore_limit,
         )
--- a/src/bronzebeam/gateway/relay.py
+++ b/src/bronzebeam/gateway/relay.py
@@ -155,6 +155,9 @@
         if metadata.leaving:
             replicas.record_announced_leaving(replica, is_misdirected=False)
         replicas.limits.record(replica, read_limit(metadata.limit))
+        if metadata.load:
+            typical = self.context.state.typical_latency(self.routed.route)
+            replicas.record_load(replica, metadata.load, typical.usual_load)
 
     def _end(self, result: AttemptResult, cause: str) -> None:
         if not self.ended:
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -8,11 +8,17 @@
 from bronzebeam.gateway.limited_traffic import LimitedTraffic
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.routing.replica_estimate import ReplicaLoad
-from bronzebeam.routing.replica_latency import FailureRate, RelativeLatency
+from bronzebeam.routing.replica_latency import (
+    FailureRate,
+    RelativeLatency,
+    TypicalLatency,
+)
+from bronzebeam.routing.reported_load import LoadReading, explained_ratio, read_load
 
 # Slower replicas are chosen only if the others are stalled.
 SLOW_LATENCY_FACTOR: Final = 2.0
 FAILING_REPLY_SHARE: Final = 0.4  # beyond, a replica is logged as failing
+MAX_LOGGED_VALUE_BYTES: Final = 64
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -34,6 +40,7 @@
     :ivar paused_until_seconds: monotonic time until which it wants no requests.
     :ivar limited: the limit on requests that it names; None if it names none.
     :ivar mismatched: another process has answered at its address.
+    :ivar reading: the load that it stated last; None if it has stated none.
     :ivar warm_connections: number of connections to keep open while they are idle.
     """
 
@@ -49,8 +56,10 @@
     paused_until_seconds: float = 0.0
     limited: LimitedTraffic | None = None
     mismatched: bool = False
+    reading: LoadReading | None = None
     warm_connections: int = 1
     _deprioritized_cause: str = ""
+    _is_load_unreadable: bool = False
 
     @property
     def is_leaving(self) -> bool:
@@ -136,10 +145,40 @@
         wanted = self.warm_connections if self.pool.open_connections else first
         return self.pool.keep_warm(now_seconds, wanted)
 
-    def load(self, now_seconds: float, own_domain: str) -> ReplicaLoad:
-        """Return the figures that the choice between replicas depends on."""
+    def record_load(self, value: bytes, now_seconds: float) -> LoadReading | None:
+        """Record the load that it states in a reply; None if that can't be read."""
+        reading = read_load(value, at_seconds=now_seconds)
+        if reading is not None:
+            self.reading = reading
+        elif not self._is_load_unreadable:
+            self._is_load_unreadable = True
+            self.pool.log.event(
+                "replica_load_unreadable",
+                replica=self.record.replica,
+                service=self.record.service,
+                value=value[:MAX_LOGGED_VALUE_BYTES].decode("latin-1"),
+            )
+        return reading
+
+    def record_earlier_load(self, reading: LoadReading) -> None:
+        """Record the load that it has stated to a peer, unless a later one is known."""
+        if self.reading is None or self.reading.at_seconds < reading.at_seconds:
+            self.reading = reading
+
+    def explained_ratio(self, now_seconds: float, typical: TypicalLatency) -> float:
+        """Return how much later than usual it is expected to reply, by its load."""
+        return explained_ratio(self.load(now_seconds, "", typical))
+
+    def load(
+        self, now_seconds: float, own_domain: str, typical: TypicalLatency
+    ) -> ReplicaLoad:
+        """
+        Return the figures that the choice between replicas depends on.
+
+        :param typical: usual reply time of the route, and the usual load.
+        """
         pool = self.pool
-        return ReplicaLoad(
+        load = ReplicaLoad(
             latency_factor=self.relative_latency.at(now_seconds),
             in_flight=pool.in_flight,
             oldest_age_ms=pool.stalled_ms(now_seconds) if pool.busy else 0.0,
@@ -149,3 +188,13 @@
             failure_share=self.failure_rate.at(now_seconds),
             in_own_domain=self.record.failure_domain == own_domain,
         )
+        reading = self.reading
+        if reading is not None and reading.is_valid(now_seconds):
+            typical.usual_load.apply(
+                load,
+                reading,
+                sent_since=pool.sent_since(reading.at_seconds),
+                typical_ms=typical.typical_ms,
+                now_seconds=now_seconds,
+            )
+        return load
--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -13,6 +13,7 @@
     estimate_reply_ms,
     extra_cost_ms,
 )
+from bronzebeam.routing.replica_latency import TypicalLatency
 from bronzebeam.routing.routes import Route
 
 # Ranks draining and removed replicas after all others.
@@ -61,7 +62,7 @@
     *,
     excluded: Collection[Replica],
     route: Route,
-    typical_ms: float,
+    typical: TypicalLatency,
     own_domain: str,
     leaving_grace_seconds: float,
     now_seconds: float,
@@ -75,7 +76,7 @@
     :param replicas: the replicas of one service.
     :param excluded: replicas that must not be selected.
     :param route: route of the request.
-    :param typical_ms: usual reply time of the route.
+    :param typical: usual reply time of the route.
     :param own_domain: failure domain of this instance.
     :param shared: set if another instance may send to the same shard.
     :param ignore_limit: see `Replica.is_usable`.
@@ -94,8 +95,8 @@
             now_seconds, leaving_grace_seconds, ignore_limit=ignore_limit
         ):
             continue
-        load = replica.load(now_seconds, own_domain)
-        estimate_ms = estimate_reply_ms(load, typical_ms=typical_ms)
+        load = replica.load(now_seconds, own_domain, typical)
+        estimate_ms = estimate_reply_ms(load, typical_ms=typical.typical_ms)
         score_ms = estimate_ms * (1.0 + ESTIMATE_SPREAD * rng.random())
         score_ms += extra_cost_ms(load, failure_cost_ms=failure_ms)
         if replica.is_leaving or replica.removed_at_seconds is not None:
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -10,6 +10,7 @@
 from attrs import define, field, frozen
 
 from bronzebeam.gateway.connection_pool import Connect, ConnectionPool
+from bronzebeam.gateway.load_codec import ReplicaReading
 from bronzebeam.gateway.peer_codec import LeavingReplica
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.gateway.replica import Replica
@@ -22,7 +23,9 @@
 from bronzebeam.gateway.replica_links import ReplicaLinks
 from bronzebeam.routing.connection_shares import share_connections
 from bronzebeam.routing.older_copy import KnownState
+from bronzebeam.routing.replica_latency import TypicalLatency
 from bronzebeam.routing.replica_pause import RequestedPause
+from bronzebeam.routing.reported_load import UsualLoad
 from bronzebeam.routing.routes import BackendService, Route
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.http_reply import ReplyMemory
@@ -95,6 +98,7 @@
         after its latest outage.
     :ivar limits: the limits on requests that replicas name.
     :ivar links: whether this instance reaches any replica.
+    :ivar states_load: a replica has stated its load.
     :ivar _unreachable_until_seconds: until when peers are not asked for a service that
         they don't reach either.
     :ivar _announced: the replicas that have said that they stop.
@@ -114,6 +118,7 @@
     _stopped: OrderedDict[str, StoppedReplica] = field(factory=OrderedDict)
     _by_service: dict[str, list[Replica]] = field(factory=dict)
     links: ReplicaLinks = field(init=False)
+    states_load: bool = False
     _reply_memory: ReplyMemory = field(factory=ReplyMemory)
     _unreachable_until_seconds: dict[str, float] = field(factory=dict)
 
@@ -285,6 +290,34 @@
             if replica is not None:
                 self.record_announced_leaving(replica, is_misdirected=False)
 
+    def record_load(
+        self, replica: Replica, value: bytes, usual_load: UsualLoad
+    ) -> None:
+        """
+        Record the load that a replica states in a reply.
+
+        :param usual_load: usual load of the replicas of the request's route.
+        """
+        reading = replica.record_load(value, self.loop.time())
+        if reading is not None:
+            self.states_load = True
+            usual_load.observe(reading)
+
+    def record_loads_at_peer(
+        self, readings: Iterable[ReplicaReading], usual_load: UsualLoad
+    ) -> None:
+        """
+        Record the load that replicas have stated to a peer.
+
+        :param usual_load: usual load of the replicas of the request's route.
+        """
+        for item in readings:
+            replica = self.find(item.replica, started_at_ms=item.started_at_ms)
+            if replica is not None:
+                self.states_load = True
+                replica.record_earlier_load(item.reading)
+                usual_load.observe(item.reading)
+
     def record_pause(self, replica: Replica, pause: RequestedPause) -> None:
         """Record that a replica wants no requests for a while."""
         now_seconds = self.loop.time()
@@ -446,7 +479,7 @@
         service: str,
         excluded: Collection[Replica],
         route: Route,
-        typical_ms: float,
+        typical: TypicalLatency,
         shared: SharedShard | None = None,
         ignore_limit: bool = False,
     ) -> ReplicaChoice | None:
@@ -455,7 +488,7 @@
             self._by_service.get(service, ()),
             excluded=excluded,
             route=route,
-            typical_ms=typical_ms,
+            typical=typical,
             own_domain=self.own_domain,
             leaving_grace_seconds=self.leaving_grace_seconds,
             now_seconds=self.loop.time(),
--- a/src/bronzebeam/routing/replica_estimate.py
+++ b/src/bronzebeam/routing/replica_estimate.py
@@ -29,6 +29,11 @@
     :ivar is_connected: an idle connection is available.
     :ivar failure_share: share of its replies that were rejections or failures.
     :ivar in_own_domain: the replica is in the failure domain of this instance.
+    :ivar reported_pace: time that work takes by what the replica states, relative to
+        the usual time; 1 if it has stated none lately.
+    :ivar reported_queue: time of one more request by the queue that it states, relative
+        to the usual time.
+    :ivar reported_weight: share of the estimate that `reported_queue` decides, 0 to 1.
     """
 
     latency_factor: float
@@ -39,6 +44,9 @@
     is_connected: bool
     failure_share: float
     in_own_domain: bool
+    reported_pace: float = 1.0
+    reported_queue: float = 1.0
+    reported_weight: float = 0.0
 
 
 def overdue_after_ms(expected_ms: float) -> float:
@@ -52,16 +60,25 @@
 
     A replica with an overdue reply is assumed to stall for as long again as it already
     has: from outside, a pause looks the same as a crash.
+
+    The queue that a replica states takes the place of the guess from this instance's
+    own requests, and gives way to it again as the reading ages.
     """
     expected_ms = typical_ms * (
         load.latency_factor if load.latency_factor > ORDINARY_LATENCY_FACTOR else 1.0
     )
     if load.is_cold:
         expected_ms *= COLD_FACTOR
+    expected_ms *= load.reported_pace
     queued_count = max(0, load.in_flight + 1 - load.slots)
     estimate_ms = expected_ms * (
         1.0 + queued_count / load.slots + BUSY_SHARE * load.in_flight
     )
+    if load.reported_weight:
+        reported_ms = expected_ms * load.reported_queue
+        estimate_ms += load.reported_weight * (reported_ms - estimate_ms)
+        # Waiting in a queue that the replica states is no sign of a stall.
+        expected_ms += load.reported_weight * max(0.0, reported_ms - expected_ms)
     if load.in_flight and load.oldest_age_ms > overdue_after_ms(expected_ms):
         estimate_ms += load.oldest_age_ms
     if not load.is_connected:
--- a/src/bronzebeam/routing/replica_latency.py
+++ b/src/bronzebeam/routing/replica_latency.py
@@ -3,7 +3,9 @@
 import math
 from typing import Final
 
-from attrs import define
+from attrs import define, field
+
+from bronzebeam.routing.reported_load import UsualLoad
 
 SLOWER_STEP: Final = 1.2  # three late replies in a row move traffic elsewhere
 FASTER_STEP: Final = 0.94
@@ -135,9 +137,11 @@
     Running median of a route's reply times over all replicas.
 
     :ivar typical_ms: current value of the median.
+    :ivar usual_load: the load at this reply time, if the replicas state it.
     """
 
     typical_ms: float
+    usual_load: UsualLoad = field(factory=UsualLoad)
 
     @classmethod
     def from_target(cls, target_latency_ms: float) -> "TypicalLatency":
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -13,6 +13,7 @@
 SIGNATURE_HEADER = "X-Bronzebeam-Replica-Signature"
 LEAVING_HEADER = "Server-Leaving"
 LIMIT_HEADER = "Server-Limit"
+LOAD_HEADER = "X-Bronzebeam-Replica-Load"
 NOT_EXECUTED_HEADER = "X-Bronzebeam-Not-Executed"
 RESTART_SECONDS = 2.0
 ENDLESS_WRITE_BYTES = 64 * 1024
@@ -105,6 +106,8 @@
     :ivar leaving: states in all replies that it is about to stop.
     :ivar pause: turns requests away, with this value of Retry-After.
     :ivar limit: names this limit on requests a second in all replies; empty for none.
+    :ivar states_load: states its load in all replies.
+    :ivar load: states this load instead of its own; empty for its own.
     :ivar received_at_seconds: times at which it received the requests in
         `received_ids`.
     :ivar sequence: number of the next registration.
@@ -124,6 +127,8 @@
     leaving: bool = False
     pause: str = ""
     limit: str = ""
+    states_load: bool = False
+    load: str = ""
     started_at_ms: int = 1_700_000_000_000
     sequence: int = 1
     stalled_until_seconds: float = 0.0
@@ -300,6 +305,9 @@
         signals = {LEAVING_HEADER: "1"} if self.leaving else {}
         if self.limit:
             signals[LIMIT_HEADER] = self.limit
+        if self.states_load:
+            own_load = f"{self._running_count},{len(self._queue)},{self.slots},100"
+            signals[LOAD_HEADER] = self.load or own_load
         return signals
 
     def _extra(self, request: StandinRequest, headers: dict[str, str]) -> None:
