Hedge early if a replica states that it will reply late

A sub-request waited for the whole hedge delay, also if its replica had meanwhile stated in other replies that its queue was long or its pace slow.

Such a sub-request is now hedged at half the delay, if the stated load lets expect a reply after the whole delay and another replica is expected to need less than half of what is left. Nothing is checked until a replica has stated its load. The repeat budget and the number of attempts remain the limits.

--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from functools import partial
 from typing import Final
 
 from attrs import define, field
@@ -12,6 +13,7 @@
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation import Delegation, DelegationResult
 from bronzebeam.gateway.delegator import Delegator
+from bronzebeam.gateway.early_hedges import EarlyHedges
 from bronzebeam.gateway.fan_out_progress import FanOutProgress
 from bronzebeam.gateway.fan_out_responder import FanOutResponder
 from bronzebeam.gateway.outcome import Outcome
@@ -122,6 +124,8 @@
                 )
             )
         self._schedule_hedges()
+        if self.context.state.replicas.states_load:
+            self._schedule_early_hedges()
         self._answer_if_complete()
 
     def on_attempt_ended(self, attempt: BaseAttempt, result: AttemptResult) -> None:
@@ -397,6 +401,33 @@
             self.hedge_after_ms / MS_PER_SECOND, self._hedge
         )
 
+    def _schedule_early_hedges(self) -> None:
+        early = EarlyHedges(
+            context=self.context,
+            routed=self.routed,
+            hedge_after_ms=self.hedge_after_ms,
+        )
+        self._timers.append(
+            self.context.loop.call_later(
+                early.check_after_seconds, self._hedge_early, early
+            )
+        )
+
+    def _hedge_early(self, early: EarlyHedges) -> None:
+        """Send a hedge for each shard whose replica states that it will be late."""
+        if self._done or self._crash_evidence.is_suspect:
+            return
+        for shard in self._progress.shards:
+            if shard.is_settled or shard.delegation or len(shard.attempts) != 1:
+                continue
+            choose_other = partial(
+                self._chooser.choose, shard, excluded=shard.excluded, repeat=True
+            )
+            if early.is_due(shard.attempts[0], choose_other) and self._send_again(
+                shard, repeat=True
+            ):
+                self.context.metrics.count_repeat("early_hedge")
+
     def _hedge(self) -> None:
         """Send a hedge for each shard that has no reply yet."""
         if self._done:
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -1,6 +1,7 @@
 """Forwarding of a request to one replica of a service, with retries."""
 
 import asyncio
+from functools import partial
 from typing import Final
 
 from attrs import define, field
@@ -9,6 +10,7 @@
 from bronzebeam.gateway.attempt import Attempt
 from bronzebeam.gateway.base_attempt import AttemptResult, BaseAttempt
 from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.early_hedges import EarlyHedges
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_reply
 from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.relay import RelayedAttempt
@@ -53,6 +55,7 @@
     _unreachable_count: int = 0
     _last_failed: BaseAttempt | None = None
     _done: bool = False
+    _hedged_early: bool = False
     _timers: list[asyncio.TimerHandle] = field(factory=list)
 
     def start(self) -> None:
@@ -71,6 +74,13 @@
                 is_fan_out=False,
             )
             self._timers.append(loop.call_later(delay_ms / MS_PER_SECOND, self._hedge))
+            if self.context.state.replicas.states_load:
+                early = EarlyHedges(
+                    context=self.context, routed=routed, hedge_after_ms=delay_ms
+                )
+                self._timers.append(
+                    loop.call_later(early.check_after_seconds, self._hedge_early, early)
+                )
         if not self._send(repeat=False):
             self._fail(NO_REPLICA)
 
@@ -173,10 +183,26 @@
         )
 
     def _hedge(self) -> None:
-        if self._done or not self._is_repeat_allowed():
+        if self._done or self._hedged_early or not self._is_repeat_allowed():
             return
         self._send(repeat=True)
 
+    def _hedge_early(self, early: EarlyHedges) -> None:
+        """Send a hedge if the only replica so far states that it will be late."""
+        if self._done or len(self.attempts) != 1 or not self._is_repeat_allowed():
+            return
+        attempt = self.attempts[0]
+        choose_other = partial(
+            self.context.state.choose_replica,
+            service=self.service,
+            excluded=self._tried,
+            route=self.routed.route,
+        )
+        if isinstance(attempt, Attempt) and early.is_due(attempt, choose_other):
+            self._hedged_early = self._send(repeat=True)
+            if self._hedged_early:
+                self.context.metrics.count_repeat("early_hedge")
+
     def _answer(self, attempt: BaseAttempt) -> None:
         assert attempt.reply is not None
         self._finish()
--- a/src/bronzebeam/routing/hedge_timing.py
+++ b/src/bronzebeam/routing/hedge_timing.py
@@ -13,6 +13,11 @@
 UNRESPONSIVE_PEERS_DIVISOR: Final = 4
 # With less, a busy instance would send hedges because of its own delays.
 MIN_HEDGE_DELAY_MS: Final = 4.0
+# Of the hedge delay, if the load that replicas state is considered: after 1.25 times
+# the usual reply time, most replies are there.
+EARLY_HEDGE_SHARE: Final = 0.5
+# A hedge uses up the repeat budget, so it has to save more than an estimate's error.
+MIN_EARLY_HEDGE_GAIN: Final = 2.0
 
 
 def hedge_delay_ms(
@@ -31,6 +36,26 @@
     return max(delay_ms, MIN_HEDGE_DELAY_MS)
 
 
+def should_hedge_early(
+    *, reported_ms: float, elapsed_ms: float, other_ms: float, hedge_after_ms: float
+) -> bool:
+    """
+    Whether to hedge a sub-request before the hedge delay has passed.
+
+    Protects against replicas that say themselves that they will reply late: waiting
+    for the delay only uses up the target latency. A sub-request that is not expected to
+    be hedged after the delay is not hedged early either.
+
+    :param reported_ms: expected reply time by what the replica has stated since the
+        sub-request was sent.
+    :param elapsed_ms: time since then.
+    :param other_ms: expected reply time of the replica that would get the hedge.
+    :param hedge_after_ms: the hedge delay.
+    """
+    left_ms = reported_ms - elapsed_ms
+    return reported_ms > hedge_after_ms and left_ms > other_ms * MIN_EARLY_HEDGE_GAIN
+
+
 def peer_timeout_ms(hedge_after_ms: float) -> float:
     """
     Return the time after which a peer that has sent nothing counts as lost.
--- a/tests/test_gateway_reported_load.py
+++ b/tests/test_gateway_reported_load.py
@@ -105,6 +105,80 @@
     run_scenario(scenario)
 
 
+async def time_until_hedge_ms(
+    cluster: Cluster, gateway: RunningGateway, path: str, load: bytes
+) -> float:
+    """
+    Send a request that its replica does not answer; return when the other gets it.
+
+    :param load: load that the replica states to another request after 3 ms.
+    """
+    for replica in cluster.replicas.values():
+        replica.work_seconds = 0.3
+    sent_at = cluster.loop.time()
+    caller = await cluster.connect(gateway)
+    caller.send(encode_request(path, attempt_id="slow"))
+    await asyncio.sleep(0.003)
+    for standin in cluster.replicas.values():
+        if "slow" in standin.received_ids and load:
+            replicas = gateway.gateway._state.replicas
+            known = replicas.find(standin.replica, started_at_ms=standin.started_at_ms)
+            assert known is not None
+            known.record_load(load, cluster.loop.time())
+    await asyncio.sleep(0.2)
+    received_at = sorted(
+        at_seconds
+        for standin in cluster.replicas.values()
+        for name, at_seconds in zip(standin.received_ids, standin.received_at_seconds)
+        if name == "slow"
+    )
+    return (received_at[-1] - sent_at) * 1_000.0
+
+
+def test_hedge_is_sent_early_if_the_replica_states_a_long_queue() -> None:
+    """Guards against waiting for a reply that the replica itself says will be late."""
+
+    async def scenario(cluster: Cluster, is_search: bool, load: bytes) -> float:
+        if is_search:
+            gateway = await start_search_cluster(cluster, shards=1)
+        else:
+            gateway = await start_small_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.states_load = True
+        path = FAN_OUT_PATH if is_search else READ_PATH
+        for _ in range(4):
+            await cluster.send_request(gateway, path)
+        return await time_until_hedge_ms(cluster, gateway, path, load)
+
+    for is_search in (False, True):
+        late_ms, queued_ms, idle_ms, unknown_ms = (
+            run_scenario(lambda cluster: scenario(cluster, is_search, load))
+            for load in (b"2,30,2,100", b"2,8,2,400", b"1,0,2,100", b"")
+        )
+        assert late_ms < 0.7 * idle_ms and queued_ms < 0.7 * idle_ms
+        assert idle_ms == unknown_ms
+
+
+def test_early_hedges_stay_within_the_repeat_budget() -> None:
+    """Guards against a storm of hedges while all replicas are busy."""
+
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(
+            cluster,
+            gateway_settings={
+                "bounds.retryBudgetRatio": "0",
+                "bounds.retryBudgetSlack": "0",
+            },
+        )
+        for replica in cluster.replicas.values():
+            replica.states_load = True
+        await read_in_turn(cluster, gateway, 4)
+        await time_until_hedge_ms(cluster, gateway, READ_PATH, b"2,30,2,100")
+        assert cluster.run_count("slow") == 1
+
+    run_scenario(scenario)
+
+
 async def post_delegation(cluster: Cluster, gateway: RunningGateway) -> Response:
     """Send a delegation of the first shard to a gateway, as a peer does."""
     order = {"bb-gather": '["r-find",["shard-0"],5,2,90,50,90,false]'}
--- a/tests/test_routing_reported_load.py
+++ b/tests/test_routing_reported_load.py
@@ -14,6 +14,7 @@
     encode_readings,
 )
 from bronzebeam.gateway.peer_codec import MalformedDelegation
+from bronzebeam.routing.hedge_timing import hedge_delay_ms, should_hedge_early
 from bronzebeam.routing.replica_estimate import ReplicaLoad, estimate_reply_ms
 from bronzebeam.routing.replica_latency import RelativeLatency
 from bronzebeam.routing.reported_load import (
@@ -305,6 +306,26 @@
         assert mean_ms(plays[True]) < 1.15 * mean_ms(plays[False])
 
 
+def test_early_hedge_needs_a_late_replica_and_a_much_faster_one() -> None:
+    hedge_ms = hedge_delay_ms(
+        typical_ms=TYPICAL_MS, target_latency_ms=90.0, is_fan_out=True
+    )
+
+    def is_hedged(reported_ms: float, other_ms: float) -> bool:
+        return should_hedge_early(
+            reported_ms=reported_ms,
+            elapsed_ms=hedge_ms / 2.0,
+            other_ms=other_ms,
+            hedge_after_ms=hedge_ms,
+        )
+
+    assert is_hedged(60.0, TYPICAL_MS)
+    # It would not be hedged later either.
+    assert not is_hedged(24.0, 1.0)
+    # All replicas are busy: a hedge would only add to the work.
+    assert not is_hedged(60.0, 40.0)
+
+
 def make_replica_reading(name: str, at_seconds: float) -> ReplicaReading:
     return ReplicaReading(
         replica=name,
