Explain on the peer port where a request would go now

To find out why a request went to a replica, or was refused, an operator had only log lines of requests that had ended.

GET /explain on the peer port now answers from the running state: route, account, admission, for each service or shard the replicas weighed with estimate, costs and reasons for exclusion, the chosen one, whether a peer would be asked, the hedge delay, the remaining repeats, and what would refuse the request. The choice is made by the functions of the request path with a random source of its own; budgets and weighted splits are read from copies. Keys are not read, and neither unknown parameters nor unknown account names are repeated. Other modules add sections and refusal checks. Large answers are made in slices, so that requests are not delayed, and compressed.

Run: tests.test_gateway_explain, tests.test_gateway_explain_reasons, tests.test_operations_page pass.

--- a/src/bronzebeam/gateway/admission.py
+++ b/src/bronzebeam/gateway/admission.py
@@ -79,7 +79,12 @@
 
     def limit_for(self, route: Route) -> AdaptiveLimit | None:
         """Return the limit that applies to a route; None before its first request."""
-        return self._limits.get(self._services[route.name])
+        services = self._services.get(route.name, frozenset(route.services))
+        return self._limits.get(services)
+
+    def rank_of(self, route: Route) -> int:
+        """Return the rank of a route; see `AdaptiveLimit`."""
+        return self._ranks.get(route.name, 0)
 
     def _apply_table(self, table: RouteTable) -> None:
         """Rank the routes of each set of services, and drop sets without a route."""
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -17,6 +17,7 @@
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation_handler import DelegationRequestHandler
+from bronzebeam.gateway.explanation import EXPLAIN_PATH, Explainer
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.gateway_metrics import GatewayMetrics
 from bronzebeam.gateway.graceful_shutdown import GracefulShutdown
@@ -97,6 +98,7 @@
     _ready_server: CallerServer = field(init=False)
     _delegation_handler: DelegationRequestHandler = field(init=False)
     _relay_handler: RelayRequestHandler = field(init=False)
+    _explainer: Explainer = field(init=False)
     _readiness: Readiness = field(init=False)
     _suspect_reporter: SuspectReporter = field(init=False)
     _store_watch: StoreWatch = field(init=False)
@@ -230,9 +232,15 @@
             suspect_reporter=self._suspect_reporter,
             link_bits_per_second=settings.link_bits_per_second,
         )
+        admission = Admission(rng=self.rng, log=self.log)
+        self._explainer = Explainer(
+            context=context,
+            admission=admission,
+            configuration_bound_seconds=settings.configuration_bound_seconds,
+        )
         router = Router(
             context=context,
-            admission=Admission(rng=self.rng, log=self.log),
+            admission=admission,
             started_at_seconds=loop.time(),
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
@@ -277,6 +285,8 @@
             self._relay_handler.handle(request)
         elif request.path == FEED_PATH:
             self._feed_server.handle(request)
+        elif request.path == EXPLAIN_PATH:
+            self._explainer.handle(request)
         else:
             self._handle_internal_request(request)
 
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -318,6 +318,28 @@
         share = self._share(SLACK_RATIOS, service, instance_count=self.peers.live_count)
         return self.repeat_budget(service).available(self.loop.time(), share=share)
 
+    # Queries that change nothing, to explain what a request would meet.
+
+    def known_latency(self, route: Route) -> TypicalLatency:
+        """Return the typical reply time of a route's sub-requests."""
+        known = self._typical_latency_by_route.get(route.name)
+        return known or TypicalLatency.from_target(route.target_latency_ms)
+
+    def peek_service(self, route: Route) -> str:
+        """Return what `next_service` would."""
+        split = self._split_by_route.get(route.name)
+        if split is None or split.destinations != route.destinations:
+            split = WeightedSplit(destinations=route.destinations)
+        return split.peek()
+
+    def peek_repeats(self, service: str) -> float:
+        """Return what `remaining_repeats` would."""
+        share = self._share(SLACK_RATIOS, service, instance_count=self.peers.live_count)
+        budget = self._budget_by_service.get(service) or RepeatBudget(
+            limits=self.limits, started_at_seconds=self._owners_changed_at_seconds
+        )
+        return budget.peek(self.loop.time(), share=share)
+
     def _limit_share(self, service: str) -> float:
         instance_count = self._recent_instances.highest(self.loop.time())
         return self._share(LIMIT_RATIOS, service, instance_count=instance_count)
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -236,6 +236,25 @@
         :param may_wait: select a peer without a free connection if no other is left.
         :param ignore_reach: select a peer also if its links to the replicas are broken.
         """
+        available = self.available(
+            failure_domain,
+            excluded=excluded,
+            among=among,
+            may_wait=may_wait,
+            ignore_reach=ignore_reach,
+        )
+        return min(available, key=self._load) if available else None
+
+    def available(
+        self,
+        failure_domain: str,
+        *,
+        excluded: Collection[Peer] = (),
+        among: Collection[str] | None = None,
+        may_wait: bool = False,
+        ignore_reach: bool = False,
+    ) -> list[Peer]:
+        """Return the peers that `choose` selects from."""
         now_seconds = self.loop.time()
         healthy = [
             peer
@@ -254,9 +273,7 @@
                 for peer in healthy
                 if peer.pool.busy and peer.pool.in_flight < MAX_CONNECTIONS
             ]
-        if not available:
-            return None
-        return min(available, key=self._load)
+        return available
 
     def choose_any(
         self, preferred_domains: Sequence[str], *, excluded: Collection[Peer]
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -4,7 +4,7 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from typing import Final
 
 from attrs import define, field, frozen
@@ -482,8 +482,13 @@
         typical: TypicalLatency,
         shared: SharedShard | None = None,
         ignore_limit: bool = False,
+        rng: random.Random | None = None,
     ) -> ReplicaChoice | None:
-        """Select a replica of a service; see `choose_replica`."""
+        """
+        Select a replica of a service; see `choose_replica`.
+
+        :param rng: source of the random spread; None for that of this instance.
+        """
         return choose_replica(
             self._by_service.get(service, ()),
             excluded=excluded,
@@ -492,11 +497,15 @@
             own_domain=self.own_domain,
             leaving_grace_seconds=self.leaving_grace_seconds,
             now_seconds=self.loop.time(),
-            rng=self.rng,
+            rng=rng or self.rng,
             shared=shared,
             ignore_limit=ignore_limit,
         )
 
+    def of_service(self, service: str) -> Sequence[Replica]:
+        """Return the replicas of a service."""
+        return self._by_service.get(service, ())
+
     def connection_counts(self) -> tuple[int, int]:
         """Return the number of replicas with an open connection, and of all."""
         connected = sum(
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -104,17 +104,12 @@
         # A caller's time starts before it opens a connection, which is one round trip.
         opening_ms = request.round_trip_ms if request.is_first else 0.0
         limit_ms = min(remaining_ms - DEADLINE_MARGIN_MS, route.timeout_ms)
-        target_ms = remaining_target_ms(
-            target_latency_ms=route.target_latency_ms
-            - request.round_trip_ms
-            - CALLER_OVERHEAD_MS
-            - transmission_ms(
-                shard_count=len(route.shards),
-                top_records=route.top_records,
-                link_bits_per_second=self.context.link_bits_per_second,
-            ),
-            elapsed_ms=max(elapsed_ms, opening_ms),
+        target_ms = time_to_target_ms(
+            route,
             typical_ms=self.context.state.typical_latency(route).typical_ms,
+            link_bits_per_second=self.context.link_bits_per_second,
+            round_trip_ms=request.round_trip_ms,
+            elapsed_ms=max(elapsed_ms, opening_ms),
         )
         arrived_at = request.arrived_at_seconds
         return RoutedRequest(
@@ -226,3 +221,33 @@
         )
         self.context.metrics.count_rejection(reason)
         request.respond(status=status, headers=headers, body=reason.encode() + b"\n")
+
+
+def time_to_target_ms(
+    route: Route,
+    *,
+    typical_ms: float,
+    link_bits_per_second: float,
+    round_trip_ms: float = 0.0,
+    elapsed_ms: float = 0.0,
+) -> float:
+    """
+    Return the time from the arrival of a request to when its answer has to leave.
+
+    :param typical_ms: usual reply time of the route.
+    :param link_bits_per_second: see `GatewaySettings`.
+    :param round_trip_ms: network round-trip time to the caller.
+    :param elapsed_ms: time that the caller has spent before it sent the request.
+    """
+    return remaining_target_ms(
+        target_latency_ms=route.target_latency_ms
+        - round_trip_ms
+        - CALLER_OVERHEAD_MS
+        - transmission_ms(
+            shard_count=len(route.shards),
+            top_records=route.top_records,
+            link_bits_per_second=link_bits_per_second,
+        ),
+        elapsed_ms=elapsed_ms,
+        typical_ms=typical_ms,
+    )
--- a/src/bronzebeam/routing/repeat_budget.py
+++ b/src/bronzebeam/routing/repeat_budget.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from copy import copy
 from typing import Final
 
 from attrs import define, field, frozen
@@ -83,6 +84,12 @@
             - self._repeat_count
         )
 
+    def peek(self, now_seconds: float, *, share: float) -> float:
+        """Return what `available` would, without a change of this budget."""
+        other = copy(self)
+        other._buckets = deque(self._buckets)
+        return other.available(now_seconds, share=share)
+
     def _granted_share(self, now_seconds: float, share: float) -> float:
         if self._target_share == 0.0:
             self._target_share, self._base_share = share, STARTING_SHARE * share
--- a/src/bronzebeam/routing/weighted_split.py
+++ b/src/bronzebeam/routing/weighted_split.py
@@ -1,5 +1,7 @@
 """Distribution of a route's requests over services by weight."""
 
+from copy import copy
+
 from attrs import define, field
 
 from bronzebeam.routing.routes import WeightedService
@@ -22,6 +24,12 @@
         self._credits = [0.0] * len(self.destinations)
         self._total_weight = sum(item.weight for item in self.destinations)
 
+    def peek(self) -> str:
+        """Return what `next_service` would, without a change of the order."""
+        other = copy(self)
+        other._credits = list(self._credits)
+        return other.next_service()
+
     def next_service(self) -> str:
         """Return the service of the next request."""
         if len(self.destinations) == 1:
