Add the command explain

The explanations of gateways could only be read as JSON, by a request that had to be put together by hand.

--- a/src/bronzebeam/cli.py
+++ b/src/bronzebeam/cli.py
@@ -7,6 +7,7 @@
 from bronzebeam.cli_demo import demo
 from bronzebeam.cli_document import document
 from bronzebeam.cli_entry import entry
+from bronzebeam.cli_explain import explain
 from bronzebeam.cli_gateway import gateway
 from bronzebeam.cli_settings import settings
 from bronzebeam.cli_soak import soak
@@ -21,5 +22,15 @@
 
 
 standin.add_command(run_backends)
-for command in (bench, demo, document, entry, gateway, settings, soak, standin):
+for command in (
+    bench,
+    demo,
+    document,
+    entry,
+    explain,
+    gateway,
+    settings,
+    soak,
+    standin,
+):
     main.add_command(command)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -1,6 +1,7 @@
 """Tests of the gateway as a real process, with stand-ins on the loopback interface."""
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -12,7 +13,9 @@
 
 import httpx
 from attrs import define, field
+from click.testing import CliRunner
 
+from bronzebeam.cli_explain import explain
 from tests.fixtures_gateway import HOST, READ_PATH, make_route, make_settings_text
 from tests.fixtures_serving import find_free_port
 from tests.standin_http import StandinConnection
@@ -33,6 +36,7 @@
     settings: Path
     caller_url: str
     ready_url: str
+    peer_address: str
     replica: StandinReplica
     client: httpx.AsyncClient = field(
         factory=lambda: httpx.AsyncClient(timeout=MAX_START_SECONDS)
@@ -133,6 +137,7 @@
         settings=settings,
         caller_url=f"http://{LOOPBACK}:{callers}",
         ready_url=f"http://{LOOPBACK}:{ready}",
+        peer_address=f"{LOOPBACK}:{peers}",
         replica=replica,
     )
 
@@ -165,6 +170,27 @@
     run_with_gateway(use)
 
 
+def test_command_explains_where_a_request_to_a_process_would_go() -> None:
+    async def use(gateway: RealGateway) -> None:
+        gateway.replica.states_load = True
+        response = await gateway.send_request("p-1")
+        assert response.status_code == 200
+        options = ["--instance", gateway.peer_address, "--host", HOST]
+        for path, exit_code in ((f"{READ_PATH}x", 0), ("/elsewhere/", 3)):
+            # The command runs an event loop of its own.
+            result = await asyncio.to_thread(
+                CliRunner().invoke, explain, [*options, "--path", path, "--json"]
+            )
+            assert result.exit_code == exit_code, result.output
+            answer = json.loads(result.output)
+            if exit_code == 0:
+                assert answer["services"][0]["chosen"] == "i-1"
+                assert answer["services"][0]["replicas"][0]["reading"]["slots"] == 2
+        assert gateway.replica.received_ids == ["p-1"]
+
+    run_with_gateway(use)
+
+
 def test_unread_output_does_not_block_the_process() -> None:
     async def use(gateway: RealGateway) -> None:
         stdout: Any = gateway.process.stdout
