--- a/src/bronzebeam/gateway/load_codec.py
+++ b/src/bronzebeam/gateway/load_codec.py
@@ -59,7 +59,7 @@
                 item.reading.running,
                 item.reading.waiting,
                 item.reading.slots,
-                round(item.reading.pace * USUAL_PACE_PERCENT, 1),
+                round(item.reading.pace * USUAL_PACE_PERCENT),
             )
             for item in valid
         ]
