Let requests wait for room where accounts compete

Without accounts the decision and its random draws are as before.

The page test counts three more metrics, all documented.

--- a/src/bronzebeam/gateway/admission.py
+++ b/src/bronzebeam/gateway/admission.py
@@ -13,11 +13,16 @@
 
 @define(kw_only=True, eq=False, repr=False)
 class AdmissionPermit:
-    """Permission for one request to be in flight, released when it ends."""
+    """
+    Permission for one request to be in flight, released when it ends.
+
+    :ivar refused_count: sub-requests that replicas turned away for lack of room.
+    """
 
     limit: AdaptiveLimit
     route: Route
     log: DecisionLog
+    refused_count: int = 0
 
     def release(self, *, elapsed_ms: float | None, now_seconds: float) -> None:
         """
@@ -36,14 +41,17 @@
             now_seconds=now_seconds,
         )
         if self.limit.is_reduced is not was_reduced:
-            self.log.event(
-                "overload_over" if was_reduced else "overload_found",
-                route=self.route.name,
-                limit=round(self.limit.limit, 1),
-                in_flight=self.limit.in_flight,
-                elapsed_ms=round(elapsed_ms, 1),
-                target_ms=self.route.target_latency_ms,
-            )
+            self._log_change(elapsed_ms)
+
+    def _log_change(self, elapsed_ms: float) -> None:
+        self.log.event(
+            "overload_found" if self.limit.is_reduced else "overload_over",
+            route=self.route.name,
+            limit=round(self.limit.limit, 1),
+            in_flight=self.limit.in_flight,
+            elapsed_ms=round(elapsed_ms, 1),
+            target_ms=self.route.target_latency_ms,
+        )
 
 
 @define(kw_only=True, eq=False, repr=False)
--- a/src/bronzebeam/gateway/base_attempt.py
+++ b/src/bronzebeam/gateway/base_attempt.py
@@ -2,7 +2,7 @@
 
 from abc import abstractmethod
 from enum import Enum
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import define
 
@@ -12,6 +12,9 @@
 from bronzebeam.transport.http_reply import HttpReply
 from bronzebeam.units import MS_PER_SECOND
 
+# Cause of an attempt that a replica turned away for lack of room.
+NO_ROOM_CAUSE: Final = "rejected_503"
+
 
 class AttemptResult(Enum):
     """
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -8,7 +8,11 @@
 
 from bronzebeam.gateway.admission import AdmissionPermit
 from bronzebeam.gateway.attempt import Attempt
-from bronzebeam.gateway.base_attempt import AttemptResult, BaseAttempt
+from bronzebeam.gateway.base_attempt import (
+    NO_ROOM_CAUSE,
+    AttemptResult,
+    BaseAttempt,
+)
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation import Delegation, DelegationResult
 from bronzebeam.gateway.delegator import Delegator
@@ -127,6 +131,8 @@
     def on_attempt_ended(self, attempt: BaseAttempt, result: AttemptResult) -> None:
         """Include the reply in the answer, or try another replica."""
         assert isinstance(attempt, Attempt)
+        if attempt.cause == NO_ROOM_CAUSE and self.permit is not None:
+            self.permit.refused_count += 1
         shard = self._progress.shards[attempt.shard_index]
         if self._done or shard.signature is not None:
             return
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -7,7 +7,11 @@
 
 from bronzebeam.gateway.admission import AdmissionPermit
 from bronzebeam.gateway.attempt import Attempt
-from bronzebeam.gateway.base_attempt import AttemptResult, BaseAttempt
+from bronzebeam.gateway.base_attempt import (
+    NO_ROOM_CAUSE,
+    AttemptResult,
+    BaseAttempt,
+)
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_reply
 from bronzebeam.gateway.peers import Peer
@@ -76,6 +80,8 @@
 
     def on_attempt_ended(self, attempt: BaseAttempt, result: AttemptResult) -> None:
         """Answer the caller, or try another replica."""
+        if attempt.cause == NO_ROOM_CAUSE:
+            self.permit.refused_count += 1
         if self._done:
             return
         if result is AttemptResult.ANSWERED:
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -28,6 +28,9 @@
     _relays: MetricFamily[Counter] = field(init=False)
     _limited_sends: MetricFamily[Counter] = field(init=False)
     _replicas: MetricFamily[Gauge] = field(init=False)
+    _waiting: MetricFamily[Gauge] = field(init=False)
+    _refused: MetricFamily[Counter] = field(init=False)
+    _wait: MetricFamily[LatencyMetric] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._requests = self.registry.counter(
@@ -78,6 +81,33 @@
             help_text="Known replicas, by whether a connection to them is open.",
             label_names=("connected",),
         )
+        self._waiting = self.registry.gauge(
+            name="bronzebeam_gateway_waiting_count",
+            help_text="Requests that wait for room, by priority.",
+            label_names=("priority",),
+        )
+        self._refused = self.registry.counter(
+            name="bronzebeam_gateway_no_room_total",
+            help_text="Requests refused for lack of room, by priority and reason.",
+            label_names=("priority", "reason"),
+        )
+        self._wait = self.registry.latency(
+            name="bronzebeam_gateway_wait_seconds",
+            help_text="Time for which requests without room waited, started or not.",
+            label_names=("priority",),
+        )
+
+    def set_waiting(self, *, priority: int, count: int) -> None:
+        """Set the number of requests of a priority that wait for room."""
+        self._waiting.labels(priority=str(priority)).set(count)
+
+    def record_wait(self, *, priority: int, seconds: float) -> None:
+        """Record the time that a request waited until it was started or refused."""
+        self._wait.labels(priority=str(priority)).record(seconds=seconds)
+
+    def count_no_room(self, *, priority: int, reason: str) -> None:
+        """Count a request that was refused for lack of room."""
+        self._refused.labels(priority=str(priority), reason=reason).increment()
 
     def count_delegation(self, result: str) -> None:
         """Count a completed delegation of shards to a peer."""
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -27,6 +27,7 @@
     :ivar missing: shards that are not in the answer, each with its cause.
     :ivar peers: delegations that were late or failed.
     :ivar steps: monotonic times of the steps of a fan-out, by the name of their field.
+    :ivar details: further fields of the log line.
     """
 
     attempts: Sequence[BaseAttempt]
@@ -35,6 +36,7 @@
     missing: Sequence[str] = ()
     peers: Sequence[str] = ()
     steps: Mapping[str, float | None] = field(factory=dict)
+    details: Mapping[str, Any] = field(factory=dict)
 
     def log(
         self,
@@ -74,6 +76,7 @@
                     fields[name] = routed.ms_after_arrival(at_seconds)
         if self.cause:
             fields["cause"] = self.cause
+        fields.update(self.details)
         if self.included is not None:
             fields["included"] = self.included
         if self.missing:
@@ -134,14 +137,41 @@
     :param status: 503 if the request has certainly not run, otherwise 502 or 504.
     :param return_seconds: time after which it can be served; None if unknown.
     """
-    headers: Headers = []
+    seconds = None
     if status in (502, 503):
         seconds = retry_after_seconds(
             target_latency_ms=routed.route.target_latency_ms, rng=context.rng
         )
         if return_seconds is not None:
             seconds = max(seconds, return_seconds)
-        headers.append((RETRY_AFTER, b"%.3f" % seconds))
+    _answer_unserved(context, routed, status, outcome, seconds)
+
+
+def answer_no_room(
+    context: GatewayContext,
+    routed: RoutedRequest,
+    *,
+    outcome: Outcome,
+    return_seconds: float,
+) -> None:
+    """
+    Answer the caller that the request was not started for lack of room.
+
+    :param return_seconds: time after which there is room, with jitter.
+    """
+    _answer_unserved(context, routed, 503, outcome, return_seconds)
+
+
+def _answer_unserved(
+    context: GatewayContext,
+    routed: RoutedRequest,
+    status: int,
+    outcome: Outcome,
+    return_seconds: float | None,
+) -> None:
+    headers: Headers = []
+    if return_seconds is not None:
+        headers.append((RETRY_AFTER, b"%.3f" % return_seconds))
     outcome.log(context, routed, status=status, good=False)
     context.metrics.count_response(routed, status=status, now=context.loop.time())
     routed.request.respond(
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -4,7 +4,8 @@
 
 from attrs import define, field
 
-from bronzebeam.gateway.admission import Admission
+from bronzebeam.gateway.admission import Admission, AdmissionPermit
+from bronzebeam.gateway.competing_admission import CompetingAdmission
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.fan_out import FanOutRequest
 from bronzebeam.gateway.fan_out_responder import CallerResponder
@@ -42,6 +43,7 @@
 
     :ivar started_at_seconds: monotonic time at which the process started.
     :ivar configuration_bound_seconds: see `GatewaySettings`.
+    :ivar competing_admission: used instead of `admission` where there are accounts.
     :ivar _queued: requests that arrived before the first configuration was read.
     """
 
@@ -49,8 +51,12 @@
     admission: Admission
     started_at_seconds: float
     configuration_bound_seconds: float
+    competing_admission: CompetingAdmission = field(init=False)
     _queued: list[HttpRequest] = field(factory=list)
 
+    def __attrs_post_init__(self) -> None:
+        self.competing_admission = CompetingAdmission(context=self.context)
+
     def handle(self, request: HttpRequest) -> None:
         """Route a request, or reject it at once."""
         table = self.context.state.table
@@ -133,13 +139,20 @@
 
     def _start(self, routed: RoutedRequest, table: RouteTable) -> None:
         """Admit the request and send it, or refuse it at once."""
-        route = routed.route
+        if table.accounts:
+            self.competing_admission.submit(routed, table=table, start=self._send)
+            return
         permit = self.admission.admit(
-            table=table, route=route, is_retry=routed.is_retry
+            table=table, route=routed.route, is_retry=routed.is_retry
         )
         if permit is None:
             self._reject_overload(routed)
-        elif route.shards:
+        else:
+            self._send(routed, permit)
+
+    def _send(self, routed: RoutedRequest, permit: AdmissionPermit) -> None:
+        route = routed.route
+        if route.shards:
             FanOutRequest(
                 context=self.context,
                 routed=routed,
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -175,5 +175,5 @@
     page = PAGE.read_text()
     source = (SOURCE_FOLDER / "gateway" / "gateway_metrics.py").read_text()
     names = re.findall(r'name="(bronzebeam_[a-z_]+)"', source)
-    assert len(names) == 10
+    assert len(names) == 13
     assert [name for name in names if name not in page] == []
