--- a/src/bronzebeam/routing/admission_order.py
+++ b/src/bronzebeam/routing/admission_order.py
@@ -1,12 +1,12 @@
 """The order in which waiting queries start, and in which they are refused."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import Final, Protocol
 
 from attrs import define, field, frozen
 
-from bronzebeam.routing.account_shares import AccountShares
+from bronzebeam.routing.account_shares import FairShares
 
 RETRY_AFTER_BOUNDS_MS: Final = (50.0, 10_000.0)
 Urgency = tuple[int, int]
@@ -23,6 +23,8 @@
     :ivar route_priority: decides between queries of the same priority.
     :ivar account: its account; empty if there is none.
     :ivar is_return: its caller was refused before.
+    :ivar is_set_back: it goes behind the others of its urgency: its account has had
+        more than its share, or it is late already.
     :ivar work: its work, in queries of average work.
     :ivar service_ms: time from its start to its answer; None for that of the service.
     :ivar expires_at_seconds: monotonic time until which it may wait.
@@ -37,6 +39,7 @@
     route_priority: int = 0
     account: str = ""
     is_return: bool = False
+    is_set_back: bool = False
     work: float = 1.0
     service_ms: float | None = None
     expires_at_seconds: float = math.inf
@@ -109,14 +112,16 @@
     """
     Starts first what costs callers most if it is delayed or refused.
 
-    In sequence: callers that come back after a refusal, unless their account has more
-    than its fair share; accounts that do not have more than their share; the earliest
-    latest start; the least work. The return of a caller whose account is beyond its
-    share is not preferred: the refused requests of a hot account would otherwise come
-    back before the first requests of the others.
+    In sequence: requests that are not set back; callers that come back after a refusal;
+    accounts that do not have more than their share; the earliest latest start; the
+    least work. A return of an account beyond its share is set back like its other
+    requests: the refused requests of a hot account would otherwise come back before
+    the first requests of the others.
+
+    :ivar shares: fair shares of the accounts, for each urgency.
     """
 
-    shares: AccountShares
+    shares: Mapping[Urgency, FairShares]
 
     def first(self, waiting: Collection[WaitingRequest]) -> WaitingRequest:
         """Return the query that costs most if it waits."""
@@ -135,10 +140,14 @@
         key = self._key(queued)
         return sum(item.request.work for item in waiting if self._key(item) < key)
 
-    def _key(self, queued: WaitingRequest) -> tuple[bool, bool, float, float, int]:
+    def _key(
+        self, queued: WaitingRequest
+    ) -> tuple[bool, bool, bool, float, float, int]:
         request = queued.request
-        is_beyond = self.shares.is_beyond_share(request.account)
+        shares = self.shares.get(request.urgency)
+        is_beyond = shares is not None and shares.is_beyond_share(request.account)
         return (
+            request.is_set_back,
             is_beyond or not request.is_return,
             is_beyond,
             queued.latest_start_seconds,
--- a/src/bronzebeam/routing/shared_admission.py
+++ b/src/bronzebeam/routing/shared_admission.py
@@ -5,9 +5,9 @@
 
 from attrs import define, field, frozen
 
-from bronzebeam.routing.account_shares import AccountShares
+from bronzebeam.routing.account_shares import FairShares, OwedRequests
 from bronzebeam.routing.admission import AdmissionQueue, AdmissionStep, Capacity
-from bronzebeam.routing.admission_order import AdmissionRequest, CostOrder
+from bronzebeam.routing.admission_order import AdmissionRequest, CostOrder, Urgency
 from bronzebeam.routing.class_shares import ClassShares
 from bronzebeam.routing.overload import RETRY_FACTOR
 from bronzebeam.routing.shared_limit import SharedLimit
@@ -90,7 +90,8 @@
     rank_count: int
     limit: SharedLimit = field(factory=SharedLimit)
     classes: ClassShares = field(init=False)
-    shares: AccountShares = field(init=False)
+    shares: dict[Urgency, FairShares] = field(factory=dict, init=False)
+    owed: OwedRequests = field(init=False)
     queue: AdmissionQueue = field(init=False)
     _demands: dict[str, _Admitted] = field(factory=dict)
     _usual_ms: float = 1.0
@@ -98,7 +99,7 @@
     def __attrs_post_init__(self) -> None:
         # Two classes for each urgency: accounts within their share, and beyond it.
         self.classes = ClassShares(level_count=2 * self.rank_count)
-        self.shares = AccountShares(rng=self.rng)
+        self.owed = OwedRequests(rng=self.rng)
         self.queue = AdmissionQueue(
             max_waiting=MIN_WAITING,
             rng=self.rng,
@@ -189,18 +190,23 @@
         self, demand: Demand, *, now_seconds: float
     ) -> tuple[AdmissionRequest, int]:
         """Return the request for the queue, and its class for `ClassShares`."""
-        is_owed = self.shares.record_asked(demand.account, now_seconds=now_seconds)
-        is_beyond = self.shares.is_beyond_share(demand.account)
-        level = 0 if is_owed else 2 * demand.rank + (is_beyond or demand.is_late)
+        account, work = demand.account, self.limit.relative_work(demand.work_ms)
+        shares = self._shares_of(demand)
+        if not demand.is_return:
+            shares.record_asked(account, work=work, now_seconds=now_seconds)
+        is_beyond = shares.is_beyond_share(account)
+        is_owed = self.owed.record_asked(account, now_seconds=now_seconds)
+        is_set_back = not is_owed and (is_beyond or demand.is_late)
+        level = 0 if is_owed else 2 * demand.rank + is_set_back
         limit_share = self.classes.share(level, now_seconds=now_seconds)
-        if demand.is_return and not demand.is_late and not is_beyond:
+        if demand.is_return and not is_set_back:
             limit_share *= RETRY_FACTOR
         service_ms = self.limit.service_ms(demand.route, usual_ms=demand.usual_ms)
         longest_ms = MAX_SERVICE_SHARE * demand.target_latency_ms
         max_wait_ms = MAX_WAIT_SHARE * demand.target_latency_ms
         return_ms = RETURN_SHARE * demand.target_latency_ms
         remaining_ms = (demand.target_at_seconds - now_seconds) * MS_PER_SECOND
-        if remaining_ms < 1.25 * return_ms + min(service_ms, longest_ms):
+        if remaining_ms < 1.25 * return_ms + 0.75 * min(service_ms, longest_ms):
             return_ms = MAX_RETRY_AFTER_MS
         request = AdmissionRequest(
             query_id=demand.request_id,
@@ -209,7 +215,8 @@
             deadline_at_seconds=demand.target_at_seconds,
             account=demand.account,
             is_return=demand.is_return,
-            work=self.limit.relative_work(demand.work_ms),
+            is_set_back=is_set_back,
+            work=work,
             service_ms=min(service_ms, longest_ms),
             expires_at_seconds=demand.arrived_at_seconds + max_wait_ms / MS_PER_SECOND,
             limit_share=limit_share,
@@ -218,6 +225,10 @@
         )
         return request, level
 
+    def _shares_of(self, demand: Demand) -> FairShares:
+        urgency = demand.priority, demand.route_priority
+        return self.shares.setdefault(urgency, FairShares())
+
     def _apply(self, step: AdmissionStep, now_seconds: float) -> AdmissionStep:
         for request_id in step.started:
             admitted = self._demands[request_id]
@@ -226,9 +237,10 @@
             self.limit.enter_work(
                 work=admitted.work, work_ms=demand.work_ms, rng=self.rng
             )
-            self.shares.record_started(
+            self._shares_of(demand).record_started(
                 demand.account, work=admitted.work, now_seconds=now_seconds
             )
+            self.owed.record_started(demand.account, now_seconds=now_seconds)
         for rejection in step.rejected:
             admitted = self._demands.pop(rejection.query_id)
             self.classes.record_refused(admitted.level, now_seconds=now_seconds)
--- a/src/bronzebeam/routing/shared_limit.py
+++ b/src/bronzebeam/routing/shared_limit.py
@@ -29,11 +29,13 @@
 LATE_SERVICE_SHARE: Final = 0.6
 EARLY_SERVICE_SHARE: Final = 0.45
 INCREASE_PER_SECOND: Final = 3.0  # times the instance's share of the slots
-CALM_FACTOR: Final = 4.0  # faster growth for each square second without a late answer
+CALM_FACTOR: Final = 0.5  # faster growth for each square second without a late answer
 CALM_SECONDS: Final = 5.0  # an overload is over after this time without a late answer
-MAX_INCREASE_SECONDS: Final = 0.25  # between two early answers
+MAX_INCREASE_SECONDS: Final = 0.5  # between two early answers
 # An increase while a class is nearly late would make it late.
 MAX_LATE_SHARE_FOR_INCREASE: Final = 0.15
+LATE_DECAY_SECONDS: Final = 3.0
+MAX_AGE_SECONDS: Final = 100.0
 WORK_STEP: Final = 0.03  # weight of one request in the moving average of the work
 DURATION_STEP: Final = 0.08
 MAX_RELATIVE_WORK: Final = 20.0
@@ -152,6 +154,9 @@
             LATE_TARGET_SHARE * target_latency_ms - waited_ms,
         )
         late = was_refused or service_ms > late_ms
+        # An instance with few answers would otherwise count old ones for long.
+        age_seconds = min(now_seconds - entry.observed_at_seconds, MAX_AGE_SECONDS)
+        entry.late_share *= math.exp(-age_seconds / LATE_DECAY_SECONDS)
         entry.observed_at_seconds = now_seconds
         lateness = service_ms / late_ms
         step = LATE_ANSWERS_STEP * min(max(lateness, 1.0), MAX_LATE_WEIGHT)
