Hedge early only to a replica that states a free slot

While all replicas were busy, early hedges added work and made replies slower.

An early hedge now needs a replica that has stated lately that a slot is free. Run: tests.test_gateway_reported_load and tests.test_routing_reported_load pass.

--- a/src/bronzebeam/gateway/early_hedges.py
+++ b/src/bronzebeam/gateway/early_hedges.py
@@ -18,6 +18,9 @@
     """
     Finds the sub-requests of one request that are hedged early.
 
+    Only replicas that state a free slot get such a hedge: while all are busy, more
+    requests would make the others wait longer.
+
     :ivar hedge_after_ms: delay after which those without a reply are hedged anyway.
     """
 
@@ -52,7 +55,9 @@
         if reported_ms <= self.hedge_after_ms:
             return False
         other = choose_other()
-        return other is not None and should_hedge_early(
+        if other is None or not other.replica.states_free_slot(now_seconds):
+            return False
+        return should_hedge_early(
             reported_ms=reported_ms,
             elapsed_ms=(now_seconds - sent_at) * MS_PER_SECOND,
             other_ms=other.estimate_ms,
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -165,6 +165,15 @@
         if self.reading is None or self.reading.at_seconds < reading.at_seconds:
             self.reading = reading
 
+    def states_free_slot(self, now_seconds: float) -> bool:
+        """Whether it has stated lately that it would run one more request at once."""
+        reading = self.reading
+        return (
+            reading is not None
+            and reading.is_valid(now_seconds)
+            and reading.has_free_slot(self.pool.sent_since(reading.at_seconds))
+        )
+
     def explained_ratio(self, now_seconds: float, typical: TypicalLatency) -> float:
         """Return how much later than usual it is expected to reply, by its load."""
         return explained_ratio(self.load(now_seconds, "", typical))
--- a/src/bronzebeam/routing/reported_load.py
+++ b/src/bronzebeam/routing/reported_load.py
@@ -48,6 +48,14 @@
         """Whether the reading is recent enough to be used."""
         return now_seconds - self.at_seconds < MAX_AGE_SECONDS
 
+    def has_free_slot(self, sent_since: int) -> bool:
+        """
+        Whether one more request is run at once.
+
+        :param sent_since: requests that this instance has sent since the reading.
+        """
+        return self.running + self.waiting + sent_since < self.slots
+
     def queue_factor(self, sent_since: int = 0) -> float:
         """
         Return the time of one more request, relative to an idle replica.
--- a/tests/test_gateway_reported_load.py
+++ b/tests/test_gateway_reported_load.py
@@ -138,25 +138,34 @@
 def test_hedge_is_sent_early_if_the_replica_states_a_long_queue() -> None:
     """Guards against waiting for a reply that the replica itself says will be late."""
 
-    async def scenario(cluster: Cluster, is_search: bool, load: bytes) -> float:
+    async def scenario(
+        cluster: Cluster, is_search: bool, load: bytes, first_load: str
+    ) -> float:
         if is_search:
             gateway = await start_search_cluster(cluster, shards=1)
         else:
             gateway = await start_small_cluster(cluster)
         for replica in cluster.replicas.values():
-            replica.states_load = True
+            replica.states_load, replica.load = True, first_load
         path = FAN_OUT_PATH if is_search else READ_PATH
         for _ in range(4):
             await cluster.send_request(gateway, path)
         return await time_until_hedge_ms(cluster, gateway, path, load)
 
     for is_search in (False, True):
-        late_ms, queued_ms, idle_ms, unknown_ms = (
-            run_scenario(lambda cluster: scenario(cluster, is_search, load))
-            for load in (b"2,30,2,100", b"2,8,2,400", b"1,0,2,100", b"")
+        late_ms, slow_ms, idle_ms, unknown_ms, busy_ms = (
+            run_scenario(lambda cluster: scenario(cluster, is_search, load, first_load))
+            for load, first_load in (
+                (b"2,30,2,100", EMPTY_QUEUE),
+                (b"2,8,2,400", EMPTY_QUEUE),
+                (b"1,0,2,100", EMPTY_QUEUE),
+                (b"", EMPTY_QUEUE),
+                # The other replica has no free slot either.
+                (b"2,90,2,100", "2,0,2,100"),
+            )
         )
-        assert late_ms < 0.7 * idle_ms and queued_ms < 0.7 * idle_ms
-        assert idle_ms == unknown_ms
+        assert late_ms < 0.7 * idle_ms and slow_ms < 0.7 * idle_ms
+        assert idle_ms == unknown_ms and busy_ms > 0.9 * idle_ms
 
 
 def test_early_hedges_stay_within_the_repeat_budget() -> None:
