Let an instance be an owner once all others make way for it

At the start of a fleet no instance has been registered for 8 s, so all requests of limited accounts were refused until then, and for some seconds after an instance that ranks first had joined. A newly registered instance now asks all members of a view that is more recent than its registration whether they know it and then to make way. Once they have, it needs no 8 s. An instance that serves no peers grants nothing, since the others don't rank it.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -25,6 +25,7 @@
 from bronzebeam.gateway.peer_codec import DELEGATION_HEADER, RELAY_HEADER
 from bronzebeam.gateway.quota_asker import QuotaAsker
 from bronzebeam.gateway.quota_gate import QuotaGate
+from bronzebeam.gateway.quota_introduction import QuotaIntroduction
 from bronzebeam.gateway.quota_message import QUOTA_PATH
 from bronzebeam.gateway.readiness import Readiness
 from bronzebeam.gateway.records import GatewayStore, InstanceRecord
@@ -109,6 +110,7 @@
     _delegation_handler: DelegationRequestHandler = field(init=False)
     _relay_handler: RelayRequestHandler = field(init=False)
     _quotas: QuotaGate = field(init=False)
+    _introduction: QuotaIntroduction = field(init=False)
     _registration_times: RegistrationTimes = field(init=False)
     _readiness: Readiness = field(init=False)
     _suspect_reporter: SuspectReporter = field(init=False)
@@ -259,6 +261,11 @@
                 count_ask=self.metrics.quotas.count_asked,
             ),
         )
+        self._introduction = QuotaIntroduction(
+            state=self._state,
+            registration=self._registration_times,
+            boot_seconds=self.boot_seconds,
+        )
         router = Router(
             context=context,
             admission=Admission(rng=self.rng, log=self.log),
@@ -360,6 +367,7 @@
         if self._state.table is not None:
             self._caller_server.limits = self._state.table.limits
         self._state.maintain()
+        self._introduction.update()
         if self._ticks % TICKS_PER_SLOW_CHECK == 0:
             for server in (self._caller_server, self._peer_server, self._ready_server):
                 server.close_timed_out()
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -371,6 +371,10 @@
             self._owners_changed_at_seconds = self.loop.time()
         self._recent_instances.observe(self.peers.live_count, self.loop.time())
         if self.table is not None and self.table.has_quotas:
+            own = self.peers.records.get(self.instance)
+            self.quota_members.may_be_asked = self.peers.live_count == 1 or (
+                own is not None and bool(own.host)
+            )
             self.quota_members.update(
                 [name for name, item in self.peers.records.items() if item.host],
                 self.boot_seconds(),
--- a/src/bronzebeam/gateway/quota_gate.py
+++ b/src/bronzebeam/gateway/quota_gate.py
@@ -10,9 +10,11 @@
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.outcome import RETRY_AFTER
 from bronzebeam.gateway.quota_asker import QuotaAsker
+from bronzebeam.gateway.quota_introduction import KNOWN, UNKNOWN
 from bronzebeam.gateway.quota_message import (
+    Introduction,
     MalformedQuotaMessage,
-    decode_ask,
+    decode_question,
     encode_grant,
 )
 from bronzebeam.gateway.routed_request import RoutedRequest
@@ -70,12 +72,18 @@
     def handle_message(self, request: HttpRequest) -> None:
         """Answer a peer that asks for tokens."""
         try:
-            ask = decode_ask(request.body)
+            question = decode_question(request.body)
         except MalformedQuotaMessage as error:
             self.context.log.event("malformed_quota_message", cause=str(error))
             request.respond(status=400, headers=[], body=b"")
             return
-        body = encode_grant(self.asker.answer(ask))
+        if isinstance(question, Introduction):
+            is_known = self.context.state.quota_members.acknowledge(
+                question.instance, makes_way=question.makes_way
+            )
+            body = KNOWN if is_known else UNKNOWN
+        else:
+            body = encode_grant(self.asker.answer(question))
         request.respond(status=200, headers=[], body=body)
 
     def _on_granted(
--- a/src/bronzebeam/gateway/quota_message.py
+++ b/src/bronzebeam/gateway/quota_message.py
@@ -4,7 +4,7 @@
 from typing import Any, Final, Protocol
 
 import orjson
-from attrs import define
+from attrs import define, frozen
 
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.pooled_send import PooledSend
@@ -23,6 +23,8 @@
 
 QUOTA_PATH: Final = b"/quota"
 NOT_FOUND: Final = 404
+INSTANCE_FIELD: Final = "instance"
+MAKES_WAY_FIELD: Final = "make_way"
 MAX_NAME_CHARACTERS: Final = 1_024
 MAX_RETRY_AFTER_MS: Final = 60_000.0
 # A peer that is an earlier build answers 404 at this path.
@@ -43,13 +45,39 @@
     return orjson.dumps(fields)
 
 
-def decode_ask(body: bytes) -> QuotaAsk:
+@frozen(kw_only=True)
+class Introduction:
     """
-    Decode a request for tokens.
+    The question of an instance whether a peer knows it.
+
+    :ivar makes_way: the peer is asked to leave accounts to it, of which it is the first
+        in rank.
+    """
+
+    instance: str
+    makes_way: bool
+
+
+def encode_introduction(introduction: Introduction) -> bytes:
+    """Encode the question whether a peer knows this instance."""
+    fields: dict[str, Any] = {INSTANCE_FIELD: introduction.instance}
+    if introduction.makes_way:
+        fields[MAKES_WAY_FIELD] = True
+    return orjson.dumps(fields)
+
+
+def decode_question(body: bytes) -> QuotaAsk | Introduction:
+    """
+    Decode a request for tokens, or the question of an instance whether it is known.
 
     :raises MalformedQuotaMessage: if it is not valid.
     """
     fields = _decode_object(body)
+    instance = fields.get(INSTANCE_FIELD)
+    if isinstance(instance, str) and "account" not in fields:
+        return Introduction(
+            instance=instance, makes_way=fields.get(MAKES_WAY_FIELD) is True
+        )
     account = fields.get("account")
     if not isinstance(account, str) or not 0 < len(account) <= MAX_NAME_CHARACTERS:
         raise MalformedQuotaMessage("account")
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -321,7 +321,7 @@
 
     async def deregister(self) -> None:
         """Remove the registration, so that peers delegate no more to this instance."""
-        self.times.registered_at_seconds = None
+        self.times.record_gap()
         lease, self._lease = self._lease, None
         if lease is None:
             return
@@ -339,7 +339,7 @@
 
     def on_removed(self) -> None:
         """Register again, since the store no longer has the registration."""
-        self.times.registered_at_seconds = None
+        self.times.record_gap()
         self._removed.set()
 
     async def run(self) -> None:
@@ -354,7 +354,7 @@
             try:
                 sent_at = self.boot_seconds()
                 if lease is None:
-                    self.times.registered_at_seconds = None
+                    self.times.record_gap()
                     self._lease = lease = await self.store.register(
                         record=record, ttl_seconds=ttl_seconds
                     )
@@ -364,7 +364,7 @@
                 elif not await self._refresh(lease, record, renewal_seconds):
                     self.log.event("lease_ended", lease=lease.number)
                     self._lease = None
-                    self.times.registered_at_seconds = None
+                    self.times.record_gap()
                     continue
                 self._written = record
                 self._backoff.reset()
--- a/src/bronzebeam/routing/quota_members.py
+++ b/src/bronzebeam/routing/quota_members.py
@@ -33,11 +33,19 @@
     :ivar renewed_at_seconds: when the latest successful renewal was sent.
     :ivar registered_at_seconds: since when it has been registered without a gap; None
         if it is not.
+    :ivar known_at_seconds: when all others had stated that they know of it; None if
+        they have not.
     """
 
     lease_seconds: float
     renewed_at_seconds: float = -math.inf
     registered_at_seconds: float | None = None
+    known_at_seconds: float | None = None
+
+    def record_gap(self) -> None:
+        """Record that the instance is not registered, or was not for a moment."""
+        self.registered_at_seconds = None
+        self.known_at_seconds = None
 
     def record_renewal(self, sent_at_seconds: float, now_seconds: float) -> None:
         """Record that the registration was written, or its lease renewed."""
@@ -56,7 +64,10 @@
         """Return from when on this instance may be an owner."""
         if self.registered_at_seconds is None:
             return math.inf
-        return self.registered_at_seconds + MIN_REGISTERED_SECONDS
+        owner_from = self.registered_at_seconds + MIN_REGISTERED_SECONDS
+        if self.known_at_seconds is not None:
+            owner_from = min(owner_from, self.known_at_seconds)
+        return owner_from
 
 
 @frozen(kw_only=True)
@@ -103,6 +114,8 @@
     kept, and a change of the membership costs one hash for each account in use.
 
     :ivar instance: name of this instance, which always counts as live.
+    :ivar may_be_asked: it serves peers, or there are none; otherwise it grants nothing,
+        since the others don't rank it.
     :ivar _counts_from: when each member may have begun to count as an owner. One that
         joined after this view was known to be complete is registered since then at the
         earliest, and not an owner for `MIN_REGISTERED_SECONDS`. Until that time the
@@ -111,6 +124,7 @@
     """
 
     instance: str
+    may_be_asked: bool = True
     _counts_from: dict[str, float] = field(factory=dict, init=False)
     _confirmed_at_seconds: float = field(default=-math.inf, init=False)
     _unknown_before_seconds: float = field(default=-math.inf, init=False)
@@ -155,6 +169,28 @@
             self._unknown_before_seconds = now_seconds
         self._confirmed_at_seconds = max(self._confirmed_at_seconds, as_of_seconds)
 
+    def acknowledge(self, name: str, *, makes_way: bool) -> bool:
+        """
+        Return whether a member is known.
+
+        :param makes_way: the member relies on it that this instance does not act as
+            owner in its place from now on.
+        """
+        if name not in self._counts_from:
+            return False
+        if makes_way:
+            self._counts_from[name] = -math.inf
+        return True
+
+    def others(self) -> list[str]:
+        """Return the live instances other than this one."""
+        return [name for name in self._counts_from if name != self.instance]
+
+    @property
+    def confirmed_at_seconds(self) -> float:
+        """Return the latest time at which the view is known to have been complete."""
+        return self._confirmed_at_seconds
+
     @property
     def live_count(self) -> int:
         """Return the number of live instances, this one included."""
@@ -173,7 +209,9 @@
     ) -> Standing:
         """Return this instance's right to grant an account's tokens."""
         order = self._order(account, now_seconds)
-        rank = order.index(self.instance) if self.instance in order else None
+        rank = None
+        if self.may_be_asked and self.instance in order:
+            rank = order.index(self.instance)
         owner_from = registration.owner_from_seconds()
         is_settled = now_seconds >= owner_from
         in_contact = self.in_contact(now_seconds)
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -210,13 +210,34 @@
         gateways = await start_quota_cluster(
             cluster, make_account("free", rate=0.0), make_account()
         )
+        before = sent_bytes_to_peers(cluster)
         responses = await send_load(
             cluster, gateways, per_second=100, seconds=2.0, account="free"
         )
         assert set(statuses(responses)) == {200}
+        assert sent_bytes_to_peers(cluster) == before
+
+    async def scenario_without_quotas(cluster: Cluster) -> None:
+        gateways = await start_quota_cluster(cluster, make_account("free", rate=0.0))
+        await send_load(cluster, gateways, per_second=100, seconds=2.0, account="free")
         assert sent_bytes_to_peers(cluster) == 0
 
     run_scenario(scenario)
+    run_scenario(scenario_without_quotas)
+
+
+def test_new_fleet_has_owners_as_soon_as_its_instances_know_each_other() -> None:
+    """Guards against refusing all requests for 8 s after the start of a fleet."""
+
+    async def scenario(cluster: Cluster) -> None:
+        gateways = await start_quota_cluster(
+            cluster, make_account(rate=50, burst=50), settle_seconds=1.0
+        )
+        owner_of(gateways)
+        responses = await send_load(cluster, gateways, per_second=20, seconds=5.0)
+        assert set(statuses(responses)) == {200}
+
+    run_scenario(scenario)
 
 
 def test_requests_that_wait_together_share_one_message() -> None:
