--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -31,6 +31,7 @@
 )
 from bronzebeam.gateway.quota_asker import QuotaAsker
 from bronzebeam.gateway.quota_gate import QuotaGate
+from bronzebeam.gateway.quota_introduction import QuotaIntroduction
 from bronzebeam.gateway.quota_message import QUOTA_PATH
 from bronzebeam.gateway.readiness import Readiness
 from bronzebeam.gateway.records import GatewayStore, InstanceRecord
@@ -115,6 +116,7 @@
     _delegation_handler: DelegationRequestHandler = field(init=False)
     _relay_handler: RelayRequestHandler = field(init=False)
     _quotas: QuotaGate = field(init=False)
+    _introduction: QuotaIntroduction = field(init=False)
     _registration_times: RegistrationTimes = field(init=False)
     _explainer: Explainer = field(init=False)
     _readiness: Readiness = field(init=False)
@@ -278,6 +280,11 @@
             admission=admission,
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
+        self._introduction = QuotaIntroduction(
+            state=self._state,
+            registration=self._registration_times,
+            boot_seconds=self.boot_seconds,
+        )
         router = Router(
             context=context,
             admission=admission,
@@ -384,6 +391,7 @@
         if self._state.table is not None:
             self._caller_server.limits = self._state.table.limits
         self._state.maintain()
+        self._introduction.update()
         if self._ticks % TICKS_PER_SLOW_CHECK == 0:
             for server in (self._caller_server, self._peer_server, self._ready_server):
                 server.close_timed_out()
--- a/src/bronzebeam/routing/quota_grants.py
+++ b/src/bronzebeam/routing/quota_grants.py
@@ -123,7 +123,7 @@
         now_seconds: float,
     ) -> QuotaGrant:
         bucket = buckets.owner
-        rate = account.rate_per_second
+        rate = self.tolerance.bucket_rate_per_second(account)
         size = self.tolerance.bucket_size_count(account)
         if since_seconds > bucket.updated_at_seconds:
             bucket.restart(since_seconds)
--- a/src/bronzebeam/routing/quotas.py
+++ b/src/bronzebeam/routing/quotas.py
@@ -13,10 +13,10 @@
 MIN_TOKEN_LIFETIME_SECONDS: Final = 0.06
 # Of the tolerance; tokens granted before a window and used in it take the rest.
 LIFETIME_SHARE: Final = 0.4
-# Of the tolerance, what the owner's bucket holds beyond the burst. Requests that come
-# unevenly, but stay within the quota over a window, are not refused then: an account
-# with a rate and a burst of 1 may send 6 requests in a window, two of them at once.
+# Of the tolerance, what the owner grants beyond the quota; deputies have the rest.
 OWNER_SHARE: Final = 0.4
+# Requests of one account seldom come evenly: three at once are no sign of too many.
+MIN_USUAL_BUCKET_COUNT: Final = 3.0
 MIN_BUCKET_COUNT: Final = 1.0  # a smaller bucket never holds a whole token
 MAX_ASKED_COUNT: Final = 10_000  # bounds the numbers that a peer may state
 
@@ -51,9 +51,24 @@
 
     def bucket_size_count(self, account: Account) -> float:
         """Return the tokens of an account that its owner may grant at once."""
-        size = account.burst_count + OWNER_SHARE * self.reserve_count(account)
+        size = max(account.burst_count, MIN_USUAL_BUCKET_COUNT)
+        size = min(size, account.burst_count + self._owner_extra_count(account))
         return max(size, MIN_BUCKET_COUNT)
 
+    def bucket_rate_per_second(self, account: Account) -> float:
+        """
+        Return the rate at which the owner's tokens accrue.
+
+        A window allows the burst beyond the rate again and again. A bucket that accrues
+        at the account's rate would refuse a steady flow that stays within that.
+        """
+        extra = account.burst_count + self._owner_extra_count(account)
+        extra -= self.bucket_size_count(account)
+        return account.rate_per_second + max(0.0, extra) / self.window_seconds
+
+    def _owner_extra_count(self, account: Account) -> float:
+        return OWNER_SHARE * self.reserve_count(account)
+
     def deputy_reserve_count(self, account: Account) -> float:
         """
         Return what deputies and instances alone may grant together in one window.
@@ -62,7 +77,9 @@
         a window may hold more than the quota without any deputy. That part is not
         available to deputies.
         """
-        late_count = account.rate_per_second * self.lifetime_seconds(account)
+        late_count = self.bucket_rate_per_second(account) * self.lifetime_seconds(
+            account
+        )
         rounding_count = max(0.0, MIN_BUCKET_COUNT - account.burst_count)
         reserve_count = (1.0 - OWNER_SHARE) * self.reserve_count(account)
         return max(0.0, reserve_count - late_count - rounding_count)
