Tell returns that are past their target from others in the router

The admission guessed it from the target that was left, which is wrong where the answer takes long to send. The router knows. Tests that nothing waits without accounts, and which routes share a queue.

--- a/src/bronzebeam/gateway/competing_admission.py
+++ b/src/bronzebeam/gateway/competing_admission.py
@@ -21,9 +21,6 @@
 from bronzebeam.units import MS_PER_SECOND
 
 SLOTS_INTERVAL_SECONDS: Final = 1.0  # replicas and instances come and go
-# A retry shortens the target by the time spent, unless that would leave too little; a
-# retry that got more than this less than the whole target can still be in time.
-SPENT_MS: Final = 15.0
 # Above this share of refused sub-requests the replicas as a whole lack room.
 MAX_REFUSED_SHARE: Final = 0.1
 CAUSE_PREFIX: Final = "no_room_"
@@ -235,10 +232,6 @@
         priority = None if account is None else account.priority
         urgency = urgency_of(route, priority)
         typical_ms = self.context.state.typical_latency(route).typical_ms
-        target_ms = (
-            routed.target_at_seconds - request.arrived_at_seconds
-        ) * MS_PER_SECOND
-        spent_ms = route.target_latency_ms - target_ms - request.round_trip_ms
         return Demand(
             request_id=str(next(self._numbers)),
             route=route.name,
@@ -247,7 +240,7 @@
             route_priority=urgency[1],
             rank=group.urgencies.index(urgency),
             is_return=routed.is_retry,
-            is_late=routed.is_retry and spent_ms < SPENT_MS,
+            is_late=routed.is_past_target,
             arrived_at_seconds=request.arrived_at_seconds,
             target_at_seconds=routed.target_at_seconds,
             target_latency_ms=route.target_latency_ms,
--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -22,6 +22,7 @@
     :ivar head: request line and headers common to all attempts.
     :ivar account: the caller's account; None if there is none, or for a peer's request.
     :ivar is_retry: the caller has tried before, and was refused or not served.
+    :ivar is_past_target: it is a retry that can't meet the target of the first attempt.
     """
 
     request: HttpRequest
@@ -33,6 +34,7 @@
     head: bytes
     account: Account | None = None
     is_retry: bool = False
+    is_past_target: bool = False
 
     def ms_after_arrival(self, at_seconds: float) -> float:
         """Return the time from the request's arrival, as log lines show it."""
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -110,15 +110,18 @@
         # A caller's time starts before it opens a connection, which is one round trip.
         opening_ms = request.round_trip_ms if request.is_first else 0.0
         limit_ms = min(remaining_ms - DEADLINE_MARGIN_MS, route.timeout_ms)
-        target_ms = remaining_target_ms(
-            target_latency_ms=route.target_latency_ms
+        whole_target_ms = (
+            route.target_latency_ms
             - request.round_trip_ms
             - CALLER_OVERHEAD_MS
             - transmission_ms(
                 shard_count=len(route.shards),
                 top_records=route.top_records,
                 link_bits_per_second=self.context.link_bits_per_second,
-            ),
+            )
+        )
+        target_ms = remaining_target_ms(
+            target_latency_ms=whole_target_ms,
             elapsed_ms=max(elapsed_ms, opening_ms),
             typical_ms=self.context.state.typical_latency(route).typical_ms,
         )
@@ -135,6 +138,8 @@
             ),
             account=account,
             is_retry=elapsed_ms > RETRY_DETECTION_MS,
+            is_past_target=elapsed_ms > RETRY_DETECTION_MS
+            and target_ms >= whole_target_ms,
         )
 
     def _start(self, routed: RoutedRequest, table: RouteTable) -> None:
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -6,8 +6,11 @@
 
 from attrs import define, field
 
+from bronzebeam.gateway.admission_groups import group_routes
 from bronzebeam.gateway.competing_admission import _Group
 from bronzebeam.gateway.router import Router
+from bronzebeam.routing.accounts import Account
+from bronzebeam.routing.routes import Route, RouteTable
 from tests.fixtures_gateway import (
     FAN_OUT_PATH,
     SETTLE_SECONDS,
@@ -57,12 +60,16 @@
     return cluster.gateways["g-0"]
 
 
+def find_router(gateway: RunningGateway) -> Router:
+    router = getattr(gateway.gateway._caller_server.handle, "__self__")  # noqa: B009
+    assert isinstance(router, Router)
+    return router
+
+
 async def find_group(cluster: Cluster, gateway: RunningGateway) -> _Group:
     """Return the group of the searches, after one request."""
     await request(cluster, gateway, "warm-up")
-    router = getattr(gateway.gateway._caller_server.handle, "__self__")  # noqa: B009
-    assert isinstance(router, Router)
-    return router.competing_admission._groups["r-find"]
+    return find_router(gateway).competing_admission._groups["r-find"]
 
 
 async def limit_to_one(cluster: Cluster, gateway: RunningGateway) -> _Group:
@@ -385,3 +392,55 @@
             assert not gateway.log_lines("overload_found")
 
     run_scenario(scenario)
+
+
+def test_without_accounts_nothing_waits() -> None:
+    # Guards against a queue, or other refusals, where no accounts are configured.
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_cluster(cluster)
+        names = [f"shard-{index}" for index in range(SHARDS)]
+        cluster.configure(
+            make_route("r-find", FAN_OUT_PATH, fanoutServices=names, topK=3)
+        )
+        await asyncio.sleep(1.0)
+        tasks = [submit(cluster, gateway, f"a-{number}") for number in range(60)]
+        responses = await asyncio.gather(*tasks)
+        refused = [item for item in responses if item.status == 503]
+        assert refused and all(item.elapsed_seconds < 0.01 for item in refused)
+        router = find_router(gateway)
+        assert not router.competing_admission._groups
+
+    run_scenario(scenario)
+
+
+def test_routes_that_share_a_service_are_one_group() -> None:
+    # Guards against classes that compete for the same slots in separate queues.
+    def build_route(name: str, priority: int, *shards: str) -> Route:
+        return Route(
+            name=name,
+            host="h",
+            path_prefix=f"/{name}/".encode(),
+            idempotent=True,
+            timeout_ms=800.0,
+            target_latency_ms=90.0,
+            max_attempts=2,
+            priority=priority,
+            shards=shards,
+        )
+
+    table = RouteTable(
+        version=1,
+        routes=(
+            build_route("a", 1, "s"),
+            build_route("b", 2, "t"),
+            build_route("c", 3, "u"),
+            build_route("d", 0, "s", "t"),
+        ),
+        services={},
+        accounts=(Account(name="x", priority=0), Account(name="y")),
+    )
+    groups = {group.routes: group for group in group_routes(table)}
+    assert groups.keys() == {frozenset("abd"), frozenset("c")}
+    # The account decides first, then the route; the most urgent comes first.
+    urgencies = ((0, 0), (0, 1), (0, 2), (1, 1), (2, 2))
+    assert groups[frozenset("abd")].urgencies == urgencies
