--- a/src/bronzebeam/gateway/routed_request.py
+++ b/src/bronzebeam/gateway/routed_request.py
@@ -28,6 +28,7 @@
     :ivar regions: regions that it may be sent to; None for any.
     :ivar replica_domains: failure domains whose replicas may get it; None for any.
     :ivar is_retry: the caller has tried before, and was refused or not served.
+    :ivar is_past_target: it is a retry that can't meet the target of the first attempt.
     """
 
     request: HttpRequest
@@ -41,6 +42,7 @@
     regions: frozenset[str] | None = None
     replica_domains: frozenset[str] | None = None
     is_retry: bool = False
+    is_past_target: bool = False
     return_token: Callable[[], None] | None = None
 
     def give_back_token(self) -> None:
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -1,5 +1,6 @@
 """Routing of callers' requests."""
 
+from functools import partial
 from typing import Final
 
 from attrs import define, field
@@ -116,13 +117,15 @@
         # A caller's time starts before it opens a connection, which is one round trip.
         opening_ms = request.round_trip_ms if request.is_first else 0.0
         limit_ms = min(remaining_ms - DEADLINE_MARGIN_MS, route.timeout_ms)
-        target_ms = time_to_target_ms(
+        is_retry = elapsed_ms > RETRY_DETECTION_MS
+        to_target_ms = partial(
+            time_to_target_ms,
             route,
             typical_ms=self.context.state.typical_latency(route).typical_ms,
             link_bits_per_second=self.context.link_bits_per_second,
             round_trip_ms=request.round_trip_ms,
-            elapsed_ms=max(elapsed_ms, opening_ms),
         )
+        target_ms = to_target_ms(elapsed_ms=max(elapsed_ms, opening_ms))
         arrived_at = request.arrived_at_seconds
         regions = combine_regions(route.regions, account.regions if account else ())
         return RoutedRequest(
@@ -138,7 +141,8 @@
             account=account,
             regions=regions,
             replica_domains=self.context.state.regions.domains_in(regions),
-            is_retry=elapsed_ms > RETRY_DETECTION_MS,
+            is_retry=is_retry,
+            is_past_target=is_retry and target_ms >= to_target_ms(),
         )
 
     def _start(self, routed: RoutedRequest, table: RouteTable) -> None:
