Explain evacuated, restricted and cold replicas

The explanation was built beside evacuations, regions and limits of cold replicas. It named replicas that no request is sent to, and left the penalty of a cold one and the missing spread of the only replica in the own domain out of its score.

The scores are now those that choose_replica computes: a choice keeps its candidates, and the explanation asks for them with the lowest and with the highest random spread. Excluded replicas have no score. The exclusions evacuated, outside_regions and cold are new. Peers that must not get the body are not named, and those that send to cold replicas are. Where no owner of a shard can be asked, the replica is chosen again by this instance's own turns, as a search does.

--- a/src/bronzebeam/cli_explain.py
+++ b/src/bronzebeam/cli_explain.py
@@ -157,6 +157,10 @@
             fields[name] = replica[name]
     if replica["conditions"]:
         fields["conditions"] = ",".join(replica["conditions"])
+    if replica["may_be_chosen"] and not replica["has_spread"]:
+        fields["has_spread"] = False
+    if "cold" in replica["excluded_by"]:
+        fields["cold_senders"] = ",".join(replica["cold_senders"])
     for name in ("paused_ms", "cold_ms", "next_turn_ms"):
         if replica[name]:
             fields[name] = replica[name]
--- a/src/bronzebeam/gateway/explained_services.py
+++ b/src/bronzebeam/gateway/explained_services.py
@@ -15,7 +15,7 @@
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.peers import Peer
 from bronzebeam.gateway.replica_choice import ReplicaChoice
-from bronzebeam.gateway.replica_set import REPLICAS_UNREACHABLE
+from bronzebeam.gateway.replica_set import REPLICAS_COLD, REPLICAS_UNREACHABLE
 from bronzebeam.gateway.shard_replica_chooser import TOO_SLOW
 from bronzebeam.gateway.shard_state import NO_REPLICA, ShardState
 from bronzebeam.routing.domain_groups import (
@@ -32,6 +32,7 @@
 OWNED_BY_PEERS: Final = "owned_by_peers"
 MANY_SHARDS: Final = "many_shards"
 UNREACHABLE_HERE: Final = "unreachable_here"
+COLD_HERE: Final = "no_turn_for_cold_replicas"
 # Requests are handled between slices: 135 shards at once would delay them by 15 ms.
 SHARDS_PER_SLICE: Final = 8
 
@@ -42,11 +43,13 @@
     Explains which replicas the services of a route would use.
 
     :ivar target_ms: time to the target latency of a request that arrives now.
+    :ivar regions: regions that it may be sent to; None for any.
     """
 
     state: FleetState
     replicas: ReplicaExplainer
     target_ms: float
+    regions: frozenset[str] | None = None
 
     async def describe_single(self) -> tuple[list[dict[str, Any]], str]:
         """
@@ -60,13 +63,13 @@
         described, refused_by = [], ""
         for destination in route.destinations:
             choice = self.replicas.choose(destination.service, ignore_limit=False)
-            cause, peers = "", []
+            cause, asked_because = "", ""
+            peers: list[Peer] = []
             if choice is None:
                 cause = self.missing_cause(destination.service)
-                if cause == REPLICAS_UNREACHABLE:
-                    peers = self.any_peers()
+                asked_because, peers = self._relaying_peers(destination.service, cause)
             item = self._describe(destination.service, choice, ignore_limit=False)
-            _set_peers(item, UNREACHABLE_HERE if peers else "", peers)
+            _set_peers(item, asked_because if peers else "", peers)
             item["missing_cause"] = "" if peers else cause
             item["weight"] = destination.weight
             item["is_next"] = destination.service == next_service
@@ -91,7 +94,7 @@
             item = self._describe(
                 shard.service,
                 plan.choices.get(shard.index),
-                ignore_limit=self.state.is_sent_by_owners(shard.service),
+                ignore_limit=plan.is_sent_by_owners(shard),
             )
             peer_cause, peers = plan.peers.get(shard.index, ("", ()))
             _set_peers(item, peer_cause, peers)
@@ -105,7 +108,7 @@
     def _describe(
         self, service: str, choice: ReplicaChoice | None, *, ignore_limit: bool
     ) -> dict[str, Any]:
-        next_use = self.state.replicas.next_use(service)
+        next_use = self.state.replicas.next_use(service, self.replicas.domains)
         wait_seconds = next_use.after_seconds
         return {
             "service": service,
@@ -120,17 +123,38 @@
 
     def missing_cause(self, service: str) -> str:
         """Return why no replica of a service can be chosen."""
-        return self.state.replicas.next_use(service).cause or NO_REPLICA
+        next_use = self.state.replicas.next_use(service, self.replicas.domains)
+        return next_use.cause or NO_REPLICA
 
-    def any_peers(self) -> list[Peer]:
-        """Return the peers that may send what this instance can't."""
+    def _relaying_peers(self, service: str, cause: str) -> tuple[str, list[Peer]]:
+        """Return why `ReplicaRequest` would ask a peer to send, and which it might."""
+        if cause == REPLICAS_UNREACHABLE:
+            return UNREACHABLE_HERE, self.any_peers()
+        if cause == REPLICAS_COLD:
+            senders = self.state.cold_senders(service, self.replicas.domains)
+            return COLD_HERE, self.any_peers(among=senders)
+        return "", []
+
+    def any_peers(self, among: Collection[str] | None = None) -> list[Peer]:
+        """
+        Return the peers that may send what this instance can't.
+
+        :param among: names of the only peers to return; None for any.
+        """
         peers = self.state.peers
+        barred = self.barred_peers()
         return [
             peer
             for domain in sorted({*peers.members(), self.state.own_domain})
-            for peer in peers.available(domain, may_wait=True, ignore_reach=True)
+            for peer in peers.available(
+                domain, excluded=barred, among=among, may_wait=True, ignore_reach=True
+            )
         ]
 
+    def barred_peers(self) -> list[Peer]:
+        """Return the peers that must not get the body of the request."""
+        return self.state.barred_peers(self.regions)
+
 
 @define(kw_only=True, eq=False, repr=False)
 class SearchPlan:
@@ -160,7 +184,7 @@
             if choice is None:
                 continue
             self.choices[shard.index] = choice
-            if choice.replica.limited is not None and not for_owners:
+            if choice.replica.has_limit and not for_owners:
                 continue
             if choice.replica.record.failure_domain != state.own_domain:
                 far[shard.index] = choice.suitable_domains
@@ -172,6 +196,28 @@
             self._divide(near, by_domain)
         else:
             self._divide_by_owner(near, by_domain)
+            self._choose_without_owners()
+
+    def is_sent_by_owners(self, shard: ShardState) -> bool:
+        """Whether an owner sends to the shard, and considers the limits."""
+        is_for_owners = self.explainer.state.is_sent_by_owners(shard.service)
+        return is_for_owners and shard.index in self.peers
+
+    def _choose_without_owners(self) -> None:
+        """Choose again where no owner can be asked, and this instance has no turn."""
+        replicas = self.explainer.replicas
+        for index, choice in list(self.choices.items()):
+            wait_seconds = choice.replica.seconds_until_turn(replicas.now_seconds)
+            if index in self.peers or wait_seconds <= 0.0:
+                continue
+            shard = self.progress.shards[index]
+            again = replicas.choose(shard.service, ignore_limit=False)
+            if again is not None:
+                self.choices[index] = again
+                continue
+            del self.choices[index]
+            cause = self.explainer.missing_cause(shard.service)
+            self.progress.mark_failed(shard, cause)
 
     def _choose(self, shard: ShardState, *, ignore_limit: bool) -> ReplicaChoice | None:
         """Choose a replica as `ShardReplicaChooser` does; None if there is none."""
@@ -189,7 +235,9 @@
             max_missing=int(skippable),
         ):
             cause = TOO_SLOW
-            if explainer.state.replicas.may_reach_more_through_peer(shard.service):
+            if explainer.state.replicas.may_reach_more_through_peer(
+                shard.service, explainer.replicas.domains
+            ):
                 cause = REPLICAS_UNREACHABLE
         else:
             return choice
@@ -238,7 +286,10 @@
             return
         available = self.explainer.state.peers.available(
             group.domain,
-            excluded=self._used if group.owners is None else (),
+            excluded=[
+                *(self._used if group.owners is None else ()),
+                *self.explainer.barred_peers(),
+            ],
             among=group.owners,
         )
         if not available:
--- a/src/bronzebeam/gateway/explanation.py
+++ b/src/bronzebeam/gateway/explanation.py
@@ -19,6 +19,7 @@
 from bronzebeam.routing.crash_suspects import fingerprint
 from bronzebeam.routing.hedge_timing import hedge_delay_ms
 from bronzebeam.routing.overload import RANK_FACTOR, AdaptiveLimit
+from bronzebeam.routing.regions import combine_regions
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.transport.http_reply import Headers
@@ -55,12 +56,16 @@
     A request that has a route, and the state that it would meet.
 
     :ivar account: the caller's account; None if it is not known.
+    :ivar regions: see `RoutedRequest`.
+    :ivar replica_domains: see `RoutedRequest`.
     """
 
     question: Question
     table: RouteTable
     route: Route
     account: Account | None
+    regions: frozenset[str] | None
+    replica_domains: frozenset[str] | None
 
 
 @frozen(kw_only=True)
@@ -148,6 +153,7 @@
                 None if math.isinf(synced_ago) else round(synced_ago * MS_PER_SECOND)
             ),
             "live_instances": state.peers.live_count,
+            "evacuated": sorted(state.replicas.evacuated),
             "route": None,
             "account": None,
             "refused_by": [],
@@ -159,11 +165,18 @@
         if route is None:
             return _refused(answer, Refusal(status=404, cause=NO_ROUTE))
         account = table.account_by_name(question.account) if question.account else None
+        regions = combine_regions(route.regions, account.regions if account else ())
         situation = Situation(
-            question=question, table=table, route=route, account=account
+            question=question,
+            table=table,
+            route=route,
+            account=account,
+            regions=regions,
+            replica_domains=state.regions.domains_in(regions),
         )
         answer["route"] = _describe_route(route)
         answer["account"] = self._describe_account(situation)
+        answer["regions"] = _describe_regions(situation)
         refusal = self._check_account(situation)
         if refusal is not None:
             _refused(answer, refusal)
@@ -174,11 +187,11 @@
         answer["admission"] = self._describe_admission(route)
         for name, describe in self.sections.items():
             answer[name] = describe(situation)
-        await self._add_services(answer, route)
+        await self._add_services(answer, situation)
         return answer
 
-    async def _add_services(self, answer: dict[str, Any], route: Route) -> None:
-        state = self.context.state
+    async def _add_services(self, answer: dict[str, Any], situation: Situation) -> None:
+        state, route = self.context.state, situation.route
         typical = state.known_latency(route)
         target_ms = time_to_target_ms(
             route,
@@ -200,11 +213,12 @@
         services = ServiceExplainer(
             state=state,
             target_ms=target_ms,
+            regions=situation.regions,
             replicas=ReplicaExplainer(
                 state=state,
                 route=route,
-                now_seconds=self.context.loop.time(),
                 typical=typical,
+                domains=situation.replica_domains,
             ),
         )
         describe = (
@@ -305,6 +319,14 @@
     return answer
 
 
+def _describe_regions(situation: Situation) -> dict[str, Any]:
+    return {
+        "is_restricted": situation.regions is not None,
+        "allowed": sorted(situation.regions or ()),
+        "domains": sorted(situation.replica_domains or ()),
+    }
+
+
 def _describe_route(route: Route) -> dict[str, Any]:
     return {
         "name": route.name,
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -89,14 +89,19 @@
         seconds = 0.0
         if self.limited is not None:
             seconds = self.limited.turns.seconds_until_next(now_seconds)
-        if self.cold is not None and now_seconds < self.cold_until_seconds:
-            cold_seconds = min(
-                self.cold.turns.seconds_until_next(now_seconds),
-                self.cold_until_seconds - now_seconds,
-            )
-            seconds = max(seconds, cold_seconds)
+        if self.cold is not None:
+            seconds = max(seconds, self.seconds_until_cold_turn(now_seconds))
         return seconds
 
+    def seconds_until_cold_turn(self, now_seconds: float) -> float:
+        """Return the time until the limit of a cold replica lets this instance send."""
+        if self.cold is None or now_seconds >= self.cold_until_seconds:
+            return 0.0
+        return min(
+            self.cold.turns.seconds_until_next(now_seconds),
+            self.cold_until_seconds - now_seconds,
+        )
+
     @property
     def has_limit(self) -> bool:
         """Whether requests to it are limited, so that each needs a turn."""
--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -26,6 +26,8 @@
 ESTIMATE_SPREAD: Final = 0.15  # random; spreads instances over similar replicas
 MIN_SPREAD_REPLICAS: Final = 2  # in one domain; a single one is preferred as it is
 
+Candidate = tuple[float, float, Replica]  # its score, its estimate and the replica
+
 
 @define(kw_only=True, eq=False, repr=False)
 class ReplicaChoice:
@@ -34,11 +36,13 @@
 
     :ivar estimate_ms: expected reply time.
     :ivar suitable_domains: failure domains with a replica of about the same score.
+    :ivar candidates: all replicas that could be selected, for explanations.
     """
 
     replica: Replica
     estimate_ms: float
     suitable_domains: tuple[str, ...]
+    candidates: Sequence[Candidate]
 
 
 @frozen(kw_only=True)
@@ -86,7 +90,7 @@
     :param ignore_limit: see `Replica.is_usable`.
     :return: None if no replica of the service may be used.
     """
-    candidates: list[tuple[float, float, Replica]] = []
+    candidates: list[Candidate] = []
     failure_ms = FAILURE_COST_MS if route.idempotent else UNREPEATABLE_FAILURE_COST_MS
     if shared is not None and len(replicas) > route.max_attempts:
         preferred = _preferred_replicas(replicas, shared.domain, route.max_attempts - 1)
@@ -127,10 +131,11 @@
             for score_ms, _, replica in candidates
             if score_ms <= limit_ms
         ),
+        candidates=candidates,
     )
 
 
-def _score(candidate: tuple[float, float, Replica]) -> float:
+def _score(candidate: Candidate) -> float:
     return candidate[0]
 
 
