Explain the quota of an account

An operator could not see who grants an account's tokens, nor why this instance does not. The new section states the instances to ask in order, the role of this one and the reasons why it is no owner, the tokens that it holds, and until when it refuses without asking. 429 quota_exceeded is among the refusals if this instance would refuse the next request without a message to a peer. All of it is read from copies; no token is taken.

The test that named an account on an instance registered for 6 s expected no refusal. A request of that account is answered 429 then, since nobody may grant yet, so the test now expects 429, and no refusal once the instance is the owner.

--- a/src/bronzebeam/gateway/account_queue.py
+++ b/src/bronzebeam/gateway/account_queue.py
@@ -59,6 +59,24 @@
     cancelled: bool = False
 
 
+@frozen(kw_only=True)
+class QueueStatus:
+    """
+    What the next request of an account meets at an instance.
+
+    :ivar tokens: a copy of the tokens that are held here.
+    :ivar granted_by: the owner that has granted them; empty if a deputy has.
+    :ivar refused_by: who has decided last that there is no token.
+    :ivar is_asking: a question is in flight.
+    """
+
+    tokens: AccountTokens
+    granted_by: str = ""
+    refused_by: GrantedBy = GrantedBy.OWNER
+    waiting_count: int = 0
+    is_asking: bool = False
+
+
 @define(kw_only=True, eq=False, repr=False)
 class AccountQueue:
     """
@@ -93,6 +111,16 @@
         """Whether requests wait or a question is in flight."""
         return bool(self._waiting) or self._round is not None
 
+    def status(self) -> QueueStatus:
+        """Return what the next request meets, for explanations."""
+        return QueueStatus(
+            tokens=self.tokens.copy(),
+            granted_by=self._granted_by,
+            refused_by=self._refused_by,
+            waiting_count=self._waiting_count(),
+            is_asking=self._round is not None,
+        )
+
     def request(self, request: TokenRequest) -> None:
         """Get a token; the request is notified at once, or within 60 ms."""
         if not self._waiting:
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -18,6 +18,7 @@
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation_handler import DelegationRequestHandler
+from bronzebeam.gateway.explained_quota import QuotaExplainer
 from bronzebeam.gateway.explanation import EXPLAIN_PATH, Explainer
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.gateway_metrics import GatewayMetrics
@@ -273,16 +274,17 @@
             ),
         )
         admission = Admission(rng=self.rng, log=self.log)
-        self._explainer = Explainer(
+        router = Router(
             context=context,
             admission=admission,
+            quotas=self._quotas,
+            started_at_seconds=loop.time(),
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
-        router = Router(
+        self._explainer = Explainer(
             context=context,
             admission=admission,
-            quotas=self._quotas,
-            started_at_seconds=loop.time(),
+            quota=QuotaExplainer(asker=self._quotas.asker),
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
         self._state.on_first_configuration = router.on_first_configuration
--- a/src/bronzebeam/gateway/explanation.py
+++ b/src/bronzebeam/gateway/explanation.py
@@ -12,8 +12,10 @@
 
 from bronzebeam.gateway.admission import Admission
 from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.explained_quota import QuotaExplainer
 from bronzebeam.gateway.explained_replicas import NoSpread, ReplicaExplainer
 from bronzebeam.gateway.explained_services import ServiceExplainer
+from bronzebeam.gateway.quota_gate import QUOTA_EXCEEDED, TOO_MANY_REQUESTS
 from bronzebeam.gateway.router import KEY_UNCONFIRMED, UNKNOWN_KEY, time_to_target_ms
 from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.crash_suspects import fingerprint
@@ -97,6 +99,7 @@
     One question is answered at a time, and requests are handled in between.
 
     :ivar configuration_bound_seconds: see `GatewaySettings`.
+    :ivar quota: explains the quota of the account.
     :ivar sections: further parts of the explanation, by name.
     :ivar refusal_checks: what may refuse a request before it is sent, in the order in
         which the request path asks.
@@ -104,6 +107,7 @@
 
     context: GatewayContext
     admission: Admission
+    quota: QuotaExplainer
     configuration_bound_seconds: float
     sections: dict[str, Section] = field(factory=dict)
     refusal_checks: list[RefusalCheck] = field(init=False)
@@ -111,7 +115,11 @@
     _tasks: set[asyncio.Task[None]] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        self.refusal_checks = [self._check_quarantine, self._check_admission]
+        self.refusal_checks = [
+            self._check_quarantine,
+            self._check_quota,
+            self._check_admission,
+        ]
 
     def handle(self, request: HttpRequest) -> None:
         """Answer the request of an operator, as soon as earlier ones are answered."""
@@ -177,6 +185,7 @@
         answer["route"] = _describe_route(route)
         answer["account"] = self._describe_account(situation)
         answer["regions"] = _describe_regions(situation)
+        answer["quota"] = self.quota.describe(account)
         refusal = self._check_account(situation)
         if refusal is not None:
             _refused(answer, refusal)
@@ -279,6 +288,14 @@
             return Refusal(status=503, cause=QUARANTINED)
         return None
 
+    def _check_quota(self, situation: Situation) -> Refusal | None:
+        account = situation.account
+        if account is None or not account.is_limited:
+            return None
+        if not self.quota.would_refuse(account):
+            return None
+        return Refusal(status=TOO_MANY_REQUESTS, cause=QUOTA_EXCEEDED)
+
     def _check_admission(self, situation: Situation) -> Refusal | None:
         limit = self.admission.limit_for(situation.route)
         if limit is None or limit.should_admit(
--- a/src/bronzebeam/gateway/quota_asker.py
+++ b/src/bronzebeam/gateway/quota_asker.py
@@ -7,13 +7,13 @@
 
 from attrs import define, field
 
-from bronzebeam.gateway.account_queue import AccountQueue, TokenRequest
+from bronzebeam.gateway.account_queue import AccountQueue, QueueStatus, TokenRequest
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.quota_round import QuotaLinks
 from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.quota_grants import QuotaGrants
-from bronzebeam.routing.quota_members import RegistrationTimes
-from bronzebeam.routing.quota_tokens import alone_rate_per_second
+from bronzebeam.routing.quota_members import RegistrationTimes, Standing
+from bronzebeam.routing.quota_tokens import AccountTokens, alone_rate_per_second
 from bronzebeam.routing.quotas import QuotaAsk, QuotaGrant, QuotaTolerance
 from bronzebeam.routing.silent_peers import SilentPeers
 
@@ -94,6 +94,45 @@
             as_owner=False,
         )
 
+    # Queries that change nothing, to explain what a request would meet.
+
+    def peek_queue(self, account: Account) -> QueueStatus:
+        """Return what the next request of an account meets here."""
+        queue = self._queues.get(account.name)
+        return QueueStatus(tokens=AccountTokens()) if queue is None else queue.status()
+
+    def peek_grant(self, account: Account, standing: Standing) -> QuotaGrant:
+        """Return what this instance would grant to one request that waits."""
+        ask = QuotaAsk(account=account.name, wanted_count=1, waiting_count=1)
+        return self._grants.peek(
+            account, ask, standing=standing, now_seconds=self.boot_seconds()
+        )
+
+    def peek_turn_seconds(self, account: Account, tokens: AccountTokens) -> float:
+        """
+        Return the time until this instance may admit a request by itself.
+
+        :param tokens: a copy of the account's tokens.
+        :return: 0 if its first turn is not known yet.
+        """
+        per_second = alone_rate_per_second(account, self.tolerance)
+        if per_second > 0.0 and not tokens.has_turns:
+            return 0.0
+        return tokens.seconds_until_turn(
+            per_second=per_second,
+            instance_count=self.state.recent_instance_count(),
+            now_seconds=self.boot_seconds(),
+            rng=self.rng,
+            is_delayed=False,
+        )
+
+    def may_message(self, name: str) -> bool:
+        """Whether a question would be sent to an instance."""
+        now_seconds = self.state.loop.time()
+        return self.state.peers.get(name) is not None and not (
+            self._links.silent.is_silent(name, now_seconds)
+        )
+
     def _turn_seconds(self, queue: AccountQueue) -> float:
         return queue.tokens.seconds_until_turn(
             per_second=alone_rate_per_second(queue.account, self.tolerance),
--- a/src/bronzebeam/routing/quota_grants.py
+++ b/src/bronzebeam/routing/quota_grants.py
@@ -1,6 +1,7 @@
 """The tokens that one instance grants to all, as owner or deputy of accounts."""
 
 from collections import OrderedDict
+from copy import copy, deepcopy
 from typing import Final
 
 from attrs import define, field
@@ -105,6 +106,17 @@
         share = deputy_share(standing)
         return self._grant_as_deputy(account, ask, buckets, share, now_seconds)
 
+    def peek(
+        self, account: Account, ask: QuotaAsk, *, standing: Standing, now_seconds: float
+    ) -> QuotaGrant:
+        """Return what `grant` would, without a change of the buckets."""
+        other = copy(self)
+        other._accounts = OrderedDict()
+        buckets = self._accounts.get(account.name)
+        if buckets is not None:
+            other._accounts[account.name] = deepcopy(buckets)
+        return other.grant(account, ask, standing=standing, now_seconds=now_seconds)
+
     def grant_unlimited(self, ask: QuotaAsk) -> QuotaGrant:
         """Grant what is wanted of an account that has no limit here."""
         return QuotaGrant(
--- a/src/bronzebeam/routing/quota_members.py
+++ b/src/bronzebeam/routing/quota_members.py
@@ -3,6 +3,7 @@
 import math
 from collections import OrderedDict, deque
 from collections.abc import Collection
+from copy import copy
 from heapq import nlargest
 from typing import Final
 
@@ -174,6 +175,23 @@
         """Whether the view is recent."""
         return now_seconds - self._confirmed_at_seconds <= MAX_CONTACT_AGE_SECONDS
 
+    def contact_age_seconds(self, now_seconds: float) -> float:
+        """Return how old the view is; infinite if it was never complete."""
+        return now_seconds - self._confirmed_at_seconds
+
+    def copy_for(self, account: str) -> "QuotaMembers":
+        """
+        Return a copy that can be asked about one account.
+
+        What is kept of the ranking of accounts then stays as it is.
+        """
+        other = copy(self)
+        ranked = self._ranked.get(account)
+        other._ranked = OrderedDict()
+        if ranked is not None:
+            other._ranked[account] = copy(ranked)
+        return other
+
     def candidates(self, account: str, now_seconds: float) -> tuple[str, ...]:
         """Return the instances to ask for an account's tokens, the owner first."""
         return tuple(self._order(account, now_seconds)[:CANDIDATE_COUNT])
--- a/src/bronzebeam/routing/quota_tokens.py
+++ b/src/bronzebeam/routing/quota_tokens.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections import deque
+from copy import copy
 from typing import Final
 
 from attrs import define, field
@@ -54,6 +55,19 @@
     _used: deque[tuple[int, int]] = field(factory=deque, init=False)
     _turns: SendTurns | None = field(default=None, init=False)
 
+    @property
+    def has_turns(self) -> bool:
+        """Whether the times of this instance's own turns are known."""
+        return self._turns is not None
+
+    def copy(self) -> "AccountTokens":
+        """Return a copy, to find out what would come without a change."""
+        other = copy(self)
+        other._held = deque(self._held)
+        other._used = deque(self._used)
+        other._turns = copy(self._turns)
+        return other
+
     def held_count(self, now_seconds: float) -> int:
         """Return the number of tokens that may be used now."""
         held = self._held
--- a/tests/test_gateway_explain_reasons.py
+++ b/tests/test_gateway_explain_reasons.py
@@ -25,6 +25,7 @@
 )
 from tests.standin_replica import StandinReplica
 from tests.test_gateway_explain import causes, described_replicas, explain, get
+from tests.test_gateway_quotas import OWNER_SECONDS
 
 SECRET = "k-very-secret"
 TENANTS = [
@@ -140,6 +141,10 @@
         gateway = await start_small_cluster(cluster)
         cluster.configure(*cluster.routes, tenants=TENANTS)
         await asyncio.sleep(SETTLE_SECONDS)
+        # Nobody grants tokens before the instance has been registered long enough.
+        answer = await explain(cluster, gateway, READ_PATH, account="acme")
+        assert causes(answer) == [(429, "quota_exceeded")]
+        await asyncio.sleep(OWNER_SECONDS)
         answer = await explain(cluster, gateway, READ_PATH, account="acme")
         assert answer["account"]["is_limited"] and causes(answer) == []
         assert answer["account"]["rate_per_second"] == 5.0
