Explain admission where accounts compete

With accounts in the configuration, requests are admitted by the queue of SharedAdmission, but the explanation showed the adaptive limit that is not used then. It now shows the room, the requests that wait, and whether a first attempt of the account would start, wait or be refused, and why.

The decision is that of SharedAdmission.submit on a copy.

The test of an overload reaches the limit through the new explainer.

--- a/src/bronzebeam/gateway/competing_admission.py
+++ b/src/bronzebeam/gateway/competing_admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 from collections import Counter
 from collections.abc import Callable
 from itertools import count
@@ -14,10 +15,11 @@
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.outcome import Outcome, answer_no_room
 from bronzebeam.gateway.routed_request import RoutedRequest
+from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.admission import AdmissionStep, Rejection
 from bronzebeam.routing.fan_out_timing import MIN_TARGET_FACTOR
-from bronzebeam.routing.routes import RouteTable
-from bronzebeam.routing.shared_admission import Demand, SharedAdmission
+from bronzebeam.routing.routes import Route, RouteTable
+from bronzebeam.routing.shared_admission import Demand, ForeseenStep, SharedAdmission
 from bronzebeam.units import MS_PER_SECOND
 
 SLOTS_INTERVAL_SECONDS: Final = 1.0  # replicas and instances come and go
@@ -27,6 +29,7 @@
 # Above this share of refused sub-requests the replicas as a whole lack room.
 MAX_REFUSED_SHARE: Final = 0.1
 CAUSE_PREFIX: Final = "no_room_"
+FORESEEN_ID: Final = "foreseen"  # of a request that is explained; others are numbers
 
 StartRequest = Callable[[RoutedRequest, AdmissionPermit], None]
 
@@ -230,29 +233,67 @@
         group = self._groups[routed.route.name]
         group.submit(self._build_demand(routed, group.definition), routed, start)
 
+    def find_group(
+        self, table: RouteTable, route: Route
+    ) -> tuple[RouteGroup, SharedAdmission | None]:
+        """Return the group of a route, and its queue and limit; None if it is new."""
+        if table.version == self._version:
+            group = self._groups[route.name]
+            return group.definition, group.admission
+        definition = next(
+            item for item in group_routes(table) if route.name in item.routes
+        )
+        for group in self._groups.values():
+            if group.definition.services == definition.services:
+                return definition, group.admission
+        return definition, None
+
+    def foresee(
+        self,
+        *,
+        table: RouteTable,
+        route: Route,
+        account: Account | None,
+        target_ms: float,
+        rng: random.Random,
+    ) -> tuple[Demand, ForeseenStep]:
+        """
+        Return what would be decided about a caller's first attempt that comes now.
+
+        :param target_ms: time to its target latency.
+        :param rng: used for what would be drawn at random.
+        """
+        definition, admission = self.find_group(table, route)
+        if admission is None:
+            admission = SharedAdmission(rng=rng, rank_count=len(definition.urgencies))
+        now_seconds = self.context.loop.time()
+        demand = build_demand(
+            request_id=FORESEEN_ID,
+            route=route,
+            account=account,
+            group=definition,
+            typical_ms=self.context.state.known_latency(route).typical_ms,
+            arrived_at_seconds=now_seconds,
+            target_at_seconds=now_seconds + target_ms / MS_PER_SECOND,
+        )
+        return demand, admission.foresee(
+            demand,
+            rank_count=len(definition.urgencies),
+            now_seconds=now_seconds,
+            rng=rng,
+        )
+
     def _build_demand(self, routed: RoutedRequest, group: RouteGroup) -> Demand:
-        route, request, account = routed.route, routed.request, routed.account
-        priority = None if account is None else account.priority
-        urgency = urgency_of(route, priority)
-        typical_ms = self.context.state.typical_latency(route).typical_ms
-        target_ms = (
-            routed.target_at_seconds - request.arrived_at_seconds
-        ) * MS_PER_SECOND
-        spent_ms = route.target_latency_ms - target_ms - request.round_trip_ms
-        return Demand(
+        return build_demand(
             request_id=str(next(self._numbers)),
-            route=route.name,
-            account="" if account is None else account.name,
-            priority=urgency[0],
-            route_priority=urgency[1],
-            rank=group.urgencies.index(urgency),
-            is_return=routed.is_retry,
-            is_late=routed.is_retry and spent_ms < SPENT_MS,
-            arrived_at_seconds=request.arrived_at_seconds,
+            route=routed.route,
+            account=routed.account,
+            group=group,
+            typical_ms=self.context.state.typical_latency(routed.route).typical_ms,
+            arrived_at_seconds=routed.request.arrived_at_seconds,
             target_at_seconds=routed.target_at_seconds,
-            target_latency_ms=route.target_latency_ms,
-            work_ms=typical_ms * (len(route.shards) or 1),
-            usual_ms=typical_ms * (MIN_TARGET_FACTOR if route.shards else 1.0),
+            round_trip_ms=routed.request.round_trip_ms,
+            is_retry=routed.is_retry,
         )
 
     def _apply_table(self, table: RouteTable) -> None:
@@ -276,3 +317,42 @@
             groups.update(dict.fromkeys(definition.routes, group))
         # What waits in a group that is gone is started or refused by its own timer.
         self._groups = groups
+
+
+def build_demand(
+    *,
+    request_id: str,
+    route: Route,
+    account: Account | None,
+    group: RouteGroup,
+    typical_ms: float,
+    arrived_at_seconds: float,
+    target_at_seconds: float,
+    round_trip_ms: float = 0.0,
+    is_retry: bool = False,
+) -> Demand:
+    """
+    Return what a request asks for.
+
+    :param typical_ms: usual reply time of the route.
+    :param round_trip_ms: network round-trip time to the caller.
+    :param is_retry: see `RoutedRequest`.
+    """
+    urgency = urgency_of(route, None if account is None else account.priority)
+    target_ms = (target_at_seconds - arrived_at_seconds) * MS_PER_SECOND
+    spent_ms = route.target_latency_ms - target_ms - round_trip_ms
+    return Demand(
+        request_id=request_id,
+        route=route.name,
+        account="" if account is None else account.name,
+        priority=urgency[0],
+        route_priority=urgency[1],
+        rank=group.urgencies.index(urgency),
+        is_return=is_retry,
+        is_late=is_retry and spent_ms < SPENT_MS,
+        arrived_at_seconds=arrived_at_seconds,
+        target_at_seconds=target_at_seconds,
+        target_latency_ms=route.target_latency_ms,
+        work_ms=typical_ms * (len(route.shards) or 1),
+        usual_ms=typical_ms * (MIN_TARGET_FACTOR if route.shards else 1.0),
+    )
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -18,6 +18,7 @@
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation_handler import DelegationRequestHandler
+from bronzebeam.gateway.explained_admission import AdmissionExplainer
 from bronzebeam.gateway.explained_quota import QuotaExplainer
 from bronzebeam.gateway.explanation import EXPLAIN_PATH, Explainer
 from bronzebeam.gateway.fleet_state import FleetState
@@ -283,8 +284,10 @@
         )
         self._explainer = Explainer(
             context=context,
-            admission=admission,
             quota=QuotaExplainer(asker=self._quotas.asker),
+            room=AdmissionExplainer(
+                admission=admission, competing=router.competing_admission
+            ),
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
         self._state.on_first_configuration = router.on_first_configuration
--- a/src/bronzebeam/gateway/explanation.py
+++ b/src/bronzebeam/gateway/explanation.py
@@ -10,17 +10,16 @@
 import orjson
 from attrs import define, field, frozen
 
-from bronzebeam.gateway.admission import Admission
 from bronzebeam.gateway.context import GatewayContext
+from bronzebeam.gateway.explained_admission import AdmissionExplainer
 from bronzebeam.gateway.explained_quota import QuotaExplainer
-from bronzebeam.gateway.explained_replicas import NoSpread, ReplicaExplainer
+from bronzebeam.gateway.explained_replicas import ReplicaExplainer
 from bronzebeam.gateway.explained_services import ServiceExplainer
 from bronzebeam.gateway.quota_gate import QUOTA_EXCEEDED, TOO_MANY_REQUESTS
 from bronzebeam.gateway.router import KEY_UNCONFIRMED, UNKNOWN_KEY, time_to_target_ms
 from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.crash_suspects import fingerprint
 from bronzebeam.routing.hedge_timing import hedge_delay_ms
-from bronzebeam.routing.overload import RANK_FACTOR, AdaptiveLimit
 from bronzebeam.routing.regions import combine_regions
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.transport.caller_request import HttpRequest
@@ -31,7 +30,6 @@
 NO_CONFIGURATION: Final = "no_configuration"
 NO_ROUTE: Final = "no_route"
 QUARANTINED: Final = "quarantined"
-OVERLOAD: Final = "overload"
 MAX_PARAMETERS: Final = 8
 # A search of 135 shards takes 200 KB, and 6 KB compressed; links are slow.
 MIN_COMPRESSED_BYTES: Final = 1_400
@@ -100,14 +98,15 @@
 
     :ivar configuration_bound_seconds: see `GatewaySettings`.
     :ivar quota: explains the quota of the account.
+    :ivar room: explains admission.
     :ivar sections: further parts of the explanation, by name.
     :ivar refusal_checks: what may refuse a request before it is sent, in the order in
-        which the request path asks.
+        which the request path asks. Admission comes after them.
     """
 
     context: GatewayContext
-    admission: Admission
     quota: QuotaExplainer
+    room: AdmissionExplainer
     configuration_bound_seconds: float
     sections: dict[str, Section] = field(factory=dict)
     refusal_checks: list[RefusalCheck] = field(init=False)
@@ -115,11 +114,7 @@
     _tasks: set[asyncio.Task[None]] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        self.refusal_checks = [
-            self._check_quarantine,
-            self._check_quota,
-            self._check_admission,
-        ]
+        self.refusal_checks = [self._check_quarantine, self._check_quota]
 
     def handle(self, request: HttpRequest) -> None:
         """Answer the request of an operator, as soon as earlier ones are answered."""
@@ -193,7 +188,6 @@
             refusal = check(situation)
             if refusal is not None:
                 _refused(answer, refusal)
-        answer["admission"] = self._describe_admission(route)
         for name, describe in self.sections.items():
             answer[name] = describe(situation)
         await self._add_services(answer, situation)
@@ -212,6 +206,14 @@
             target_latency_ms=route.target_latency_ms,
             is_fan_out=bool(route.shards),
         )
+        answer["admission"], cause = self.room.describe(
+            table=situation.table,
+            route=route,
+            account=situation.account,
+            target_ms=target_ms,
+        )
+        if cause:
+            _refused(answer, Refusal(status=503, cause=cause))
         answer["timing"] = {
             "typical_ms": round(typical.typical_ms, 2),
             "time_to_target_ms": round(target_ms, 1),
@@ -255,16 +257,6 @@
             "regions": list(account.regions),
         }
 
-    def _describe_admission(self, route: Route) -> dict[str, Any]:
-        limit = self.admission.limit_for(route) or AdaptiveLimit()
-        rank = self.admission.rank_of(route)
-        return {
-            "in_flight": limit.in_flight,
-            "limit": round(limit.limit * RANK_FACTOR**rank, 1),
-            "rank": rank,
-            "is_reduced": limit.is_reduced,
-        }
-
     # What may refuse a request.
 
     def _check_account(self, situation: Situation) -> Refusal | None:
@@ -296,16 +288,6 @@
             return None
         return Refusal(status=TOO_MANY_REQUESTS, cause=QUOTA_EXCEEDED)
 
-    def _check_admission(self, situation: Situation) -> Refusal | None:
-        limit = self.admission.limit_for(situation.route)
-        if limit is None or limit.should_admit(
-            rank=self.admission.rank_of(situation.route),
-            is_retry=False,
-            rng=NoSpread(),
-        ):
-            return None
-        return Refusal(status=503, cause=OVERLOAD)
-
 
 def read_question(target: bytes) -> Question:
     """
--- a/src/bronzebeam/routing/account_shares.py
+++ b/src/bronzebeam/routing/account_shares.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from copy import copy
 from typing import Final
 
 from attrs import define, field
@@ -88,6 +89,16 @@
             BEYOND_FACTOR * fair_work + BEYOND_WORK * self._decay.weight
         )
 
+    def copy(self) -> "FairShares":
+        """Return a copy, to find out what would come without a change."""
+        other = copy(self)
+        other._decay = copy(self._decay)
+        other._accounts = {
+            name: _AccountWork(asked=item.asked, started=item.started)
+            for name, item in self._accounts.items()
+        }
+        return other
+
     def _settle(self, now_seconds: float) -> None:
         factor = self._decay.advance(now_seconds)
         if factor is None:
@@ -183,6 +194,17 @@
         if credit is not None:
             credit.requests = max(0.0, credit.requests - 1.0)
 
+    def copy(self, rng: random.Random) -> "OwedRequests":
+        """Return a copy with another random source."""
+        other = copy(self)
+        other.rng = rng
+        other._decay = copy(self._decay)
+        other._credits = {
+            name: _AccountCredit(requests=item.requests, asked_count=item.asked_count)
+            for name, item in self._credits.items()
+        }
+        return other
+
     def _settle(self, now_seconds: float) -> None:
         factor = self._decay.advance(now_seconds)
         if factor is None:
--- a/src/bronzebeam/routing/admission.py
+++ b/src/bronzebeam/routing/admission.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from copy import copy
 from enum import Enum
 from typing import Final
 
@@ -171,6 +172,17 @@
         """Monotonic time at which to call `advance` if nothing else happens."""
         return self._next_expiry_seconds
 
+    def waiting_counts(self) -> dict[Urgency, int]:
+        """Return how many queries of each urgency wait, the most urgent first."""
+        return {name: len(self._queues[name]) for name in sorted(self._queues)}
+
+    def copy(self, *, order: AdmissionOrder, rng: random.Random) -> "AdmissionQueue":
+        """Return a copy with another order and random source."""
+        other = copy(self)
+        other.order, other.rng = order, rng
+        other._queues = {name: dict(queue) for name, queue in self._queues.items()}
+        return other
+
     def next_step_seconds(self, capacity: Capacity) -> float:
         """Return when to call `advance` if the limit may be below one query."""
         if capacity.running > 0.0:
--- a/src/bronzebeam/routing/class_shares.py
+++ b/src/bronzebeam/routing/class_shares.py
@@ -1,6 +1,7 @@
 """Shares of the limit that less urgent classes may use."""
 
 import math
+from copy import copy
 from typing import Final
 
 from attrs import define, field
@@ -40,6 +41,12 @@
         self.level_count = count
         del self._shares[count:]
 
+    def copy(self) -> "ClassShares":
+        """Return a copy, to find out what would come without a change."""
+        other = copy(self)
+        other._shares = [copy(item) for item in self._shares]
+        return other
+
     def share(self, level: int, *, now_seconds: float) -> float:
         """
         Return the share of the limit that a class may use.
--- a/src/bronzebeam/routing/shared_admission.py
+++ b/src/bronzebeam/routing/shared_admission.py
@@ -1,6 +1,7 @@
 """Admission of requests that compete for too little capacity."""
 
 import random
+from copy import copy
 from typing import Final
 
 from attrs import define, field, frozen
@@ -60,6 +61,21 @@
     usual_ms: float
 
 
+@frozen(kw_only=True)
+class ForeseenStep:
+    """
+    What would happen if a request came now.
+
+    :ivar step: the decisions about it and the requests that wait.
+    :ivar has_room: it would find room if no other waited.
+    """
+
+    request: AdmissionRequest
+    step: AdmissionStep
+    capacity: Capacity
+    has_room: bool
+
+
 @define(kw_only=True, eq=False, repr=False)
 class _Admitted:
     """
@@ -130,6 +146,49 @@
         """Start, queue or refuse a request."""
         self._usual_ms = demand.usual_ms
         request, level = self.build_request(demand, now_seconds=now_seconds)
+        return self._submit(demand, request, level, now_seconds)
+
+    def foresee(
+        self, demand: Demand, *, rank_count: int, now_seconds: float, rng: random.Random
+    ) -> ForeseenStep:
+        """
+        Return what `submit` would decide, without a change.
+
+        :param rank_count: number of different urgencies, which may be about to change.
+        :param rng: used for what `submit` draws at random.
+        """
+        other = self._copy(rng)
+        other.set_rank_count(rank_count)
+        other._usual_ms = demand.usual_ms
+        request, level = other.build_request(demand, now_seconds=now_seconds)
+        capacity = other.capacity
+        return ForeseenStep(
+            request=request,
+            capacity=capacity,
+            has_room=capacity.has_room(
+                request, running=capacity.running, now_seconds=now_seconds
+            ),
+            step=other._submit(demand, request, level, now_seconds),
+        )
+
+    def _copy(self, rng: random.Random) -> "SharedAdmission":
+        other = copy(self)
+        other.rng = rng
+        other.limit = copy(self.limit)
+        other.classes = self.classes.copy()
+        other.shares = {name: item.copy() for name, item in self.shares.items()}
+        other.owed = self.owed.copy(rng)
+        other.queue = self.queue.copy(order=CostOrder(shares=other.shares), rng=rng)
+        other._demands = {name: copy(item) for name, item in self._demands.items()}
+        return other
+
+    def _submit(
+        self,
+        demand: Demand,
+        request: AdmissionRequest,
+        level: int,
+        now_seconds: float,
+    ) -> AdmissionStep:
         self._demands[demand.request_id] = _Admitted(
             demand=demand, level=level, work=request.work
         )
--- a/tests/test_gateway_explain_reasons.py
+++ b/tests/test_gateway_explain_reasons.py
@@ -105,7 +105,7 @@
         assert route is not None
         found = route.by_name("r-read")
         assert found is not None
-        limit = explainer.admission.limit_for(found)
+        limit = explainer.room.admission.limit_for(found)
         assert limit is not None
         limit.in_flight = 500
         answer = await explain(cluster, gateway, READ_PATH)
