--- a/tests/test_explain_cli.py
+++ b/tests/test_explain_cli.py
@@ -1,5 +1,6 @@
 """Tests of the command `explain`, with the answers of a gateway in virtual time."""
 
+import asyncio
 import json
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -16,6 +17,7 @@
     build_json_app,
     serve_app,
 )
+from tests.fixtures_cold import start_cold_service
 from tests.fixtures_gateway import (
     FAN_OUT_PATH,
     READ_PATH,
@@ -26,7 +28,9 @@
     start_small_cluster,
 )
 from tests.fixtures_serving import find_free_port, running_servers
+from tests.test_gateway_evacuation import EVACUATION_BOUND_SECONDS, evacuate
 from tests.test_gateway_explain import explain
+from tests.test_gateway_quotas import make_account, start_quota_cluster
 
 SHARDS = 12
 
@@ -180,3 +184,39 @@
     answer = answer_for_read(paused=False)
     answer["account"] = {"name": None, "is_unknown": False, "needs_key": True}
     assert any("name its account" in line for line in format_explanation(answer))
+
+
+def test_text_shows_quota_admission_and_cold_replicas() -> None:
+    async def scenario(cluster: Cluster) -> dict[str, Any]:
+        await start_cold_service(cluster, instances=1, per_second=0.2)
+        gateway = cluster.gateways["g-1"]
+        evacuate(cluster, "zone-z")
+        await asyncio.sleep(EVACUATION_BOUND_SECONDS)
+        for _ in range(3):
+            await cluster.send_request(gateway, READ_PATH)
+        return await explain(cluster, gateway, READ_PATH)
+
+    answer = run_scenario(scenario)
+    lines = list(format_explanation(answer))
+    assert 'evacuated: ["zone-z"]' in lines
+    assert "regions: is_restricted=false allowed=none domains=none" in lines
+    assert "quota: is_limited=null" in lines
+    replicas = [line for line in lines if line.startswith("  replica=")]
+    assert len(replicas) == 2
+    for line in replicas:
+        assert "excluded_by=cold" in line and "cold_senders=g-1" in line
+    assert "refused: status=503 cause=replicas_cold" in lines
+
+
+def test_text_of_an_account_names_its_owner_and_the_decision() -> None:
+    async def scenario(cluster: Cluster) -> dict[str, Any]:
+        [gateway] = await start_quota_cluster(cluster, make_account(), instances=1)
+        return await explain(cluster, gateway, READ_PATH, account="shop")
+
+    lines = list(format_explanation(run_scenario(scenario)))
+    [quota] = [line for line in lines if line.startswith("quota: ")]
+    assert "role=owner" in quota and "not_owner_because=none" in quota
+    assert "refuses_as=null" in quota and "held_count=0" in quota
+    [admission] = [line for line in lines if line.startswith("admission: ")]
+    assert "decision=starts" in admission and "waiting=none" in admission
+    assert "refused: no" in lines
