--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -18,6 +18,8 @@
 from bronzebeam.gateway.connection_pool import ConnectionPool
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation_handler import DelegationRequestHandler
+from bronzebeam.gateway.explained_admission import AdmissionExplainer
+from bronzebeam.gateway.explained_quota import QuotaExplainer
 from bronzebeam.gateway.explanation import EXPLAIN_PATH, Explainer
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.gateway_metrics import GatewayMetrics
@@ -275,11 +277,6 @@
             ),
         )
         admission = Admission(rng=self.rng, log=self.log)
-        self._explainer = Explainer(
-            context=context,
-            admission=admission,
-            configuration_bound_seconds=settings.configuration_bound_seconds,
-        )
         self._introduction = QuotaIntroduction(
             state=self._state,
             registration=self._registration_times,
@@ -292,6 +289,14 @@
             started_at_seconds=loop.time(),
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
+        self._explainer = Explainer(
+            context=context,
+            quota=QuotaExplainer(asker=self._quotas.asker),
+            room=AdmissionExplainer(
+                admission=admission, competing=router.competing_admission
+            ),
+            configuration_bound_seconds=settings.configuration_bound_seconds,
+        )
         self._state.on_first_configuration = router.on_first_configuration
         self._caller_server = CallerServer(handle=router.handle, loop=loop)
         self._delegation_handler = DelegationRequestHandler(context=context)
