Check quotas over all instances in the gateways' soak

The soak had an account with a quota, but no rule for it, and ran with the default tolerance of zero. It now sets quotaWindowS, quotaOverage and quotaSlack, has a second limited account that stays far below its quota, and checks the sum that replicas ran in any window, and that no account below a third of its quota is refused once there has been no fault for 10 s. Runs by hand go on for 16 s after the last fault instead of 12 s, so that the second rule applies for 6 s of them; the run in the tests takes as long as before.

--- a/tests/soak_accounts.py
+++ b/tests/soak_accounts.py
@@ -13,13 +13,18 @@
 # The bound counts once the store has been healthy for this long.
 STABLE_SECONDS: Final = 4.0
 LIBRARY, ARCHIVE, MUSEUM = "library", "archive", "museum"
+GALLERY: Final = "gallery"
 FIXED_KEYS: Final = {
     "secret-library": LIBRARY,
     "secret-archive": ARCHIVE,
     "secret-museum": MUSEUM,
+    "secret-gallery": GALLERY,
+}
+# Callers send several times as many for the museum, and a quarter for the gallery.
+QUOTAS: Final[dict[str, dict[str, int]]] = {
+    MUSEUM: {"ratePerS": 4, "burst": 4},
+    GALLERY: {"ratePerS": 30, "burst": 15},
 }
-# Callers send several times as many.
-MUSEUM_QUOTA: Final = {"ratePerS": 4, "burst": 4}
 KEYS_IN_FORCE: Final = 2  # versions in which a key of a version is in force
 
 
@@ -59,17 +64,20 @@
                 for key, row in history.keys.items()
                 if row.account == name and row.until_seconds is None
             ],
-            **(MUSEUM_QUOTA if name == MUSEUM else {}),
+            **QUOTAS.get(name, {}),
         }
-        for name in (LIBRARY, ARCHIVE, MUSEUM)
+        for name in (LIBRARY, ARCHIVE, MUSEUM, GALLERY)
     ]
 
 
 def choose_key(rng: random.Random, version: int) -> str:
     """Choose what a caller sends as its key; empty for none."""
     kind = rng.choices(
-        ["library", "archive", "museum", "new", "old", "next", "never", "none"],
-        weights=[40, 20, 15, 8, 8, 3, 3, 3],
+        [
+            *("library", "archive", "museum", "gallery"),
+            *("new", "old", "next", "never", "none"),
+        ],
+        weights=[30, 20, 15, 10, 8, 8, 3, 3, 3],
     )[0]
     return {
         "new": key_of_version(version),
--- a/tests/soak_gateways.py
+++ b/tests/soak_gateways.py
@@ -26,9 +26,14 @@
     encode_request,
 )
 from tests.soak_accounts import check_accounts, check_keys_in_time, choose_key
-from tests.soak_faults import fault_schedule
+from tests.soak_faults import FaultAction, fault_schedule
 from tests.soak_history import RequestRow, check_history
 from tests.soak_link import LOOPBACK
+from tests.soak_quotas import (
+    SETTLED_SECONDS,
+    check_quota_refusals,
+    check_quota_sums,
+)
 from tests.soak_rig import SoakGateway, SoakRig
 from tests.standin_replica import ACCOUNT_HEADER, KEY_HEADER
 
@@ -39,6 +44,8 @@
 REMAINING_MS: Final = {"search": 800, "read": 2_000, "book": 2_000, "probe": 1_000}
 EXTRA_WAIT_SECONDS: Final = 1.5
 RECOVERY_SECONDS: Final = 6.0
+# After the last fault; quotas are checked for the rest of it once all has settled.
+CALM_SECONDS: Final = SETTLED_SECONDS + 6.0
 SERVED_AFTER_RECOVERY_SHARE: Final = 0.25
 MAX_PRINTED: Final = 5
 
@@ -49,12 +56,14 @@
     One run on a rig.
 
     :ivar recovery_seconds: time after the last fault until requests must be served.
+    :ivar calm_seconds: time after the last fault until the end.
     :ivar stopping: callers end after their current request.
     """
 
     rig: SoakRig
     seed: int
     recovery_seconds: float = RECOVERY_SECONDS
+    calm_seconds: float = CALM_SECONDS
     stopping: bool = False
     _attempt_count: int = 0
     _recovered_at_seconds: float = 0.0
@@ -70,15 +79,17 @@
         ]
         await self._inject_faults(seconds)
         self._recovered_at_seconds = self.rig.loop.time() + self.recovery_seconds
-        await asyncio.sleep(2 * self.recovery_seconds)
+        await asyncio.sleep(self.calm_seconds)
         self.stopping = True
         await asyncio.gather(*callers, *probes)
 
     def violations(self, *, timed: bool) -> dict[str, list[str]]:
         found = check_history(self.rig.history, timed=timed)
         found["accounts"] = list(check_accounts(self.rig.history))
+        found["quota_sums"] = list(check_quota_sums(self.rig.history))
         if timed:
             found["keys_in_time"] = list(check_keys_in_time(self.rig.history))
+            found["quota_refusals"] = list(check_quota_refusals(self.rig.history))
         late = [
             row
             for row in self.rig.history.requests
@@ -101,9 +112,16 @@
             await asyncio.sleep(pause)
             name = getattr(fault, "__name__", "fault")
             self.fault_counts[name] += 1
-            running.append(asyncio.ensure_future(fault(self.rig, fault_rng)))
+            running.append(asyncio.create_task(self._inject(fault, fault_rng)))
         await asyncio.gather(*running)
 
+    async def _inject(self, fault: FaultAction, rng: random.Random) -> None:
+        start = self.rig.loop.time()
+        try:
+            await fault(self.rig, rng)
+        finally:
+            self.rig.history.faults.append((start, self.rig.loop.time()))
+
     async def _call(self, rng: random.Random) -> None:
         """Send requests one after the other, mostly on a kept connection."""
         caller: Caller | None = None
@@ -217,12 +235,18 @@
     seconds: float,
     folder: Path,
     recovery_seconds: float = RECOVERY_SECONDS,
+    calm_seconds: float = CALM_SECONDS,
 ) -> SoakRun:
     """Run the faults of a seed, and return the run with its history."""
     rig = SoakRig(folder=folder, rng=random.Random(f"{seed}/rig"))
     try:
         await rig.start()
-        run = SoakRun(rig=rig, seed=seed, recovery_seconds=recovery_seconds)
+        run = SoakRun(
+            rig=rig,
+            seed=seed,
+            recovery_seconds=recovery_seconds,
+            calm_seconds=calm_seconds,
+        )
         await run.run(seconds)
     finally:
         await rig.stop()
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -94,6 +94,7 @@
         killed.
     :ivar outages: times, with gateway, in which its calls to the store were harmed; an
         empty name for all gateways.
+    :ivar faults: times in which any fault was going on.
     :ivar older_copies: times from a return of the store from an older copy to the next
         configuration.
     :ivar keys: keys that a configuration has had, as `soak_accounts.KeyRow`.
@@ -110,6 +111,7 @@
     disturbed: list[tuple[str, float, float]] = field(factory=list)
     limits: list[LimitRow] = field(factory=list)
     outages: list[tuple[str, float, float]] = field(factory=list)
+    faults: list[tuple[float, float]] = field(factory=list)
     older_copies: list[tuple[float, float]] = field(factory=list)
     keys: dict[str, Any] = field(factory=dict)
     starts: dict[tuple[str, int], float] = field(factory=dict)
--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -25,6 +25,7 @@
 from tests.soak_accounts import configure_accounts
 from tests.soak_history import ArrivalRow, SoakHistory
 from tests.soak_link import LOOPBACK, Link
+from tests.soak_quotas import QUOTA_SETTINGS
 from tests.standin_http import StandinConnection, StandinRequest
 from tests.standin_replica import ACCOUNT_HEADER, Fault, StandinReplica
 from tests.standin_store import StandinStore
@@ -334,7 +335,8 @@
                 name,
                 LOOPBACK,
                 DOMAINS[number % 2],
-                **{
+                **QUOTA_SETTINGS
+                | {
                     "listenAddresses.frontendAddress": f"{LOOPBACK}:{ports[0]}",
                     "listenAddresses.ready": f"{LOOPBACK}:{ports[1]}",
                     "internalPortRange": f"{ports[2]},{ports[2]}",
--- a/tests/test_soak_gateways.py
+++ b/tests/test_soak_gateways.py
@@ -293,7 +293,7 @@
         }
         for version in range(1, 5)
     ]
-    fixed = {"secret-library", "secret-archive", "secret-museum"}
+    fixed = {"secret-library", "secret-archive", "secret-museum", "secret-gallery"}
     assert keys[0] - fixed == {"secret-of-1"}
     assert keys[3] - fixed == {"secret-of-3", "secret-of-4"}
     assert history.keys["secret-of-2"].until_seconds == 4.0
@@ -303,10 +303,16 @@
 def test_short_soak_of_processes_breaks_no_rule() -> None:
     with TemporaryDirectory() as folder:
         run = asyncio.run(
-            run_soak(seed=1, seconds=6.0, folder=Path(folder), recovery_seconds=2.0)
+            run_soak(
+                seed=1,
+                seconds=6.0,
+                folder=Path(folder),
+                recovery_seconds=2.0,
+                calm_seconds=4.0,
+            )
         )
         found = run.violations(timed=False)
     assert {name: rows for name, rows in found.items() if rows} == {}
     assert len(run.rig.history.requests) > 100
     served = {item.account for item in run.rig.history.arrivals}
-    assert served == {"library", "archive", "museum", None}
+    assert served == {"library", "archive", "museum", "gallery", None}
