Return the tokens of requests that are refused for lack of room

A request of a limited account that the competing admission refused, or whose caller left while it was waiting there, kept its token: the account was charged for a request that no replica got. Both ways now give it back, as other refusals do.

Run: tests.test_gateway_quota_tokens (2 tests, both failed before), tests.test_gateway_quotas, tests.test_gateway_admission; mypy clean.

--- a/src/bronzebeam/gateway/competing_admission.py
+++ b/src/bronzebeam/gateway/competing_admission.py
@@ -160,6 +160,7 @@
     def _on_disconnect(self, request_id: str) -> None:
         item = self._remove(request_id)
         self.admission.cancel(request_id)
+        item.routed.give_back_token()
         self.context.metrics.count_caller_disconnect(item.routed.route)
         Outcome(attempts=(), cause="caller_left").log(
             self.context, item.routed, status=None, good=False
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -163,6 +163,7 @@
 
     :param return_seconds: time after which there is room, with jitter.
     """
+    routed.give_back_token()
     _answer_unserved(context, routed, 503, outcome, return_seconds)
 
 
