Let only instances that all others know go on as owners after a restart

A process whose registration replaced an earlier one was an owner at once. The earlier one may have been too new for the others, who went on as owners for up to 8 s from its first registration, also after they had learnt of it; or an older copy of the store had brought it back, which made every instance an owner at once after each such return. Two owners then granted the whole quota each.

An instance now writes settled/NAME once it has been registered for 8 s, under its lease and with the store's era, and a later process goes on without a wait only if it replaced a registration with this record. That is one more write per start, and one more read where an earlier registration was replaced, only where the configuration has quotas. A check that failed since the store did not answer is also repeated now; its result was taken to be no before.

--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -236,9 +236,18 @@
 
     async def has_replaced_registration(self, *, instance: str, lease: Lease) -> bool:
         """
-        Whether the registration under a lease replaced an earlier one of the instance.
+        Whether the registration under a lease replaced one of the instance that had
+        settled in this era of the store.
 
-        Then the instance was registered without a gap since the earlier one.
+        Then the instance was registered without a gap since the earlier one, and all
+        others have learnt of it.
+        """
+
+    async def record_settled(self, *, instance: str, lease: Lease) -> None:
+        """
+        Write that all others know the registration under a lease.
+
+        The record ends with the lease; if that has ended, nothing is written.
         """
 
     async def report_suspects(
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -331,6 +331,7 @@
     _changed: asyncio.Event = field(factory=asyncio.Event)
     _has_quotas: bool = False
     _checked_lease: Lease | None = None
+    _settled_lease: Lease | None = None
 
     def __attrs_post_init__(self) -> None:
         self._backoff = Backoff(
@@ -397,6 +398,7 @@
                 self._written = record
                 self._backoff.reset()
                 await self._check_earlier_registration(lease)
+                await self._record_settled(lease)
                 await self._wait_for_renewal(lease)
             except StoreUnavailable as error:
                 self.log.event("registration_delayed", cause=str(error))
@@ -405,10 +407,26 @@
     async def _check_earlier_registration(self, lease: Lease) -> None:
         if not self._has_quotas or self._checked_lease is lease:
             return
-        self._checked_lease = lease
         self.times.is_continued = await self.store.has_replaced_registration(
             instance=self.record.instance, lease=lease
         )
+        self._checked_lease = lease
+
+    async def _record_settled(self, lease: Lease) -> None:
+        """
+        Record once that all others know this instance, for a later process.
+
+        Without that, a process that restarts can't know whether its predecessor was too
+        new to be an owner, and another one therefore goes on in its place.
+        """
+        if self._seconds_until_settled(lease) <= 0.0:
+            await self.store.record_settled(instance=self.record.instance, lease=lease)
+            self._settled_lease = lease
+
+    def _seconds_until_settled(self, lease: Lease) -> float:
+        if not self._has_quotas or self._settled_lease is lease:
+            return math.inf
+        return self.times.owner_from_seconds() - self.boot_seconds()
 
     async def _refresh(
         self, lease: Lease, record: InstanceRecord, renewal_seconds: float
@@ -434,7 +452,9 @@
         try:
             await asyncio.wait(
                 waits,
-                timeout=max(0.0, timeout_seconds),
+                timeout=max(
+                    0.0, min(timeout_seconds, self._seconds_until_settled(lease))
+                ),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
--- a/src/bronzebeam/platform/constants.py
+++ b/src/bronzebeam/platform/constants.py
@@ -6,6 +6,7 @@
 CONFIGURATION_KEY: Final = "op/config"
 REPLICA_PREFIX: Final = "servers/"
 INSTANCE_PREFIX: Final = "instances/"
+SETTLED_PREFIX: Final = "settled/"
 SUSPECT_PREFIX: Final = "suspects/"
 # Followed by a failure domain; the value is empty.
 EVACUATION_PREFIX: Final = "op/evacuate/"
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -27,6 +27,7 @@
     EVACUATION_PREFIX,
     INSTANCE_PREFIX,
     REPLICA_PREFIX,
+    SETTLED_PREFIX,
     SUSPECT_PREFIX,
 )
 from bronzebeam.platform.instance_codec import decode_instance, encode_instance
@@ -148,18 +149,41 @@
         return evolve(lease, revision=revision)
 
     async def has_replaced_registration(self, *, instance: str, lease: Lease) -> bool:
-        """Whether the registration under a lease replaced an earlier one."""
-        key = INSTANCE_PREFIX + instance
+        """Whether the registration under a lease replaced one that had settled."""
+        item = await self._read_item(INSTANCE_PREFIX + instance)
+        if item is None or item.get("leaseId") != lease.number:
+            return False
+        # A later write under the lease leaves the revision of the creation as it is.
+        created_revision = _int_field(item, "createdRevision")
+        if created_revision >= lease.revision:
+            return False
+        settled = await self._read_item(SETTLED_PREFIX + instance)
+        return (
+            settled is not None
+            and lease.era == self.era.number
+            and settled.get("value") == _put_settled(instance, lease)["value"]
+            and created_revision < _int_field(settled, "revision") < lease.revision
+        )
+
+    async def record_settled(self, *, instance: str, lease: Lease) -> None:
+        """Write that a registration has settled, unless its lease has ended."""
+        if lease.era == self.era.number:
+            await self._request(
+                "POST",
+                "/kv-txn",
+                body={"putOps": [_put_settled(instance, lease)]},
+                accepted=(OK, NOT_FOUND),
+            )
+
+    async def _read_item(self, key: str) -> dict[str, Any] | None:
         page = _parse_object(
             await self._request("GET", f"/kv-range?pathPrefix={_quote(key)}")
         )
-        # A later write under the lease leaves the revision of the creation as it is.
-        return lease.era == self.era.number and any(
-            _key_field(item) == key
-            and item.get("leaseId") == lease.number
-            and _int_field(item, "createdRevision") < lease.revision
-            for item in _list_field(page, "items")
-        )
+        for item in _list_field(page, "items"):
+            if _key_field(item) == key:
+                found: dict[str, Any] = item
+                return found
+        return None
 
     async def update_registration(
         self, *, record: InstanceRecord, lease: Lease
@@ -351,6 +375,13 @@
     )
 
 
+def _put_settled(instance: str, lease: Lease) -> dict[str, Any]:
+    # What an older copy brings back is of an earlier era.
+    return _put_operation(
+        SETTLED_PREFIX + instance, str(lease.era).encode(), lease.number
+    )
+
+
 def _put_operation(key: str, value: bytes, lease: int) -> dict[str, Any]:
     return {
         "key": key,
--- a/src/bronzebeam/routing/quota_members.py
+++ b/src/bronzebeam/routing/quota_members.py
@@ -33,8 +33,8 @@
     :ivar renewed_at_seconds: when the latest successful renewal was sent.
     :ivar registered_at_seconds: since when it has been registered without a gap; None
         if it is not.
-    :ivar is_continued: the registration replaced that of an earlier process, so no
-        other instance has become an owner in its place since then.
+    :ivar is_continued: the registration replaced that of an earlier process that all
+        others knew, so no other instance has become an owner in its place since then.
     """
 
     lease_seconds: float
