Leave shards that may have run to the instance that sent them

The next peer took itself for the first one, which may use any replica. Shards that may have run now take the path that they took before.

The test failed before.

--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -208,7 +208,9 @@
         Delegate shards that a peer has no replica for to peers of other domains.
 
         The links of the whole domain may be broken, and peers elsewhere have
-        connections that this instance would have to open first.
+        connections that this instance would have to open first. A shard that an earlier
+        peer may have run is left out: the next peer would not know that, and both
+        together would use more replicas than the route allows.
         """
         if not self.may_delegate or self._crash_evidence.is_suspect:
             return
@@ -217,7 +219,7 @@
             [
                 shard.index
                 for shard in shards
-                if not shard.is_settled and not shard.is_in_progress
+                if not (shard.is_settled or shard.is_in_progress or shard.may_have_run)
             ]
         )
 
--- a/tests/test_gateway_cut_off.py
+++ b/tests/test_gateway_cut_off.py
@@ -3,11 +3,17 @@
 import asyncio
 import random
 from collections.abc import Sequence
+from typing import Any
+from unittest.mock import Mock
 
+from bronzebeam.gateway.fan_out import FanOutRequest
+from bronzebeam.gateway.fan_out_progress import FanOutProgress
+from bronzebeam.routing.routes import Route
 from tests.fixtures_gateway import (
     BOOKING_PATH,
     BOOKING_SERVICE,
     FAN_OUT_PATH,
+    HOST,
     PEER_PORT,
     READ_PATH,
     Cluster,
@@ -459,6 +465,36 @@
     run_scenario(scenario)
 
 
+def test_shards_that_may_have_run_are_not_delegated_as_if_they_had_not() -> None:
+    """Guards against a third replica for a shard that allows two attempts."""
+    nothing: Any = None
+    request = FanOutRequest(
+        context=nothing,
+        routed=nothing,
+        responder=nothing,
+        may_delegate=True,
+        hedge_after_ms=10.0,
+    )
+    shards = ("shard-0", "shard-1", "shard-2")
+    route = Route(
+        name="r",
+        host=HOST,
+        path_prefix=b"/",
+        idempotent=True,
+        timeout_ms=800.0,
+        target_latency_ms=90.0,
+        max_attempts=2,
+        priority=0,
+        shards=shards,
+    )
+    delegator, declined = Mock(), Mock(shards=(0, 1, 2))
+    request._progress = FanOutProgress(route=route)
+    request._progress.shards[1].may_have_run_at_peer = True
+    request._delegator = delegator
+    request._request_in_other_domain(declined)
+    delegator.delegate_to_other_domains.assert_called_once_with([0, 2])
+
+
 def test_stuck_connection_to_one_replica_does_not_keep_a_shard_from_peers() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await start_large_fleet(cluster, least=1.0)
