--- a/src/bronzebeam/gateway/competing_admission.py
+++ b/src/bronzebeam/gateway/competing_admission.py
@@ -25,6 +25,7 @@
 SLOTS_INTERVAL_SECONDS: Final = 1.0  # replicas and instances come and go
 # Above this share of refused sub-requests the replicas as a whole lack room.
 MAX_REFUSED_SHARE: Final = 0.1
+RISE_PER_SECOND: Final = 0.01
 CAUSE_PREFIX: Final = "no_room_"
 FORESEEN_ID: Final = "foreseen"  # of a request that is explained; others are numbers
 
@@ -217,6 +218,7 @@
     _groups: dict[str, _Group] = field(factory=dict)
     _numbers: "count[int]" = field(factory=count)
     _waiting_counts: "Counter[int]" = field(factory=Counter)
+    _least_ms: dict[str, tuple[float, float]] = field(factory=dict)
 
     def submit(
         self, routed: RoutedRequest, *, table: RouteTable, start: StartRequest
@@ -265,12 +267,14 @@
         if admission is None:
             admission = SharedAdmission(rng=rng, rank_count=len(definition.urgencies))
         now_seconds = self.context.loop.time()
+        typical_ms = self.context.state.known_latency(route).typical_ms
         demand = build_demand(
             request_id=FORESEEN_ID,
             route=route,
             account=account,
             group=definition,
-            typical_ms=self.context.state.known_latency(route).typical_ms,
+            typical_ms=typical_ms,
+            unloaded_ms=self._unloaded_ms(route, typical_ms),
             arrived_at_seconds=now_seconds,
             target_at_seconds=now_seconds + target_ms / MS_PER_SECOND,
         )
@@ -282,18 +286,36 @@
         )
 
     def _build_demand(self, routed: RoutedRequest, group: RouteGroup) -> Demand:
+        typical_ms = self.context.state.typical_latency(routed.route).typical_ms
+        unloaded_ms, _ = self._least_ms[routed.route.name] = (
+            self._unloaded_ms(routed.route, typical_ms),
+            self.context.loop.time(),
+        )
         return build_demand(
             request_id=str(next(self._numbers)),
             route=routed.route,
             account=routed.account,
             group=group,
-            typical_ms=self.context.state.typical_latency(routed.route).typical_ms,
+            typical_ms=typical_ms,
+            unloaded_ms=unloaded_ms,
             arrived_at_seconds=routed.request.arrived_at_seconds,
             target_at_seconds=routed.target_at_seconds,
             is_retry=routed.is_retry,
             is_past_target=routed.is_past_target,
         )
 
+    def _unloaded_ms(self, route: Route, typical_ms: float) -> float:
+        """
+        Return the reply time of a sub-request without queues at the replicas.
+
+        The least typical time seen, which rises slowly in case the work has changed.
+        With queues included, a request would count for more work the longer they are.
+        """
+        now_seconds = self.context.loop.time()
+        least_ms, at_seconds = self._least_ms.get(route.name, (typical_ms, now_seconds))
+        risen_ms = least_ms * (1.0 + RISE_PER_SECOND * (now_seconds - at_seconds))
+        return min(typical_ms, risen_ms)
+
     def _apply_table(self, table: RouteTable) -> None:
         """Group the routes; a group that stays the same keeps its limit and queue."""
         self._version = table.version
@@ -313,6 +335,8 @@
             group.definition = definition
             group.admission.set_rank_count(len(definition.urgencies))
             groups.update(dict.fromkeys(definition.routes, group))
+        for name in self._least_ms.keys() - groups.keys():
+            del self._least_ms[name]
         # What waits in a group that is gone is started or refused by its own timer.
         self._groups = groups
 
@@ -324,6 +348,7 @@
     account: Account | None,
     group: RouteGroup,
     typical_ms: float,
+    unloaded_ms: float,
     arrived_at_seconds: float,
     target_at_seconds: float,
     is_retry: bool = False,
@@ -333,6 +358,7 @@
     Return what a request asks for.
 
     :param typical_ms: usual reply time of the route.
+    :param unloaded_ms: the same without queues at the replicas.
     :param is_retry: see `RoutedRequest`.
     :param is_past_target: see `RoutedRequest`.
     """
@@ -349,6 +375,6 @@
         arrived_at_seconds=arrived_at_seconds,
         target_at_seconds=target_at_seconds,
         target_latency_ms=route.target_latency_ms,
-        work_ms=typical_ms * (len(route.shards) or 1),
+        work_ms=unloaded_ms * (len(route.shards) or 1),
         usual_ms=typical_ms * (MIN_TARGET_FACTOR if route.shards else 1.0),
     )
