Grant no quota at instances that no other counts among several

An instance without a peer port is in no other's ranking of owners, but was always in its own, so each granted the whole quota of all accounts that it ranked first for: two of them without a peer port ran more than the bound. Such an instance is now an owner or deputy only while no other is registered; else it asks the others, or uses its turns of the reserve.

Run: the new test, which failed before, tests.test_gateway_quota_rights, tests.test_gateway_quotas, tests.test_routing_quotas; mypy and flake8 clean.

--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -511,6 +511,7 @@
             self.quota_members.update(
                 [name for name, item in self.peers.records.items() if item.host],
                 self.boot_seconds(),
+                registered=self.peers.records,
             )
         self._allocate_connections()
         if self.instance in self.peers.records:
--- a/src/bronzebeam/routing/quota_members.py
+++ b/src/bronzebeam/routing/quota_members.py
@@ -117,11 +117,13 @@
         joined after this view was known to be complete is registered since then at the
         earliest, and not an owner for `MIN_REGISTERED_SECONDS`. Until that time the
         next one in the ranking goes on.
+    :ivar _is_unlisted: others are registered, and don't count this instance.
     :ivar _unknown_before_seconds: other instances may have been owners until then.
     """
 
     instance: str
     _counts_from: dict[str, float] = field(factory=dict, init=False)
+    _is_unlisted: bool = field(default=False, init=False)
     _confirmed_at_seconds: float = field(default=-math.inf, init=False)
     _unknown_before_seconds: float = field(default=-math.inf, init=False)
     _removals: deque[tuple[float, str]] = field(factory=deque, init=False)
@@ -132,12 +134,28 @@
     def __attrs_post_init__(self) -> None:
         self._counts_from[self.instance] = -math.inf
 
-    def update(self, names: Collection[str], now_seconds: float) -> None:
+    def update(
+        self,
+        names: Collection[str],
+        now_seconds: float,
+        *,
+        registered: Collection[str] = (),
+    ) -> None:
         """
         Set the live instances.
 
         Must be called with the changes of a response before its `confirm`.
+
+        :param names: those that serve peers.
+        :param registered: all, also those that serve no peers; none of them is counted
+            by others, so they grant nothing unless they are the only one.
         """
+        was_unlisted = self._is_unlisted
+        self._is_unlisted = self.instance not in names and any(
+            name != self.instance for name in registered
+        )
+        if was_unlisted and not self._is_unlisted:
+            self._unknown_before_seconds = now_seconds
         known = self._counts_from
         live = {*names, self.instance}
         if live == known.keys():
@@ -183,7 +201,9 @@
     ) -> Standing:
         """Return this instance's right to grant an account's tokens."""
         order = self._order(account, now_seconds)
-        rank = order.index(self.instance) if self.instance in order else None
+        rank = None
+        if self.instance in order and not self._is_unlisted:
+            rank = order.index(self.instance)
         owner_from = registration.owner_from_seconds()
         is_settled = now_seconds >= owner_from
         in_contact = self.in_contact(now_seconds)
--- a/tests/test_gateway_quota_rights.py
+++ b/tests/test_gateway_quota_rights.py
@@ -10,8 +10,11 @@
 )
 from tests.test_gateway_quotas import (
     QUOTA_SETTINGS,
+    allowed_in_window,
     make_account,
+    most_in_window,
     owner_of,
+    send_load,
     start_quota_cluster,
 )
 
@@ -90,3 +93,33 @@
         assert owners([*others, restarted], "shop") == [owner.name]
 
     run_scenario(scenario)
+
+
+def test_instances_that_serve_no_peers_are_no_owners_beside_each_other() -> None:
+    """Guards against each of them granting the whole quota, since nobody counts it."""
+
+    async def scenario(cluster: Cluster) -> None:
+        account = account_owned_by("g-3", ["g-1", "g-2", "g-3"])
+        cut_off = {"internalPortRange": ""}
+        gateways = await start_quota_cluster(
+            cluster, make_account(account), instances=2, gateway_settings=cut_off
+        )
+        await send_load(
+            cluster, gateways, per_second=130, seconds=12.0, account=account
+        )
+        assert most_in_window(cluster) <= allowed_in_window(20, 20)
+        # A third that serves none is no owner beside one that does.
+        for gateway in gateways[:2]:
+            gateway.kill(cluster)
+        gateways = [
+            cluster.start_gateway("g-2", **QUOTA_SETTINGS),
+            cluster.start_gateway("g-3", **(QUOTA_SETTINGS | cut_off)),
+        ]
+        await asyncio.sleep(30.0)
+        assert owners(gateways, account) == ["g-2"]
+        gateways[0].kill(cluster)
+        await asyncio.sleep(30.0)
+        # Alone, it has no one to share the quota with.
+        assert owners(gateways[1:], account) == ["g-3"]
+
+    run_scenario(scenario)
