--- a/src/bronzebeam/gateway/competing_admission.py
+++ b/src/bronzebeam/gateway/competing_admission.py
@@ -228,7 +228,8 @@
 
         :param start: sends the request, and releases its permit when it has ended.
         """
-        if table.version != self._version:
+        # A request that waited for a token may come with an earlier table.
+        if table.version > self._version or routed.route.name not in self._groups:
             self._apply_table(table)
         group = self._groups[routed.route.name]
         group.submit(self._build_demand(routed, group.definition), routed, start)
--- a/src/bronzebeam/routing/quota_members.py
+++ b/src/bronzebeam/routing/quota_members.py
@@ -121,18 +121,17 @@
     kept, and a change of the membership costs one hash for each account in use.
 
     :ivar instance: name of this instance, which always counts as live.
-    :ivar may_be_asked: it serves peers, or there are none; otherwise it grants nothing,
-        since the others don't rank it.
     :ivar _counts_from: when each member may have begun to count as an owner. One that
         joined after this view was known to be complete is registered since then at the
         earliest, and not an owner for `MIN_REGISTERED_SECONDS`. Until that time the
         next one in the ranking goes on.
+    :ivar _is_unlisted: others are registered, and don't count this instance.
     :ivar _unknown_before_seconds: other instances may have been owners until then.
     """
 
     instance: str
-    may_be_asked: bool = True
     _counts_from: dict[str, float] = field(factory=dict, init=False)
+    _is_unlisted: bool = field(default=False, init=False)
     _confirmed_at_seconds: float = field(default=-math.inf, init=False)
     _unknown_before_seconds: float = field(default=-math.inf, init=False)
     _removals: deque[tuple[float, str]] = field(factory=deque, init=False)
@@ -143,12 +142,28 @@
     def __attrs_post_init__(self) -> None:
         self._counts_from[self.instance] = -math.inf
 
-    def update(self, names: Collection[str], now_seconds: float) -> None:
+    def update(
+        self,
+        names: Collection[str],
+        now_seconds: float,
+        *,
+        registered: Collection[str] = (),
+    ) -> None:
         """
         Set the live instances.
 
         Must be called with the changes of a response before its `confirm`.
+
+        :param names: those that serve peers.
+        :param registered: all, also those that serve no peers; none of them is counted
+            by others, so they grant nothing unless they are the only one.
         """
+        was_unlisted = self._is_unlisted
+        self._is_unlisted = self.instance not in names and any(
+            name != self.instance for name in registered
+        )
+        if was_unlisted and not self._is_unlisted:
+            self._unknown_before_seconds = now_seconds
         known = self._counts_from
         live = {*names, self.instance}
         if live == known.keys():
@@ -234,7 +249,7 @@
         """Return this instance's right to grant an account's tokens."""
         order = self._order(account, now_seconds)
         rank = None
-        if self.may_be_asked and self.instance in order:
+        if self.instance in order and not self._is_unlisted:
             rank = order.index(self.instance)
         owner_from = registration.owner_from_seconds()
         is_settled = now_seconds >= owner_from
