--- a/src/bronzebeam/routing/shared_limit.py
+++ b/src/bronzebeam/routing/shared_limit.py
@@ -27,7 +27,7 @@
 MAX_LATE_WEIGHT: Final = 2.0  # two very late answers are enough, a single one is not
 # A request that waited before its start may still be in time if its replies take this
 # share of its target; waits end at a quarter of it.
-LATE_SERVICE_SHARE: Final = 0.6
+LATE_SERVICE_SHARE: Final = 0.8
 EARLY_SERVICE_SHARE: Final = 0.45
 INCREASE_PER_SECOND: Final = 3.0  # times the instance's share of the slots
 CALM_FACTOR: Final = 0.5  # faster growth for each square second without a late answer
