Prefer the only replica in the own domain only over an open connection

Instances without links gave all shards to owners of their own domain, which reach no replica either, while the spread had sent some elsewhere in the first place. An instance without an open connection to the replica now compares as before; owners, which made most of the traffic between domains, keep their connections and the preference.

--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -99,7 +99,8 @@
         ):
             replicas = preferred
     # With a spread, one in five sub-requests left the domain although its only replica
-    # of the shard was no slower.
+    # of the shard was no slower. Without a connection it is not preferred: the links of
+    # the whole domain may be broken.
     spreads_own_domain = not route.shards or MIN_SPREAD_REPLICAS <= sum(
         item.record.failure_domain == own_domain for item in replicas
     )
@@ -111,7 +112,8 @@
         load = replica.load(now_seconds, own_domain, typical)
         estimate_ms = estimate_reply_ms(load, typical_ms=typical.typical_ms)
         score_ms = estimate_ms
-        if spreads_own_domain or not load.in_own_domain:
+        is_preferred = load.in_own_domain and load.is_connected
+        if spreads_own_domain or not is_preferred:
             score_ms *= 1.0 + ESTIMATE_SPREAD * rng.random()
         score_ms += extra_cost_ms(load, failure_cost_ms=failure_ms)
         if replica.is_leaving or replica.removed_at_seconds is not None:
