Add review case 3: a request that crashes replicas in mid-answer is never quarantined

Cause: only a connection that ends before the reply has begun counts as the loss of a replica; one that ends in the middle of the reply does not. Change: a script whose replicas begin the answer to one request and crash.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,24 +1,81 @@
-"""A machine restarts just after a replica's entry was removed; reads may be stale."""
+"""A request that crashes each replica that runs it comes again and again."""
 
 import asyncio
+import os
 import random
-import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
-from world import TROUBLE, Node, World, now, run_case  # noqa: E402
+from world import (  # noqa: E402
+    HEARTBEAT_S,
+    TROUBLE,
+    Node,
+    Replica,
+    World,
+    encode,
+    now,
+    run_case,
+)
 
-ZONES = ["taipei-a", "taoyuan-b"]
-DRAIN_S = 3.0
+ZONE = "taipei-a"
+BAD_PATH = "/timi402/77"
 STABILITY_S = 4.0
-LAGS_S = (0.1, 3.0)  # of the store's copies, for the first page and for later ones
-SERVES_ON_S = 20.0
-RATE_PER_S = 20.0
+BACK_AFTER_S = 3.0
+AGAIN_EVERY_S = 1.0
+RATE_PER_S = 15.0
+# Whether a replica has begun to answer when it crashes.
+BEGINS_ANSWER = os.environ.get("BEGINS_ANSWER", "1") != "0"
+
+
+class FragileReplica(Replica):
+    """Crashes while it answers the bad request; back after some seconds."""
+
+    crashes: list[tuple[float, str]] = []
+
+    async def _handle(self, message, reader, writer) -> None:
+        first, headers, _ = message
+        expected = headers.get("x-bronzebeam-expected-replica")
+        if first.split(" ")[1] != BAD_PATH or expected not in (None, self.name):
+            await super()._handle(message, reader, writer)
+            return
+        attempt = headers["x-bronzebeam-attempt-id"]
+        self.received.append((now(), attempt))
+        self.record("run", id=attempt, replica=self.name, bad=True)
+        await asyncio.sleep(0.05)
+        if BEGINS_ANSWER:
+            answer = encode(
+                200,
+                {
+                    "X-Bronzebeam-Attempt-Id": attempt,
+                    "X-Bronzebeam-Replica-Signature": f"{self.service}.{attempt}",
+                },
+                b"x" * 6000,
+            )
+            writer.write(answer[:2000])
+            await asyncio.sleep(0.01)
+        self.crashes.append((now(), attempt))
+        self.record("crash", replica=self.name, id=attempt)
+        asyncio.ensure_future(self._crash())
+
+    async def _crash(self) -> None:
+        old = self.name
+        await self.stop()
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S, self.store.remove, f"servers/{old}"
+        )
+        await asyncio.sleep(BACK_AFTER_S)
+        self.name = f"i-{random.getrandbits(32):08x}"
+        self.born, self.sequence = int(time.time() * 1_000), 0
+        self.running = self.waiting = 0
+        self.registers = True
+        await self.start()
+        self.record("back", replica=self.name)
 
 
 async def main() -> int:
-    world = World("3", ZONES)
+    world = World("3", [ZONE])
     try:
         return await play(world)
     finally:
@@ -26,98 +83,84 @@
 
 
 async def play(world: World) -> int:
-    world.store.stale_lag_s = lambda query: LAGS_S[bool(query.get("after"))]
     await world.store.start()
-    shards = [f"shard{number:02d}" for number in range(20)]
-    for service in shards:
-        for zone in ZONES:
-            await world.add_replica(service=service, zone=zone, slots=2, records=25)
-    for zone in (*ZONES, ZONES[0]):
-        await world.add_replica(
+    for _ in range(4):
+        replica = FragileReplica(
+            world.store,
+            world.record,
             service="depot-desk",
-            zone=zone,
+            zone=ZONE,
             connections=44,
             work_s=lambda path: random.uniform(0.06, 0.12),
         )
-    for number in range(12):  # of the next set of shards
-        await world.add_replica(service=f"later{number:02d}", zone=ZONES[0], slots=2)
-    depot = [item for item in world.replicas if item.service == "depot-desk"]
-    leaving = depot[0]
-    # The entry lies on the second page of 50.
-    leaving.name = "i-fff0a7c1"
-    common = {"host": "pupu76.example", "routeKind": "idempotent", "maxAttempts": 2}
+        await replica.start()
+        world.replicas.append(replica)
     world.put_config(
         [
             {
-                **common,
                 "name": "r-depot",
+                "host": "pupu76.example",
                 "pathPrefix": "/timi402/",
+                "routeKind": "non_idempotent",
                 "timeoutMs": 2500,
                 "targetLatencyMs": 346,
                 "priority": 2,
                 "service": "depot-desk",
-            },
-            {
-                **common,
-                "name": "r-sweep",
-                "pathPrefix": "/ziti980/",
-                "timeoutMs": 800,
-                "targetLatencyMs": 92,
-                "priority": 1,
-                "fanoutServices": shards,
-                "topK": 20,
-                "minShardFraction": 0.89,
-            },
+                "maxAttempts": 2,
+            }
         ]
     )
-    world.nodes = [Node(world, zone) for zone in ZONES]
+    world.nodes = [Node(world, ZONE) for _ in range(3)]
     for node in world.nodes:
         node.start()
     if not await world.wait_ready(world.nodes):
         return 2
-    node = world.nodes[0]
-    tasks, answers = [], []
+    await asyncio.sleep(5.0)
+    tasks, bad = [], []
 
     async def traffic(until: float) -> None:
+        number = 0
         while now() < until:
             await asyncio.sleep(random.expovariate(RATE_PER_S))
-            tasks.append(asyncio.ensure_future(world.ask(node, "/timi402/2f", 2_500)))
-
-    load = asyncio.ensure_future(traffic(now() + 30.0))
-    await asyncio.sleep(9.0)
-    leaving.registers = False
-    world.store.remove(f"servers/{leaving.name}")
-    removed = now()
-    world.record("entry_removed", replica=leaving.name)
-    await asyncio.sleep(0.5)
-    touched = 0.0
+            number += 1
+            tasks.append(
+                asyncio.ensure_future(
+                    world.ask(
+                        random.choice(world.nodes),
+                        f"/timi402/{number:x}a",
+                        2_500,
+                        method="POST",
+                        body=b"%d" % number,
+                    )
+                )
+            )
+
+    async def again(until: float) -> None:
+        while now() < until:
+            node = random.choice(world.nodes)
+            bad.append(await world.ask(node, BAD_PATH, 2_500, method="POST", body=b"b"))
+            await asyncio.sleep(AGAIN_EVERY_S)
+
+    ends = now() + 30.0
+    jobs = [asyncio.ensure_future(traffic(ends))]
     if TROUBLE:
-        node.kill(signal.SIGKILL)
-        node.process.wait()
-        await asyncio.sleep(0.3)
-        node.start()
-        touched = now() + STABILITY_S
-    await asyncio.sleep(max(0.0, removed + SERVES_ON_S - now()))
-    await leaving.stop()
-    world.record("replica_ended", replica=leaving.name)
-    await load
+        jobs.append(asyncio.ensure_future(again(ends)))
+    await asyncio.gather(*jobs)
     answers = await asyncio.gather(*tasks)
-    sent_at = {item.attempt: item.sent_at for item in answers}
-    due = max(removed + DRAIN_S, touched)
-    late = [
-        (at, attempt)
-        for at, attempt in leaving.received
-        if at > due and sent_at.get(attempt, 0.0) > due
-    ]
-    for at, attempt in late:
-        world.record(
-            "reached_removed_replica", id=attempt, after_s=round(at - removed, 2)
-        )
+    crashes = FragileReplica.crashes
+    late = []
+    if len(crashes) >= 3:
+        due = crashes[2][0] + STABILITY_S
+        ids = {item.attempt for item in bad if item.sent_at > due}
+        late = [item for item in ids if any(item == a for _, a in crashes)]
+    lost = sum(item.status != 200 for item in answers)
+    refused = sum(item.status == 503 for item in answers)
     print(
-        f"requests {len(answers)}, at the removed replica after the bound {len(late)}"
+        f"crashes {len(crashes)}, retries at replicas after the bound {len(late)}, "
+        f"other requests {len(answers)}, not served {lost}, of these refused {refused}"
     )
-    world.record("result", requests=len(answers), late=len(late))
-    return 1 if late else 0
+    world.record("result", crashes=len(crashes), late=len(late), lost=lost)
+    return 1 if len(late) > 3 else 0
 
 
 run_case(main)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,139 +1,123 @@
-"""A client sends its next request before the answer to the one before; then SIGTERM."""
+"""A machine restarts just after a replica's entry was removed; reads may be stale."""
 
 import asyncio
+import random
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
-from world import (  # noqa: E402
-    TROUBLE,
-    Node,
-    World,
-    new_attempt,
-    now,
-    read_message,
-    request_bytes,
-    run_case,
-)
+from world import TROUBLE, Node, World, now, run_case  # noqa: E402
 
-ZONE = "taipei-a"
-GRACE_S = 6.0
-LOSS_SLACK_S = 0.2
-WORK_S = 0.36
-CLIENTS = 4
+ZONES = ["taipei-a", "taoyuan-b"]
+DRAIN_S = 3.0
+STABILITY_S = 4.0
+LAGS_S = (0.1, 3.0)  # of the store's copies, for the first page and for later ones
+SERVES_ON_S = 20.0
+RATE_PER_S = 20.0
 
 
 async def main() -> int:
-    world = World("4", [ZONE])
+    world = World("4", ZONES)
     try:
         return await play(world)
     finally:
         world.close()
 
 
-async def client(world: World, node: Node, results: list[dict]) -> None:
-    """Keep one connection, with up to two requests under way."""
-    while True:
-        try:
-            reader, writer = await asyncio.open_connection(node.host, node.caller)
-        except OSError:
-            return
-        sent: list[dict] = []
-
-        def send() -> None:
-            attempt = new_attempt()
-            writer.write(request_bytes("/timi402/2f", attempt, 2_500))
-            item = {"id": attempt, "sent": now(), "status": None, "end": None}
-            item["told"] = False
-            sent.append(item)
-            results.append(item)
-            world.record("sent", id=attempt, node=node.name)
-
-        try:
-            send()
-            await asyncio.sleep(0.05)
-            send()
-            while True:
-                message = await read_message(reader)
-                if message is None:
-                    break
-                item = sent.pop(0)
-                item["status"] = int(message[0].split(" ")[1])
-                item["end"] = now()
-                world.record("answered", id=item["id"], result=item["status"])
-                if message[1].get("connection", "").lower() == "close":
-                    break
-                send()
-        except OSError:
-            pass
-        for item in sent:
-            item["end"] = now()
-            world.record("answered", id=item["id"], result="closed")
-        writer.close()
-        if node.term_at is not None:
-            return
-
-
 async def play(world: World) -> int:
+    world.store.stale_lag_s = lambda query: LAGS_S[bool(query.get("after"))]
     await world.store.start()
-    for _ in range(3):
+    shards = [f"shard{number:02d}" for number in range(20)]
+    for service in shards:
+        for zone in ZONES:
+            await world.add_replica(service=service, zone=zone, slots=2, records=25)
+    for zone in (*ZONES, ZONES[0]):
         await world.add_replica(
-            service="depot-desk", zone=ZONE, work_s=lambda path: WORK_S
+            service="depot-desk",
+            zone=zone,
+            connections=44,
+            work_s=lambda path: random.uniform(0.06, 0.12),
         )
+    for number in range(12):  # of the next set of shards
+        await world.add_replica(service=f"later{number:02d}", zone=ZONES[0], slots=2)
+    depot = [item for item in world.replicas if item.service == "depot-desk"]
+    leaving = depot[0]
+    # The entry lies on the second page of 50.
+    leaving.name = "i-fff0a7c1"
+    common = {"host": "pupu76.example", "routeKind": "idempotent", "maxAttempts": 2}
     world.put_config(
         [
             {
+                **common,
                 "name": "r-depot",
-                "host": "pupu76.example",
                 "pathPrefix": "/timi402/",
-                "routeKind": "idempotent",
                 "timeoutMs": 2500,
-                "targetLatencyMs": 900,
+                "targetLatencyMs": 346,
                 "priority": 2,
                 "service": "depot-desk",
-                "maxAttempts": 2,
-            }
+            },
+            {
+                **common,
+                "name": "r-sweep",
+                "pathPrefix": "/ziti980/",
+                "timeoutMs": 800,
+                "targetLatencyMs": 92,
+                "priority": 1,
+                "fanoutServices": shards,
+                "topK": 20,
+                "minShardFraction": 0.89,
+            },
         ]
     )
-    node = Node(world, ZONE)
-    world.nodes = [node]
-    node.start()
-    if not await world.wait_ready([node]):
+    world.nodes = [Node(world, zone) for zone in ZONES]
+    for node in world.nodes:
+        node.start()
+    if not await world.wait_ready(world.nodes):
         return 2
-    await asyncio.sleep(2.0)
-    results: list[dict] = []
-    tasks = [
-        asyncio.ensure_future(client(world, node, results)) for _ in range(CLIENTS)
-    ]
-    await asyncio.sleep(6.0)
-    term_at = None
+    node = world.nodes[0]
+    tasks, answers = [], []
+
+    async def traffic(until: float) -> None:
+        while now() < until:
+            await asyncio.sleep(random.expovariate(RATE_PER_S))
+            tasks.append(asyncio.ensure_future(world.ask(node, "/timi402/2f", 2_500)))
+
+    load = asyncio.ensure_future(traffic(now() + 30.0))
+    await asyncio.sleep(9.0)
+    leaving.registers = False
+    world.store.remove(f"servers/{leaving.name}")
+    removed = now()
+    world.record("entry_removed", replica=leaving.name)
+    await asyncio.sleep(0.5)
+    touched = 0.0
     if TROUBLE:
-        term_at = node.term_at = now()
-        node.kill(15)
-        while node.running and now() < term_at + GRACE_S:
-            await asyncio.sleep(0.02)
-    await asyncio.sleep(1.0)
-    for task in tasks:
-        task.cancel()
-    lost = [
-        item
-        for item in results
-        if term_at is not None
-        and item["status"] is None
-        and item["end"] is not None
-        and item["end"] >= term_at
-        and item["end"] - item["sent"] > LOSS_SLACK_S
+        node.kill(signal.SIGKILL)
+        node.process.wait()
+        await asyncio.sleep(0.3)
+        node.start()
+        touched = now() + STABILITY_S
+    await asyncio.sleep(max(0.0, removed + SERVES_ON_S - now()))
+    await leaving.stop()
+    world.record("replica_ended", replica=leaving.name)
+    await load
+    answers = await asyncio.gather(*tasks)
+    sent_at = {item.attempt: item.sent_at for item in answers}
+    due = max(removed + DRAIN_S, touched)
+    late = [
+        (at, attempt)
+        for at, attempt in leaving.received
+        if at > due and sent_at.get(attempt, 0.0) > due
     ]
-    for item in lost:
+    for at, attempt in late:
         world.record(
-            "lost",
-            id=item["id"],
-            after_s=round(item["end"] - item["sent"], 3),
-            sent_after_term_s=round(item["sent"] - term_at, 2),
+            "reached_removed_replica", id=attempt, after_s=round(at - removed, 2)
         )
-    print(f"requests {len(results)}, lost {len(lost)}")
-    world.record("result", requests=len(results), lost=len(lost))
-    return 1 if lost else 0
+    print(
+        f"requests {len(answers)}, at the removed replica after the bound {len(late)}"
+    )
+    world.record("result", requests=len(answers), late=len(late))
+    return 1 if late else 0
 
 
 run_case(main)
