Tell a failed review script from a broken rule, and mend the stand-in replica

Cause: a script that failed with an exception had the exit code of a broken rule; a replica that had crashed and come back could run more than its slots, and ran requests whose deadline had passed in its queue. Change: a separate exit code between case.py and run.sh; a new stand-in object for each start of a replica; such requests are turned away.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,7 +4,6 @@
 import os
 import random
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
@@ -12,7 +11,9 @@
     HEARTBEAT_S,
     TROUBLE,
     Node,
+    Record,
     Replica,
+    Store,
     World,
     encode,
     now,
@@ -60,18 +61,27 @@
         asyncio.ensure_future(self._crash())
 
     async def _crash(self) -> None:
-        old = self.name
+        """End this process; another one starts at its address some seconds later."""
         await self.stop()
         asyncio.get_running_loop().call_later(
-            3 * HEARTBEAT_S, self.store.remove, f"servers/{old}"
+            3 * HEARTBEAT_S, self.store.remove, f"servers/{self.name}"
         )
         await asyncio.sleep(BACK_AFTER_S)
-        self.name = f"i-{random.getrandbits(32):08x}"
-        self.born, self.sequence = int(time.time() * 1_000), 0
-        self.running = self.waiting = 0
-        self.registers = True
-        await self.start()
-        self.record("back", replica=self.name)
+        await start_replica(self.store, self.record, port=self.port)
+
+
+async def start_replica(store: Store, record: Record, *, port: int = 0) -> None:
+    replica = FragileReplica(
+        store,
+        record,
+        service="depot-desk",
+        zone=ZONE,
+        connections=44,
+        work_s=lambda path: random.uniform(0.06, 0.12),
+        port=port,
+    )
+    await replica.start()
+    record("replica_up", replica=replica.name)
 
 
 async def main() -> int:
@@ -85,16 +95,7 @@
 async def play(world: World) -> int:
     await world.store.start()
     for _ in range(4):
-        replica = FragileReplica(
-            world.store,
-            world.record,
-            service="depot-desk",
-            zone=ZONE,
-            connections=44,
-            work_s=lambda path: random.uniform(0.06, 0.12),
-        )
-        await replica.start()
-        world.replicas.append(replica)
+        await start_replica(world.store, world.record)
     world.put_config(
         [
             {
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -311,13 +311,14 @@
         work_s=lambda path: 0.01,
         records: int = 0,
         host: str = "127.0.0.1",
+        port: int = 0,
     ) -> None:
         self.store, self.record = store, record
         self.name = f"i-{random.getrandbits(32):08x}"
         self.service, self.zone = service, zone
         self.slots, self.queue, self.limit = slots, queue, connections
         self.work_s, self.records = work_s, records
-        self.host, self.port = host, free_port(host)
+        self.host, self.port = host, port or free_port(host)
         self.born = int(time.time() * 1_000)
         self.sequence = 0
         self.state = "ready"
@@ -402,7 +403,11 @@
             self.waiting += 1
             await self.free.wait_for(lambda: self.running < self.slots)
             self.waiting -= 1
-            self.running += 1
+            in_time = now() < ends
+            self.running += in_time
+        if not in_time:
+            writer.write(encode(503, {**echo, "X-Bronzebeam-Not-Executed": "1"}, b""))
+            return
         run = {"id": attempt, "start": now(), "end": None, "replica": self.name}
         run.update(method=method, path=path, body=body, headers=headers)
         self.runs.append(run)
@@ -757,8 +762,11 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+BROKEN = 10  # told apart from the exit code of an uncaught exception, which is 1
+
+
 def run_case(main) -> None:
-    """Run a case and exit with its code: 1 broken, 0 held, 2 could not run."""
+    """Run a case; exit with `BROKEN`, 0 if the rule held, or 2 if it could not run."""
     if not (ROOT / "target/deps/bronzebeam").is_dir():
         print("the build of the deploy file has not run")
         sys.exit(2)
@@ -767,4 +775,4 @@
     except Exception as error:  # the case itself failed
         print(f"the case could not run: {error!r}")
         code = 2
-    sys.exit(code)
+    sys.exit(BROKEN if code == 1 else code)
