End every gateway that a review script has started

Cause: a script that forgot to list a gateway, or was still restarting one at its end, left the process behind; seen in trial scripts, not in the cases. Change: gateways list themselves when they start, and none starts after the end.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -504,6 +504,10 @@
 """
 
     def start(self) -> None:
+        if self.world.closed:
+            return
+        if self not in self.world.nodes:
+            self.world.nodes.append(self)
         path = self.world.folder / f"{self.name}.conf"
         path.write_text(self.settings(), encoding="utf-8")
         log = (self.world.folder / f"{self.name}.log").open("ab")
@@ -658,6 +662,7 @@
         self.nodes: list[Node] = []
         self.replicas: list[Replica] = []
         self.version = 0
+        self.closed = False
 
     async def add_replica(self, **options) -> Replica:
         replica = Replica(self.store, self.record, **options)
@@ -752,6 +757,8 @@
         return answer
 
     def close(self) -> None:
+        """End all processes that were started."""
+        self.closed = True
         for node in self.nodes:
             if node.running:
                 node.process.kill()
