Name record.txt in each review script

Cause: the shared stand-ins built the path, so no case showed that it writes the record, and an ignore file hid it; without the build none was written.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 from world import TROUBLE, Ingress, Node, World, now, run_case  # noqa: E402
 
+# What was sent, answered and run.
+RECORD = Path(__file__).resolve().parent / "record.txt"
 ZONE = "taipei-a"
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2
@@ -18,7 +20,7 @@
 
 
 async def main() -> int:
-    world = World("1", [ZONE])
+    world = World(RECORD, [ZONE])
     try:
         return await play(world)
     finally:
@@ -118,4 +120,4 @@
     return 1 if broken else 0
 
 
-run_case(main)
+run_case(main, RECORD)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,6 +9,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 from world import TROUBLE, Node, World, now, run_case  # noqa: E402
 
+# What was sent, answered and run.
+RECORD = Path(__file__).resolve().parent / "record.txt"
 ZONE = "taipei-a"
 CONFIG_APPLY_S = 3.0
 
@@ -28,7 +30,7 @@
 
 
 async def main() -> int:
-    world = World("2", [ZONE])
+    world = World(RECORD, [ZONE])
     try:
         return await play(world)
     finally:
@@ -98,4 +100,4 @@
     return 1 if old else 0
 
 
-run_case(main)
+run_case(main, RECORD)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,6 +20,8 @@
     run_case,
 )
 
+# What was sent, answered and run.
+RECORD = Path(__file__).resolve().parent / "record.txt"
 ZONE = "taipei-a"
 BAD_PATH = "/timi402/77"
 STABILITY_S = 4.0
@@ -85,7 +87,7 @@
 
 
 async def main() -> int:
-    world = World("3", [ZONE])
+    world = World(RECORD, [ZONE])
     try:
         return await play(world)
     finally:
@@ -164,4 +166,4 @@
     return 1 if len(late) > 3 else 0
 
 
-run_case(main)
+run_case(main, RECORD)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,6 +9,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 from world import TROUBLE, Node, World, now, run_case  # noqa: E402
 
+# What was sent, answered and run.
+RECORD = Path(__file__).resolve().parent / "record.txt"
 ZONES = ["taipei-a", "taoyuan-b"]
 DRAIN_S = 3.0
 STABILITY_S = 4.0
@@ -18,7 +20,7 @@
 
 
 async def main() -> int:
-    world = World("4", ZONES)
+    world = World(RECORD, ZONES)
     try:
         return await play(world)
     finally:
@@ -120,4 +122,4 @@
     return 1 if late else 0
 
 
-run_case(main)
+run_case(main, RECORD)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -653,10 +653,11 @@
 class World:
     """The store, replicas, nodes and record of one case."""
 
-    def __init__(self, case: str, zones: list[str], region: str = "tw-north") -> None:
-        self.case = ROOT / "review" / case
+    def __init__(
+        self, record_path: Path, zones: list[str], region: str = "tw-north"
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="bronzebeam-review-"))
-        self.record = Record(self.case / "record.txt")
+        self.record = Record(record_path)
         self.zones, self.region = zones, region
         self.store = Store(self.record)
         self.nodes: list[Node] = []
@@ -772,9 +773,10 @@
 BROKEN = 10  # told apart from the exit code of an uncaught exception, which is 1
 
 
-def run_case(main) -> None:
+def run_case(main, record_path: Path) -> None:
     """Run a case; exit with `BROKEN`, 0 if the rule held, or 2 if it could not run."""
     if not (ROOT / "target/deps/bronzebeam").is_dir():
+        record_path.write_text("could not run: the build has not run\n")
         print("the build of the deploy file has not run")
         sys.exit(2)
     try:
