Let the gateways' soak withdraw replicas that serve on, from a store with stale reads

The soak checked leaving replicas only by their own word in replies, for single requests, and its store never returned a stale read, so nothing of the incident could show in it.

A new rule, `withdrawn`, checks each arrival against what the store has acknowledged; the sender of a late one is looked up by its connection. `late_at_withdrawn` counts those of processes that have just started, too.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Final
 
 from tests.soak_history import LimitRow
+from tests.soak_leaving import drain_replica
 from tests.soak_link import LinkFault
-from tests.soak_rig import DOMAINS, STOP_SECONDS, SoakGateway, SoakReplica, SoakRig
+from tests.soak_rig import STOP_SECONDS, SoakGateway, SoakReplica, SoakRig
+from tests.soak_shape import SMALL, WIDE
 from tests.standin_http import StandinRequest
 from tests.standin_replica import Fault
 from tests.standin_store import StoreFault
@@ -254,7 +256,9 @@
     index = None
     if leaving.records:
         index = int(leaving.service.rpartition("-")[2])
-    await rig.add_replica(leaving.service, domain=rng.choice(DOMAINS), index=index)
+    await rig.add_replica(
+        leaving.service, domain=rng.choice(rig.shape.replica_domains), index=index
+    )
     if rng.random() < 0.7:
         rig.store.put(
             f"servers/{leaving.replica}", leaving.store_record(state="draining")
@@ -291,8 +295,20 @@
 )
 
 
+# Series of instances that are killed, stopped and paused while replicas leave.
+LEAVING_FAULTS: Final[tuple[FaultAction, ...]] = (
+    *(drain_replica,) * 6,
+    *(kill_gateway,) * 3,
+    *(stop_gateway,) * 2,
+    *(pause_gateway,) * 2,
+    forget_store_history,
+    change_configuration,
+)
+FAULTS_BY_SHAPE: Final = {SMALL: FAULTS, WIDE: LEAVING_FAULTS}
+
+
 def fault_schedule(
-    rng: random.Random, seconds: float
+    rng: random.Random, seconds: float, faults: Sequence[FaultAction] = FAULTS
 ) -> Iterator[tuple[float, FaultAction, random.Random]]:
     """
     Yield pauses, each with the fault after it and the source of its random choices.
@@ -301,7 +317,7 @@
     """
     elapsed = 0.0
     while True:
-        for fault in rng.sample(FAULTS, len(FAULTS)):
+        for fault in rng.sample(faults, len(faults)):
             pause = rng.uniform(*FAULT_INTERVAL_SECONDS)
             elapsed += pause
             if elapsed > seconds:
--- a/tests/soak_gateways.py
+++ b/tests/soak_gateways.py
@@ -26,8 +26,9 @@
     encode_request,
 )
 from tests.soak_accounts import check_accounts, check_keys_in_time, choose_key
-from tests.soak_faults import FaultAction, fault_schedule
+from tests.soak_faults import FAULTS_BY_SHAPE, FaultAction, fault_schedule
 from tests.soak_history import RequestRow, check_history
+from tests.soak_leaving import check_withdrawn, find_sender
 from tests.soak_link import LOOPBACK
 from tests.soak_quotas import (
     SETTLED_SECONDS,
@@ -35,10 +36,10 @@
     check_quota_sums,
 )
 from tests.soak_rig import SoakGateway, SoakRig
+from tests.soak_shape import SHAPES, SMALL, SoakShape
 from tests.standin_replica import ACCOUNT_HEADER, KEY_HEADER
 
 CALLER_COUNT: Final = 10
-CALLER_INTERVAL_SECONDS: Final = (0.02, 0.2)
 NEW_CONNECTION_SHARE: Final = 0.15
 PROBE_INTERVAL_SECONDS: Final = 0.25
 REMAINING_MS: Final = {"search": 800, "read": 2_000, "book": 2_000, "probe": 1_000}
@@ -88,6 +89,7 @@
         found["accounts"] = list(check_accounts(self.rig.history))
         found["quota_sums"] = list(check_quota_sums(self.rig.history))
         if timed:
+            found["withdrawn"] = list(check_withdrawn(self.rig.history))
             found["keys_in_time"] = list(check_keys_in_time(self.rig.history))
             found["quota_refusals"] = list(check_quota_refusals(self.rig.history))
         late = [
@@ -108,7 +110,8 @@
     async def _inject_faults(self, seconds: float) -> None:
         rng = random.Random(f"{self.seed}/faults")
         running: list[asyncio.Task[None]] = []
-        for pause, fault, fault_rng in fault_schedule(rng, seconds):
+        faults = FAULTS_BY_SHAPE[self.rig.shape]
+        for pause, fault, fault_rng in fault_schedule(rng, seconds, faults):
             await asyncio.sleep(pause)
             name = getattr(fault, "__name__", "fault")
             self.fault_counts[name] += 1
@@ -138,7 +141,7 @@
                 kind = rng.choice(["search", "search", "read", "book"])
                 key = choose_key(rng, self.rig.version)
                 caller = await self._send(caller, incarnation, kind, key=key)
-            await asyncio.sleep(rng.uniform(*CALLER_INTERVAL_SECONDS))
+            await asyncio.sleep(rng.uniform(*self.rig.shape.caller_interval_seconds))
 
     async def _probe(self, gateway: SoakGateway) -> None:
         """Ask a gateway for the routes of the latest versions."""
@@ -236,9 +239,15 @@
     folder: Path,
     recovery_seconds: float = RECOVERY_SECONDS,
     calm_seconds: float = CALM_SECONDS,
+    shape: SoakShape = SMALL,
 ) -> SoakRun:
     """Run the faults of a seed, and return the run with its history."""
-    rig = SoakRig(folder=folder, rng=random.Random(f"{seed}/rig"))
+    rig = SoakRig(
+        folder=folder,
+        rng=random.Random(f"{seed}/rig"),
+        shape=shape,
+        find_sender=lambda port: find_sender(rig.gateways, port),
+    )
     try:
         await rig.start()
         run = SoakRun(
@@ -259,10 +268,15 @@
 @click.option(
     "--untimed", is_flag=True, help="Leave out the rules with bounds on real time."
 )
-def main(seed: int, minutes: float, untimed: bool) -> None:
+@click.option(
+    "--shape", type=click.Choice(sorted(SHAPES)), default="small", show_default=True
+)
+def main(seed: int, minutes: float, untimed: bool, shape: str) -> None:
     """Run a soak of gateways; exit code 1 if a rule was broken."""
     folder = Path(mkdtemp(prefix="soak-", dir=Path.cwd()))
-    run = asyncio.run(run_soak(seed=seed, seconds=minutes * 60, folder=folder))
+    run = asyncio.run(
+        run_soak(seed=seed, seconds=minutes * 60, folder=folder, shape=SHAPES[shape])
+    )
     rows = run.rig.history.requests
     statuses = Counter(
         f"{row.kind}_{row.response.status if row.response else 'none'}" for row in rows
@@ -280,6 +294,10 @@
                 "requests": dict(sorted(statuses.items())),
                 "faults": dict(sorted(run.fault_counts.items())),
                 "violations": total,
+                # Also from processes that had just started.
+                "late_at_withdrawn": len(
+                    list(check_withdrawn(run.rig.history, excused_seconds=0.0))
+                ),
             }
         ).decode()
     )
@@ -289,7 +307,8 @@
         folder.rmdir()
         return
     click.echo(
-        f"again: python -m tests.soak_gateways --seed {seed} --minutes {minutes}; "
+        f"again: python -m tests.soak_gateways --seed {seed} --minutes {minutes} "
+        f"--shape {shape}; "
         f"logs in {folder.name}"
     )
     sys.exit(1)
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -54,6 +54,7 @@
     :ivar pause_seconds: time that the replica asked for when it turned it away.
     :ivar account: name of the account in its headers; None if there is none.
     :ivar has_key: it has a caller's key.
+    :ivar sender: the process that sent it, where that was looked up.
     """
 
     replica: str
@@ -67,6 +68,7 @@
     pause_seconds: float = 0.0
     account: str | None = None
     has_key: bool = False
+    sender: tuple[str, int] | None = None
 
 
 @define(kw_only=True, eq=False)
@@ -100,6 +102,8 @@
     :ivar keys: keys that a configuration has had, as `soak_accounts.KeyRow`.
     :ivar starts: processes of gateways, and the time of their start.
     :ivar stops: gateways, and the time at which they were asked to stop.
+    :ivar withdrawn: replicas, and the time at which the store accepted first that they
+        are draining, or removed them.
     """
 
     requests: list[RequestRow] = field(factory=list)
@@ -116,9 +120,17 @@
     keys: dict[str, Any] = field(factory=dict)
     starts: dict[tuple[str, int], float] = field(factory=dict)
     stops: dict[tuple[str, int], float] = field(factory=dict)
+    withdrawn: dict[str, float] = field(factory=dict)
     drain_timeout_seconds: float = 3.0
     top_records: int = 5
 
+    def is_overdue(self, arrival: ArrivalRow) -> bool:
+        """Whether a request reached a replica after its last permitted use."""
+        since = self.withdrawn.get(arrival.replica)
+        if since is None:
+            return False
+        return arrival.at_seconds > since + self.drain_timeout_seconds
+
 
 def check_history(history: SoakHistory, *, timed: bool) -> dict[str, list[str]]:
     """
--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -26,16 +26,18 @@
 from tests.soak_history import ArrivalRow, SoakHistory
 from tests.soak_link import LOOPBACK, Link
 from tests.soak_quotas import QUOTA_SETTINGS
+from tests.soak_shape import SMALL, SoakShape
 from tests.standin_http import StandinConnection, StandinRequest
-from tests.standin_replica import ACCOUNT_HEADER, Fault, StandinReplica
+from tests.standin_replica import (
+    ACCOUNT_HEADER,
+    LEAVING_HEADER,
+    Fault,
+    StandinReplica,
+)
 from tests.standin_store import StandinStore
 
 SOURCE_FOLDER = Path(__file__).parent.parent / "src"
-DOMAINS = ("zone-a", "zone-b")
-SHARD_COUNT = 6
 SINGLE_SERVICE = "booking"
-SINGLE_REPLICAS = 4
-GATEWAY_COUNT = 4
 READY_INTERVAL_SECONDS = 0.25
 MAX_MISSED_CHECKS = 2
 RESTART_SECONDS = 0.3
@@ -73,10 +75,16 @@
 
 @define(kw_only=True, eq=False)
 class SoakReplica(StandinReplica):
-    """A replica behind a link, which records what reaches it."""
+    """
+    A replica behind a link, which records what reaches it.
+
+    :ivar find_sender: returns the process that has opened a connection from a port.
+    """
 
     history: SoakHistory
     link: Link
+    find_sender: Callable[[int], tuple[str, int] | None] = lambda port: None
+    announces_leaving: bool = True
     server: Any = None
     _rows: dict[int, ArrivalRow] = field(factory=dict)
 
@@ -95,6 +103,12 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def _signals(self) -> dict[str, str]:
+        signals = super()._signals()
+        if not self.announces_leaving:
+            signals.pop(LEAVING_HEADER, None)
+        return signals
+
     @property
     def process_name(self) -> str:
         """Return the name of this process, which differs from that of a later one."""
@@ -112,6 +126,8 @@
             account=request.headers.get(ACCOUNT_HEADER.lower()),
             has_key=any("secret-" in value for value in request.headers.values()),
         )
+        if self.history.is_overdue(row):
+            row.sender = self.find_sender(request.connection.peer_port)
         self.history.arrivals.append(row)
         self._rows[id(request)] = row
         super().handle(request)
@@ -184,10 +200,13 @@
     Everything that runs: stand-ins, links and gateways.
 
     :ivar version: newest version of the configuration.
+    :ivar find_sender: see `SoakReplica`.
     """
 
     folder: Path
     rng: random.Random
+    shape: SoakShape = SMALL
+    find_sender: Callable[[int], tuple[str, int] | None] = lambda port: None
     history: SoakHistory = field(factory=SoakHistory)
     loop: SoakLoop = field(init=False)
     store: StandinStore = field(init=False)
@@ -203,7 +222,9 @@
 
     async def start(self) -> None:
         self.loop = SoakLoop(loop=asyncio.get_running_loop())
-        self.store = StandinStore(loop=self.loop)
+        self.store = StandinStore(
+            loop=self.loop, stale_age_seconds=self.shape.stale_ages(self.rng)
+        )
         store_port = find_free_port()
 
         def new_connection() -> Any:
@@ -212,16 +233,20 @@
         self._store_server = await self.loop.loop.create_server(
             new_connection, LOOPBACK, store_port
         )
-        for index in range(SHARD_COUNT):
-            for domain in DOMAINS:
+        for index in range(self.shape.shard_count):
+            for domain in self.shape.replica_domains:
                 await self.add_replica(f"shard-{index}", domain=domain, index=index)
-        for number in range(SINGLE_REPLICAS):
-            await self.add_replica(SINGLE_SERVICE, domain=DOMAINS[number % 2])
+        domains = self.shape.domains
+        for number in range(self.shape.single_replicas):
+            domain = domains[number % len(domains)]
+            await self.add_replica(SINGLE_SERVICE, domain=domain)
         self.configure()
         self.loop.net.on_reset = self._reset_store_connections
-        for number in range(GATEWAY_COUNT):
+        for number in range(self.shape.gateway_count):
             await self._add_gateway(number, store_port)
         self._tasks.append(asyncio.create_task(self._balance()))
+        if self.shape.stall_seconds:
+            self._tasks.append(asyncio.create_task(self._stall_in_turn()))
         async with asyncio.timeout(MAX_START_SECONDS):
             while not all(item.in_rotation for item in self.gateways):
                 await asyncio.sleep(0.1)
@@ -244,7 +269,10 @@
         self, service: str, *, domain: str, index: int | None = None
     ) -> SoakReplica:
         self._replica_count += 1
-        link = Link(server_port=find_free_port())
+        port = find_free_port()
+        link = Link(server_port=port)
+        if not self.shape.has_replica_links:
+            link = Link(server_port=port, port=port)
         records: list[bytes] = []
         if index is not None:
             records = [encode_record(10 * index + offset) for offset in (3, 9, 1)]
@@ -261,9 +289,12 @@
             started_at_ms=1_700_000_000_000 + self._replica_count,
             history=self.history,
             link=link,
+            find_sender=self.find_sender,
+            announces_leaving=self.shape.announces_leaving,
         )
         await replica.serve()
-        await link.listen()
+        if self.shape.has_replica_links:
+            await link.listen()
         self.replicas[replica.replica] = replica
         self.store.put(f"servers/{replica.replica}", replica.store_record())
         return replica
@@ -276,7 +307,7 @@
     def configure(self) -> None:
         """Write the next version; probes tell by its routes which one is in force."""
         self.version += 1
-        shards = [f"shard-{index}" for index in range(SHARD_COUNT)]
+        shards = [f"shard-{index}" for index in range(self.shape.shard_count)]
         if self.version % 2:
             # Every other version has one shard less.
             shards.pop()
@@ -334,7 +365,7 @@
             make_settings_text(
                 name,
                 LOOPBACK,
-                DOMAINS[number % 2],
+                self.shape.domains[number % len(self.shape.domains)],
                 **QUOTA_SETTINGS
                 | {
                     "listenAddresses.frontendAddress": f"{LOOPBACK}:{ports[0]}",
@@ -356,6 +387,14 @@
         for gateway in self.gateways:
             gateway.store_link.reset_connections()
 
+    async def _stall_in_turn(self) -> None:
+        while True:
+            replicas = list(self.replicas.values())
+            for replica in replicas:
+                until = self.loop.time() + self.shape.stall_seconds
+                replica.stalled_until_seconds = until
+                await asyncio.sleep(self.shape.stall_interval_seconds / len(replicas))
+
     async def _balance(self) -> None:
         """Keep gateways in rotation by their readiness, and restart ended ones."""
         while True:
--- a/tests/standin_http.py
+++ b/tests/standin_http.py
@@ -65,6 +65,12 @@
     _headers: dict[str, str] = field(factory=dict)
     _body: bytes = b""
 
+    @property
+    def peer_port(self) -> int:
+        """Return the port that the connection was opened from."""
+        port: int = self._transport.get_extra_info("peername")[1]
+        return port
+
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
         self._parser = httptools.HttpRequestParser(self)
--- a/tests/standin_store.py
+++ b/tests/standin_store.py
@@ -16,6 +16,7 @@
     500  # in one response to a watch; the next watch continues after the last event
 )
 RESPONSE_SECONDS = 0.004
+MAX_STALE_SECONDS = 5.0
 MS_PER_SECOND = 1_000.0
 ERA_HEADER = "Store-Era"
 
@@ -79,6 +80,8 @@
     :ivar response_seconds: response time.
     :ivar era: stated in all responses; rises when the store returns from a copy.
     :ivar stale_copy: what reads that may be stale return; None for the latest contents.
+    :ivar stale_age_seconds: returns the age of the contents that the next read that may
+        be stale returns, at most `MAX_STALE_SECONDS`; None for the latest contents.
     """
 
     loop: Any
@@ -94,6 +97,8 @@
     calls: list[str] = field(factory=list)
     era: int = 1
     stale_copy: "StoreCopy | None" = None
+    stale_age_seconds: Callable[[], float] | None = None
+    _past: list[tuple[float, int, dict[str, Item]]] = field(factory=list)
     _watchers: list[Watcher] = field(factory=list)
     _next_lease: int = 100
 
@@ -254,6 +259,8 @@
         items, revision = self.items, self.revision
         if "staleOk" in query and self.stale_copy is not None:
             items, revision = self.stale_copy.items, self.stale_copy.revision
+        elif "staleOk" in query and self.stale_age_seconds is not None:
+            items, revision = self._past_contents(self.stale_age_seconds())
         keys = sorted(
             key
             for key in items
@@ -342,8 +349,25 @@
             lease.ttl_ms / MS_PER_SECOND, self.end_lease, number
         )
 
+    def _past_contents(self, age_seconds: float) -> tuple[dict[str, Item], int]:
+        """Return the items and the revision of some seconds ago."""
+        until = self.loop.time() - age_seconds
+        found = self._past[0]
+        for past in self._past:
+            if past[0] <= until:
+                found = past
+        return found[2], found[1]
+
+    def _remember_contents(self) -> None:
+        now = self.loop.time()
+        self._past.append((now, self.revision, dict(self.items)))
+        while len(self._past) > 1 and self._past[1][0] < now - MAX_STALE_SECONDS:
+            del self._past[0]
+
     def _append_event(self, event: dict[str, Any]) -> None:
         self.history.append(event)
+        if self.stale_age_seconds is not None:
+            self._remember_contents()
         for watcher in list(self._watchers):
             events = self._events(watcher.prefix, watcher.after)
             if events:
