Log what an instance knows of a leaving replica that it sends to

Change: `leaving_replica_used` for each request that is sent to a replica known to leave, with what says so, since when that is known, and how long the request had waited; `store_read` with the age of the pages (as revisions) and the revision from which changes are watched; the counter `bronzebeam_gateway_leaving_sends_total{source}`. No logic changes.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -80,6 +80,7 @@
         )
         request = self.routed.request
         self._count_limited_send(now_seconds)
+        self._log_leaving(now_seconds)
         if self.replica.reading is not None:
             self._explained_ratio = self.replica.explained_ratio(
                 now_seconds, self.context.state.typical_latency(self.routed.route)
@@ -175,6 +176,27 @@
             cold.record_sent(kind)
             self.context.metrics.count_cold_send(kind.value)
 
+    def _log_leaving(self, now_seconds: float) -> None:
+        """Log that the request is sent to a replica that is known to be leaving."""
+        departure = self.replica.departure()
+        if departure is None:
+            return
+        source, known_at_seconds = departure
+        self.context.metrics.count_leaving_send(source)
+        arrived_at_seconds = self.routed.request.arrived_at_seconds
+        self.context.log.request(
+            "leaving_replica_used",
+            good=False,
+            request=self.routed.metadata.attempt_id.decode("latin-1"),
+            replica=self.replica.record.replica,
+            service=self.replica.record.service,
+            source=source,
+            known_ms=round((now_seconds - known_at_seconds) * MS_PER_SECOND),
+            waited_ms=round((now_seconds - arrived_at_seconds) * MS_PER_SECOND, 1),
+            for_peer=self.routed.is_for_peer,
+            is_repeat=self.is_repeat,
+        )
+
     def _record_signals(self, status: int, metadata: ReplyMetadata) -> None:
         """Record that the replica is leaving or wants a pause, before any retry."""
         replicas = self.context.state.replicas
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -33,6 +33,7 @@
     _relays: MetricFamily[Counter] = field(init=False)
     _limited_sends: MetricFamily[Counter] = field(init=False)
     _cold_sends: MetricFamily[Counter] = field(init=False)
+    _leaving_sends: MetricFamily[Counter] = field(init=False)
     _replicas: MetricFamily[Gauge] = field(init=False)
     _evacuated: MetricFamily[Gauge] = field(init=False)
     _evacuated_domains: frozenset[str] = frozenset()
@@ -89,6 +90,11 @@
             help_text="Requests sent to cold replicas with a limit, by kind.",
             label_names=("kind",),
         )
+        self._leaving_sends = self.registry.counter(
+            name="bronzebeam_gateway_leaving_sends_total",
+            help_text="Requests sent to replicas that are leaving, by what says so.",
+            label_names=("source",),
+        )
         self._replicas = self.registry.gauge(
             name="bronzebeam_gateway_replicas_count",
             help_text="Known replicas, by whether a connection to them is open.",
@@ -144,6 +150,10 @@
         """Count a request sent to a cold replica whose service states a cold rate."""
         self._cold_sends.labels(kind=kind).increment()
 
+    def count_leaving_send(self, source: str) -> None:
+        """Count a request sent to a replica that is known to be leaving."""
+        self._leaving_sends.labels(source=source).increment()
+
     def set_replica_counts(self, *, connected: int, unconnected: int) -> None:
         """Set the number of known replicas."""
         self._replicas.labels(connected="true").set(connected)
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -74,6 +74,20 @@
         """Whether it is about to stop, by its registration or by its own replies."""
         return self.record.leaving or self.announced_leaving_at_seconds is not None
 
+    def departure(self) -> tuple[str, float] | None:
+        """
+        Return what says that it leaves, and the monotonic time since which it does.
+
+        :return: None if it is not known to leave.
+        """
+        if self.removed_at_seconds is not None:
+            return "removed", self.removed_at_seconds
+        if self.announced_leaving_at_seconds is not None:
+            return "reply", self.announced_leaving_at_seconds
+        if self.record.leaving and self.leaving_since_seconds is not None:
+            return "registration", self.leaving_since_seconds
+        return None
+
     def is_paused(self, now_seconds: float) -> bool:
         """Whether it has asked for a pause that is not over."""
         return now_seconds < self.paused_until_seconds
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -76,6 +76,7 @@
         """Read all records, page by page."""
         changes: list[Change] = []
         revision: int | None = None
+        page_revisions: list[int] = []
         era = self.era.number
         after = ""
         while True:
@@ -89,12 +90,22 @@
             changes.extend(self._decode_changes(items))
             # Pages are not a consistent snapshot, so the watch has to start after the
             # revision of the first page.
+            page_revisions.append(_int_field(page, "atRevision"))
             if revision is None:
-                revision = _int_field(page, "atRevision")
+                revision = page_revisions[0]
                 era = self.era.number
             elif era != self.era.number:
                 raise StoreUnavailable("the store was restored between two pages")
             if not page.get("hasMore") or not items:
+                self.log.event(
+                    "store_read",
+                    stale=may_be_stale,
+                    pages=len(page_revisions),
+                    oldest_revision=min(page_revisions),
+                    newest_revision=max(page_revisions),
+                    watched_from=revision,
+                    records=len(changes),
+                )
                 return snapshot_from_changes(changes, revision=revision, era=era)
             after = _key_field(items[-1])
 
--- a/tests/soak_leaving.py
+++ b/tests/soak_leaving.py
@@ -47,11 +47,11 @@
     leaving = _choose_leaving(rig, rng)
     if leaving is None:
         return
+    leaving.leaving = True  # no other drain chooses it
     index = int(leaving.service.rpartition("-")[2]) if leaving.records else None
     if rng.random() < 0.7:
         await rig.add_replica(leaving.service, domain=leaving.domain, index=index)
         await asyncio.sleep(rng.uniform(0.0, 1.0))
-    leaving.leaving = True
     serves_on_seconds = rng.uniform(*SERVES_ON_SECONDS)
     key = f"servers/{leaving.replica}"
     is_draining = rng.random() < 0.7
