Start from one revision of the store, not from pages of different ages

What callers and replicas saw: a process that had just started used a replica like any other that had drained or was removed before, until that replica ended (DRAIN); with the configuration on a later page it could keep the older one until the next change (CONFIG).

Cause: pages of a stale read are each of their own age, and changes were watched from the revision of the first page. What changed on a later, older page in between was in neither. Also current reads in several pages showed a mixture of revisions until the next watch.

Change: the oldest page gives the revision from which all changes are read before anything is applied, so that what is applied is the store's contents at one revision, at least as new as the newest page. If the store does not return them within 0.1 s, or turns the call away, a stale read is used as it was read, and the watch goes on from the oldest page; a current read is repeated. The configuration of such a caught-up read needs no confirmation by a call of its own.

The test of repeated confirmations in test_gateway_account_starts now turns the watch away as well, since the confirmation is only asked where that is not to be had; its expectation is unchanged.

--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from enum import Enum
-from typing import Final, Protocol
+from typing import Any, Final, Protocol
 
 from attrs import field, frozen
 
@@ -122,11 +122,15 @@
     """
     All records of the store that the gateway uses.
 
+    The records may be of different revisions, since they are read in pages.
+
     :ivar revision: a watch that starts after this revision misses no change.
+    :ivar newest_revision: revision of the newest page.
     :ivar era: era of the store that was read; None if the store states none.
     """
 
     revision: int
+    newest_revision: int
     table: RouteTable | None
     era: int | None = None
     replicas: Mapping[str, ReplicaRecord] = field(factory=dict)
@@ -134,36 +138,62 @@
     suspects: Mapping[str, SuspectRecord] = field(factory=dict)
     evacuations: Mapping[str, EvacuationRecord] = field(factory=dict)
 
+    def with_changes(self, changes: Iterable[Change], revision: int) -> "StoreSnapshot":
+        """
+        Return the records at a later revision.
+
+        :param changes: all changes after `revision` of this snapshot, in their order.
+        :param revision: revision of the last one.
+        """
+        replicas = dict(self.replicas)
+        instances = dict(self.instances)
+        suspects = dict(self.suspects)
+        evacuations = dict(self.evacuations)
+        table = self.table
+        by_kind: Mapping[RecordKind, dict[str, Any]] = {
+            RecordKind.REPLICA: replicas,
+            RecordKind.INSTANCE: instances,
+            RecordKind.SUSPECT: suspects,
+            RecordKind.EVACUATION: evacuations,
+        }
+        for change in changes:
+            if change.kind is RecordKind.CONFIGURATION:
+                # A configuration that was deleted or can't be decoded stays in force.
+                table = change.value if isinstance(change.value, RouteTable) else table
+            elif change.value is None:
+                by_kind[change.kind].pop(change.name, None)
+            else:
+                by_kind[change.kind][change.name] = change.value
+        return StoreSnapshot(
+            revision=revision,
+            newest_revision=max(revision, self.newest_revision),
+            era=self.era,
+            table=table,
+            replicas=replicas,
+            instances=instances,
+            suspects=suspects,
+            evacuations=evacuations,
+        )
+
 
 def snapshot_from_changes(
-    changes: Iterable[Change], *, revision: int, era: int | None
+    changes: Iterable[Change],
+    *,
+    revision: int,
+    newest_revision: int | None = None,
+    era: int | None,
 ) -> StoreSnapshot:
-    """Return the snapshot whose records are all those in `changes`."""
-    replicas: dict[str, ReplicaRecord] = {}
-    instances: dict[str, InstanceRecord] = {}
-    suspects: dict[str, SuspectRecord] = {}
-    evacuations: dict[str, EvacuationRecord] = {}
-    table: RouteTable | None = None
-    for change in changes:
-        if isinstance(change.value, ReplicaRecord):
-            replicas[change.name] = change.value
-        elif isinstance(change.value, RouteTable):
-            table = change.value
-        elif isinstance(change.value, InstanceRecord):
-            instances[change.name] = change.value
-        elif isinstance(change.value, SuspectRecord):
-            suspects[change.name] = change.value
-        elif isinstance(change.value, EvacuationRecord):
-            evacuations[change.name] = change.value
-    return StoreSnapshot(
-        revision=revision,
-        era=era,
-        table=table,
-        replicas=replicas,
-        instances=instances,
-        suspects=suspects,
-        evacuations=evacuations,
+    """
+    Return the snapshot whose records are all those in `changes`.
+
+    :param newest_revision: see `StoreSnapshot`; None if all are of one revision.
+    """
+    if newest_revision is None:
+        newest_revision = revision
+    empty = StoreSnapshot(
+        revision=revision, newest_revision=newest_revision, era=era, table=None
     )
+    return empty.with_changes(changes, revision)
 
 
 class StoreUnavailable(Exception):
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -47,6 +47,9 @@
 MAX_COALESCE_SECONDS: Final = 2.0
 # After changes of the instances, on which the sources of changes depend.
 MEMBERSHIP_COALESCE_SECONDS: Final = 1.0
+CATCH_UP_WAIT_SECONDS: Final = 0.001  # the changes that there are, without a wait
+# Many round trips; callers wait for 150 ms for the first configuration.
+CATCH_UP_TIMEOUT_SECONDS: Final = 0.1
 MIN_BACKLOG_CHANGES: Final = 100  # a response of this size may have been truncated
 # An instance that has died keeps its share of limits until its lease expires.
 LEASE_SECONDS: Final = 15.0
@@ -154,21 +157,67 @@
         self._was_stale_read = True
         sent_at = self.state.boot_seconds()
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
-        if self.state.table is None:
-            try:
+        try:
+            snapshot, is_current = await self._catch_up(snapshot, is_stale=is_first)
+            if self.state.table is None:
                 snapshot = await self.peer_configurations.confirm_accounts(
-                    snapshot, store=self.store, may_be_stale=is_first
+                    snapshot, store=self.store, may_be_stale=not is_current
                 )
-            except StoreUnavailable:
-                # Nothing was applied, so the next read may be stale as well.
-                self._was_stale_read = not is_first
-                raise
+        except StoreUnavailable:
+            # Nothing was applied, so the next read may be stale as well.
+            self._was_stale_read = not is_first
+            raise
         self._record_response(snapshot.revision)
         self._apply_snapshot(snapshot)
         if not is_first:
             self._confirm_members(sent_at)
         return snapshot.revision
 
+    async def _catch_up(
+        self, snapshot: StoreSnapshot, *, is_stale: bool
+    ) -> tuple[StoreSnapshot, bool]:
+        """
+        Apply the changes since the oldest page of a snapshot, to get a consistent one.
+
+        Otherwise a replica that left between two pages would be used until its next
+        change.
+
+        :return: the snapshot, and whether it is current; if the store does not return
+            the changes of a stale one, it is returned as it was read.
+        :raises StoreUnavailable: if the pages of a current one differ, and the store
+            does not return the changes.
+        """
+        if not is_stale and snapshot.newest_revision == snapshot.revision:
+            return snapshot, True
+        try:
+            if not is_stale:
+                return await self._with_later_changes(snapshot), True
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
+                return await self._with_later_changes(snapshot), True
+        except (StoreUnavailable, TimeoutError) as error:
+            if not is_stale:
+                raise
+            cause = str(error) or "timeout"
+            self.log.event("stale_read_not_confirmed", cause=cause)
+            return snapshot, False
+
+    async def _with_later_changes(self, snapshot: StoreSnapshot) -> StoreSnapshot:
+        """Return a snapshot at the store's revision; raises `StoreUnavailable`."""
+        revision = snapshot.revision
+        changes: list[Change] = []
+        is_truncated = True
+        while is_truncated:
+            revision, more = await self.store.watch(
+                after=revision, wait_seconds=CATCH_UP_WAIT_SECONDS
+            )
+            changes.extend(more)
+            is_truncated = len(more) >= MIN_BACKLOG_CHANGES
+        if revision < snapshot.newest_revision:
+            raise StoreUnavailable(
+                f"no changes from {revision} to {snapshot.newest_revision}"
+            )
+        return snapshot.with_changes(changes, revision)
+
     def _must_read_again(self) -> bool:
         """
         Whether to read the store, which came back from an older copy, at once.
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -75,7 +75,6 @@
     async def read_snapshot(self, *, may_be_stale: bool = False) -> StoreSnapshot:
         """Read all records, page by page."""
         changes: list[Change] = []
-        revision: int | None = None
         page_revisions: list[int] = []
         era = self.era.number
         after = ""
@@ -88,25 +87,25 @@
             page = _parse_object(await self._request("GET", f"/kv-range?{query}"))
             items = _list_field(page, "items")
             changes.extend(self._decode_changes(items))
-            # Pages are not a consistent snapshot, so the watch has to start after the
-            # revision of the first page.
             page_revisions.append(_int_field(page, "atRevision"))
-            if revision is None:
-                revision = page_revisions[0]
+            if len(page_revisions) == 1:
                 era = self.era.number
             elif era != self.era.number:
                 raise StoreUnavailable("the store was restored between two pages")
             if not page.get("hasMore") or not items:
+                oldest, newest = min(page_revisions), max(page_revisions)
                 self.log.event(
                     "store_read",
                     stale=may_be_stale,
                     pages=len(page_revisions),
-                    oldest_revision=min(page_revisions),
-                    newest_revision=max(page_revisions),
-                    watched_from=revision,
+                    oldest_revision=oldest,
+                    newest_revision=newest,
                     records=len(changes),
                 )
-                return snapshot_from_changes(changes, revision=revision, era=era)
+                # A later page may be older than an earlier one if reads are stale.
+                return snapshot_from_changes(
+                    changes, revision=oldest, newest_revision=newest, era=era
+                )
             after = _key_field(items[-1])
 
     async def read_configuration(self) -> RouteTable | None:
--- a/tests/test_gateway_account_starts.py
+++ b/tests/test_gateway_account_starts.py
@@ -112,6 +112,8 @@
                 current_reads.append(request.target)
                 if len(current_reads) <= 3:
                     return StoreFault.RATE_LIMITED
+            elif "/kv-watch" in request.target and len(current_reads) <= 3:
+                return StoreFault.RATE_LIMITED
             return StoreFault.NONE
 
         cluster.store.fault = choose
