Cut off the owner that the sender uses in the test of an unresponsive owner

Cause: the test cut the sender off from one of three owners by name and expected it to be avoided.

Change: a first search tells which owner the sender uses, and that one is cut off.

--- a/tests/test_gateway_owners.py
+++ b/tests/test_gateway_owners.py
@@ -81,6 +81,13 @@
     run_scenario(scenario)
 
 
+def last_reply_seconds(gateway: RunningGateway, name: str) -> float:
+    """Return when an instance had a reply or a new connection of a peer last."""
+    peer = gateway.gateway._state.peers.get(name)
+    assert peer is not None
+    return peer.pool.link().proven_at_seconds
+
+
 def test_shards_of_an_unresponsive_owner_go_to_another_owner() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await start_large_fleet(cluster)
@@ -90,7 +97,11 @@
         owner_names = owners.owners("zone-a", 0)
         others = owners.members["zone-a"].keys() - owner_names
         sender = cluster.gateways[min(others)]
-        unresponsive = cluster.gateways[min(owner_names)]
+        await cluster.send_request(sender, FAN_OUT_PATH)
+        # The owner that the sender uses; the others may never be asked.
+        unresponsive = cluster.gateways[
+            max(owner_names, key=lambda name: last_reply_seconds(sender, name))
+        ]
         cluster.loop.net.partitioned_pairs.add(
             frozenset((sender.host, unresponsive.host))
         )
