Let no grace of a leaving replica begin anew with late news

What replicas saw: single requests 3 to 17 s after the store had accepted that they drain, mostly hedges, several in one millisecond, sent by processes that had started up to 8 s before, or that had just seen a lapsed registration again, often for a peer.

Cause: a draining replica may be used for 1.5 s if there is no other, counted from when an instance first saw it draining. Each process that starts sees it for the first time, and so does each instance to which a lapsed registration comes back, or that was away from the store for a while. The class: a permission counted from the receiver's own first sight, instead of from when what it depends on may have begun.

Change: routing/last_use.py bounds the last use of a draining replica by when it may have begun to drain: the latest time at which this instance is known to have followed the store, less nothing, plus the platform's drain bound less a margin for what is under way. A replica that is first seen as draining, comes back as draining after a lapse, or is known to leave from a peer, gets no grace.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -38,7 +38,6 @@
 from bronzebeam.gateway.readiness import Readiness
 from bronzebeam.gateway.records import GatewayStore, InstanceRecord
 from bronzebeam.gateway.relay_handler import RelayRequestHandler
-from bronzebeam.gateway.replica_set import LEAVING_GRACE_SECONDS
 from bronzebeam.gateway.router import Router
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.gateway.store_watch import (
@@ -47,6 +46,7 @@
     StoreWatch,
 )
 from bronzebeam.gateway.suspect_reports import SuspectReporter
+from bronzebeam.routing.last_use import LastUsePolicy
 from bronzebeam.routing.quota_members import RegistrationTimes
 from bronzebeam.socket_address import SocketAddress
 from bronzebeam.telemetry.decisions import DecisionLog
@@ -63,8 +63,6 @@
 METRICS_PATH: Final = b"/metrics"
 TICKS_PER_SLOW_CHECK: Final = 4  # ticks between checks of idle callers and settings
 GC_FREEZE_TICK: Final = 8
-# Of the time after which a leaving replica must get no requests.
-MAX_LEAVING_GRACE_SHARE: Final = 0.5
 
 StoreFactory = Callable[[GatewaySettings, DecisionLog], GatewayStore]
 SettingsReader = Callable[[], GatewaySettings]
@@ -240,10 +238,7 @@
             registration_timeout_seconds=settings.registration_timeout_seconds,
             cold_tolerance=settings.cold_tolerance,
             regions=settings.regions,
-            leaving_grace_seconds=min(
-                LEAVING_GRACE_SECONDS,
-                settings.drain_bound_seconds * MAX_LEAVING_GRACE_SHARE,
-            ),
+            last_use=LastUsePolicy(drain_seconds=settings.drain_bound_seconds),
         )
         self._readiness = Readiness(state=self._state, loop=loop, log=self.log)
         self._suspect_reporter = SuspectReporter(
--- a/src/bronzebeam/gateway/explained_replicas.py
+++ b/src/bronzebeam/gateway/explained_replicas.py
@@ -223,11 +223,7 @@
 
     def _exclusions(self, item: ViewedReplica) -> list[str]:
         names = _names(DOMAIN_EXCLUSIONS, item)
-        if not item.replica.is_usable(
-            self.now_seconds,
-            self.state.replicas.leaving_grace_seconds,
-            ignore_limit=item.ignore_limit,
-        ):
+        if not item.replica.is_usable(self.now_seconds, ignore_limit=item.ignore_limit):
             names += _names(EXCLUSIONS, item)
         return names or [NOT_USABLE]
 
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -26,11 +26,12 @@
 from bronzebeam.gateway.replica import Replica
 from bronzebeam.gateway.replica_choice import ReplicaChoice, SharedShard
 from bronzebeam.gateway.replica_limits import ReplicaLimits
-from bronzebeam.gateway.replica_set import LEAVING_GRACE_SECONDS, ReplicaSet
+from bronzebeam.gateway.replica_set import ReplicaSet
 from bronzebeam.gateway.shard_ownership import ShardOwnership
 from bronzebeam.routing.cold_limits import ColdTolerance
 from bronzebeam.routing.crash_suspects import QUARANTINE_SECONDS, CrashSuspects
 from bronzebeam.routing.instance_share import ShareRatios
+from bronzebeam.routing.last_use import LastUsePolicy
 from bronzebeam.routing.quota_members import QuotaMembers
 from bronzebeam.routing.regions import RegionMap
 from bronzebeam.routing.repeat_budget import (
@@ -64,6 +65,7 @@
     :ivar own_domain: failure domain of this instance.
     :ivar limits: limits on repeats (hedges and retries).
     :ivar table: active configuration; None until one has been loaded.
+    :ivar last_use: until when replicas that leave may be used.
     :ivar on_first_configuration: called once, after the first configuration has been
         applied.
     :ivar on_quotas: called when the configuration has accounts with a quota for the
@@ -98,7 +100,7 @@
     on_quotas: Callable[[], None] | None = None
     on_own_removal: Callable[[], None] | None = None
     on_reach_change: Callable[[bool], None] | None = None
-    leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
+    last_use: LastUsePolicy
     registration_timeout_seconds: float
     cold_tolerance: ColdTolerance
     boot_seconds: Callable[[], float] = boot_seconds
@@ -150,7 +152,7 @@
             connect=self.connect,
             log=self.log,
             rng=self.rng,
-            leaving_grace_seconds=self.leaving_grace_seconds,
+            last_use=self.last_use,
             limits=ReplicaLimits(
                 loop=self.loop, log=self.log, rng=self.rng, share_of=self._limit_share
             ),
@@ -179,8 +181,15 @@
 
     # Updates, from StoreWatch and from periodic tasks.
 
-    def apply_snapshot(self, snapshot: StoreSnapshot) -> None:
-        """Replace the state by the complete contents of the store."""
+    def apply_snapshot(
+        self, snapshot: StoreSnapshot, *, made_after_seconds: float
+    ) -> None:
+        """
+        Replace the state by the complete contents of the store.
+
+        :param made_after_seconds: see `ReplicaSet`.
+        """
+        self.replicas.made_after_seconds = made_after_seconds
         is_first_of_era = self._era is not None and snapshot.era != self._era
         # Later reads in the new era may still find registrations of the older copy.
         self._was_restored = self._was_restored or is_first_of_era
@@ -212,8 +221,15 @@
         self._update_derived_state()
         self.maintain()
 
-    def apply_changes(self, changes: Iterable[Change]) -> None:
-        """Apply changes, in the order in which they were made."""
+    def apply_changes(
+        self, changes: Iterable[Change], *, made_after_seconds: float
+    ) -> None:
+        """
+        Apply changes, in the order in which they were made.
+
+        :param made_after_seconds: see `ReplicaSet`.
+        """
+        self.replicas.made_after_seconds = made_after_seconds
         for change in changes:
             value = change.value
             if isinstance(value, InstanceRecord):
--- a/src/bronzebeam/gateway/replica.py
+++ b/src/bronzebeam/gateway/replica.py
@@ -1,5 +1,6 @@
 """A replica as seen by one instance: its connections, relative latency and failures."""
 
+import math
 from typing import Final
 
 from attrs import define, field
@@ -36,11 +37,16 @@
         written long before.
     :ivar removed_at_seconds: monotonic time at which it was removed from the store;
         None while it is registered.
-    :ivar last_resort_until_seconds: monotonic time until which a removed replica may
+    :ivar removed_last_use_seconds: monotonic time until which a removed replica may
         still be used if no registered one is available.
-    :ivar leaving_since_seconds: monotonic time at which it was first seen draining.
+    :ivar draining_since_seconds: monotonic time at which it was first seen draining;
+        None if it is not registered as draining.
+    :ivar draining_last_use_seconds: monotonic time until which it may be used while it
+        drains, if there is no other.
     :ivar announced_leaving_at_seconds: monotonic time at which it first stated in a
         reply that it is about to stop; None if it has not.
+    :ivar announced_last_use_seconds: monotonic time until which it may be used then, if
+        there is no other.
     :ivar paused_until_seconds: monotonic time until which it wants no requests.
     :ivar limited: the limit on requests that it names; None if it names none.
     :ivar cold: the limit on requests while it is cold; None if there is none.
@@ -57,9 +63,11 @@
     cold_again_at_seconds: float = 0.0
     is_age_unknown: bool = False
     removed_at_seconds: float | None = None
-    last_resort_until_seconds: float = 0.0
-    leaving_since_seconds: float | None = None
+    removed_last_use_seconds: float = 0.0
+    draining_since_seconds: float | None = None
+    draining_last_use_seconds: float = 0.0
     announced_leaving_at_seconds: float | None = None
+    announced_last_use_seconds: float = 0.0
     paused_until_seconds: float = 0.0
     limited: LimitedTraffic | None = None
     cold: ColdTraffic | None = None
@@ -84,8 +92,8 @@
             return "removed", self.removed_at_seconds
         if self.announced_leaving_at_seconds is not None:
             return "reply", self.announced_leaving_at_seconds
-        if self.record.leaving and self.leaving_since_seconds is not None:
-            return "registration", self.leaving_since_seconds
+        if self.draining_since_seconds is not None:
+            return "registration", self.draining_since_seconds
         return None
 
     def is_paused(self, now_seconds: float) -> bool:
@@ -121,17 +129,22 @@
         """Whether requests to it are limited, so that each needs a turn."""
         return self.limited is not None or self.cold is not None
 
-    def is_usable(
-        self,
-        now_seconds: float,
-        leaving_grace_seconds: float,
-        *,
-        ignore_limit: bool = False,
-    ) -> bool:
+    @property
+    def last_use_seconds(self) -> float:
+        """Return the monotonic time of its last use; infinite while it stays."""
+        last_use_seconds = math.inf
+        if self.removed_at_seconds is not None:
+            last_use_seconds = self.removed_last_use_seconds
+        if self.draining_since_seconds is not None:
+            last_use_seconds = min(last_use_seconds, self.draining_last_use_seconds)
+        if self.announced_leaving_at_seconds is not None:
+            last_use_seconds = min(last_use_seconds, self.announced_last_use_seconds)
+        return last_use_seconds
+
+    def is_usable(self, now_seconds: float, *, ignore_limit: bool = False) -> bool:
         """
         Whether a request may be sent to it now.
 
-        :param leaving_grace_seconds: time for which a leaving replica may be used.
         :param ignore_limit: its limits are considered by another instance.
         """
         if self.mismatched or not self.pool.is_reachable or self.is_paused(now_seconds):
@@ -139,13 +152,7 @@
         if self.limited is not None or self.cold is not None:
             if not ignore_limit and self.seconds_until_turn(now_seconds) > 0.0:
                 return False
-        if self.removed_at_seconds is not None:
-            if now_seconds > self.last_resort_until_seconds:
-                return False
-        leaving_at = self.announced_leaving_at_seconds
-        if leaving_at is None and self.record.leaving:
-            leaving_at = self.leaving_since_seconds
-        return leaving_at is None or now_seconds - leaving_at <= leaving_grace_seconds
+        return now_seconds <= self.last_use_seconds
 
     def observe_reply(
         self, *, latency_ms: float, typical_ms: float, now_seconds: float
--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -72,7 +72,6 @@
     route: Route,
     typical: TypicalLatency,
     own_domain: str,
-    leaving_grace_seconds: float,
     now_seconds: float,
     rng: random.Random,
     shared: SharedShard | None = None,
@@ -106,7 +105,7 @@
     )
     for replica in replicas:
         if replica in excluded or not replica.is_usable(
-            now_seconds, leaving_grace_seconds, ignore_limit=ignore_limit
+            now_seconds, ignore_limit=ignore_limit
         ):
             continue
         load = replica.load(now_seconds, own_domain, typical)
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -22,6 +22,12 @@
 from bronzebeam.gateway.replica_limits import ReplicaLimits
 from bronzebeam.gateway.replica_links import ReplicaLinks
 from bronzebeam.routing.connection_shares import share_connections
+from bronzebeam.routing.last_use import (
+    LAPSED_GRACE_SECONDS,
+    REMOVED_GRACE_SECONDS,
+    LastUsePolicy,
+    News,
+)
 from bronzebeam.routing.older_copy import KnownState
 from bronzebeam.routing.replica_latency import TypicalLatency
 from bronzebeam.routing.replica_pause import RequestedPause
@@ -31,17 +37,10 @@
 from bronzebeam.transport.http_reply import ReplyMemory
 from bronzebeam.units import MS_PER_SECOND
 
-# An instance may see a removal one second late, and no request may be sent to a replica
-# later than three seconds after its removal.
-REMOVED_GRACE_SECONDS: Final = 1.8
-# Registrations that expired during a store outage are renewed within two seconds of its
-# end.
-EXPIRED_GRACE_SECONDS: Final = 2.5
 # Removals seen this soon after a store outage may be expired registrations of replicas
 # that are still running.
 STORE_RECOVERY_SECONDS: Final = 4.0
-# A draining replica serves for longer than this; it is used if there is no other.
-LEAVING_GRACE_SECONDS: Final = 1.5
+DEFAULT_DRAIN_BOUND_SECONDS: Final = 3.0
 DEFAULT_CONNECTION_LIMIT: Final = 16  # for services missing in the configuration
 # Opening more at once would delay requests.
 MAX_CONNECTIONS_OPENED_PER_RUN: Final = 64
@@ -95,8 +94,9 @@
     All replicas that may still be used.
 
     :ivar own_domain: failure domain of this instance.
-    :ivar leaving_grace_seconds: time for which a leaving replica is used if there is no
-        other.
+    :ivar last_use: until when replicas that leave may be used.
+    :ivar made_after_seconds: monotonic time after which the changes were made that are
+        being applied; minus infinity if that is not known.
     :ivar store_recovered_at_seconds: monotonic time at which the store answered again
         after its latest outage.
     :ivar limits: the limits on requests that replicas name.
@@ -116,7 +116,8 @@
     log: DecisionLog
     rng: random.Random
     limits: ReplicaLimits
-    leaving_grace_seconds: float = LEAVING_GRACE_SECONDS
+    last_use: LastUsePolicy = LastUsePolicy(drain_seconds=DEFAULT_DRAIN_BOUND_SECONDS)
+    made_after_seconds: float = -math.inf
     store_recovered_at_seconds: float = -math.inf
     evacuated: frozenset[str] = frozenset()
     _replicas: dict[str, Replica] = field(factory=dict)
@@ -245,8 +246,10 @@
             ):
                 replica.record_cold(record.cold_ms / MS_PER_SECOND, now_seconds)
                 replica.is_age_unknown = False
+            is_known = replica.removed_at_seconds is None
             replica.record = record
             replica.removed_at_seconds = None
+            self._record_draining(replica, is_known=is_known)
             replica.pool.closing = False
         else:
             if replica is not None:
@@ -271,6 +274,7 @@
                 replica.announced_leaving_at_seconds = (
                     stopped.announced_leaving_at_seconds
                 )
+                replica.announced_last_use_seconds = -math.inf
                 if replica.announced_leaving_at_seconds is not None:
                     self._announced.add(replica)
             self._replicas[record.replica] = replica
@@ -283,10 +287,29 @@
                 leaving=record.leaving,
                 cold_ms=record.cold_ms,
             )
-        if not record.leaving:
-            replica.leaving_since_seconds = None
-        elif replica.leaving_since_seconds is None:
-            replica.leaving_since_seconds = now_seconds
+            self._record_draining(replica, is_known=False)
+
+    def _record_draining(self, replica: Replica, *, is_known: bool) -> None:
+        """
+        Record whether a replica is registered as draining.
+
+        :param is_known: it was registered until now, and not as draining.
+        """
+        if not replica.record.leaving:
+            replica.draining_since_seconds = None
+        elif replica.draining_since_seconds is None:
+            news = (
+                self._news() if is_known else News(learnt_at_seconds=self.loop.time())
+            )
+            replica.draining_since_seconds = news.learnt_at_seconds
+            replica.draining_last_use_seconds = self.last_use.of_draining(news)
+
+    def _news(self) -> News:
+        """Return the times of a change that is being applied."""
+        return News(
+            learnt_at_seconds=self.loop.time(),
+            made_after_seconds=self.made_after_seconds,
+        )
 
     def mark_removed(self, name: str) -> None:
         """Record that a replica is no longer registered."""
@@ -298,10 +321,10 @@
             now_seconds - self.store_recovered_at_seconds < STORE_RECOVERY_SECONDS
         )
         grace_seconds = (
-            EXPIRED_GRACE_SECONDS if may_be_running else REMOVED_GRACE_SECONDS
+            LAPSED_GRACE_SECONDS if may_be_running else REMOVED_GRACE_SECONDS
         )
         replica.removed_at_seconds = now_seconds
-        replica.last_resort_until_seconds = now_seconds + grace_seconds
+        replica.removed_last_use_seconds = now_seconds + grace_seconds
         replica.pool.closing = True
         self.log.event(
             "replica_gone",
@@ -323,12 +346,13 @@
                 replica.pool.fail_waiting(DOMAIN_EVACUATED)
 
     def record_announced_leaving(
-        self, replica: Replica, *, is_misdirected: bool
+        self, replica: Replica, *, is_misdirected: bool, is_first_hand: bool = True
     ) -> None:
         """
         Record that a replica has stated in a reply that it is about to stop.
 
         :param is_misdirected: the reply was from another replica at the same address.
+        :param is_first_hand: the reply has just come; a peer may have known for long.
         """
         address = (replica.record.host, replica.record.port)
         for other in self._replicas.values():
@@ -336,7 +360,13 @@
             if is_misdirected and other is not replica:
                 is_meant = (other.record.host, other.record.port) == address
             if is_meant and other.announced_leaving_at_seconds is None:
-                other.announced_leaving_at_seconds = self.loop.time()
+                now_seconds = self.loop.time()
+                made_after = now_seconds if is_first_hand else -math.inf
+                news = News(
+                    learnt_at_seconds=now_seconds, made_after_seconds=made_after
+                )
+                other.announced_leaving_at_seconds = now_seconds
+                other.announced_last_use_seconds = self.last_use.of_draining(news)
                 self._announced.add(other)
                 self.log.event(
                     "replica_leaving",
@@ -361,7 +391,9 @@
         for item in leaving:
             replica = self.find(item.replica, started_at_ms=item.started_at_ms)
             if replica is not None:
-                self.record_announced_leaving(replica, is_misdirected=False)
+                self.record_announced_leaving(
+                    replica, is_misdirected=False, is_first_hand=False
+                )
 
     def record_load(
         self, replica: Replica, value: bytes, usual_load: UsualLoad
@@ -414,9 +446,7 @@
         """
         now_seconds = self.loop.time()
         replicas = self._serving(service, domains)
-        if any(
-            item.is_usable(now_seconds, self.leaving_grace_seconds) for item in replicas
-        ):
+        if any(item.is_usable(now_seconds) for item in replicas):
             return NextUse(after_seconds=0.0)
         possible_uses = []
         for item in replicas:
@@ -427,9 +457,7 @@
                 possible_uses.append(
                     NextUse(after_seconds=seconds, cause=REPLICAS_PAUSED)
                 )
-            elif item.is_usable(
-                now_seconds, self.leaving_grace_seconds, ignore_limit=True
-            ):
+            elif item.is_usable(now_seconds, ignore_limit=True):
                 seconds = item.seconds_until_turn(now_seconds)
                 cause = REPLICAS_LIMITED if item.cold is None else REPLICAS_COLD
                 possible_uses.append(NextUse(after_seconds=seconds, cause=cause))
@@ -485,8 +513,7 @@
         """Move waiting requests to other replicas of the service, if there are any."""
         now_seconds = self.loop.time()
         if any(
-            not item.is_leaving
-            and item.is_usable(now_seconds, self.leaving_grace_seconds)
+            not item.is_leaving and item.is_usable(now_seconds)
             for item in self._serving(replica.record.service)
         ):
             replica.pool.fail_waiting(cause)
@@ -508,7 +535,7 @@
                 _should_stay_connected(replica) and replica.warm_connections > 0
             )
             if replica.removed_at_seconds is not None:
-                expired = now_seconds > replica.last_resort_until_seconds
+                expired = now_seconds > replica.removed_last_use_seconds
                 if expired and not replica.pool.busy:
                     self._drop(name)
             elif opened < MAX_CONNECTIONS_OPENED_PER_RUN and _should_stay_connected(
@@ -589,7 +616,6 @@
             route=route,
             typical=typical,
             own_domain=self.own_domain,
-            leaving_grace_seconds=self.leaving_grace_seconds,
             now_seconds=self.loop.time(),
             rng=rng or self.rng,
             shared=shared,
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -50,6 +50,8 @@
 CATCH_UP_WAIT_SECONDS: Final = 0.001  # the changes that there are, without a wait
 # Many round trips; callers wait for 150 ms for the first configuration.
 CATCH_UP_TIMEOUT_SECONDS: Final = 0.1
+# A source may wait for its own watch before it notices that it has lost the store.
+MAX_FEED_DELAY_SECONDS: Final = 2.0
 MIN_BACKLOG_CHANGES: Final = 100  # a response of this size may have been truncated
 # An instance that has died keeps its share of limits until its lease expires.
 LEASE_SECONDS: Final = 15.0
@@ -89,6 +91,9 @@
     _is_watch_verified: bool = False
     _disconnected_at_seconds: float | None = None
     _last_response_at_seconds: float = -math.inf
+    _followed_until_seconds: float = -math.inf
+    _is_uninterrupted: bool = False
+    _is_from_feed: bool = False
 
     def __attrs_post_init__(self) -> None:
         self._backoff = Backoff(rng=self.rng)
@@ -101,27 +106,33 @@
                 if revision is None or self._must_read_again():
                     revision = await self._load_snapshot()
                 elif self.feed.is_available():
+                    self._read_changes_from(is_feed=True)
                     sent_at = self.state.boot_seconds()
                     response = await self.feed.watch(revision, self._era)
                     revision = self._apply_feed_response(revision, response)
                     # The source may have last read the store some time before.
                     self._confirm_members(sent_at - MAX_RESPONSE_AGE_SECONDS)
                 else:
+                    self._read_changes_from(is_feed=False)
                     sent_at = self.state.boot_seconds()
                     revision, changes = await self._watch(revision)
                     self._is_watch_verified = True
                     self._record_response(revision)
                     self._apply_changes(revision, changes)
                     if len(changes) < MIN_BACKLOG_CHANGES:
+                        self._record_followed(until_seconds=self.loop.time())
                         self._confirm_members(sent_at)
                     if 0 < len(changes) < MIN_BACKLOG_CHANGES:
                         await asyncio.sleep(self._coalesce_seconds(changes))
             except HistoryLost as error:
                 self.log.event("store_history_lost", cause=str(error))
+                self._is_uninterrupted = False
                 revision = None
             except FeedUnavailable:
+                self._is_uninterrupted = False
                 self._is_watch_verified = False
             except StoreUnavailable as error:
+                self._is_uninterrupted = False
                 self._is_watch_verified = False
                 self._record_failure(error)
                 await asyncio.sleep(self._backoff.next_seconds())
@@ -134,8 +145,33 @@
     def _coalesce_seconds(self, changes: Sequence[Change]) -> float:
         if any(change.kind is RecordKind.INSTANCE for change in changes):
             return MEMBERSHIP_COALESCE_SECONDS
+        return self._max_coalesce_seconds
+
+    @property
+    def _max_coalesce_seconds(self) -> float:
         return min(self.change_bound_seconds * COALESCE_SHARE, MAX_COALESCE_SECONDS)
 
+    def _read_changes_from(self, *, is_feed: bool) -> None:
+        """Note whether changes come from a peer; a later source may be behind."""
+        if is_feed is not self._is_from_feed:
+            self._is_from_feed = is_feed
+            self._is_uninterrupted = False
+
+    def _record_followed(self, *, until_seconds: float) -> None:
+        """Record that all changes made until a monotonic time have been applied."""
+        self._followed_until_seconds = until_seconds
+        self._is_uninterrupted = True
+
+    @property
+    def _made_after_seconds(self) -> float:
+        """Return the monotonic time after which the changes were made that come now."""
+        if not self._is_uninterrupted:
+            return self._followed_until_seconds
+        delay_seconds = max(MEMBERSHIP_COALESCE_SECONDS, self._max_coalesce_seconds)
+        if self._is_from_feed:
+            delay_seconds += MAX_FEED_DELAY_SECONDS
+        return max(self._followed_until_seconds, self.loop.time() - delay_seconds)
+
     @property
     def _is_following(self) -> bool:
         """Whether calls to the store have not been failing for longer than a moment."""
@@ -156,6 +192,7 @@
         is_first = self.state.table is None and not self._was_stale_read
         self._was_stale_read = True
         sent_at = self.state.boot_seconds()
+        sent_at_seconds = self.loop.time()
         snapshot = await self.store.read_snapshot(may_be_stale=is_first)
         try:
             snapshot, is_current = await self._catch_up(snapshot, is_stale=is_first)
@@ -169,6 +206,8 @@
             raise
         self._record_response(snapshot.revision)
         self._apply_snapshot(snapshot)
+        if is_current:
+            self._record_followed(until_seconds=sent_at_seconds)
         if not is_first:
             self._confirm_members(sent_at)
         return snapshot.revision
@@ -248,6 +287,7 @@
         if not response.is_complete:
             changed_to = max(revision, response.revision)
             self._apply_changes(changed_to, response.changes)
+            self._record_followed(until_seconds=heard_at_seconds)
             return changed_to
         if response.era is not None:
             self.store.era.observe(response.era)
@@ -262,17 +302,20 @@
                 response.changes, revision=response.revision, era=response.era
             )
         )
+        self._record_followed(until_seconds=heard_at_seconds)
         return response.revision
 
     def _apply_snapshot(self, snapshot: StoreSnapshot) -> None:
         self._era = snapshot.era
         self._restored_at_seconds = None
-        self.state.apply_snapshot(snapshot)
+        self.state.apply_snapshot(snapshot, made_after_seconds=self._made_after_seconds)
         self.change_log.reset(snapshot.revision, era=snapshot.era)
 
     def _apply_changes(self, revision: int, changes: Sequence[Change]) -> None:
         if changes:
-            self.state.apply_changes(changes)
+            self.state.apply_changes(
+                changes, made_after_seconds=self._made_after_seconds
+            )
         self.change_log.append(revision, changes)
 
     def _confirm_members(self, as_of_seconds: float) -> None:
--- /dev/null
+++ b/tests/test_routing_last_use.py
@@ -0,0 +1,37 @@
+"""Tests of the last use of replicas that leave."""
+
+import math
+
+from hypothesis import given, strategies as st
+
+from bronzebeam.routing.last_use import (
+    DRAINING_GRACE_SECONDS,
+    SEND_MARGIN_SECONDS,
+    LastUsePolicy,
+    News,
+)
+
+POLICY = LastUsePolicy(drain_seconds=3.0)
+SECONDS = st.floats(min_value=0.0, max_value=1_000.0)
+
+
+@given(began_at=SECONDS, unknown_for=SECONDS, learnt_after=SECONDS)
+def test_no_grace_outlasts_the_time_for_which_replicas_serve_on(
+    began_at: float, unknown_for: float, learnt_after: float
+) -> None:
+    news = News(
+        learnt_at_seconds=began_at + learnt_after,
+        made_after_seconds=began_at - unknown_for,
+    )
+    for last_use in (POLICY.of_draining(news), POLICY.of_removed(news)):
+        assert last_use <= began_at + POLICY.drain_seconds - SEND_MARGIN_SECONDS
+
+
+def test_replica_whose_leaving_may_have_begun_at_any_time_gets_no_grace() -> None:
+    news = News(learnt_at_seconds=5.0)
+    assert POLICY.of_draining(news) == POLICY.of_removed(news) == -math.inf
+
+
+def test_news_without_delay_leave_the_whole_grace() -> None:
+    news = News(learnt_at_seconds=5.0, made_after_seconds=4.0)
+    assert POLICY.of_draining(news) == 5.0 + DRAINING_GRACE_SECONDS
