Count the grace of a removed replica from when it may have been removed

Cause: any removal seen within 4 s after this instance had lost the store counted as a registration that expired while the store was away, and gave 2.5 s from its own sight, to which the time until the news adds up.

Change: the grace for expired registrations ends 2.5 s after the store answers again, whenever the removal is seen; otherwise a removal gives 1.8 s, and no more than the platform's bound since the latest time at which it had not been made (routing/last_use). A removed replica is used only if its service has no registered one that may be used, so hedges no longer reach what was removed during a cut of this instance.

Tests of registrations that expired in an outage pass unchanged.

--- a/src/bronzebeam/gateway/replica_choice.py
+++ b/src/bronzebeam/gateway/replica_choice.py
@@ -103,10 +103,13 @@
     spreads_own_domain = not route.shards or MIN_SPREAD_REPLICAS <= sum(
         item.record.failure_domain == own_domain for item in replicas
     )
+    has_registered = False
     for replica in replicas:
-        if replica in excluded or not replica.is_usable(
-            now_seconds, ignore_limit=ignore_limit
-        ):
+        if not replica.is_usable(now_seconds, ignore_limit=ignore_limit):
+            continue
+        if replica.departure() is None:
+            has_registered = True
+        if replica in excluded:
             continue
         load = replica.load(now_seconds, own_domain, typical)
         estimate_ms = estimate_reply_ms(load, typical_ms=typical.typical_ms)
@@ -120,6 +123,10 @@
         if replica.cold is not None:
             score_ms += COLD_PENALTY_MS
         candidates.append((score_ms, estimate_ms, replica))
+    if has_registered:
+        # A removed replica may have been gone for long, unless all registrations of the
+        # service have expired while the store was away.
+        candidates = [item for item in candidates if item[2].removed_at_seconds is None]
     if not candidates:
         return None
     best_ms, estimate_ms, best = min(candidates, key=_score)
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -22,12 +22,7 @@
 from bronzebeam.gateway.replica_limits import ReplicaLimits
 from bronzebeam.gateway.replica_links import ReplicaLinks
 from bronzebeam.routing.connection_shares import share_connections
-from bronzebeam.routing.last_use import (
-    LAPSED_GRACE_SECONDS,
-    REMOVED_GRACE_SECONDS,
-    LastUsePolicy,
-    News,
-)
+from bronzebeam.routing.last_use import LastUsePolicy, News
 from bronzebeam.routing.older_copy import KnownState
 from bronzebeam.routing.replica_latency import TypicalLatency
 from bronzebeam.routing.replica_pause import RequestedPause
@@ -37,9 +32,6 @@
 from bronzebeam.transport.http_reply import ReplyMemory
 from bronzebeam.units import MS_PER_SECOND
 
-# Removals seen this soon after a store outage may be expired registrations of replicas
-# that are still running.
-STORE_RECOVERY_SECONDS: Final = 4.0
 DEFAULT_DRAIN_BOUND_SECONDS: Final = 3.0
 DEFAULT_CONNECTION_LIMIT: Final = 16  # for services missing in the configuration
 # Opening more at once would delay requests.
@@ -316,15 +308,11 @@
         replica = self._replicas.get(name)
         if replica is None or replica.removed_at_seconds is not None:
             return
-        now_seconds = self.loop.time()
-        may_be_running = (
-            now_seconds - self.store_recovered_at_seconds < STORE_RECOVERY_SECONDS
-        )
-        grace_seconds = (
-            LAPSED_GRACE_SECONDS if may_be_running else REMOVED_GRACE_SECONDS
+        news = self._news()
+        replica.removed_at_seconds = news.learnt_at_seconds
+        replica.removed_last_use_seconds = self.last_use.of_removed(
+            news, store_back_at_seconds=self.store_recovered_at_seconds
         )
-        replica.removed_at_seconds = now_seconds
-        replica.removed_last_use_seconds = now_seconds + grace_seconds
         replica.pool.closing = True
         self.log.event(
             "replica_gone",
--- a/src/bronzebeam/routing/last_use.py
+++ b/src/bronzebeam/routing/last_use.py
@@ -46,9 +46,15 @@
         """Return the monotonic time of the last use of a draining replica."""
         return self._bound(news, DRAINING_GRACE_SECONDS)
 
-    def of_removed(self, news: News) -> float:
-        """Return the monotonic time of the last use of a removed replica."""
-        return self._bound(news, REMOVED_GRACE_SECONDS)
+    def of_removed(self, news: News, *, store_back_at_seconds: float) -> float:
+        """
+        Return the monotonic time of the last use of a removed replica.
+
+        :param store_back_at_seconds: monotonic time at which the store answered this
+            instance again after its latest outage; minus infinity if there was none.
+        """
+        lapsed_until_seconds = store_back_at_seconds + LAPSED_GRACE_SECONDS
+        return max(self._bound(news, REMOVED_GRACE_SECONDS), lapsed_until_seconds)
 
     def _bound(self, news: News, grace_seconds: float) -> float:
         return min(
--- a/tests/test_gateway_withdrawn.py
+++ b/tests/test_gateway_withdrawn.py
@@ -189,6 +189,27 @@
     run_scenario(scenario)
 
 
+def test_replica_removed_during_a_cut_is_not_used_for_hedges() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        removed, other = replicas_of_service(cluster, BOOKING_SERVICE)
+        pair = frozenset((gateway.host, cluster.store.host))
+        cluster.loop.net.partitioned_pairs.add(pair)
+        await asyncio.sleep(1.0)
+        cluster.unregister(removed)
+        await asyncio.sleep(5.0)
+        cluster.loop.net.partitioned_pairs.discard(pair)
+        while not gateway.log_lines("replica_gone"):
+            await asyncio.sleep(0.05)
+        seen_at = cluster.loop.time()
+        other.work_seconds = 0.5
+        await send_reads(cluster, gateway, seconds=3.0)
+        assert other.runs
+        assert received_after(removed, seen_at) == 0
+
+    run_scenario(scenario)
+
+
 def test_requests_that_wait_for_a_connection_are_not_sent_to_a_leaving_replica() -> (
     None
 ):
