Send nothing that has waited past the last use of a leaving replica

What replicas saw: a request that was given to a draining or removed replica in time, but waited for a connection, reached it later than the platform's bound.

Cause: whether a replica may be used was decided when it was chosen, and not again when the request was sent; a request waits for a connection for up to its whole timeout. The class: a permission that has run out by the time of the act.

Change: the pool knows the last use of its server. What waits goes to other replicas as soon as the replica is known to leave, if one may be used, else at its last use; nothing is sent from the queue after it, also by a process whose timers are late. A removed replica no longer counts as a reason to move its own requests elsewhere.

--- a/src/bronzebeam/gateway/connection_pool.py
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -14,6 +14,7 @@
 from bronzebeam.units import MS_PER_SECOND
 
 UNREACHABLE: Final = "unreachable"
+LAST_USE_OVER: Final = "replica_left"
 CONNECT_TIMEOUT_SECONDS: Final = 0.4  # many round trips, but far less than a deadline
 # A server at its connection limit accepts a connection and closes it at once.
 MAX_REFUSAL_SECONDS: Final = 0.5
@@ -79,6 +80,8 @@
     :ivar closing: connections are closed as soon as they are idle.
     :ivar is_kept_open: connections that are missing are opened in the background, so
         that requests need not find out whether that succeeds.
+    :ivar last_use_seconds: monotonic time after which requests that still wait must not
+        be sent.
     :ivar reply_memory: shared with the pools of similar servers.
     :ivar link_times: shared with the pools of similar servers.
     :ivar idle: connections without a request in flight.
@@ -96,6 +99,7 @@
     max_connections: int = 2
     closing: bool = False
     is_kept_open: bool = False
+    last_use_seconds: float = math.inf
     reply_memory: ReplyMemory = field(factory=ReplyMemory)
     link_times: LinkTimes = field(factory=LinkTimes)
     idle: list[ClientConnection] = field(factory=list)
@@ -271,6 +275,7 @@
     def on_connection_idle(self, connection: ClientConnection) -> None:
         """Use a connection for the next request, or keep it in the pool."""
         self.busy.pop(connection, None)
+        self.fail_overdue()
         if self.closing and not self.waiting:
             connection.close()
             return
@@ -325,6 +330,11 @@
                 return pending
         return None
 
+    def fail_overdue(self) -> None:
+        """Give up the requests that wait, if the last use of the server is over."""
+        if self.waiting and self.loop.time() > self.last_use_seconds:
+            self.fail_waiting(LAST_USE_OVER)
+
     def fail_waiting(self, cause: str) -> None:
         """Give up the requests that are waiting for a connection now."""
         waiting, self.waiting = self.waiting, deque()
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -37,6 +37,7 @@
 # Opening more at once would delay requests.
 MAX_CONNECTIONS_OPENED_PER_RUN: Final = 64
 WARM_CONNECTIONS_WITHOUT_SHARD: Final = 1
+TIMER_MARGIN_SECONDS: Final = 0.01  # timers may fire that much early
 MAX_STOPPED_REPLICAS: Final = 4_096  # bounds the memory; the oldest are dropped
 # Peers are not asked for a service again for this long if they don't reach it either.
 UNREACHABLE_AT_PEERS_SECONDS: Final = 1.0
@@ -295,6 +296,18 @@
             )
             replica.draining_since_seconds = news.learnt_at_seconds
             replica.draining_last_use_seconds = self.last_use.of_draining(news)
+        self._limit_waiting(replica)
+
+    def _limit_waiting(self, replica: Replica) -> None:
+        """Send what waits for a leaving replica elsewhere, now or at its last use."""
+        replica.pool.last_use_seconds = replica.last_use_seconds
+        if replica.departure() is None:
+            return
+        self._send_waiting_elsewhere(replica, LEAVING)
+        self.loop.call_at(
+            max(replica.last_use_seconds, self.loop.time()) + TIMER_MARGIN_SECONDS,
+            replica.pool.fail_overdue,
+        )
 
     def _news(self) -> News:
         """Return the times of a change that is being applied."""
@@ -313,6 +326,7 @@
         replica.removed_last_use_seconds = self.last_use.of_removed(
             news, store_back_at_seconds=self.store_recovered_at_seconds
         )
+        self._limit_waiting(replica)
         replica.pool.closing = True
         self.log.event(
             "replica_gone",
@@ -362,7 +376,7 @@
                     service=other.record.service,
                     registered_as_leaving=other.record.leaving,
                 )
-                self._send_waiting_elsewhere(other, LEAVING)
+                self._limit_waiting(other)
 
     def announced_leaving(self, services: Collection[str]) -> list[LeavingReplica]:
         """Return the replicas of some services that have said that they stop."""
@@ -501,7 +515,7 @@
         """Move waiting requests to other replicas of the service, if there are any."""
         now_seconds = self.loop.time()
         if any(
-            not item.is_leaving and item.is_usable(now_seconds)
+            item.departure() is None and item.is_usable(now_seconds)
             for item in self._serving(replica.record.service)
         ):
             replica.pool.fail_waiting(cause)
