Check a waiting watch against the store's revision, never an older one

What replicas would see: requests for up to 2.4 s longer than the platform's bound, if the response to a watch is lost while its connection lives.

Cause: each two seconds a watch is checked against the store's revision, by a read that may be stale. One that is 3 s old shows a revision from before the change, so the watch passes for one that has nothing to bring. The class: an older view taken for proof.

Change: the check reads the present revision; it also counts as proof that all changes until then have been applied.

In large fleets only the instances that watch the store make these calls.

--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -254,7 +254,7 @@
         """
 
     async def latest_revision(self) -> int:
-        """Return the store's revision, possibly a few seconds out of date."""
+        """Return the store's revision; never an older one, which would show nothing."""
 
     async def register(self, *, record: InstanceRecord, ttl_seconds: float) -> Lease:
         """Write an instance's record under a new lease and return the lease."""
--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -344,9 +344,11 @@
                 if not self._is_watch_verified:
                     continue
                 sent_at = self.state.boot_seconds()
+                sent_at_seconds = self.loop.time()
                 latest = await self.store.latest_revision()
                 self._record_contact()
                 if latest <= revision:
+                    self._followed_until_seconds = sent_at_seconds
                     self._confirm_members(sent_at)
                     continue
                 done, _ = await asyncio.wait(
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -145,8 +145,8 @@
         return revision, list(self._decode_changes(events))
 
     async def latest_revision(self) -> int:
-        """Return the store's revision, possibly a few seconds out of date."""
-        query = f"pathPrefix={EMPTY_PREFIX}{STALE_READ}"
+        """Return the store's revision."""
+        query = f"pathPrefix={EMPTY_PREFIX}"
         return _int_field(
             _parse_object(await self._request("GET", f"/kv-range?{query}")),
             "atRevision",
