--- a/tests/soak_gateways.py
+++ b/tests/soak_gateways.py
@@ -246,7 +246,7 @@
         folder=folder,
         rng=random.Random(f"{seed}/rig"),
         shape=shape,
-        find_sender=lambda port: find_sender(rig.gateways, port),
+        find_sender=lambda *ports: find_sender(rig.gateways, *ports),
     )
     try:
         await rig.start()
--- a/tests/soak_leaving.py
+++ b/tests/soak_leaving.py
@@ -16,15 +16,19 @@
 LAPSE_SECONDS: Final = (2.0, 4.0)
 
 
-def find_sender(gateways: Iterable[SoakGateway], port: int) -> tuple[str, int] | None:
+def find_sender(
+    gateways: Iterable[SoakGateway], port: int, server_port: int
+) -> tuple[str, int] | None:
     """
     Return the process of a gateway that has opened a connection.
 
-    :param port: local port of the connection.
+    :param port: local port of the connection, which others may share.
+    :param server_port: port that it was opened to.
     """
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         columns = line.split()
-        if int(columns[1].rpartition(":")[2], 16) == port:
+        ports = [int(item.rpartition(":")[2], 16) for item in columns[1:3]]
+        if ports == [port, server_port]:
             name = f"socket:[{columns[9]}]"
             break
     else:
--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -45,6 +45,13 @@
 MAX_START_SECONDS = 30.0
 
 
+FindSender = Callable[[int, int], tuple[str, int] | None]
+
+
+def no_sender(port: int, server_port: int) -> None:
+    """Look up no process; see `soak_leaving.find_sender`."""
+
+
 class LocalNet:
     """Lets the stand-ins, which know a virtual network, reset real connections."""
 
@@ -78,12 +85,12 @@
     """
     A replica behind a link, which records what reaches it.
 
-    :ivar find_sender: returns the process that has opened a connection from a port.
+    :ivar find_sender: returns the process that has opened a connection between ports.
     """
 
     history: SoakHistory
     link: Link
-    find_sender: Callable[[int], tuple[str, int] | None] = lambda port: None
+    find_sender: FindSender = no_sender
     announces_leaving: bool = True
     server: Any = None
     _rows: dict[int, ArrivalRow] = field(factory=dict)
@@ -127,7 +134,7 @@
             has_key=any("secret-" in value for value in request.headers.values()),
         )
         if self.history.is_overdue(row):
-            row.sender = self.find_sender(request.connection.peer_port)
+            row.sender = self.find_sender(request.connection.peer_port, self.port)
         self.history.arrivals.append(row)
         self._rows[id(request)] = row
         super().handle(request)
@@ -206,7 +213,7 @@
     folder: Path
     rng: random.Random
     shape: SoakShape = SMALL
-    find_sender: Callable[[int], tuple[str, int] | None] = lambda port: None
+    find_sender: FindSender = no_sender
     history: SoakHistory = field(factory=SoakHistory)
     loop: SoakLoop = field(init=False)
     store: StandinStore = field(init=False)
