Let one odd record of the store cost itself alone

Cause: decoders raised more than their one exception: ValueError for digits beyond ASCII and for numbers of more than 4,300 digits, OverflowError for infinite ones, and AttributeError; ports, hosts, names and amounts were not bounded. The class: a decoder of what others write that is not total. Read and mended elsewhere: records of instances, suspects and configuration, values of the store, the change feed and its field types, delegations, relays, their results, readings of load, and the leaving replicas that peers name. Quota messages, pauses, limits and cold times were read and had no fault.

Change: decoding.py has the checks, and the exceptions that decoders turn into their own. Names that a header can't have name no replica. A pool treats an address that no socket can have as unreachable. A gauge counts the records that can't be read, and causes in the log are bounded.

--- a/src/bronzebeam/gateway/change_codec.py
+++ b/src/bronzebeam/gateway/change_codec.py
@@ -7,6 +7,7 @@
 import orjson
 from attrs import Attribute, AttrsInstance, asdict, fields_dict, frozen
 
+from bronzebeam.decoding import DECODE_ERRORS
 from bronzebeam.gateway.records import (
     LOCAL,
     Change,
@@ -27,7 +28,15 @@
 )
 
 RecordT = TypeVar("RecordT", bound=AttrsInstance)
+ValueT = TypeVar("ValueT")
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024  # memory for one decompressed response
+# Types of decoded JSON, by the type of the record's field.
+ACCEPTED_TYPES: Final[dict[Any, tuple[type, ...]]] = {
+    str: (str,),
+    int: (int,),
+    float: (float, int),
+    bool: (bool,),
+}
 RECORD_TYPES: Final = {
     RecordKind.REPLICA: ReplicaRecord,
     RecordKind.INSTANCE: InstanceRecord,
@@ -139,7 +148,7 @@
             ),
             omitted=PASSED_ON - frozenset(map(str, document.get("passed_on", ()))),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedFeedResponse(repr(error)) from error
 
 
@@ -198,12 +207,18 @@
         value = _decode_table(fields)
     elif fields is not None:
         value = _decode_record(RECORD_TYPES[kind], fields)
-    return Change(kind=kind, name=item["name"], value=value)
+    return Change(kind=kind, name=_decode_as(str, item["name"]), value=value)
+
+
+def _decode_as(expected: type[ValueT], value: Any) -> ValueT:
+    if type(value) is not expected:
+        raise TypeError(f"a {type(value)} in place of a {expected}")
+    return value
 
 
 def _decode_table(fields: dict[str, Any]) -> RouteTable:
     return RouteTable(
-        version=fields["version"],
+        version=_decode_as(int, fields["version"]),
         routes=tuple(_decode_route(item) for item in fields["routes"]),
         services={
             item["name"]: _decode_record(BackendService, item)
@@ -241,8 +256,15 @@
 
 
 def _decode_record(record_type: type[RecordT], fields: dict[str, Any]) -> RecordT:
-    """Return a record without the fields that only later builds know."""
+    """
+    Return a record without the fields that only later builds know.
+
+    :raises TypeError: if a field is of another type than the record's.
+    """
     known = fields_dict(record_type)
-    return record_type(
-        **{name: value for name, value in fields.items() if name in known}
-    )
+    values = {name: value for name, value in fields.items() if name in known}
+    for name, value in values.items():
+        accepted = ACCEPTED_TYPES.get(known[name].type)
+        if accepted is not None and type(value) not in accepted:
+            raise TypeError(f"{name} of {record_type.__name__} is a {type(value)}")
+    return record_type(**values)
--- a/src/bronzebeam/gateway/connection_pool.py
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -348,7 +348,8 @@
                 connection = await self.connect(
                     host=self.host, port=self.port, owner=self
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two are of an address that no socket can have.
             self._opening -= 1
             self._failed_at_seconds = self.loop.time()
             self.link_times.failed_at_seconds = self._failed_at_seconds
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -356,6 +356,7 @@
             self.metrics.set_replica_counts(
                 connected=connected, unconnected=known - connected
             )
+            self.metrics.set_malformed(self._store.malformed_count)
             self.metrics.set_evacuated(self._state.evacuations.counts())
             text = self.metrics.registry.render(now_seconds=self._loop.time())
             request.respond(
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -35,6 +35,7 @@
     _cold_sends: MetricFamily[Counter] = field(init=False)
     _leaving_sends: MetricFamily[Counter] = field(init=False)
     _replicas: MetricFamily[Gauge] = field(init=False)
+    _malformed: MetricFamily[Gauge] = field(init=False)
     _evacuated: MetricFamily[Gauge] = field(init=False)
     _evacuated_domains: frozenset[str] = frozenset()
     _waiting: MetricFamily[Gauge] = field(init=False)
@@ -100,6 +101,10 @@
             help_text="Known replicas, by whether a connection to them is open.",
             label_names=("connected",),
         )
+        self._malformed = self.registry.gauge(
+            name="bronzebeam_gateway_malformed_records_count",
+            help_text="Records of the store that can't be read and are ignored.",
+        )
         self.quotas = QuotaMetrics(registry=self.registry)
         self._evacuated = self.registry.gauge(
             name="bronzebeam_gateway_evacuated_domain_count",
@@ -159,6 +164,10 @@
         self._replicas.labels(connected="true").set(connected)
         self._replicas.labels(connected="false").set(unconnected)
 
+    def set_malformed(self, count: int) -> None:
+        """Set the number of records in the store that can't be read."""
+        self._malformed.labels().set(count)
+
     def set_evacuated(self, counts: Mapping[str, DomainCounts]) -> None:
         """
         Set the figures of the evacuated failure domains.
--- a/src/bronzebeam/gateway/load_codec.py
+++ b/src/bronzebeam/gateway/load_codec.py
@@ -6,6 +6,7 @@
 import orjson
 from attrs import frozen
 
+from bronzebeam.decoding import DECODE_ERRORS
 from bronzebeam.gateway.peer_codec import MalformedDelegation
 from bronzebeam.routing.reported_load import (
     MAX_AGE_SECONDS,
@@ -75,7 +76,7 @@
     """
     try:
         readings = [_read(item, now_seconds) for item in orjson.loads(value)]
-    except (OverflowError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedDelegation(str(error)) from error
     return [item for item in readings[:MAX_READINGS] if item is not None]
 
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -11,6 +11,7 @@
 import orjson
 from attrs import astuple, field, frozen, validators
 
+from bronzebeam.decoding import DECODE_ERRORS
 from bronzebeam.transport.http_reply import Headers
 
 DELEGATION_HEADER: Final = b"bb-gather"
@@ -34,6 +35,7 @@
 )
 LEAVING_SEPARATOR: Final = b","
 START_SEPARATOR: Final = b"@"
+MAX_TIME_DIGITS: Final = 20  # of milliseconds
 NOT_RUN_STATUS: Final = 503  # the peer has sent the request to no replica
 REJECTED_STATUS: Final = 400  # the peer can't read the request
 REGIONS_DECLINED: Final = "peer_declines_regions"  # it is of an earlier build
@@ -150,7 +152,8 @@
     replicas = []
     for item in value.split(LEAVING_SEPARATOR):
         name, _, started_at = item.rpartition(START_SEPARATOR)
-        if name and started_at.isdigit():
+        is_time = started_at.isdigit() and len(started_at) <= MAX_TIME_DIGITS
+        if name and is_time:
             replicas.append(
                 LeavingReplica(
                     replica=name.decode("latin-1"), started_at_ms=int(started_at)
@@ -207,7 +210,7 @@
             repeated=repeated,
             regions=regions,
         )
-    except (TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedDelegation(str(error)) from error
 
 
@@ -259,7 +262,7 @@
             target_latency_ms=target_latency_ms,
             regions=regions,
         )
-    except (TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedDelegation(str(error)) from error
 
 
@@ -280,7 +283,7 @@
             replica=replica,
             started_at_ms=started_at_ms,
         )
-    except (TypeError, ValueError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/bronzebeam/gateway/records.py
+++ b/src/bronzebeam/gateway/records.py
@@ -232,6 +232,10 @@
 
     era: StoreEra
 
+    @property
+    def malformed_count(self) -> int:
+        """Return the number of records known to be in the store that can't be read."""
+
     async def read_snapshot(self, *, may_be_stale: bool = False) -> StoreSnapshot:
         """
         Read all records.
--- a/src/bronzebeam/platform/configuration.py
+++ b/src/bronzebeam/platform/configuration.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from bronzebeam.decoding import DECODE_ERRORS, read_name
 from bronzebeam.routing.accounts import Account, digest_key
 from bronzebeam.routing.routes import (
     BackendService,
@@ -37,7 +38,7 @@
             routes=tuple(_parse_routes(document["routes"])),
             services={
                 item["name"]: BackendService(
-                    name=item["name"],
+                    name=read_name(item["name"]),
                     connection_limit=int(item.get("connectionLimit") or 0),
                     cold_start_seconds=_amount(item, "coldStartS"),
                     cold_rate_per_second=_amount(item, "coldPerS"),
@@ -47,7 +48,7 @@
             limits=_parse_limits(document.get("limits") or {}),
             accounts=tuple(map(_parse_account, _list(document, "tenants"))),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedRecord(f"configuration: {error!r}") from error
 
 
@@ -57,15 +58,18 @@
         destinations: tuple[WeightedService, ...] = ()
         if split:
             destinations = tuple(
-                WeightedService(service=part["service"], weight=float(part["weight"]))
+                WeightedService(
+                    service=read_name(part["service"]), weight=float(part["weight"])
+                )
                 for part in split
             )
         elif item.get("service"):
-            destinations = (WeightedService(service=item["service"], weight=1.0),)
+            service = read_name(item["service"])
+            destinations = (WeightedService(service=service, weight=1.0),)
         timeout_ms = float(item.get("timeoutMs") or DEFAULT_TIMEOUT_MS)
         yield Route(
-            name=item["name"],
-            host=item["host"],
+            name=read_name(item["name"]),
+            host=read_name(item["host"]),
             path_prefix=item["pathPrefix"].encode(),
             idempotent=item.get("routeKind") == IDEMPOTENT_KIND,
             timeout_ms=timeout_ms,
@@ -74,7 +78,7 @@
             priority=int(item.get("priority") or 0),
             destinations=destinations,
             # Each of these services is one shard of a search index.
-            shards=tuple(item.get("fanoutServices") or ()),
+            shards=tuple(map(read_name, item.get("fanoutServices") or ())),
             top_records=int(item.get("topK") or 0),
             least_shard_share=float(item.get("minShardFraction") or 0.0),
             is_public=_flag(item, "public"),
--- a/src/bronzebeam/platform/instance_codec.py
+++ b/src/bronzebeam/platform/instance_codec.py
@@ -1,10 +1,21 @@
 """Encodes and decodes the records that instances write to the store."""
 
+from typing import Final
+
 import orjson
 
+from bronzebeam.decoding import (
+    DECODE_ERRORS,
+    read_amount,
+    read_host,
+    read_name,
+    read_port,
+)
 from bronzebeam.gateway.records import InstanceRecord
 from bronzebeam.platform.configuration import MalformedRecord
 
+MIN_CORES: Final = 0.1  # greater than 0, since work is divided by it
+
 
 def encode_instance(record: InstanceRecord) -> bytes:
     """Encode the record of an instance."""
@@ -28,12 +39,12 @@
     try:
         item = orjson.loads(value)
         return InstanceRecord(
-            instance=instance,
-            failure_domain=str(item["failure_domain"]),
-            host=str(item["host"]),
-            port=int(item["port"]),
-            processor_cores=max(0.1, float(item["processor_cores"])),
+            instance=read_name(instance),
+            failure_domain=read_name(item["failure_domain"]),
+            host=read_host(item["host"]) if item["host"] else "",
+            port=read_port(item["port"]) if item["host"] else 0,
+            processor_cores=max(MIN_CORES, read_amount(item["processor_cores"])),
             reaches_replicas=bool(item.get("reaches_replicas", True)),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedRecord(f"instance: {error!r}") from error
--- a/src/bronzebeam/platform/replica_codec.py
+++ b/src/bronzebeam/platform/replica_codec.py
@@ -4,11 +4,22 @@
 
 import orjson
 
+from bronzebeam.decoding import (
+    DECODE_ERRORS,
+    read_amount,
+    read_header_text,
+    read_host_and_port,
+    read_name,
+)
 from bronzebeam.gateway.records import ReplicaRecord
 from bronzebeam.platform.configuration import MalformedRecord
+from bronzebeam.routing.cold_limits import MAX_COLD_SECONDS
+from bronzebeam.units import MS_PER_SECOND
 
 READY: Final = "ready"
 DRAINING: Final = "draining"
+MAX_SLOTS: Final = 1_000_000  # no replica has as many
+MAX_COLD_MS: Final = MAX_COLD_SECONDS * MS_PER_SECOND
 
 
 def decode_replica(
@@ -24,35 +35,28 @@
     """
     try:
         item = orjson.loads(value)
-    except ValueError as error:
-        raise MalformedRecord(f"the record is not valid JSON: {error}") from error
-    if not isinstance(item, dict):
-        raise MalformedRecord("the record is not a JSON object")
-    state = item.get("state")
-    if state not in (READY, DRAINING):
-        raise MalformedRecord(f"unknown state {state!r}")
-    host, _, port = _text_field(item, "address").rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise MalformedRecord("address is not an IP address with a port")
-    slots = item.get("slots")
-    if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
-        raise MalformedRecord("slots is not a positive integer")
-    cold_ms = item.get("coldRemainingMs", 0)
-    if not isinstance(cold_ms, (int, float)) or isinstance(cold_ms, bool):
-        raise MalformedRecord("coldRemainingMs is not a number")
-    return ReplicaRecord(
-        replica=replica,
-        service=_text_field(item, "service"),
-        host=host,
-        port=int(port),
-        failure_domain=_text_field(item, "zone"),
-        slots=slots,
-        leaving=state == DRAINING,
-        cold_ms=max(0.0, float(cold_ms)),
-        started_at_ms=_count_field(item, "born"),
-        sequence=_count_field(item, "sequence"),
-        is_first=is_first,
-    )
+        state = item.get("state")
+        if state not in (READY, DRAINING):
+            raise MalformedRecord("unknown state")
+        host, port = read_host_and_port(item["address"])
+        slots = item["slots"]
+        if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
+            raise MalformedRecord("slots is not a positive integer")
+        return ReplicaRecord(
+            replica=read_header_text(replica),
+            service=read_name(item["service"]),
+            host=host,
+            port=port,
+            failure_domain=read_name(item["zone"]),
+            slots=min(slots, MAX_SLOTS),
+            leaving=state == DRAINING,
+            cold_ms=min(read_amount(item.get("coldRemainingMs", 0)), MAX_COLD_MS),
+            started_at_ms=_count_field(item, "born"),
+            sequence=_count_field(item, "sequence"),
+            is_first=is_first,
+        )
+    except DECODE_ERRORS as error:
+        raise MalformedRecord(f"replica: {error!r}") from error
 
 
 def _count_field(item: dict[str, Any], name: str) -> int:
@@ -61,10 +65,3 @@
     if not isinstance(value, int) or isinstance(value, bool):
         return 0
     return max(0, value)
-
-
-def _text_field(item: dict[str, Any], name: str) -> str:
-    value = item.get(name)
-    if not isinstance(value, str) or not value:
-        raise MalformedRecord(f"{name} is not a non-empty string")
-    return value
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -1,13 +1,13 @@
 """Client of the platform's key-value store."""
 
 import base64
-import binascii
 from collections.abc import Iterable, Sequence
 from typing import Any, Final
 
 import orjson
 from attrs import define, evolve, field
 
+from bronzebeam.decoding import DECODE_ERRORS
 from bronzebeam.gateway.records import (
     Change,
     EvacuationRecord,
@@ -54,6 +54,7 @@
 OK: Final = 200
 GONE: Final = 410
 NOT_FOUND: Final = 404
+MAX_LOGGED_CAUSE_CHARACTERS: Final = 200
 MAX_PUTS: Final = 32  # limit of the store for one transaction
 # Header of each response; rises by one when the store returns from an older copy.
 ERA_HEADER: Final = b"store-era"
@@ -238,6 +239,11 @@
             "DELETE", f"/kv-lease-end/{lease.number}", accepted=(OK, NOT_FOUND)
         )
 
+    @property
+    def malformed_count(self) -> int:
+        """Return the number of records known to be in the store that can't be read."""
+        return len(self._malformed_keys)
+
     def set_address(self, address: SocketAddress) -> None:
         """Use another address for all further calls."""
         self.client.host, self.client.port = address.address, address.port
@@ -308,7 +314,8 @@
     def _log_malformed(self, key: str, error: MalformedRecord) -> None:
         if key not in self._malformed_keys:
             self._malformed_keys.add(key)
-            self.log.event("malformed_record_ignored", key=key, cause=str(error))
+            cause = str(error)[:MAX_LOGGED_CAUSE_CHARACTERS]
+            self.log.event("malformed_record_ignored", key=key, cause=cause)
 
 
 def decode_change(key: str, item: dict[str, Any]) -> Change | None:
@@ -403,7 +410,7 @@
 def _decode_value(item: dict[str, Any]) -> bytes:
     try:
         return base64.b64decode(item["value"], validate=True)
-    except (KeyError, TypeError, binascii.Error) as error:
+    except DECODE_ERRORS as error:
         raise MalformedRecord(f"value: {error!r}") from error
 
 
--- a/src/bronzebeam/platform/suspect_codec.py
+++ b/src/bronzebeam/platform/suspect_codec.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from bronzebeam.decoding import DECODE_ERRORS
 from bronzebeam.gateway.records import SuspectRecord
 from bronzebeam.platform.configuration import MalformedRecord
 from bronzebeam.platform.constants import SUSPECT_PREFIX
@@ -30,7 +31,7 @@
     suspect, _, instance = name.partition(SEPARATOR)
     try:
         losses = int(orjson.loads(value)["losses"])
-    except (KeyError, TypeError, ValueError, OverflowError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedRecord(f"suspect: {error!r}") from error
     if not suspect or not instance or not 0 <= losses <= MAX_REPORTED_LOSSES:
         raise MalformedRecord(
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -157,6 +157,49 @@
     run_scenario(scenario)
 
 
+def test_odd_entries_of_another_writer_cost_themselves_alone() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first = await start_small_cluster(cluster)
+        record = cluster.replicas["i-1"].store_record()
+        deep = b"[" * 50_000 + b"]" * 50_000
+        odd: dict[str, object] = {
+            "servers/deep": deep,
+            "servers/deep-field": {**record, "zone": [[[[["z"]]]]]},
+            "servers/number": b'{"slots": 1e999, "coldRemainingMs": 1e999}',
+            "servers/cold": {**record, "coldRemainingMs": 1e308},
+            "servers/born": {**record, "born": 2**64 - 1},
+            "servers/digits": {**record, "address": "10.1.0.1:" + "1" * 5_000},
+            "servers/superscript": {**record, "address": "10.1.0.1:808\u00b2"},
+            "servers/range": {**record, "address": "10.1.0.1:65536"},
+            "servers/host": {**record, "address": "10..0.9:8080"},
+            "servers/long": {**record, "service": "s" * 500_000},
+            "servers/a\r\nx: y": record,
+            "instances/port": b'{"failure_domain": "zone-a", "host": "10.9.0.9",'
+            b' "port": 99999, "processor_cores": 1}',
+            "instances/cores": b'{"failure_domain": "zone-a", "host": "10.9.0.9",'
+            b' "port": 7380, "processor_cores": 1e999}',
+        }
+        for key, value in odd.items():
+            cluster.store.put(key, value)
+        cluster.configure(make_route("r-new", "/new/", service=BOOKING_SERVICE))
+        await asyncio.sleep(MAX_APPLY_SECONDS)
+        second = cluster.start_gateway("g-2")
+        await asyncio.sleep(SETTLE_SECONDS)
+        for gateway in (first, second):
+            assert active_version(gateway) == cluster.version
+            assert await cluster.is_ready(gateway)
+            assert not gateway.log_lines("task_failed")
+            for _ in range(10):
+                response = await cluster.send_request(gateway, "/new/x")
+                assert response is not None and response.status == 200
+            lines = gateway.log_lines("malformed_record_ignored")
+            assert 10 <= len(lines) <= len(odd) and max(map(len, lines)) < 1_000
+            text = gateway.gateway.metrics.registry.render(now_seconds=0.0)
+            assert "bronzebeam_gateway_malformed_records_count" in text
+
+    run_scenario(scenario)
+
+
 def test_replica_whose_record_becomes_malformed_is_no_longer_used() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_small_cluster(cluster)
