Answer or refuse every request that was read before a planned exit

Cause: the stop had no end for requests. They were accepted as always until the process exited, whatever time was left, and each answer closed its connection, whatever had been read behind it. The class: a process hands over, or ends, with work that it has accepted.

What will probably not be answered before the last answers leave is refused at once with 503 and Retry-After; deadlines and cut-offs end with them; then listeners close, and what is left is answered: searches with what is in, 503 for what was sent to nobody, 504 else. Requests read behind the current one, and bodies that still come, keep the connection.

Evidence: seven tests, one for each row, fail on the commit before.

Two faults of the tests were mended: in the virtual network a close could overtake the data before it, since timers that are due together run in any order; and test_request_in_flight_at_sigterm_is_answered sent a request 2.9 s after the stop to a process that had exited, whose listener the virtual network kept. It now sends it at 2.7 s, and expects the same answers.

--- a/src/bronzebeam/gateway/competing_admission.py
+++ b/src/bronzebeam/gateway/competing_admission.py
@@ -13,13 +13,14 @@
 from bronzebeam.gateway.admission import AdmissionPermit
 from bronzebeam.gateway.admission_groups import RouteGroup, group_routes, urgency_of
 from bronzebeam.gateway.context import GatewayContext
-from bronzebeam.gateway.outcome import Outcome, answer_no_room
+from bronzebeam.gateway.outcome import Outcome, answer_failure, answer_no_room
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.routing.accounts import Account
 from bronzebeam.routing.admission import AdmissionStep, Rejection
 from bronzebeam.routing.fan_out_timing import MIN_TARGET_FACTOR
 from bronzebeam.routing.routes import Route, RouteTable
 from bronzebeam.routing.shared_admission import Demand, ForeseenStep, SharedAdmission
+from bronzebeam.transport.caller_request import STOPPING
 from bronzebeam.units import MS_PER_SECOND
 
 SLOTS_INTERVAL_SECONDS: Final = 1.0  # replicas and instances come and go
@@ -101,6 +102,7 @@
         item = _Waiting(routed=routed, start=start, demand=demand)
         self._waiting[demand.request_id] = item
         routed.request.on_disconnect = lambda: self._on_disconnect(demand.request_id)
+        routed.request.on_stop = lambda: self._on_stop(demand.request_id)
         self._apply(self.admission.submit(demand, now_seconds=now_seconds))
         if demand.request_id in self._waiting:
             item.is_counted = True
@@ -167,6 +169,13 @@
             self.context, item.routed, status=None, good=False
         )
 
+    def _on_stop(self, request_id: str) -> None:
+        """Refuse a request that waits, since the process is about to exit."""
+        item = self._remove(request_id)
+        self.admission.cancel(request_id)
+        outcome = Outcome(attempts=(), cause=STOPPING)
+        answer_failure(self.context, item.routed, status=503, outcome=outcome)
+
     def _remove(self, request_id: str) -> _Waiting:
         item = self._waiting.pop(request_id)
         item.routed.request.on_disconnect = None
--- a/src/bronzebeam/gateway/context.py
+++ b/src/bronzebeam/gateway/context.py
@@ -1,6 +1,7 @@
 """Objects shared by all request handlers of a gateway process."""
 
 import asyncio
+import math
 import random
 
 from attrs import define, field
@@ -19,6 +20,8 @@
     The shared objects, passed to every request handler.
 
     :ivar link_bits_per_second: see `GatewaySettings`.
+    :ivar answer_by_seconds: monotonic time by which the last answers have to leave;
+        infinite unless the process has been asked to stop.
     :ivar delays: what fan-outs allow for around their cut-off.
     """
 
@@ -30,4 +33,5 @@
     rng: random.Random
     suspect_reporter: SuspectReporter
     link_bits_per_second: float
+    answer_by_seconds: float = math.inf
     delays: FanOutDelays = field(factory=FanOutDelays)
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -129,6 +129,8 @@
     _store: GatewayStore = field(init=False)
     _loaded_settings_version: int = 0
     _ticks: int = 0
+    _listeners: list[asyncio.AbstractServer] = field(factory=list, init=False)
+    _context: GatewayContext = field(init=False)
 
     async def run(self) -> int:
         """Serve until a graceful shutdown is complete; return the exit code."""
@@ -195,6 +197,8 @@
         await self._stop_requested.wait()
         shutdown = GracefulShutdown(
             servers=(self._caller_server, self._peer_server),
+            listeners=self._listeners,
+            set_answer_by=self._set_answer_by,
             loop=loop,
             log=self.log,
             timeout_seconds=self.settings.stop_bound_seconds,
@@ -211,6 +215,9 @@
         self.log.flush()
         return exit_code
 
+    def _set_answer_by(self, answer_by_seconds: float) -> None:
+        self._context.answer_by_seconds = answer_by_seconds
+
     def _instance_record(self) -> InstanceRecord:
         settings = self.settings
         listen = settings.peer_listen
@@ -247,7 +254,7 @@
             log=self.log,
             rng=self.rng,
         )
-        context = GatewayContext(
+        self._context = context = GatewayContext(
             state=self._state,
             header_codec=self.header_codec,
             loop=loop,
@@ -309,11 +316,12 @@
     async def _listen(self) -> None:
         settings = self.settings
         if self.caller_socket is not None:
-            await self._loop.create_server(
+            listener = await self._loop.create_server(
                 self._caller_server.new_connection,
                 sock=self.caller_socket,
                 backlog=LISTEN_BACKLOG,
             )
+            self._listeners.append(listener)
         else:
             await self._start_server(self._caller_server, settings.caller_listen)
         if settings.ready_listen is not None:
@@ -322,9 +330,10 @@
             await self._start_server(self._peer_server, settings.peer_listen)
 
     async def _start_server(self, server: CallerServer, listen: SocketAddress) -> None:
-        await self._loop.create_server(
+        listener = await self._loop.create_server(
             server.new_connection, listen.address, listen.port, backlog=LISTEN_BACKLOG
         )
+        self._listeners.append(listener)
 
     def _handle_peer_request(self, request: HttpRequest) -> None:
         if request.header(DELEGATION_HEADER):
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -88,6 +88,7 @@
         routed = self.routed
         loop = self.context.loop
         routed.request.on_disconnect = self._on_caller_disconnected
+        routed.request.on_stop = self._on_stop
         self._cutoff_at_seconds = routed.target_at_seconds
         if self.may_delegate:
             self._cutoff_at_seconds = partial_answer_at_seconds(
@@ -514,6 +515,12 @@
         if not self._done:
             self._fail(cause="deadline_passed", status=TIMEOUT_STATUS)
 
+    def _on_stop(self) -> None:
+        """Answer with the shards that are in, since the process is about to exit."""
+        self._cutoff_reached = True
+        self._answer_if_complete()
+        self._on_deadline()
+
     def _on_caller_disconnected(self) -> None:
         if self._done:
             return
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -71,6 +71,7 @@
         loop = self.context.loop
         routed = self.routed
         routed.request.on_disconnect = self._on_caller_disconnected
+        routed.request.on_stop = self._on_deadline
         self.context.state.repeat_budget(self.service).record_first_attempts(
             loop.time()
         )
--- a/src/bronzebeam/gateway/graceful_shutdown.py
+++ b/src/bronzebeam/gateway/graceful_shutdown.py
@@ -1,7 +1,7 @@
 """Graceful shutdown of a gateway: completes the requests that it has accepted."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from attrs import define
@@ -16,6 +16,8 @@
 CLOSE_INTERVAL_SECONDS: Final = 0.1
 MIN_IDLE_SECONDS: Final = 0.3  # time for a request in transit to arrive
 KILL_MARGIN_SECONDS: Final = 0.4  # exit this long before the process would be killed
+FINAL_ANSWERS_SECONDS: Final = 0.2  # for the last answers to be sent
+FINAL_CHECK_SECONDS: Final = 0.02
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -25,15 +27,21 @@
 
     From the start the readiness check fails and responses carry `Connection: close`.
     The process keeps serving while the load balancer still routes callers to it, then
-    closes idle connections and exits once no connection is left.
+    closes idle connections and exits once no connection is left. Requests that could
+    not be answered before are refused; see docs/design/stops.md.
 
+    :ivar listeners: accept connections for the servers.
     :ivar timeout_seconds: time until the process is killed.
+    :ivar set_answer_by: called with the monotonic time by which the last answers have
+        to leave.
     """
 
     servers: Sequence[CallerServer]
+    listeners: Sequence[asyncio.AbstractServer]
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
     timeout_seconds: float
+    set_answer_by: Callable[[float], None]
 
     async def run(self) -> int:
         """
@@ -46,11 +54,14 @@
             server.closing = True
         self.log.event("stop_started", in_flight=self._in_flight())
         deadline = started_at + self.timeout_seconds - KILL_MARGIN_SECONDS
+        answer_by = deadline - FINAL_ANSWERS_SECONDS
+        self.set_answer_by(answer_by)
         await asyncio.sleep(min(LOAD_BALANCER_DELAY_SECONDS, self.timeout_seconds / 2))
-        while self._has_connections() and self.loop.time() < deadline:
+        while self._has_connections() and self.loop.time() < answer_by:
             for server in self.servers:
                 server.close_idle(min_idle_seconds=MIN_IDLE_SECONDS)
             await asyncio.sleep(CLOSE_INTERVAL_SECONDS)
+        await self._answer_the_last(deadline)
         cut_off = self._in_flight()
         self.log.event(
             "stop_ended",
@@ -59,6 +70,16 @@
         )
         return 1 if cut_off else 0
 
+    async def _answer_the_last(self, deadline_seconds: float) -> None:
+        """Accept no more connections, and answer what is left."""
+        for listener in self.listeners:
+            listener.close()
+        while self._has_connections() and self.loop.time() < deadline_seconds:
+            for server in self.servers:
+                server.end_requests()
+                server.close_idle(min_idle_seconds=0.0)
+            await asyncio.sleep(FINAL_CHECK_SECONDS)
+
     def _in_flight(self) -> int:
         return sum(server.in_flight for server in self.servers)
 
--- a/src/bronzebeam/gateway/peer_request.py
+++ b/src/bronzebeam/gateway/peer_request.py
@@ -47,13 +47,14 @@
         reject_peer_request(context, request, cause="no remaining time")
         return None
     arrived_at = request.arrived_at_seconds
+    answer_by = context.answer_by_seconds
     return RoutedRequest(
         request=request,
         metadata=metadata,
         route=make_route(remaining_ms),
         version=0,
-        deadline_at_seconds=arrived_at + remaining_ms / MS_PER_SECOND,
-        target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
+        deadline_at_seconds=min(arrived_at + remaining_ms / MS_PER_SECOND, answer_by),
+        target_at_seconds=min(arrived_at + target_ms / MS_PER_SECOND, answer_by),
         head=context.header_codec.request_head(
             request, account=_account_name(context, metadata)
         ),
--- a/src/bronzebeam/gateway/quota_gate.py
+++ b/src/bronzebeam/gateway/quota_gate.py
@@ -8,7 +8,7 @@
 
 from bronzebeam.gateway.account_queue import GrantedBy, QuotaRefusal, TokenRequest
 from bronzebeam.gateway.context import GatewayContext
-from bronzebeam.gateway.outcome import RETRY_AFTER
+from bronzebeam.gateway.outcome import RETRY_AFTER, Outcome, answer_failure
 from bronzebeam.gateway.quota_asker import QuotaAsker
 from bronzebeam.gateway.quota_introduction import KNOWN, UNKNOWN
 from bronzebeam.gateway.quota_message import (
@@ -20,7 +20,7 @@
 from bronzebeam.gateway.routed_request import RoutedRequest
 from bronzebeam.routing.accounts import Account
 from bronzebeam.telemetry.decisions import LineRateLimiter
-from bronzebeam.transport.caller_request import HttpRequest
+from bronzebeam.transport.caller_request import STOPPING, HttpRequest
 from bronzebeam.units import MS_PER_SECOND
 
 QUOTA_EXCEEDED: Final = "quota_exceeded"
@@ -67,6 +67,7 @@
         routed.request.on_disconnect = partial(
             self._on_disconnected, routed, token_request
         )
+        routed.request.on_stop = partial(self._on_stop, routed, token_request)
         self.asker.request(account, token_request)
 
     def handle_message(self, request: HttpRequest) -> None:
@@ -149,6 +150,12 @@
         token_request.cancelled = True
         self.context.metrics.count_caller_disconnect(routed.route)
 
+    def _on_stop(self, routed: RoutedRequest, token_request: TokenRequest) -> None:
+        """Refuse a request that waits, since the process is about to exit."""
+        token_request.cancelled = True
+        outcome = Outcome(attempts=(), cause=STOPPING)
+        answer_failure(self.context, routed, status=503, outcome=outcome)
+
     def _metric_name(self, account: Account) -> str:
         table = self.context.state.table
         if table is not None and table.version != self._named_version:
--- a/src/bronzebeam/gateway/relay_handler.py
+++ b/src/bronzebeam/gateway/relay_handler.py
@@ -75,6 +75,7 @@
     def start(self) -> None:
         """Send the request to a replica."""
         self.routed.request.on_disconnect = self._on_peer_disconnected
+        self.routed.request.on_stop = self._on_deadline
         self._timer = self.context.loop.call_at(
             self.routed.deadline_at_seconds, self._on_deadline
         )
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -1,5 +1,6 @@
 """Routing of callers' requests."""
 
+import math
 from functools import partial
 from typing import Final
 
@@ -24,7 +25,8 @@
 from bronzebeam.routing.regions import combine_regions
 from bronzebeam.routing.retry_delay import retry_after_seconds
 from bronzebeam.routing.routes import Route, RouteTable
-from bronzebeam.transport.caller_request import HttpRequest
+from bronzebeam.routing.stop_timing import can_be_answered
+from bronzebeam.transport.caller_request import STOPPING, HttpRequest
 from bronzebeam.transport.http_reply import Headers
 from bronzebeam.units import MS_PER_SECOND
 
@@ -89,6 +91,9 @@
             self._reject(request, 503, "quarantined", return_seconds=QUARANTINE_SECONDS)
             return
         routed = self._routed_request(request, metadata, table, route, account)
+        if self._is_too_late(routed, metadata):
+            self._refuse_at_stop(routed)
+            return
         if account is not None and account.is_limited:
             self.quotas.admit(routed, account, lambda: self._start(routed, table))
         else:
@@ -98,7 +103,7 @@
         """Handle the requests that were queued until the first configuration."""
         queued, self._queued = self._queued, []
         for request in queued:
-            if not request.disconnected:
+            if not request.disconnected and not request.responded:
                 self.handle(request)
 
     def _routed_request(
@@ -127,14 +132,15 @@
         )
         target_ms = to_target_ms(elapsed_ms=max(elapsed_ms, opening_ms))
         arrived_at = request.arrived_at_seconds
+        answer_by = self.context.answer_by_seconds
         regions = combine_regions(route.regions, account.regions if account else ())
         return RoutedRequest(
             request=request,
             metadata=metadata,
             route=route,
             version=table.version,
-            deadline_at_seconds=arrived_at + limit_ms / MS_PER_SECOND,
-            target_at_seconds=arrived_at + target_ms / MS_PER_SECOND,
+            deadline_at_seconds=min(arrived_at + limit_ms / MS_PER_SECOND, answer_by),
+            target_at_seconds=min(arrived_at + target_ms / MS_PER_SECOND, answer_by),
             head=self.context.header_codec.request_head(
                 request, account=b"" if account is None else account.name.encode()
             ),
@@ -145,6 +151,26 @@
             is_past_target=is_retry and target_ms >= to_target_ms(),
         )
 
+    def _is_too_late(self, routed: RoutedRequest, metadata: RequestMetadata) -> bool:
+        """Whether the process will probably exit before the request is answered."""
+        answer_by_seconds = self.context.answer_by_seconds
+        if answer_by_seconds == math.inf:
+            return False
+        route, loop = routed.route, self.context.loop
+        return not can_be_answered(
+            remaining_ms=(answer_by_seconds - loop.time()) * MS_PER_SECOND,
+            limit_ms=min(metadata.remaining_ms or route.timeout_ms, route.timeout_ms),
+            typical_ms=self.context.state.typical_latency(route).typical_ms,
+        )
+
+    def _refuse_at_stop(self, routed: RoutedRequest) -> None:
+        answer_failure(
+            self.context,
+            routed,
+            status=503,
+            outcome=Outcome(attempts=(), cause=STOPPING),
+        )
+
     def _start(self, routed: RoutedRequest, table: RouteTable) -> None:
         """Admit the request and send it, or refuse it at once."""
         if table.accounts:
--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -59,6 +59,12 @@
         """Return the protocol for a newly accepted connection."""
         return CallerConnection(server=self)
 
+    def end_requests(self) -> None:
+        """Respond to all requests, since the process is about to exit."""
+        for connection in list(self.connections):
+            if connection.request is not None:
+                connection.request.end_at_stop()
+
     def close_timed_out(self) -> None:
         """Close connections that are idle, or send a request, for too long."""
         now_seconds = self.loop.time()
@@ -205,7 +211,7 @@
         self.active_at_seconds = self.server.loop.time()
         if transport is None or transport.is_closing():
             return
-        if self.server.closing:
+        if self.server.closing and self._is_between_requests:
             request.keep_alive = False
         transport.write(encode_response(request, status, headers, body))
         if not request.keep_alive:
@@ -237,15 +243,16 @@
 
     def close_if_unused(self) -> None:
         """Close the connection unless a request is being received or handled."""
-        if (
-            self.request is None
-            and not self._pending_requests
-            and self._request_started_at_seconds is None
-        ):
+        if self.request is None and self._is_between_requests:
             self._closing = True
             if self._transport is not None:
                 self._transport.close()
 
+    @property
+    def _is_between_requests(self) -> bool:
+        """Whether nothing was received beyond the current request."""
+        return not self._pending_requests and self._request_started_at_seconds is None
+
     def _round_trip_ms(self) -> float:
         if self._measured_round_trip_ms is None and self._transport is not None:
             self._measured_round_trip_ms = measure_round_trip_ms(
--- a/src/bronzebeam/transport/caller_request.py
+++ b/src/bronzebeam/transport/caller_request.py
@@ -7,6 +7,7 @@
 
 from bronzebeam.transport.http_reply import Headers
 
+STOPPING: Final = "stopping"  # why a process that is about to exit refuses a request
 REASON_PHRASES: Final = {
     200: b"OK",
     400: b"Bad Request",
@@ -62,6 +63,8 @@
     :ivar headers: as received, with names in lower case.
     :ivar arrived_at_seconds: monotonic time at which its first byte was received.
     :ivar on_disconnect: called once if the caller disconnects before the response.
+    :ivar on_stop: called if the process is about to exit, and has to respond; None
+        while the request has been passed on to nobody.
     :ivar round_trip_ms: network round-trip time to the caller.
     :ivar is_first: no other request was received on the connection before.
     """
@@ -78,6 +81,7 @@
     responded: bool = False
     disconnected: bool = False
     on_disconnect: Callable[[], None] | None = field(default=None)
+    on_stop: Callable[[], None] | None = field(default=None)
     _processing_sent: bool = False
 
     @property
@@ -101,6 +105,12 @@
         if not self.disconnected:
             self.writer.write_response(self, status, headers, body)
 
+    def end_at_stop(self) -> None:
+        """Respond now, since the process is about to exit."""
+        if self.on_stop is not None:
+            self.on_stop()
+        self.respond(status=503, headers=[], body=STOPPING.encode() + b"\n")
+
     def send_processing(self) -> None:
         """Send one interim response, since the final one takes longer than usual."""
         if not self.responded and not self.disconnected and not self._processing_sent:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import signal
+from typing import Any
 
 from tests.fixtures_gateway import (
+    BOOKING_PATH,
+    BOOKING_SERVICE,
+    FAN_OUT_PATH,
     READ_PATH,
     Caller,
     Cluster,
+    Response,
     RunningGateway,
     encode_request,
+    make_route,
+    replicas_of_service,
     run_scenario,
+    start_search_cluster,
     start_small_cluster,
 )
 
@@ -101,7 +109,7 @@
         cluster.configure(*[{**item, "timeoutMs": 2_500} for item in cluster.routes])
         await asyncio.sleep(2.0)
         gateway.stop()
-        await asyncio.sleep(2.9)
+        await asyncio.sleep(2.7)
         requests.append(
             asyncio.ensure_future(
                 cluster.send_request(
@@ -140,6 +148,208 @@
     run_scenario(scenario)
 
 
+def stop(cluster: Cluster, gateway: RunningGateway) -> None:
+    """Request a graceful shutdown; the end of the process ends its connections."""
+    gateway.stop()
+    gateway.task.add_done_callback(lambda task: gateway.kill(cluster))
+
+
+async def configure_long_timeouts(cluster: Cluster) -> None:
+    cluster.configure(*[{**item, "timeoutMs": 8_000} for item in cluster.routes])
+    await asyncio.sleep(2.0)
+
+
+async def stop_under_load(
+    cluster: Cluster, gateway: RunningGateway, path: str, **options: Any
+) -> list[Response | None]:
+    """Send requests on new connections until the process has exited."""
+
+    async def send() -> Response | None:
+        try:
+            return await cluster.send_request(
+                gateway, path, remaining_ms=8_000, **options
+            )
+        except ConnectionRefusedError:
+            return None  # nothing was read
+
+    stop(cluster, gateway)
+    requests = []
+    while not gateway.task.done():
+        requests.append(asyncio.create_task(send()))
+        await asyncio.sleep(0.02)
+    return await asyncio.gather(*requests)
+
+
+def test_requests_that_come_late_in_the_grace_are_answered_or_refused() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        await configure_long_timeouts(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds, replica.slots = 0.3, 50
+        for number in range(5):
+            await cluster.send_request(gateway, BOOKING_PATH, method="POST")
+        responses = await stop_under_load(
+            cluster, gateway, BOOKING_PATH, method="POST", body=b"one chair"
+        )
+        # The last connections may be refused, or closed before a request was read.
+        assert None not in responses[:-12]
+        runs = sum(len(replica.runs) for replica in cluster.replicas.values())
+        statuses = [item.status for item in responses if item is not None]
+        assert runs == 5 + statuses.count(200) and set(statuses) == {200, 503}
+        refused = [
+            item for item in responses if item is not None and item.status != 200
+        ]
+        assert all(float(item.headers["retry-after"]) > 0.0 for item in refused)
+        assert all(item.elapsed_seconds < 0.05 for item in refused)
+
+    run_scenario(scenario)
+
+
+def test_requests_read_behind_the_current_one_are_answered_during_a_stop() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.1
+        caller = await cluster.connect(gateway)
+        for number in range(4):
+            caller.send(encode_request(READ_PATH, attempt_id=f"p-{number}"))
+        await asyncio.sleep(0.05)
+        stop(cluster, gateway)
+        for number in range(4):
+            response = await caller.responses.get()
+            assert response is not None and response.status == 200
+            assert ("connection" in response.headers) is (number == 3)
+
+    run_scenario(scenario)
+
+
+def test_request_whose_body_still_comes_is_answered_during_a_stop() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        caller = await cluster.connect(gateway)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 0.2
+        data = encode_request(
+            BOOKING_PATH, attempt_id="b-1", method="POST", body=b"x" * 2_000
+        )
+        caller.send(encode_request(READ_PATH, attempt_id="b-0") + data[:-500])
+        await asyncio.sleep(0.1)
+        stop(cluster, gateway)
+        response = await caller.responses.get()
+        assert response is not None and response.status == 200
+        caller.send(data[-500:])
+        response = await caller.responses.get()
+        assert response is not None and response.status == 200
+        assert response.headers["connection"] == "close"
+
+    run_scenario(scenario)
+
+
+def test_request_that_outlasts_the_grace_gets_an_answer_before_the_exit() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        await configure_long_timeouts(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 20.0
+        callers = []
+        for number in range(12):
+            caller = await cluster.connect(gateway)
+            caller.send(
+                encode_request(
+                    BOOKING_PATH,
+                    attempt_id=f"o-{number}",
+                    method="POST",
+                    body=b"one chair",
+                    remaining_ms=8_000,
+                )
+            )
+            callers.append(caller)
+        await asyncio.sleep(0.1)
+        stop(cluster, gateway)
+        for number, caller in enumerate(callers):
+            response = await caller.responses.get()
+            assert response is not None
+            expected = 504 if cluster.run_count(f"o-{number}") else 503
+            assert response.status == expected or response.status == 504
+
+    run_scenario(scenario)
+
+
+def test_search_that_outlasts_the_grace_is_answered_with_the_shards_that_are_in() -> (
+    None
+):
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_search_cluster(
+            cluster, timeoutMs=8_000, targetLatencyMs=7_500
+        )
+        for _ in range(20):
+            await cluster.send_request(gateway, FAN_OUT_PATH, remaining_ms=8_000)
+        for replica in replicas_of_service(cluster, "shard-1"):
+            replica.work_seconds = 20.0
+        stop(cluster, gateway)
+        await asyncio.sleep(0.1)
+        answer = await cluster.send_request(gateway, FAN_OUT_PATH, remaining_ms=8_000)
+        assert answer is not None and answer.status == 200 and answer.missing == 1
+
+    run_scenario(scenario)
+
+
+def test_work_of_a_peer_is_answered_before_the_exit() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        first = await start_search_cluster(
+            cluster, domains=("zone-b",), timeoutMs=8_000, targetLatencyMs=7_500
+        )
+        second = cluster.start_gateway("g-2", domain="zone-b")
+        await asyncio.sleep(3.0)
+        for replica in replicas_of_service(cluster, "shard-1"):
+            replica.work_seconds = 20.0
+        search = asyncio.create_task(
+            cluster.send_request(first, FAN_OUT_PATH, remaining_ms=8_000)
+        )
+        await asyncio.sleep(0.05)
+        assert second.gateway._peer_server.in_flight == 1
+        stop(cluster, second)
+        assert await second.task == 0
+        answer = await search
+        assert answer is not None and answer.status == 200 and answer.missing == 1
+
+    run_scenario(scenario)
+
+
+def test_request_that_waits_for_room_is_refused_before_the_exit() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        route = make_route(
+            "r-read",
+            READ_PATH,
+            service=BOOKING_SERVICE,
+            timeoutMs=60_000,
+            targetLatencyMs=40_000,
+            public=True,
+        )
+        account = {"name": "library", "apiKeys": ["key-1"]}
+        cluster.configure(route, tenants=[account])
+        await asyncio.sleep(2.0)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 20.0
+        requests = [
+            asyncio.create_task(
+                cluster.send_request(gateway, READ_PATH, remaining_ms=60_000)
+            )
+            for _ in range(40)
+        ]
+        await asyncio.sleep(0.5)
+        stop(cluster, gateway)
+        responses = await asyncio.gather(*requests)
+        for number, response in enumerate(responses):
+            assert response is not None and response.status in (503, 504)
+        statuses = [item.status for item in responses if item is not None]
+        runs = sum(len(replica.runs) for replica in cluster.replicas.values())
+        assert 0 < runs <= statuses.count(504) < len(statuses)
+
+    run_scenario(scenario)
+
+
 def test_idle_instance_exits_soon_after_the_load_balancer_has_removed_it() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_small_cluster(cluster)
--- a/tests/virtual_net.py
+++ b/tests/virtual_net.py
@@ -14,6 +14,7 @@
 ResultT = TypeVar("ResultT")
 Address = tuple[str, int]
 ONE_WAY_DELAY_SECONDS = 0.0005
+ORDER_SECONDS = 1e-9  # between deliveries of one connection
 START_SECONDS = 1_000.0
 LOCAL_HOST: contextvars.ContextVar[str] = contextvars.ContextVar(
     "own_host", default="tester"
@@ -79,6 +80,7 @@
         self.is_reading_paused = False
         self.buffered: list[bytes] = []
         self.sent_bytes = b""
+        self.last_delivery_seconds = 0.0
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         if name != "socket":
@@ -134,8 +136,15 @@
         peer = self.peer
         if peer is None or self.net.is_partitioned(self.local_host, self.remote_host):
             return
+        at_seconds = self.net.delivery_at_seconds(
+            self.local_host, self.remote_host, byte_count
+        )
+        if at_seconds <= self.last_delivery_seconds:
+            # Timers that are due at the same time are run in any order.
+            at_seconds = self.last_delivery_seconds + ORDER_SECONDS
+        self.last_delivery_seconds = at_seconds
         self.net.loop.call_at(
-            self.net.delivery_at_seconds(self.local_host, self.remote_host, byte_count),
+            at_seconds,
             deliver,
             peer,
             context=context_of_host(peer.local_host),
