Count the crash of a replica in mid-answer, and no answer that was only lost

Cause: only a connection that ended before the first byte of a reply counted as a crash, and each such one did, also of a replica that lived on. The class: one sign taken for a fault that it neither implies nor is needed for.

Change: a connection that ends before the end of a reply is a loss; gateway/crash_check.py finds out within half a second whether the replica lives, by its other connections or a new one, and only crashes are reported. `replicas_survived` logs the others. Places read that take a lost connection as a sign: replica links (silent and failing, by time), the failure rate, and relays, whose peer passes its own word on; they don't lead to refusals.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -5,6 +5,7 @@
 from attrs import define
 
 from bronzebeam.gateway.base_attempt import AttemptResult, BaseAttempt
+from bronzebeam.gateway.crash_check import has_crashed
 from bronzebeam.gateway.header_codec import ReplyMetadata
 from bronzebeam.gateway.limited_traffic import SendKind
 from bronzebeam.gateway.replica import Replica
@@ -145,7 +146,11 @@
             self.sent_at_seconds = None
             self._end(AttemptResult.NOT_SENT, failure.value)
         else:
-            self.connection_lost = failure is ExchangeFailure.LOST
+            if failure in (ExchangeFailure.LOST, ExchangeFailure.TRUNCATED):
+                self.connection_lost = True
+                self.crash_check = self.context.loop.create_task(
+                    has_crashed(self.replica.pool)
+                )
             self._end(AttemptResult.UNKNOWN, failure.value)
 
     def _give_back_turn(self) -> None:
--- a/src/bronzebeam/gateway/base_attempt.py
+++ b/src/bronzebeam/gateway/base_attempt.py
@@ -1,6 +1,8 @@
 """Base of attempts: sends of a caller's request that end with a replica's reply."""
 
+import asyncio
 from abc import abstractmethod
+from collections.abc import Iterable
 from enum import Enum
 from typing import Final, Protocol
 
@@ -54,8 +56,10 @@
     :ivar is_repeat: the request was sent to a replica of the service before.
     :ivar sent_at_seconds: monotonic time at which the request was sent; None before.
     :ivar result: how the attempt ended; None before, or if it was discarded.
-    :ivar connection_lost: the connection to the replica was closed before any byte of a
+    :ivar connection_lost: the connection to the replica was closed before the end of a
         reply.
+    :ivar crash_check: finds out whether the replica has crashed, if its connection was
+        lost to this instance.
     """
 
     context: GatewayContext
@@ -67,6 +71,7 @@
     reply: HttpReply | None = None
     result: AttemptResult | None = None
     connection_lost: bool = False
+    crash_check: "asyncio.Task[bool] | None" = None
 
     @property
     def is_in_progress(self) -> bool:
@@ -113,3 +118,8 @@
         self.result = result
         self.cause = cause
         self.handler.on_attempt_ended(self, result)
+
+
+def crash_checks(attempts: Iterable[BaseAttempt]) -> list["asyncio.Task[bool]"]:
+    """Return the checks of the replicas that were lost to this instance."""
+    return [item.crash_check for item in attempts if item.crash_check is not None]
--- a/src/bronzebeam/gateway/connection_pool.py
+++ b/src/bronzebeam/gateway/connection_pool.py
@@ -88,6 +88,8 @@
     :ivar busy: monotonic send time of the request on each busy connection, the oldest
         first.
     :ivar waiting: requests without a connection, the oldest first.
+    :ivar opened_at_seconds: monotonic time at which the latest connection was opened.
+    :ivar failed_at_seconds: monotonic time of the latest failure to open one.
     """
 
     name: str
@@ -105,13 +107,14 @@
     idle: list[ClientConnection] = field(factory=list)
     busy: dict[ClientConnection, float] = field(factory=dict)
     waiting: deque[PendingSend] = field(factory=deque)
+    opened_at_seconds: float = -math.inf
+    failed_at_seconds: float = -math.inf
     _latest_answered_sent_at_seconds: float = 0.0
     _proven_at_seconds: float = 0.0
     _opening: int = 0
     _is_suspended: bool = False
     _connect_failures: int = 0
     _retry_at_seconds: float = 0.0
-    _failed_at_seconds: float = -math.inf
     _tasks: set[asyncio.Task[None]] = field(factory=set)
 
     @property
@@ -119,6 +122,11 @@
         """Return the number of open connections."""
         return len(self.idle) + len(self.busy)
 
+    @property
+    def is_opening(self) -> bool:
+        """Whether a connection is being opened."""
+        return self._opening > 0
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests waiting for a reply or a connection."""
@@ -165,7 +173,7 @@
 
     def _has_failed_lately(self) -> bool:
         # A server that closes a connection at once can be reached, but is full.
-        age_seconds = self.loop.time() - self._failed_at_seconds
+        age_seconds = self.loop.time() - self.failed_at_seconds
         return self._connect_failures > 0 and age_seconds < FAILURE_MEMORY_SECONDS
 
     def _unanswered_since_seconds(self) -> float | None:
@@ -351,11 +359,12 @@
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             # The last two are of an address that no socket can have.
             self._opening -= 1
-            self._failed_at_seconds = self.loop.time()
-            self.link_times.failed_at_seconds = self._failed_at_seconds
+            self.failed_at_seconds = self.loop.time()
+            self.link_times.failed_at_seconds = self.failed_at_seconds
             self._record_connect_failure(str(error) or type(error).__name__)
             return
         self._opening -= 1
+        self.opened_at_seconds = self.loop.time()
         self._record_proof()
         if not connection.closed:
             self.on_connection_idle(connection)
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -13,6 +13,7 @@
     NO_ROOM_CAUSE,
     AttemptResult,
     BaseAttempt,
+    crash_checks,
 )
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.delegation import Delegation, DelegationResult
@@ -584,7 +585,11 @@
         self._done = True
         if self.may_delegate:
             self.context.suspect_reporter.record_losses(
-                self._crash_evidence, self.routed
+                self._crash_evidence,
+                self.routed,
+                crash_checks(
+                    item for shard in self._progress.shards for item in shard.attempts
+                ),
             )
         if self.permit is not None:
             now_seconds = self.context.loop.time()
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -12,6 +12,7 @@
     NO_ROOM_CAUSE,
     AttemptResult,
     BaseAttempt,
+    crash_checks,
 )
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.early_hedges import EarlyHedges
@@ -288,7 +289,9 @@
             now_seconds=self.context.loop.time(),
         )
         self.routed.request.on_disconnect = None
-        self.context.suspect_reporter.record_losses(self._crash_evidence, self.routed)
+        self.context.suspect_reporter.record_losses(
+            self._crash_evidence, self.routed, crash_checks(self.attempts)
+        )
         for timer in self._timers:
             timer.cancel()
         for attempt in self.attempts:
--- a/src/bronzebeam/gateway/suspect_reports.py
+++ b/src/bronzebeam/gateway/suspect_reports.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from attrs import define, field
@@ -41,14 +41,50 @@
     _pending: OrderedDict[str, int] = field(factory=OrderedDict)
     _reported: OrderedDict[str, tuple[int, float]] = field(factory=OrderedDict)
     _has_pending: asyncio.Event = field(factory=asyncio.Event)
+    _checking: set["asyncio.Task[None]"] = field(factory=set)
 
-    def record_losses(self, evidence: CrashEvidence, routed: RoutedRequest) -> None:
-        """Record the replicas lost while they ran a request that is now complete."""
-        if not evidence.losses:
+    def record_losses(
+        self,
+        evidence: CrashEvidence,
+        routed: RoutedRequest,
+        checks: Sequence["asyncio.Task[bool]"],
+    ) -> None:
+        """
+        Record the replicas lost while they ran a request that is now complete.
+
+        :param checks: whether each replica that was lost to this instance has crashed;
+            the others are not counted.
+        """
+        losses = evidence.losses
+        if not losses:
             return
+        task = asyncio.get_running_loop().create_task(
+            self._record_checked(losses, routed, checks)
+        )
+        self._checking.add(task)
+        task.add_done_callback(self._checking.discard)
+
+    async def _record_checked(
+        self, losses: int, routed: RoutedRequest, checks: Sequence["asyncio.Task[bool]"]
+    ) -> None:
+        crashed = await asyncio.gather(*checks)
+        survived = crashed.count(False)
+        if survived:
+            self.log.event(
+                "replicas_survived",
+                request=routed.metadata.attempt_id.decode("latin-1"),
+                route=routed.route.name,
+                suspect=routed.fingerprint,
+                losses=losses,
+                survived=survived,
+            )
+        if losses > survived:
+            self._record(losses - survived, routed)
+
+    def _record(self, losses: int, routed: RoutedRequest) -> None:
         suspect = routed.fingerprint
         self._pending[suspect] = self.suspects.record_losses(
-            suspect, instance=self.instance, losses=evidence.losses
+            suspect, instance=self.instance, losses=losses
         )
         quarantined = self.suspects.is_quarantined(suspect)
         self.log.event(
@@ -56,7 +92,7 @@
             request=routed.metadata.attempt_id.decode("latin-1"),
             route=routed.route.name,
             suspect=suspect,
-            losses=evidence.losses,
+            losses=losses,
             losses_of_all=self.suspects.losses(suspect),
         )
         if len(self._pending) > MAX_PENDING_REPORTS:
--- a/tests/standin_replica.py
+++ b/tests/standin_replica.py
@@ -30,6 +30,7 @@
     ERROR = "error"
     RESET = "reset_after_run"
     CRASH = "crash"
+    CRASH_IN_ANSWER = "crash_in_answer"  # after the first bytes of its reply
     UNRESPONSIVE = "silent"
     TRUNCATED = "truncated"
     UNFRAMED = "unframed"  # no Content-Length; connection closed
@@ -259,6 +260,10 @@
             return
         if fault is Fault.CRASH:
             self.crash()
+        elif fault is Fault.CRASH_IN_ANSWER:
+            whole = request.encode(200, headers=headers, body=body)
+            request.connection.write(whole[:-1])
+            self.loop.call_later(0.01, self.crash)
         elif fault is Fault.ERROR:
             request.respond(500, headers=headers, body=b"failed")
         elif fault is Fault.RESET:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -12,8 +12,15 @@
     start_search_cluster,
     start_small_cluster,
 )
-from tests.standin_replica import RESTART_SECONDS, Fault, crash_on, fault_once, no_fault
-from tests.standin_store import StoreFault, fault_always
+from tests.standin_replica import (
+    RESTART_SECONDS,
+    Fault,
+    crash_on,
+    fault_always,
+    fault_once,
+    no_fault,
+)
+from tests.standin_store import StoreFault, fault_always as store_fault_always
 
 CRASHING_GATHER_PATH = FAN_OUT_PATH + "killer"
 CRASHING_READ_PATH = READ_PATH + "killer"
@@ -69,6 +76,55 @@
     run_scenario(scenario)
 
 
+def test_request_that_crashes_replicas_in_mid_answer_is_quarantined() -> None:
+    for path in (CRASHING_READ_PATH, CRASHING_GATHER_PATH):
+
+        async def scenario(cluster: Cluster) -> None:
+            is_search = path == CRASHING_GATHER_PATH
+            start = start_search_cluster if is_search else start_small_cluster
+            gateway = await start(cluster)
+            for replica in cluster.replicas.values():
+                replica.fault = lambda request: (
+                    Fault.CRASH_IN_ANSWER if request.target == path else Fault.NONE
+                )
+            for _ in range(4):
+                await cluster.send_request(gateway, path)
+                await asyncio.sleep(RESTART_SECONDS + 0.5)
+            await asyncio.sleep(REPORT_SHARING_SECONDS)
+            before = count_runs(cluster, path)
+            for _ in range(5):
+                answer = await cluster.send_request(gateway, path)
+                assert answer is not None and answer.status == 503
+                await asyncio.sleep(1.0)
+            assert count_runs(cluster, path) == before
+
+        run_scenario(scenario)
+
+
+def test_popular_request_whose_answers_are_lost_is_not_quarantined() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.fault = fault_always(Fault.RESET)
+        requests = []
+        for _ in range(40):
+            requests.append(
+                asyncio.create_task(cluster.send_request(gateway, READ_PATH))
+            )
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*requests)
+        for replica in cluster.replicas.values():
+            replica.fault = no_fault
+        await asyncio.sleep(1.0)
+        assert gateway.log_lines("replicas_survived")
+        assert not gateway.log_lines("request_quarantined")
+        for _ in range(10):
+            answer = await cluster.send_request(gateway, READ_PATH)
+            assert answer is not None and answer.status == 200
+
+    run_scenario(scenario)
+
+
 def test_quarantine_persists_if_all_instances_are_replaced() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_search_cluster(cluster, shards=6)
@@ -132,10 +188,10 @@
         other = cluster.start_gateway("g-2")
         await asyncio.sleep(2.0)
         crash_all_on(cluster, CRASHING_GATHER_PATH)
-        cluster.store.fault = fault_always(StoreFault.BUSY)
+        cluster.store.fault = store_fault_always(StoreFault.BUSY)
         await cluster.send_request(gateway, CRASHING_GATHER_PATH)
         await asyncio.sleep(6.0)
-        cluster.store.fault = fault_always(StoreFault.NONE)
+        cluster.store.fault = store_fault_always(StoreFault.NONE)
         await asyncio.sleep(REPORT_SHARING_SECONDS)
         before = count_runs(cluster, CRASHING_GATHER_PATH)
         answer = await cluster.send_request(other, CRASHING_GATHER_PATH)
@@ -199,6 +255,7 @@
         answer = await cluster.send_request(gateway, CRASHING_GATHER_PATH)
         assert answer is not None and answer.status == 502
         assert count_runs(cluster, CRASHING_GATHER_PATH) <= 7
+        await asyncio.sleep(REPORT_SHARING_SECONDS)
         assert gateway.log_lines("request_quarantined")
 
     run_scenario(scenario)
