Ignore SIGHUP until the gateway can reload its settings

Cause (review): a SIGHUP in the first 0.3 to 0.4 s of a process ended it, since the handler comes after the modules are loaded.

Change: the signal is ignored from the first statement. The settings' version is read before the settings, so that a change in between is noticed by the next check of the file, also if its signal was ignored.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -90,6 +90,7 @@
 
     :ivar caller_socket: socket that already listens for callers; None to open one.
     :ivar read_settings: loads the settings again; raises `FindingsError`.
+    :ivar loaded_settings_version: number of the settings; 0 if it is unknown.
     :ivar settings_version: returns a number that changes with the settings; 0 if it
         is unknown at present.
     :ivar create_store: creates the client of the platform's store.
@@ -105,6 +106,7 @@
     create_store: StoreFactory
     header_codec: HeaderCodec
     log: DecisionLog
+    loaded_settings_version: int = 0
     rng: random.Random = field(factory=random.Random)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     boot_seconds: Callable[[], float] = boot_seconds
@@ -127,7 +129,6 @@
     _stop_requested: asyncio.Event = field(init=False)
     background_tasks: list[asyncio.Task[None]] = field(factory=list, init=False)
     _store: GatewayStore = field(init=False)
-    _loaded_settings_version: int = 0
     _ticks: int = 0
     _listeners: list[asyncio.AbstractServer] = field(factory=list, init=False)
     _context: GatewayContext = field(init=False)
@@ -137,7 +138,8 @@
         self._loop = loop = asyncio.get_running_loop()
         self._stop_requested = asyncio.Event()
         self.log.event("started")
-        self._loaded_settings_version = self.settings_version()
+        if not self.loaded_settings_version:
+            self.loaded_settings_version = self.settings_version()
         self._store = store = self._build_components()
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
@@ -411,11 +413,11 @@
     def _reload_if_changed(self) -> None:
         # The settings may change without a SIGHUP.
         version = self.settings_version()
-        if version and version != self._loaded_settings_version:
+        if version and version != self.loaded_settings_version:
             self._reload()
 
     def _reload(self) -> None:
-        self._loaded_settings_version = self.settings_version()
+        self.loaded_settings_version = self.settings_version()
         try:
             settings = self.read_settings()
         except FindingsError as error:
--- a/src/bronzebeam/platform/__main__.py
+++ b/src/bronzebeam/platform/__main__.py
@@ -1,7 +1,13 @@
 """Runs a gateway on the platform: ``python3 -m bronzebeam.platform``."""
 
+import signal
 import sys
 
+if __name__ == "__main__":
+    # Until the gateway can reload its settings, which it has not read yet, this signal
+    # would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from bronzebeam.platform.settings_file import open_caller_socket, settings_path
 
 if __name__ == "__main__":
--- a/src/bronzebeam/platform/gateway_main.py
+++ b/src/bronzebeam/platform/gateway_main.py
@@ -35,6 +35,8 @@
     :param path: path of the platform's settings file.
     :param caller_socket: socket that already listens for callers; None to open one.
     """
+    # Read before the settings, so that a change in between is noticed.
+    version = _modified_at_ns(path)
     try:
         settings = read_settings(path)
     except FindingsError as error:
@@ -45,6 +47,7 @@
         settings=settings,
         caller_socket=caller_socket,
         read_settings=lambda: read_settings(path),
+        loaded_settings_version=version,
         settings_version=lambda: _modified_at_ns(path),
         create_store=create_store,
         header_codec=PlatformHeaderCodec(),
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -63,7 +63,15 @@
                 await asyncio.sleep(0.05)
 
 
-def run_with_gateway(use: Callable[[RealGateway], Awaitable[None]]) -> None:
+async def do_nothing(gateway: RealGateway) -> None:
+    pass
+
+
+def run_with_gateway(
+    use: Callable[[RealGateway], Awaitable[None]],
+    *,
+    during_start: Callable[[RealGateway], Awaitable[None]] = do_nothing,
+) -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
         store = StandinStore(loop=loop)
@@ -90,6 +98,7 @@
         with TemporaryDirectory() as folder:
             gateway = await _start(Path(folder), store_port, replica)
             try:
+                await during_start(gateway)
                 await gateway.wait_ready()
                 await use(gateway)
                 await gateway.client.aclose()
@@ -170,6 +179,27 @@
     run_with_gateway(use)
 
 
+def test_signal_to_reload_during_the_start_does_not_end_the_process() -> None:
+    async def send_signals(gateway: RealGateway) -> None:
+        status = Path(f"/proc/{gateway.process.pid}/status")
+
+        def has(mask: str) -> bool:
+            (line,) = [x for x in status.read_text().splitlines() if x.startswith(mask)]
+            return bool(int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+
+        while not has("SigIgn") and not has("SigCgt"):
+            await asyncio.sleep(0.001)
+        assert has("SigIgn")  # before the modules are loaded
+        while not await gateway.is_ready():
+            gateway.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+
+    async def use(gateway: RealGateway) -> None:
+        assert gateway.process.returncode is None
+
+    run_with_gateway(use, during_start=send_signals)
+
+
 def test_command_explains_where_a_request_to_a_process_would_go() -> None:
     async def use(gateway: RealGateway) -> None:
         gateway.replica.states_load = True
