Count what a process reads after a pause as received at the pause's start

Cause: deadlines counted from when a request was read, not from when it came, so a request that had waited for the whole pause had all its time left.

What is read more than 0.75 s after the last beat may have waited since then, and counts as received at it. If its time has passed it is refused with 503: it has not run, and its caller or peer has long gone elsewhere. `process_stalled` and `peer_request_refused` log it.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -54,6 +54,7 @@
 from bronzebeam.transport.caller_connection import CallerServer
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.transport.http_reply import ClientConnection
+from bronzebeam.transport.stall_clock import StallClock
 from bronzebeam.units import MS_PER_SECOND
 
 # Log lines are written, and lost connections replaced, with at most this delay.
@@ -132,6 +133,7 @@
     _ticks: int = 0
     _listeners: list[asyncio.AbstractServer] = field(factory=list, init=False)
     _context: GatewayContext = field(init=False)
+    _stall_clock: StallClock = field(init=False)
 
     async def run(self) -> int:
         """Serve until a graceful shutdown is complete; return the exit code."""
@@ -302,14 +304,19 @@
             configuration_bound_seconds=settings.configuration_bound_seconds,
         )
         self._state.on_first_configuration = router.on_first_configuration
-        self._caller_server = CallerServer(handle=router.handle, loop=loop)
+        self._stall_clock = StallClock(boot_seconds=self.boot_seconds)
+        self._caller_server = CallerServer(
+            handle=router.handle, loop=loop, stall_clock=self._stall_clock
+        )
         self._delegation_handler = DelegationRequestHandler(context=context)
         self._relay_handler = RelayRequestHandler(context=context)
         self._change_log.all_records = self._state.all_records
         self._feed_server = ChangeFeedServer(
             change_log=self._change_log, can_serve=self._can_serve_changes, loop=loop
         )
-        self._peer_server = CallerServer(handle=self._handle_peer_request, loop=loop)
+        self._peer_server = CallerServer(
+            handle=self._handle_peer_request, loop=loop, stall_clock=self._stall_clock
+        )
         self._ready_server = CallerServer(
             handle=self._handle_internal_request, loop=loop
         )
@@ -396,6 +403,7 @@
 
     def _tick(self) -> None:
         self._ticks += 1
+        self._log_stall()
         if self._ticks == GC_FREEZE_TICK:
             # Objects created at start-up are permanent: exclude them from collections.
             gc.collect()
@@ -410,6 +418,13 @@
             self._reload_if_changed()
         self.log.flush()
 
+    def _log_stall(self) -> None:
+        stalled_seconds = self._stall_clock.stalled_seconds()
+        if stalled_seconds:
+            stalled_ms = round(stalled_seconds * MS_PER_SECOND)
+            self.log.event("process_stalled", stalled_ms=stalled_ms)
+        self._stall_clock.beat()
+
     def _reload_if_changed(self) -> None:
         # The settings may change without a SIGHUP.
         version = self.settings_version()
--- a/src/bronzebeam/gateway/peer_request.py
+++ b/src/bronzebeam/gateway/peer_request.py
@@ -1,11 +1,13 @@
 """Requests that peers send to this instance on behalf of their callers."""
 
 from collections.abc import Callable
+from typing import Final
 
 from bronzebeam.gateway.context import GatewayContext
 from bronzebeam.gateway.header_codec import RequestMetadata
 from bronzebeam.gateway.peer_codec import (
     EVACUATED_HEADER,
+    NOT_RUN_STATUS,
     decode_names,
     without_peer_headers,
 )
@@ -14,6 +16,8 @@
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.units import MS_PER_SECOND
 
+DEADLINE_PASSED: Final = "deadline_passed"
+
 
 def reject_peer_request(
     context: GatewayContext, request: HttpRequest, *, cause: str
@@ -37,7 +41,8 @@
     :param make_route: returns the route for a time-out in milliseconds.
     :param target_ms: time after which the peer answers without what is missing.
     :param regions: regions that the request may be sent to; None for any.
-    :return: None if the request was rejected, since it states no time-out.
+    :return: None if the request was rejected, since it states no time-out, or its time
+        has passed while this process was suspended.
     """
     evacuated = decode_names(request.header(EVACUATED_HEADER) or b"[]")
     request.headers = without_peer_headers(request.headers)
@@ -48,6 +53,16 @@
         return None
     arrived_at = request.arrived_at_seconds
     answer_by = context.answer_by_seconds
+    if context.loop.time() >= arrived_at + remaining_ms / MS_PER_SECOND:
+        context.log.request(
+            "peer_request_refused",
+            good=False,
+            request=metadata.attempt_id.decode("latin-1"),
+            cause=DEADLINE_PASSED,
+            waited_ms=round((context.loop.time() - arrived_at) * MS_PER_SECOND),
+        )
+        request.respond(status=NOT_RUN_STATUS, headers=[], body=b"")
+        return None
     return RoutedRequest(
         request=request,
         metadata=metadata,
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -15,6 +15,7 @@
 from bronzebeam.gateway.header_codec import RequestMetadata
 from bronzebeam.gateway.outcome import Outcome, answer_failure
 from bronzebeam.gateway.peer_codec import without_peer_headers
+from bronzebeam.gateway.peer_request import DEADLINE_PASSED
 from bronzebeam.gateway.quota_gate import QuotaGate
 from bronzebeam.gateway.routed_request import RoutedRequest, request_fingerprint
 from bronzebeam.routing.accounts import Account
@@ -91,8 +92,10 @@
             self._reject(request, 503, "quarantined", return_seconds=QUARANTINE_SECONDS)
             return
         routed = self._routed_request(request, metadata, table, route, account)
-        if self._is_too_late(routed, metadata):
-            self._refuse_at_stop(routed)
+        cause = self._refusal_cause(routed, metadata)
+        if cause:
+            outcome = Outcome(attempts=(), cause=cause)
+            answer_failure(self.context, routed, status=503, outcome=outcome)
             return
         if account is not None and account.is_limited:
             self.quotas.admit(routed, account, lambda: self._start(routed, table))
@@ -151,25 +154,19 @@
             is_past_target=is_retry and target_ms >= to_target_ms(),
         )
 
-    def _is_too_late(self, routed: RoutedRequest, metadata: RequestMetadata) -> bool:
-        """Whether the process will probably exit before the request is answered."""
+    def _refusal_cause(self, routed: RoutedRequest, metadata: RequestMetadata) -> str:
+        """Return why a request can't be answered in time; empty if it can."""
+        route, now_seconds = routed.route, self.context.loop.time()
         answer_by_seconds = self.context.answer_by_seconds
         if answer_by_seconds == math.inf:
-            return False
-        route, loop = routed.route, self.context.loop
-        return not can_be_answered(
-            remaining_ms=(answer_by_seconds - loop.time()) * MS_PER_SECOND,
+            # The process may have been suspended since the request came.
+            return DEADLINE_PASSED if now_seconds >= routed.deadline_at_seconds else ""
+        is_in_time = can_be_answered(
+            remaining_ms=(answer_by_seconds - now_seconds) * MS_PER_SECOND,
             limit_ms=min(metadata.remaining_ms or route.timeout_ms, route.timeout_ms),
             typical_ms=self.context.state.typical_latency(route).typical_ms,
         )
-
-    def _refuse_at_stop(self, routed: RoutedRequest) -> None:
-        answer_failure(
-            self.context,
-            routed,
-            status=503,
-            outcome=Outcome(attempts=(), cause=STOPPING),
-        )
+        return "" if is_in_time else STOPPING
 
     def _start(self, routed: RoutedRequest, table: RouteTable) -> None:
         """Admit the request and send it, or refuse it at once."""
--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -13,6 +13,7 @@
 from bronzebeam.transport.caller_request import HttpRequest, encode_response
 from bronzebeam.transport.http_reply import Headers
 from bronzebeam.transport.socket_options import enable_dead_peer_detection
+from bronzebeam.transport.stall_clock import StallClock
 from bronzebeam.units import MS_PER_SECOND
 
 MAX_PIPELINED_REQUESTS: Final = 16  # per connection; reading then pauses
@@ -41,12 +42,15 @@
     State shared by all connections from callers.
 
     :ivar limits: from the active configuration.
+    :ivar stall_clock: tells for how long what is read now may have waited; None if that
+        is not measured.
     :ivar closing: whether each response announces that the connection will be closed.
     """
 
     handle: RequestHandler
     loop: asyncio.AbstractEventLoop
     limits: CallerLimits = field(factory=CallerLimits)
+    stall_clock: StallClock | None = None
     closing: bool = False
     connections: set["CallerConnection"] = field(factory=set)
 
@@ -150,7 +154,9 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._reset_request()
-        self._request_started_at_seconds = self.server.loop.time()
+        clock = self.server.stall_clock
+        waited_seconds = clock.stalled_seconds() if clock is not None else 0.0
+        self._request_started_at_seconds = self.server.loop.time() - waited_seconds
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
--- /dev/null
+++ b/src/bronzebeam/transport/stall_clock.py
@@ -0,0 +1,36 @@
+"""Notices that the process did not run for a while."""
+
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+
+# Longer than the event loop is ever busy between two beats of a loaded process.
+MIN_STALL_SECONDS: Final = 0.75
+
+
+@define(kw_only=True, eq=False, repr=False)
+class StallClock:
+    """
+    Measures pauses of the process between regular beats.
+
+    What is read first after a pause may have come at any time during it. Requests count
+    as received at its start then, so that one whose time has passed is not run.
+
+    :ivar boot_seconds: a clock that goes on while the process is suspended.
+    """
+
+    boot_seconds: Callable[[], float]
+    _beaten_at_seconds: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.beat()
+
+    def beat(self) -> None:
+        """Record that the process runs; to be called several times a second."""
+        self._beaten_at_seconds = self.boot_seconds()
+
+    def stalled_seconds(self) -> float:
+        """Return for how long the process has possibly not run; 0 if it has lately."""
+        seconds = self.boot_seconds() - self._beaten_at_seconds
+        return seconds if seconds >= MIN_STALL_SECONDS else 0.0
