Give the model check a recipe of its own

Cause: the recipe had been put into the middle of the name of gateway-soak's, so that `make gateway-soak` was gone and `make soak` ran the soak of gateways.

Change: model-check, gateway-soak and soak are three recipes again.

Measured: `make -n model-check gateway-soak soak` prints each one's command, without a warning.

--- a/Makefile
+++ b/Makefile
@@ -31,10 +31,10 @@
 bench: $(VENV)/.installed
 	$(BIN)/bronzebeam bench --quick
 
-gateway-model-check: $(VENV)/.installed
+model-check: $(VENV)/.installed
 	PYTHONPATH=src:. $(BIN)/python -m tests.test_model_fleet --minutes $(MINUTES)
 
-soak: $(VENV)/.installed
+gateway-soak: $(VENV)/.installed
 	PYTHONPATH=src:. $(BIN)/python -m tests.soak_gateways --seed $(SEED) --minutes $(MINUTES)
 
 soak: $(VENV)/.installed
