Read numbers of peers, the store and the settings by one total function

What is seen: a peer that asks for changes or for a configuration with a number that can't be converted (`\xb2`, or more than 4,300 digits) gets a closed connection and no answer, and the process writes a traceback; a store that states such an era makes the watch fail with `task_failed`, not as an outage; a settings file with such a port ends the process with a traceback instead of a finding.

Five had the fault, and now use `read_count`: the feed's position, the version of a peer's configuration, the era, and the two kinds of ports in the settings. The keep-alive timeout of replies can't raise (a `float` of digits in bytes); `routes._host_name` converts nothing.

A range of ports that can't be read is now a finding; it used to leave the instance without peers, and nobody was told.

Evidence: the extended tests of malformed feed and configuration requests, the test of ports in the settings and test_unreadable_era_counts_as_an_outage_of_the_store failed before; test_numbers_in_texts_are_read_by_one_function keeps the class out.

--- a/src/bronzebeam/decoding.py
+++ b/src/bronzebeam/decoding.py
@@ -15,10 +15,24 @@
     ValueError,
 )
 MAX_PORT: Final = 65_535
-MAX_PORT_DIGITS: Final = 5
+MAX_COUNT_DIGITS: Final = 20  # of 64 bits
 MAX_NAME_CHARACTERS: Final = 1_024
 
 
+def read_count(text: str | bytes) -> int:
+    """
+    Return a whole number of at least 0 from its decimal digits.
+
+    `isdigit` alone is true of characters beyond ASCII that `int` rejects, and of more
+    digits than it converts.
+
+    :raises ValueError: if the text is anything else.
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_COUNT_DIGITS:
+        raise ValueError("not a whole number")
+    return int(text)
+
+
 def read_port(value: Any) -> int:
     """Return a port; raises `ValueError` if the value is no number of one."""
     if not isinstance(value, int) or isinstance(value, bool):
@@ -44,10 +58,7 @@
     if not isinstance(value, str):
         raise ValueError("the address is not a text")
     host, _, port = value.rpartition(":")
-    # Characters beyond ASCII count as digits too, and few of them can be converted.
-    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
-        raise ValueError("the address has no port")
-    return read_host(host), read_port(int(port))
+    return read_host(host), read_port(read_count(port))
 
 
 def read_name(value: Any) -> str:
--- a/src/bronzebeam/gateway/change_feed.py
+++ b/src/bronzebeam/gateway/change_feed.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from bronzebeam.decoding import read_count
 from bronzebeam.gateway.change_codec import (
     FeedResponse,
     MalformedFeedResponse,
@@ -66,10 +67,11 @@
         """
         before, _, text = request.target.decode("latin-1").partition(AFTER_PARAMETER)
         era = before.partition(ERA_PARAMETER)[2].rstrip("&")
-        if not text.isdigit():
+        try:
+            after = read_count(text)
+        except ValueError:
             request.respond(status=400, headers=[], body=b"")
             return
-        after = int(text)
         same_era = not era or era == _encode_era(self.change_log.era)
         if not same_era or after < self.change_log.revision or not self.can_serve():
             self._respond(request, after, era)
--- a/src/bronzebeam/gateway/peer_codec.py
+++ b/src/bronzebeam/gateway/peer_codec.py
@@ -11,7 +11,7 @@
 import orjson
 from attrs import astuple, field, frozen, validators
 
-from bronzebeam.decoding import DECODE_ERRORS
+from bronzebeam.decoding import DECODE_ERRORS, read_count
 from bronzebeam.transport.http_reply import Headers
 
 DELEGATION_HEADER: Final = b"bb-gather"
@@ -35,7 +35,6 @@
 )
 LEAVING_SEPARATOR: Final = b","
 START_SEPARATOR: Final = b"@"
-MAX_TIME_DIGITS: Final = 20  # of milliseconds
 NOT_RUN_STATUS: Final = 503  # the peer has sent the request to no replica
 REJECTED_STATUS: Final = 400  # the peer can't read the request
 REGIONS_DECLINED: Final = "peer_declines_regions"  # it is of an earlier build
@@ -152,11 +151,14 @@
     replicas = []
     for item in value.split(LEAVING_SEPARATOR):
         name, _, started_at = item.rpartition(START_SEPARATOR)
-        is_time = started_at.isdigit() and len(started_at) <= MAX_TIME_DIGITS
-        if name and is_time:
+        try:
+            started_at_ms = read_count(started_at)
+        except ValueError:
+            continue
+        if name:
             replicas.append(
                 LeavingReplica(
-                    replica=name.decode("latin-1"), started_at_ms=int(started_at)
+                    replica=name.decode("latin-1"), started_at_ms=started_at_ms
                 )
             )
     return replicas
--- a/src/bronzebeam/gateway/peer_configuration.py
+++ b/src/bronzebeam/gateway/peer_configuration.py
@@ -7,6 +7,7 @@
 
 from attrs import define, evolve
 
+from bronzebeam.decoding import read_count
 from bronzebeam.gateway.change_codec import (
     MalformedFeedResponse,
     decode_feed_response,
@@ -36,12 +37,14 @@
     request: HttpRequest, *, table: RouteTable | None
 ) -> None:
     """Respond with this instance's configuration if it is newer than the peer's."""
-    version = request.target.decode("latin-1").partition(VERSION_PARAMETER)[2]
-    if not version.isdigit():
+    text = request.target.decode("latin-1").partition(VERSION_PARAMETER)[2]
+    try:
+        version = read_count(text)
+    except ValueError:
         request.respond(status=400, headers=[], body=b"")
         return
     changes = []
-    if table is not None and table.version > int(version):
+    if table is not None and table.version > version:
         changes.append(Change(kind=RecordKind.CONFIGURATION, name="", value=table))
     body = encode_feed_response(
         revision=0, is_up_to_date=True, changes=encode_changes(changes)
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -1,10 +1,10 @@
 """Reads and validates the platform's settings file, lines of ``a.b=value``."""
 
 import math
-import socket
 from collections.abc import Mapping
 from typing import Final
 
+from bronzebeam.decoding import read_count, read_host_and_port, read_port
 from bronzebeam.findings import Finding, FindingsError
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.platform.constants import READY_PATH
@@ -55,7 +55,6 @@
     :raises FindingsError: with all errors.
     """
     reader = _FieldReader(fields=parse_fields(text))
-    ports = reader.optional("internalPortRange").split(",")
     address = reader.required("ipAddress")
     settings = GatewaySettings(
         instance=reader.required("nodeName"),
@@ -63,11 +62,7 @@
         caller_listen=reader.address(CALLER_ADDRESS_FIELD),
         ready_listen=reader.optional_address("listenAddresses.ready"),
         ready_path=READY_PATH,
-        peer_listen=(
-            SocketAddress(address=address, port=int(ports[0]))
-            if ports[0].isdigit()
-            else None
-        ),
+        peer_listen=reader.first_port("internalPortRange", address),
         store=reader.address("platform.address"),
         # cpuShare is a share of one core, cpuCores the relative speed of that core.
         processor_cores=max(
@@ -184,25 +179,26 @@
         text = self.optional(name)
         if not text:
             return None
-        host, _, port = text.rpartition(":")
-        if (
-            not _is_ipv4_address(host)
-            or not port.isdigit()
-            or not 0 < int(port) < 65_536
-        ):
+        try:
+            host, port = read_host_and_port(text)
+        except ValueError:
             self._add_finding(
                 name, f"This must be an IPv4 address and a port, not {text!r}."
             )
             return None
-        return SocketAddress(address=host, port=int(port))
+        return SocketAddress(address=host, port=port)
+
+    def first_port(self, name: str, address: str) -> SocketAddress | None:
+        """Return the first port of a range at an address; None without a range."""
+        text = self.optional(name)
+        if not text:
+            return None
+        try:
+            port = read_port(read_count(text.partition(",")[0]))
+        except ValueError:
+            self._add_finding(name, f"This must be a range of ports, not {text!r}.")
+            return None
+        return SocketAddress(address=address, port=port)
 
     def _add_finding(self, name: str, message: str) -> None:
         self.findings.append(Finding(place=name, message=message))
-
-
-def _is_ipv4_address(text: str) -> bool:
-    try:
-        socket.inet_pton(socket.AF_INET, text)
-    except OSError:
-        return False
-    return True
--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -7,7 +7,7 @@
 import orjson
 from attrs import define, evolve, field
 
-from bronzebeam.decoding import DECODE_ERRORS
+from bronzebeam.decoding import DECODE_ERRORS, read_count
 from bronzebeam.gateway.records import (
     Change,
     EvacuationRecord,
@@ -293,10 +293,12 @@
         value = next((v for name, v in reply.headers if name == ERA_HEADER), None)
         if value is None:
             return
-        if not value.isdigit():
-            raise StoreUnavailable(f"{target}: era {value!r} is not a number")
-        if not self.era.observe(int(value)):
-            raise StoreUnavailable(f"{target}: response from era {int(value)}")
+        try:
+            era = read_count(value)
+        except ValueError as error:
+            raise StoreUnavailable(f"{target}: era {value[:40]!r}: {error}") from error
+        if not self.era.observe(era):
+            raise StoreUnavailable(f"{target}: response from era {era}")
 
     def _decode_changes(self, items: Iterable[Any]) -> Iterable[Change]:
         for item in items:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -10,6 +10,7 @@
 import orjson
 from hypothesis import given, strategies as st
 
+from bronzebeam.decoding import read_count
 from bronzebeam.gateway.change_codec import (
     MalformedFeedResponse,
     decode_feed_response,
@@ -72,6 +73,8 @@
     read_limit: (),
     read_cold_seconds: (),
     lambda data: read_load(data, at_seconds=5.0): (),
+    read_count: ValueError,
+    lambda data: read_count(data.decode("latin-1")): ValueError,
 }
 SOURCES = "".join(inspect.getsource(item) for item in DECODERS)
 # Decoders of local files, and of the entry, which the gateway does not use.
@@ -189,6 +192,17 @@
         raise AssertionError(f"the name {name[:10]!r} can't be sent in a header")
 
 
+def test_numbers_in_texts_are_read_by_one_function() -> None:
+    """`isdigit` is true of characters and lengths that `int` rejects."""
+    places = [
+        path.name
+        for folder in ("platform", "gateway")
+        for path in (SOURCE_FOLDER / folder).glob("*.py")
+        if "isdigit" in path.read_text()
+    ]
+    assert places == []
+
+
 def test_every_decoder_is_in_the_list() -> None:
     """A decoder is a public function whose name begins with decode, read or parse."""
     missing = []
--- a/tests/test_gateway_account_starts.py
+++ b/tests/test_gateway_account_starts.py
@@ -197,10 +197,13 @@
             ("/configuration", 400),
             ("/configuration?newer_than=x", 400),
             ("/configuration?newer_than=-1", 400),
+            ("/configuration?newer_than=\u00b2", 400),
+            ("/configuration?newer_than=" + "1" * 4_500, 400),
             ("/configuration?newer_than=999", 200),
         ):
             caller = await cluster.connect(gateway, port=PEER_PORT)
-            caller.send(encode_request(target, remaining_ms=None))
+            data = encode_request(target, remaining_ms=None)
+            caller.send(data.replace("\u00b2".encode(), b"\xb2"))
             response = await caller.responses.get()
             assert response is not None and response.status == status
             assert b"tenant" not in response.body and b"library" not in response.body
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -252,9 +252,12 @@
             "/changes?after=x",
             "/changes?after=",
             "/changes?era=1&after=-1",
+            "/changes?after=\u00b2",
+            "/changes?after=" + "1" * 4_500,
         ):
             caller = await cluster.connect(gateways[0], port=PEER_PORT)
-            caller.send(encode_request(target, remaining_ms=None))
+            data = encode_request(target, remaining_ms=None)
+            caller.send(data.replace("\u00b2".encode(), b"\xb2"))
             response = await caller.responses.get()
             assert response is not None and response.status == 400
 
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from tests.fixtures_gateway import (
     BOOKING_SERVICE,
@@ -200,6 +201,24 @@
     run_scenario(scenario)
 
 
+def test_unreadable_era_counts_as_an_outage_of_the_store() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        store: Any = cluster.store
+        for text in ("9" * 5_000, "\u00b2", "-1"):
+            era, store.era = store.era, text
+            await asyncio.sleep(3.0)
+            assert gateway.log_lines("store_lost")
+            store.era = era
+            cluster.configure(*cluster.routes)
+            await asyncio.sleep(3.0)
+            table = gateway.gateway._state.table
+            assert table is not None and table.version == cluster.version
+        assert not gateway.log_lines("task_failed")
+
+    run_scenario(scenario)
+
+
 def test_replica_whose_record_becomes_malformed_is_no_longer_used() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_small_cluster(cluster)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -103,6 +103,24 @@
     assert places == ["nodeName", "platform.address", "bounds.gracePeriodS"]
 
 
+def test_ports_that_are_no_numbers_are_reported_with_their_field() -> None:
+    for port in ("808\u00b2", "1" * 5_000, "65536", "0"):
+        text = make_settings_text(
+            "n-1",
+            "10.0.0.1",
+            "zone-a",
+            **{
+                "platform.address": f"10.0.0.2:{port}",
+                "internalPortRange": f"{port},7395",
+            },
+        )
+        try:
+            parse_settings(text, subject="file")
+        except FindingsError as error:
+            places = [item.place for item in error.findings]
+        assert places == ["internalPortRange", "platform.address"]
+
+
 def test_unreadable_settings_file_is_reported() -> None:
     try:
         read_settings("/nowhere/node.conf")
