End all tasks of a test before its event loop is closed

The loop of the tests cancelled its tasks and then ran one step; tasks that need several steps to end, such as one that waits for another, were pending when the loop was closed. The loop now runs until they have ended, as `asyncio.run` does, which the gateway is started with.

--- a/tests/virtual_net.py
+++ b/tests/virtual_net.py
@@ -314,7 +314,9 @@
     try:
         return loop.run_until_complete(main(loop))
     finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
+        # As `asyncio.run` does: a cancelled task may need several steps to end.
+        while tasks := asyncio.all_tasks(loop):
+            for task in tasks:
+                task.cancel()
+            loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
         loop.close()
