Count the grace of a planned stop from the signal, on a clock that does not stand still

What callers would see: requests cut off without an answer at the end of a planned stop (LOST), if the process did not run when SIGTERM came, or if its machine was suspended during the stop.

The platform counts from the signal.

Change: the signal counts as sent when the process last ran for certain; the stall clock knows that within a beat. The time of the last answers follows the clock that goes on, and all that is left is answered at least once, however late. `stop_started` tells the pause, `stop_shortened` a suspension.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -128,6 +128,7 @@
     _change_log: ChangeLog = field(factory=ChangeLog, init=False)
     _feed_server: ChangeFeedServer = field(init=False)
     _stop_requested: asyncio.Event = field(init=False)
+    _stop_requested_at_seconds: float = field(init=False)
     background_tasks: list[asyncio.Task[None]] = field(factory=list, init=False)
     _store: GatewayStore = field(init=False)
     _ticks: int = 0
@@ -143,8 +144,8 @@
         if not self.loaded_settings_version:
             self.loaded_settings_version = self.settings_version()
         self._store = store = self._build_components()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGTERM, self._request_stop)
+        loop.add_signal_handler(signal.SIGINT, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._store_watch = watch = StoreWatch(
             store=store,
@@ -206,6 +207,8 @@
             loop=loop,
             log=self.log,
             timeout_seconds=self.settings.stop_bound_seconds,
+            requested_at_seconds=self._stop_requested_at_seconds,
+            boot_seconds=self.boot_seconds,
         )
         self._readiness.stopping = True
         self.background_tasks.append(loop.create_task(registration.deregister()))
@@ -219,6 +222,14 @@
         self.log.flush()
         return exit_code
 
+    def _request_stop(self) -> None:
+        """Start the shutdown; the signal may have come at any time during a pause."""
+        if self._stop_requested.is_set():
+            return
+        paused_seconds = self._stall_clock.seconds_since_beat() - TICK_INTERVAL_SECONDS
+        self._stop_requested_at_seconds = self.boot_seconds() - max(0.0, paused_seconds)
+        self._stop_requested.set()
+
     def _set_answer_by(self, answer_by_seconds: float) -> None:
         self._context.answer_by_seconds = answer_by_seconds
 
--- a/src/bronzebeam/gateway/graceful_shutdown.py
+++ b/src/bronzebeam/gateway/graceful_shutdown.py
@@ -1,6 +1,7 @@
 """Graceful shutdown of a gateway: completes the requests that it has accepted."""
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -18,6 +19,7 @@
 KILL_MARGIN_SECONDS: Final = 0.4  # exit this long before the process would be killed
 FINAL_ANSWERS_SECONDS: Final = 0.2  # for the last answers to be sent
 FINAL_CHECK_SECONDS: Final = 0.02
+MIN_SUSPENSION_SECONDS: Final = 0.01  # the two clocks don't differ by as much otherwise
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -30,10 +32,16 @@
     closes idle connections and exits once no connection is left. Requests that could
     not be answered before are refused; see docs/design/stops.md.
 
+    The time until the process is killed runs from the signal, also while the process is
+    paused or its machine suspended.
+
     :ivar listeners: accept connections for the servers.
     :ivar timeout_seconds: time until the process is killed.
+    :ivar requested_at_seconds: earliest time at which the signal may have come, on the
+        clock of `boot_seconds`.
+    :ivar boot_seconds: a clock that goes on while the process is suspended.
     :ivar set_answer_by: called with the monotonic time by which the last answers have
-        to leave.
+        to leave; again if that becomes earlier.
     """
 
     servers: Sequence[CallerServer]
@@ -41,7 +49,10 @@
     loop: asyncio.AbstractEventLoop
     log: DecisionLog
     timeout_seconds: float
+    requested_at_seconds: float
+    boot_seconds: Callable[[], float]
     set_answer_by: Callable[[float], None]
+    _answer_by_seconds: float = math.inf
 
     async def run(self) -> int:
         """
@@ -52,33 +63,62 @@
         started_at = self.loop.time()
         for server in self.servers:
             server.closing = True
-        self.log.event("stop_started", in_flight=self._in_flight())
-        deadline = started_at + self.timeout_seconds - KILL_MARGIN_SECONDS
-        answer_by = deadline - FINAL_ANSWERS_SECONDS
-        self.set_answer_by(answer_by)
-        await asyncio.sleep(min(LOAD_BALANCER_DELAY_SECONDS, self.timeout_seconds / 2))
-        while self._has_connections() and self.loop.time() < answer_by:
-            for server in self.servers:
-                server.close_idle(min_idle_seconds=MIN_IDLE_SECONDS)
-            await asyncio.sleep(CLOSE_INTERVAL_SECONDS)
-        await self._answer_the_last(deadline)
+        self.log.event(
+            "stop_started",
+            in_flight=self._in_flight(),
+            paused_ms=round(MS_PER_SECOND * self._elapsed_seconds()),
+        )
+        is_routed_until = started_at + min(
+            LOAD_BALANCER_DELAY_SECONDS, self.timeout_seconds / 2
+        )
+        while (remaining_seconds := self._update_answer_by()) > 0.0:
+            if self.loop.time() >= is_routed_until:
+                if not self._has_connections():
+                    break
+                for server in self.servers:
+                    server.close_idle(min_idle_seconds=MIN_IDLE_SECONDS)
+            await asyncio.sleep(
+                min(CLOSE_INTERVAL_SECONDS, max(FINAL_CHECK_SECONDS, remaining_seconds))
+            )
+        await self._answer_the_last()
         cut_off = self._in_flight()
         self.log.event(
             "stop_ended",
             cut_off=cut_off,
-            elapsed_ms=round(MS_PER_SECOND * (self.loop.time() - started_at)),
+            elapsed_ms=round(MS_PER_SECOND * self._elapsed_seconds()),
         )
         return 1 if cut_off else 0
 
-    async def _answer_the_last(self, deadline_seconds: float) -> None:
+    def _update_answer_by(self) -> float:
+        """Set when the last answers have to leave; return the seconds until then."""
+        deadline_seconds = self.timeout_seconds - KILL_MARGIN_SECONDS
+        remaining_seconds = (
+            deadline_seconds - FINAL_ANSWERS_SECONDS - self._elapsed_seconds()
+        )
+        answer_by_seconds = self.loop.time() + remaining_seconds
+        lost_seconds = self._answer_by_seconds - answer_by_seconds
+        if lost_seconds >= MIN_SUSPENSION_SECONDS:
+            if self._answer_by_seconds < math.inf:
+                lost_ms = round(MS_PER_SECOND * lost_seconds)
+                self.log.event("stop_shortened", suspended_ms=lost_ms)
+            self._answer_by_seconds = answer_by_seconds
+            self.set_answer_by(answer_by_seconds)
+        return remaining_seconds
+
+    async def _answer_the_last(self) -> None:
         """Accept no more connections, and answer what is left."""
         for listener in self.listeners:
             listener.close()
-        while self._has_connections() and self.loop.time() < deadline_seconds:
+        while self._has_connections():
             for server in self.servers:
                 server.end_requests()
                 server.close_idle(min_idle_seconds=0.0)
             await asyncio.sleep(FINAL_CHECK_SECONDS)
+            if self._elapsed_seconds() >= self.timeout_seconds - KILL_MARGIN_SECONDS:
+                return
+
+    def _elapsed_seconds(self) -> float:
+        return self.boot_seconds() - self.requested_at_seconds
 
     def _in_flight(self) -> int:
         return sum(server.in_flight for server in self.servers)
--- a/src/bronzebeam/transport/stall_clock.py
+++ b/src/bronzebeam/transport/stall_clock.py
@@ -32,5 +32,9 @@
 
     def stalled_seconds(self) -> float:
         """Return for how long the process has possibly not run; 0 if it has lately."""
-        seconds = self.boot_seconds() - self._beaten_at_seconds
+        seconds = self.seconds_since_beat()
         return seconds if seconds >= MIN_STALL_SECONDS else 0.0
+
+    def seconds_since_beat(self) -> float:
+        """Return the time since the last beat."""
+        return self.boot_seconds() - self._beaten_at_seconds
--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -164,6 +164,8 @@
     :ivar written_lines: log lines written so far.
     :ivar task: runs the gateway; its result is the exit code.
     :ivar settings_text: its settings file; `settings_version` changes with it.
+    :ivar suspended_seconds: for how long its machine has been suspended; the loop's
+        clock does not count this time.
     """
 
     name: str
@@ -173,6 +175,7 @@
     task: "asyncio.Task[int]"
     settings_text: str
     settings_version: int = 1
+    suspended_seconds: float = 0.0
 
     def log_lines(self, event: str) -> list[str]:
         """Return the log lines of one event, including those still buffered."""
@@ -181,7 +184,7 @@
 
     def stop(self) -> None:
         """Request a graceful shutdown, as SIGTERM does."""
-        self.gateway._stop_requested.set()
+        self.gateway._request_stop()
 
     def kill(self, cluster: "Cluster") -> None:
         """Kill the process, as SIGKILL does."""
@@ -266,6 +269,10 @@
         def read() -> GatewaySettings:
             return parse_settings(running.settings_text, subject="test")
 
+        def suspended_seconds() -> float:
+            started = self.gateways.get(name)
+            return 0.0 if started is None else started.suspended_seconds
+
         text = make_settings_text(name, host, domain, **overrides)
         gateway = Gateway(
             settings=parse_settings(text, subject="test"),
@@ -278,7 +285,7 @@
                 instance=name, write=write, monotonic_seconds=self.loop.time
             ),
             rng=random.Random(number),
-            boot_seconds=self.loop.time,
+            boot_seconds=lambda: self.loop.time() + suspended_seconds(),
         )
         task = self.loop.create_task(gateway.run(), context=context_of_host(host))
         running = RunningGateway(
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -350,6 +350,55 @@
     run_scenario(scenario)
 
 
+async def send_to_slow_replicas(
+    cluster: Cluster, gateway: RunningGateway, count: int
+) -> list["asyncio.Task[Response | None]"]:
+    """Send requests that outlast the grace, on connections of their own."""
+    await configure_long_timeouts(cluster)
+    for replica in cluster.replicas.values():
+        replica.work_seconds = 20.0
+    requests = [
+        asyncio.create_task(
+            cluster.send_request(gateway, READ_PATH, remaining_ms=8_000)
+        )
+        for _ in range(count)
+    ]
+    await asyncio.sleep(0.1)
+    return requests
+
+
+def test_requests_are_answered_if_sigterm_came_while_the_process_was_paused() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for paused_seconds in (0.8, 3.0, 5.9):
+            gateway = await start_small_cluster(cluster)
+            requests = await send_to_slow_replicas(cluster, gateway, 12)
+            gateway.gateway._stall_clock._beaten_at_seconds -= paused_seconds
+            stop(cluster, gateway)
+            assert (
+                await wait_for_exit(gateway, cluster) < GRACE_SECONDS - paused_seconds
+            )
+            for response in await asyncio.gather(*requests):
+                assert response is not None and response.status in (503, 504)
+
+    run_scenario(scenario)
+
+
+def test_requests_are_answered_if_the_machine_was_suspended_during_a_stop() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        for suspended_seconds in (2.0, 7.0):
+            gateway = await start_small_cluster(cluster)
+            requests = await send_to_slow_replicas(cluster, gateway, 12)
+            stop(cluster, gateway)
+            await asyncio.sleep(1.0)
+            gateway.suspended_seconds += suspended_seconds
+            left_seconds = max(0.5, GRACE_SECONDS - 1.0 - suspended_seconds)
+            assert await wait_for_exit(gateway, cluster) < left_seconds
+            for response in await asyncio.gather(*requests):
+                assert response is not None and response.status in (503, 504)
+
+    run_scenario(scenario)
+
+
 def test_idle_instance_exits_soon_after_the_load_balancer_has_removed_it() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_small_cluster(cluster)
