Serve no changes to peers before the store has confirmed the first read

What can happen: an instance that restarts while the store answers stale reads and no watches starts on contents that may be seconds old, and said for up to 2.5 s that it was up to date. Peers that read changes from it took everything until 3 s before as applied, and counted the grace of a removal from there: up to the staleness too late (DRAIN), in fleets with a feed only.

Change: an instance is up to date only once it has followed the store.

Evidence: test_instance_that_started_on_an_unconfirmed_stale_read_serves_no_changes failed before. The time of the last answer is left as it is, since the grace after an outage is counted from it.

--- a/src/bronzebeam/gateway/store_watch.py
+++ b/src/bronzebeam/gateway/store_watch.py
@@ -183,7 +183,14 @@
 
     @property
     def is_up_to_date(self) -> bool:
-        """Whether the store has answered this instance in the last few seconds."""
+        """
+        Whether the store has answered this instance in the last few seconds.
+
+        A stale read at the start, before any watch, does not count: peers would take
+        what was removed since for current.
+        """
+        if self._followed_until_seconds == -math.inf:
+            return False
         age_seconds = self.loop.time() - self._last_response_at_seconds
         return age_seconds < MAX_RESPONSE_AGE_SECONDS and self._is_following
 
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -264,6 +264,34 @@
     run_scenario(scenario)
 
 
+def test_instance_that_started_on_an_unconfirmed_stale_read_serves_no_changes() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.store.stale_age_seconds = lambda: 3.0
+        cluster.add_replica(BOOKING_SERVICE)
+        cluster.configure(make_route("r-read", READ_PATH, service=BOOKING_SERVICE))
+        await asyncio.sleep(5.0)
+        cluster.store.fault = lambda request: (
+            StoreFault.UNRESPONSIVE
+            if request.target.startswith("/kv-watch")
+            else StoreFault.NONE
+        )
+        gateway = cluster.start_gateway("g-1", **BOUND_SETTINGS)
+        for expected in (False, True):
+            await asyncio.sleep(0.5)
+            assert gateway.gateway._state.table is not None
+            caller = await cluster.connect(gateway, port=PEER_PORT)
+            after = cluster.store.revision - 1
+            caller.send(encode_request(f"/changes?after={after}", remaining_ms=None))
+            response = await caller.responses.get()
+            assert response is not None
+            assert decode_feed_response(response.body).is_up_to_date is expected
+            cluster.store.fault = fault_always(StoreFault.NONE)
+            await asyncio.sleep(3.0)
+            cluster.configure(*cluster.routes)
+
+    run_scenario(scenario)
+
+
 def test_peer_whose_history_is_unknown_gets_all_records() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateways = await start_large_domain(cluster)
