--- a/tests/model_fleet.py
+++ b/tests/model_fleet.py
@@ -295,8 +295,9 @@
             ended_at = self.stopped_at.get(id(running), self.now)
             if running in self.killed or sent_at > ended_at - LAST_CONNECTIONS_SECONDS:
                 continue
+            early_seconds = round(ended_at - sent_at, 2)
             self.violations.append(
-                f"{running.name} lost a request {ended_at - sent_at:.2f} s before its end"
+                f"{running.name} lost a request {early_seconds} s before its end"
             )
 
 
