Show that replaced instances can repeat beyond the budget together

The decision alone, without a network, shows one: each process counts its own requests and repeats, so that a process that starts has a budget beside that of its predecessor, which has spent its part within the same window. If all instances spend what they have and three of six are then replaced, 213 repeats come in 10 s where 172 are allowed. The starting share of the slack (0.3) bounds a part of it; nothing bounds the ratio's part.

--- a/tests/test_routing_gateway.py
+++ b/tests/test_routing_gateway.py
@@ -176,6 +176,40 @@
         assert len(in_window) <= LIMITS.ratio * counted + LIMITS.slack_count
 
 
+def test_repeats_stay_within_the_limit_while_instances_are_replaced() -> None:
+    """Guards against processes that repeat as much as those that they replace did."""
+    step_seconds, firsts_per_step, slow_from_seconds = 0.05, 3, 9.0
+
+    def new(now_seconds: float) -> RepeatBudget:
+        return RepeatBudget(limits=LIMITS, started_at_seconds=now_seconds)
+
+    budgets = [new(-100.0) for _ in range(6)]
+    replaced_at_seconds = [10.0, 11.0, 12.0]
+    firsts: list[float] = []
+    repeats: list[float] = []
+    for step in range(500):
+        now = step * step_seconds
+        while replaced_at_seconds and replaced_at_seconds[0] <= now:
+            replaced_at_seconds.pop(0)
+            budgets = [*budgets[1:], new(now)]
+        for number in range(firsts_per_step):
+            budgets[(step + number) % len(budgets)].record_first_attempts(now)
+            firsts.append(now)
+        for budget in budgets:
+            while (
+                now >= slow_from_seconds
+                and budget.available(now, share=1.0 / len(budgets)) >= 1.0
+            ):
+                budget.record_repeat(now)
+                repeats.append(now)
+        counted = max(
+            sum(1 for at in firsts if now - end < at <= now - start)
+            for start, end in [(0.0, 10.0), (10.0, 20.0), (5.0, 15.0)]
+        )
+        in_window = sum(1 for at in repeats if at > now - WINDOW_SECONDS)
+        assert in_window <= LIMITS.ratio * counted + LIMITS.slack_count
+
+
 def test_whole_slack_is_available_after_one_window() -> None:
     budget = RepeatBudget(limits=LIMITS, started_at_seconds=0.0)
     assert budget.available(0.0, share=1.0) < budget.available(5.0, share=1.0)
