Let restored stores of the model check get the last words of all replicas back

Two causes, both in the rig: a second restoration within half a second took the first copy's contents for what the replicas had written last; and the stand-in answered a stale read with contents from before a restoration under the era after it, with revisions of another history.

--- a/tests/model_fleet.py
+++ b/tests/model_fleet.py
@@ -21,6 +21,7 @@
 from tests.standin_store import (
     PAGE_SIZE,
     RESPONSE_SECONDS,
+    StandinStore,
     StoreCopy,
     StoreFault,
     fault_always,
@@ -65,6 +66,26 @@
         super().handle(request)
 
 
+@define(kw_only=True, eq=False)
+class ModelStore(StandinStore):
+    """
+    A store that knows what was written last, also if it has come back without it.
+
+    :ivar written: latest value of each key that was not removed.
+    """
+
+    written: dict[str, bytes] = field(factory=dict)
+
+    def put(self, key: str, value: Any, *, lease: int = 0) -> int:
+        revision = super().put(key, value, lease=lease)
+        self.written[key] = self.items[key].value
+        return revision
+
+    def remove(self, key: str) -> None:
+        super().remove(key)
+        self.written.pop(key, None)
+
+
 @define(kw_only=True, eq=False)
 class Model:
     """
@@ -102,7 +123,8 @@
         return self.cluster.loop.time()
 
     async def start(self) -> None:
-        store = self.cluster.store
+        self.cluster.store = store = ModelStore(loop=self.cluster.loop)
+        store.listen()
         store.stale_age_seconds = self._next_stale_age
         for number in range(PAGE_SIZE - 2):
             store.put(f"op/on-the-first-page-{number:02d}", b"")
@@ -451,24 +473,23 @@
 def restore_store(model: Model, number: int) -> None:
     """Let the store come back from an older copy; replicas write again soon."""
     store, copy = model.cluster.store, model.copy
-    assert copy is not None
-    written = dict(store.items)
+    assert copy is not None and isinstance(store, ModelStore)
     model.harmed.append((model.now, model.now + REWRITE_SECONDS))
     store.restore(copy)
     # The operators notice at once.
-    model.cluster.store.put("op/config", written["op/config"].value)
-
-    def write_again() -> None:
-        for key in {*written, *copy.items}:
-            is_unchanged = store.items.get(key) is copy.items.get(key)
-            if not key.startswith("servers/") or not is_unchanged:
-                continue
-            if key in written:
-                store.put(key, written[key].value)
-            else:
-                store.remove(key)
-
-    model.later(REWRITE_SECONDS, write_again)
+    store.put("op/config", store.written["op/config"])
+    model.later(REWRITE_SECONDS, lambda: write_again(store))
+
+
+def write_again(store: ModelStore) -> None:
+    """Let the replicas write what the store has lost, and the others expire."""
+    for key in {*store.written, *store.items}:
+        if not key.startswith("servers/"):
+            continue
+        if key not in store.written:
+            store.remove(key)
+        elif key not in store.items or store.items[key].value != store.written[key]:
+            store.put(key, store.written[key])
 
 
 def drop_history(model: Model, number: int) -> None:
--- a/tests/standin_store.py
+++ b/tests/standin_store.py
@@ -184,6 +184,10 @@
         for number in self.leases:
             self._renew(number)
         self.era += 1
+        # A response names the era of its contents, also that of a stale read.
+        self._past.clear()
+        if self.stale_age_seconds is not None:
+            self._remember_contents()
         self.reset_watches()
         self.loop.net.reset_connections(self.host)
 
