--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -114,6 +114,7 @@
                 "internalPortRange": f"{port},7395",
             },
         )
+        places: list[str] = []
         try:
             parse_settings(text, subject="file")
         except FindingsError as error:
