Tell in log and metrics whether a process was busy or did not run

Callers see late answers, or none, while a process does nothing else. The log had `process_stalled` with the length of the pause only, which is the same for a process that was suspended and one that was busy with a piece of work of its own; pauses below 0.75 s were not shown at all.

`process_stalled` now has `busy_ms`, the processor time used since the last beat. The metric `bronzebeam_gateway_tick_delay_seconds` has by how much the regular work, due four times a second, started late, so that busy times from some milliseconds on show as quantiles.

No logic is changed. Both tests fail on the code before: there is neither the field nor the metric.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -492,7 +492,10 @@
             finally:
                 # The log tells why a tick fails, also if each one does.
                 self.log.flush()
+            due_at_seconds = self._loop.time() + TICK_INTERVAL_SECONDS
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
+            delay_seconds = max(0.0, self._loop.time() - due_at_seconds)
+            self.metrics.process.record_tick_delay(delay_seconds)
 
     def _tick(self) -> None:
         self._ticks += 1
@@ -518,7 +521,12 @@
         stalled_seconds = self._stall_clock.stalled_seconds()
         if stalled_seconds:
             stalled_ms = round(stalled_seconds * MS_PER_SECOND)
-            self.log.event("process_stalled", stalled_ms=stalled_ms)
+            busy_seconds = self._stall_clock.busy_seconds_since_beat()
+            self.log.event(
+                "process_stalled",
+                stalled_ms=stalled_ms,
+                busy_ms=round(busy_seconds * MS_PER_SECOND),
+            )
         self._stall_clock.beat()
 
     def _reload_if_changed(self) -> None:
--- a/src/bronzebeam/gateway/process_metrics.py
+++ b/src/bronzebeam/gateway/process_metrics.py
@@ -4,7 +4,13 @@
 
 from attrs import define, field
 
-from bronzebeam.telemetry.metrics import Counter, Gauge, MetricFamily, MetricRegistry
+from bronzebeam.telemetry.metrics import (
+    Counter,
+    Gauge,
+    LatencyMetric,
+    MetricFamily,
+    MetricRegistry,
+)
 from bronzebeam.telemetry.process_resources import (
     ProcessResources,
     open_descriptors,
@@ -14,13 +20,14 @@
 
 @define(kw_only=True, eq=False, repr=False)
 class ProcessMetrics:
-    """Unhandled errors, and the memory and descriptors in use."""
+    """Unhandled errors, delays, and the memory and descriptors in use."""
 
     registry: MetricRegistry
     _errors: MetricFamily[Counter] = field(init=False)
     _memory: MetricFamily[Gauge] = field(init=False)
     _descriptors: MetricFamily[Gauge] = field(init=False)
     _descriptor_limit: MetricFamily[Gauge] = field(init=False)
+    _tick_delay: MetricFamily[LatencyMetric] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._errors = self.registry.counter(
@@ -40,11 +47,19 @@
             name="bronzebeam_gateway_allowed_descriptors_count",
             help_text="File descriptors that the process may open.",
         )
+        self._tick_delay = self.registry.latency(
+            name="bronzebeam_gateway_tick_delay_seconds",
+            help_text="Time by which the regular work started late.",
+        )
 
     def count_error(self) -> None:
         """Count an exception that no code has handled."""
         self._errors.labels().increment()
 
+    def record_tick_delay(self, seconds: float) -> None:
+        """Record by how much the regular work of the process started late."""
+        self._tick_delay.labels().record(seconds=seconds)
+
     def set_resources(self, resources: ProcessResources) -> None:
         """Set what the process uses now; what is unknown is left out."""
         for family, value in (
--- a/src/bronzebeam/transport/stall_clock.py
+++ b/src/bronzebeam/transport/stall_clock.py
@@ -1,5 +1,6 @@
-"""Notices that the process did not run for a while."""
+"""Notices that the process did not run for a while, or was busy for long."""
 
+import time
 from collections.abc import Callable
 from typing import Final
 
@@ -18,10 +19,13 @@
     as received at its start then, so that one whose time has passed is not run.
 
     :ivar boot_seconds: a clock that goes on while the process is suspended.
+    :ivar processor_seconds: a clock of the processor time that the process has used.
     """
 
     boot_seconds: Callable[[], float]
+    processor_seconds: Callable[[], float] = time.process_time
     _beaten_at_seconds: float = field(init=False)
+    _used_at_beat_seconds: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.beat()
@@ -29,6 +33,7 @@
     def beat(self) -> None:
         """Record that the process runs; to be called several times a second."""
         self._beaten_at_seconds = self.boot_seconds()
+        self._used_at_beat_seconds = self.processor_seconds()
 
     def stalled_seconds(self) -> float:
         """Return for how long the process has possibly not run; 0 if it has lately."""
@@ -38,3 +43,7 @@
     def seconds_since_beat(self) -> float:
         """Return the time since the last beat."""
         return self.boot_seconds() - self._beaten_at_seconds
+
+    def busy_seconds_since_beat(self) -> float:
+        """Return the processor time that the process has used since the last beat."""
+        return self.processor_seconds() - self._used_at_beat_seconds
--- a/tests/test_gateway_stalls.py
+++ b/tests/test_gateway_stalls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bronzebeam.units import MS_PER_SECOND
 from tests.fixtures_gateway import (
     BOOKING_PATH,
     FAN_OUT_PATH,
@@ -11,6 +12,7 @@
     start_search_cluster,
     start_small_cluster,
 )
+from tests.test_gateway_resources import read_metrics
 
 STALLED_SECONDS = 3.0
 
@@ -43,6 +45,42 @@
     run_scenario(scenario)
 
 
+def test_log_tells_a_busy_process_from_one_that_did_not_run() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        clock = gateway.gateway._stall_clock
+        for used_seconds in (0.0, STALLED_SECONDS):
+            await asyncio.sleep(0.3)
+            stall(gateway)
+            clock._used_at_beat_seconds -= used_seconds
+            await asyncio.sleep(0.3)
+        not_run, busy = [
+            int(line.partition("busy_ms=")[2].split()[0])
+            for line in gateway.log_lines("process_stalled")
+        ]
+        assert not_run < MS_PER_SECOND * STALLED_SECONDS <= busy
+
+    run_scenario(scenario)
+
+
+def test_metrics_show_by_how_much_the_regular_work_was_late() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        name = "bronzebeam_gateway_tick_delay_seconds"
+        before = await read_metrics(cluster, gateway)
+        assert before[f"{name}_count"] > 0
+
+        def work() -> None:
+            cluster.loop.virtual_selector.now_seconds += STALLED_SECONDS
+
+        cluster.loop.call_later(0.1, work)
+        await asyncio.sleep(4.0)
+        after = await read_metrics(cluster, gateway)
+        assert after[f"{name}_sum"] - before[f"{name}_sum"] > STALLED_SECONDS / 2
+
+    run_scenario(scenario)
+
+
 def test_work_of_a_peer_whose_time_has_passed_is_not_run() -> None:
     async def scenario(cluster: Cluster) -> None:
         first = await start_search_cluster(cluster, domains=("zone-b", "zone-b"))
