Show bytes of unfinished replies beside the resident memory

A process that exceeds its memory is ended within seconds. Memory was checked each 5 s, so that the log need not say anything before, and nothing showed whether the memory is that of replies which the connections count.

The gauge `bronzebeam_gateway_unfinished_reply_bytes` has what the connections to replicas count as received of unfinished replies. `resource_scarce` and `resource_available` have it too, and memory is compared with its limit four times a second; listing the descriptors stays at each 5 s.

The new test and the extended one fail on the code before, which has neither the gauge nor the field.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -464,7 +464,10 @@
             )
             self.metrics.set_malformed(self._store.malformed_count)
             self.metrics.set_evacuated(self._state.evacuations.counts())
-            self.metrics.process.set_resources(self._resources)
+            self.metrics.process.set_resources(
+                self._resources,
+                unfinished_reply_bytes=self._state.replicas.reply_memory.used_bytes,
+            )
             text = self.metrics.registry.render(now_seconds=self._loop.time())
             request.respond(
                 status=200,
@@ -513,8 +516,12 @@
             for server in (self._caller_server, self._peer_server, self._ready_server):
                 server.close_timed_out()
             self._reload_if_changed()
+        # Not less often: memory can grow by hundreds of megabytes within a second.
+        self._resources.check_memory(
+            unfinished_reply_bytes=self._state.replicas.reply_memory.used_bytes
+        )
         if self._ticks % TICKS_PER_RESOURCE_CHECK == 0:
-            self._resources.check()
+            self._resources.check_descriptors()
             self._caller_connection_limit.update()
 
     def _log_stall(self) -> None:
--- a/src/bronzebeam/gateway/process_metrics.py
+++ b/src/bronzebeam/gateway/process_metrics.py
@@ -27,6 +27,7 @@
     _memory: MetricFamily[Gauge] = field(init=False)
     _descriptors: MetricFamily[Gauge] = field(init=False)
     _descriptor_limit: MetricFamily[Gauge] = field(init=False)
+    _unfinished_replies: MetricFamily[Gauge] = field(init=False)
     _tick_delay: MetricFamily[LatencyMetric] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -47,6 +48,10 @@
             name="bronzebeam_gateway_allowed_descriptors_count",
             help_text="File descriptors that the process may open.",
         )
+        self._unfinished_replies = self.registry.gauge(
+            name="bronzebeam_gateway_unfinished_reply_bytes",
+            help_text="Bytes received of replies that are not complete.",
+        )
         self._tick_delay = self.registry.latency(
             name="bronzebeam_gateway_tick_delay_seconds",
             help_text="Time by which the regular work started late.",
@@ -60,10 +65,17 @@
         """Record by how much the regular work of the process started late."""
         self._tick_delay.labels().record(seconds=seconds)
 
-    def set_resources(self, resources: ProcessResources) -> None:
-        """Set what the process uses now; what is unknown is left out."""
+    def set_resources(
+        self, resources: ProcessResources, *, unfinished_reply_bytes: int
+    ) -> None:
+        """
+        Set what the process uses now; what is unknown is left out.
+
+        :param unfinished_reply_bytes: received of replies that are not complete.
+        """
         for family, value in (
             (self._memory, resident_bytes()),
+            (self._unfinished_replies, unfinished_reply_bytes),
             (self._descriptors, open_descriptors()),
             (self._descriptor_limit, resources.allowed_descriptors),
         ):
--- a/src/bronzebeam/gateway/replica_set.py
+++ b/src/bronzebeam/gateway/replica_set.py
@@ -119,7 +119,7 @@
     _by_service: dict[str, list[Replica]] = field(factory=dict)
     links: ReplicaLinks = field(init=False)
     states_load: bool = False
-    _reply_memory: ReplyMemory = field(factory=ReplyMemory)
+    reply_memory: ReplyMemory = field(factory=ReplyMemory)
     _unreachable_until_seconds: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -255,7 +255,7 @@
                 connect=self.connect,
                 log=self.log,
                 link_times=self.links.times,
-                reply_memory=self._reply_memory,
+                reply_memory=self.reply_memory,
             )
             replica = Replica(
                 record=record,
--- a/src/bronzebeam/telemetry/process_resources.py
+++ b/src/bronzebeam/telemetry/process_resources.py
@@ -65,17 +65,35 @@
         limit = descriptor_limit()
         return min(limit, self.max_descriptors) if self.max_descriptors else limit
 
-    def check(self) -> None:
-        """Compare what is used with the limits; to be called every few seconds."""
-        self._compare("memory_bytes", resident_bytes(), self.max_bytes)
+    def check_memory(self, *, unfinished_reply_bytes: int = 0) -> None:
+        """
+        Compare the memory with its limit; to be called several times a second.
+
+        :param unfinished_reply_bytes: logged beside the memory that is used.
+        """
+        self._compare(
+            "memory_bytes",
+            resident_bytes(),
+            self.max_bytes,
+            unfinished_reply_bytes=unfinished_reply_bytes,
+        )
+
+    def check_descriptors(self) -> None:
+        """Compare the descriptors with the limit; to be called every few seconds."""
         self._compare("descriptors", open_descriptors(), self.allowed_descriptors)
 
-    def _compare(self, name: str, used: int | None, limit: float) -> None:
+    def _compare(
+        self, name: str, used: int | None, limit: float, **details: int
+    ) -> None:
         if used is None or limit <= 0 or limit == math.inf:
             return
         if used > SCARCE_SHARE * limit and name not in self._scarce:
             self._scarce.add(name)
-            self.log.event("resource_scarce", resource=name, used=used, limit=limit)
+            self.log.event(
+                "resource_scarce", resource=name, used=used, limit=limit, **details
+            )
         elif used < PLENTY_SHARE * limit and name in self._scarce:
             self._scarce.discard(name)
-            self.log.event("resource_available", resource=name, used=used, limit=limit)
+            self.log.event(
+                "resource_available", resource=name, used=used, limit=limit, **details
+            )
--- a/tests/test_gateway_endless_replies.py
+++ b/tests/test_gateway_endless_replies.py
@@ -14,6 +14,7 @@
     start_small_cluster,
 )
 from tests.standin_replica import ENDLESS_PARTS, Fault, fault_always
+from tests.test_gateway_resources import read_metrics
 
 # A tenth of the memory of a small instance, which is 300 MB.
 MAX_BUFFERED_BYTES = 30 * 1024 * 1024
@@ -52,6 +53,21 @@
         run_scenario(scenario)
 
 
+def test_metrics_show_what_was_received_of_endless_replies() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        name = "bronzebeam_gateway_unfinished_reply_bytes"
+        assert (await read_metrics(cluster, gateway))[name] == 0
+        for replica in replicas_of_service(cluster, BOOKING_SERVICE):
+            replica.fault = fault_always(Fault.ENDLESS_BODY)
+        answer = asyncio.ensure_future(cluster.send_request(gateway, READ_PATH))
+        await asyncio.sleep(0.02)
+        assert (await read_metrics(cluster, gateway))[name] > 64 * 1024
+        await answer
+
+    run_scenario(scenario)
+
+
 def test_endless_replies_of_many_shards_stay_within_the_memory() -> None:
     for fault in (Fault.ENDLESS_BODY, Fault.ENDLESS_HEAD, Fault.ENDLESS_CHUNK):
 
--- a/tests/test_gateway_resources.py
+++ b/tests/test_gateway_resources.py
@@ -93,10 +93,12 @@
     resources = ProcessResources(log=log, max_bytes=1.0)
     for max_bytes in (1.0, 1.0, 1e12, 1e12):
         resources.max_bytes = max_bytes
-        resources.check()
+        resources.check_memory(unfinished_reply_bytes=7)
+        resources.check_descriptors()
     log.flush()
     scarce, available = output.lines
     assert "event=resource_scarce resource=memory_bytes" in scarce
+    assert " unfinished_reply_bytes=7 " in scarce
     assert "event=resource_available resource=memory_bytes" in available
 
 
@@ -457,11 +459,14 @@
         log = DecisionLog(instance="g-1", write=LimitedOutput())
         resources = ProcessResources(log=log)
         assert resources.allowed_descriptors == math.inf
-        resources.check()
+        resources.check_memory()
+        resources.check_descriptors()
         resources.max_descriptors = 100
         assert resources.allowed_descriptors == 100
         metrics = GatewayMetrics()
-        metrics.process.set_resources(ProcessResources(log=log))
+        metrics.process.set_resources(
+            ProcessResources(log=log), unfinished_reply_bytes=7
+        )
         assert (
             "\nbronzebeam_gateway_allowed_descriptors_count "
             not in metrics.registry.render(now_seconds=0.0)
