Count served requests, and log when callers send requests and none is served

Callers meet an instance that is ready and answers every request with an error, or not at all. The readiness check, the metrics and the log did not show that: each failed request has one line, and the share that is served had to be counted from outside.

A pair of counters has the requests received from callers and those that a replica has answered. After 3 s and 5 requests without one, none_served has the most frequent causes, at most once in 10 s; serving_again ends it. Requests of peers don't count. Those that a connection refuses by itself (400, 408, 413, 431) are not seen here. An exception in the handler counts as internal_error.

tests.test_gateway_served fails on the code before: there is no such event.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -497,6 +497,7 @@
     def _tick(self) -> None:
         self._ticks += 1
         self._log_stall()
+        self._context.served.check(self.log, self._loop.time())
         if self._ticks == GC_FREEZE_TICK:
             # Objects created at start-up are permanent: exclude them from collections.
             gc.collect()
--- a/src/bronzebeam/gateway/gateway_metrics.py
+++ b/src/bronzebeam/gateway/gateway_metrics.py
@@ -34,6 +34,8 @@
     registry: MetricRegistry = field(factory=MetricRegistry)
     quotas: QuotaMetrics = field(init=False)
     process: ProcessMetrics = field(init=False)
+    _received: MetricFamily[Counter] = field(init=False)
+    _served: MetricFamily[Counter] = field(init=False)
     _requests: MetricFamily[Counter] = field(init=False)
     _latency: MetricFamily[LatencyMetric] = field(init=False)
     _cutoff_delay: MetricFamily[LatencyMetric] = field(init=False)
@@ -56,6 +58,16 @@
     _wait: MetricFamily[LatencyMetric] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._received = self.registry.counter(
+            name="bronzebeam_gateway_received_total",
+            help_text="Requests received from callers.",
+        )
+        self._served = self.registry.counter(
+            name="bronzebeam_gateway_served_total",
+            help_text="Requests of callers answered by replicas, without an error.",
+        )
+        for family in (self._received, self._served):
+            family.labels()  # shown from the start
         self._requests = self.registry.counter(
             name="bronzebeam_gateway_requests_total",
             help_text="Requests answered, by route and status.",
@@ -141,6 +153,14 @@
             label_names=("priority",),
         )
 
+    def count_received(self) -> None:
+        """Count a request that a caller has sent."""
+        self._received.labels().increment()
+
+    def count_served(self) -> None:
+        """Count a request that replicas have answered without an error."""
+        self._served.labels().increment()
+
     def set_waiting(self, *, priority: int, count: int) -> None:
         """Set the number of requests of a priority that wait for room."""
         self._waiting.labels(priority=str(priority)).set(count)
--- a/src/bronzebeam/gateway/outcome.py
+++ b/src/bronzebeam/gateway/outcome.py
@@ -52,6 +52,8 @@
         :param status: status of the answer; None if there was no answer.
         :param good: served in full and in time; fewer of these lines are logged.
         """
+        if not routed.is_for_peer:
+            context.served.record_end(status=status, cause=self.cause)
         now_seconds = context.loop.time()
         request = routed.request
         elapsed_ms = (now_seconds - request.arrived_at_seconds) * MS_PER_SECOND
--- a/src/bronzebeam/gateway/quota_gate.py
+++ b/src/bronzebeam/gateway/quota_gate.py
@@ -132,6 +132,7 @@
             self._unlogged_count = 0
         else:
             self._unlogged_count += 1
+        context.served.record_end(status=None, cause=QUOTA_EXCEEDED)
         context.metrics.quotas.count_refused(
             self._metric_name(account), refusal.role.value
         )
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -40,6 +40,7 @@
 STARTUP_RETRY_MS: Final = 400.0  # an instance reads its configuration in less time
 MISSING_KEY: Final = "missing_key"
 UNKNOWN_KEY: Final = "unknown_key"
+INTERNAL_ERROR: Final = "internal_error"
 KEY_UNCONFIRMED: Final = "key_unconfirmed"
 
 
@@ -67,6 +68,14 @@
 
     def handle(self, request: HttpRequest) -> None:
         """Route a request, or reject it at once."""
+        self.context.served.record_received(self.context.loop.time())
+        try:
+            self._route(request)
+        except Exception:
+            self.context.served.record_end(status=None, cause=INTERNAL_ERROR)
+            raise
+
+    def _route(self, request: HttpRequest) -> None:
         table = self.context.state.table
         if table is None:
             self._queue_until_configured(request)
@@ -107,7 +116,7 @@
         queued, self._queued = self._queued, []
         for request in queued:
             if not request.disconnected and not request.responded:
-                self.handle(request)
+                self._route(request)
 
     def _routed_request(
         self,
@@ -271,6 +280,7 @@
             path=request.path.decode("latin-1"),
             version=table.version if table is not None else None,
         )
+        self.context.served.record_end(status=None, cause=reason)
         self.context.metrics.count_rejection(reason)
         request.respond(status=status, headers=headers, body=reason.encode() + b"\n")
 
