Find ready processes of the soak that serve nothing, are silent or busy

The soak compared what was served after the faults over all processes, so that one process that served nothing, answered no readiness check or used a processor without end broke no rule.

A process that is ready must serve one of its requests within 6 s while others serve (the soak's recovery time), answer a readiness check within 4 s, and not use a whole processor for 4 s. Time in which the rig or the process waited for a processor, and disturbances of the process itself, don't count. Planted histories in test_soak_gateways show each rule, on both sides of its bound. The last line of a run has the number of processes whose log says none_served.

--- a/tests/soak_ends.py
+++ b/tests/soak_ends.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from tests.soak_history import SoakHistory
 
@@ -25,6 +25,7 @@
 SIGNAL_COUNT: Final = 10
 MAX_ERROR_LINES: Final = 5
 FAILURE_EVENTS: Final = ("event=unhandled_error", "event=failed", "event=task_failed")
+NONE_SERVED_EVENT: Final = "event=none_served"
 STOPS: Final = {signal.SIGTERM, signal.SIGINT}
 EXIT_CUT_OFF: Final = 1
 
@@ -46,6 +47,20 @@
     used_seconds: float = 0.0
     queued_seconds: float = 0.0
 
+    @property
+    def ends(self) -> bool:
+        """Whether it stops or kills the process."""
+        return self.number in {*STOPS, signal.SIGKILL}
+
+
+@frozen(kw_only=True)
+class SampleRow:
+    """What a process had used at a time; see `ProcessRow`."""
+
+    at_seconds: float
+    used_seconds: float
+    queued_seconds: float
+
 
 @define(kw_only=True, eq=False)
 class ProcessRow:
@@ -60,8 +75,12 @@
         sampled; until it was ready in `ready_queued_seconds`.
     :ivar peak_bytes: high-water mark of its resident memory, as last sampled.
     :ivar first_bytes: resident memory when it was first sampled after it was ready.
+    :ivar samples: what it had used, about once a second.
+    :ivar answered_at_seconds: times of its answers to readiness checks, from the first
+        successful one on.
     :ivar last_lines: end of its log.
     :ivar failure_lines: lines of its log about exceptions.
+    :ivar served_none: its log says that it served none of its requests for a while.
     :ivar error_text: all that it wrote to standard error.
     """
 
@@ -84,8 +103,11 @@
     first_descriptors: int = 0
     last_descriptors: int = 0
     peak_descriptors: int = 0
+    samples: list[SampleRow] = field(factory=list)
+    answered_at_seconds: list[float] = field(factory=list)
     last_lines: list[str] = field(factory=list)
     failure_lines: list[str] = field(factory=list)
+    served_none: bool = False
     error_text: str = ""
 
     def note_signal(self, number: signal.Signals, at_seconds: float) -> None:
@@ -116,10 +138,22 @@
         self.failure_lines = [
             line for line in lines if any(item in line for item in FAILURE_EVENTS)
         ]
+        self.served_none = any(NONE_SERVED_EVENT in line for line in lines)
         self.error_text = self.errors.read_text(errors="replace")
 
-    def sample(self) -> None:
+    def note_answer(self, at_seconds: float) -> None:
+        if self.ready_at_seconds is not None:
+            self.answered_at_seconds.append(at_seconds)
+
+    def sample(self, at_seconds: float) -> None:
         self._sample_times()
+        self.samples.append(
+            SampleRow(
+                at_seconds=at_seconds,
+                used_seconds=self.used_seconds,
+                queued_seconds=self.queued_seconds,
+            )
+        )
         fields = self._status()
         if "VmRSS" not in fields:
             return  # it has just ended
@@ -207,6 +241,7 @@
     rows = [row for row in history.processes.values() if row.first_bytes]
     return {
         "starts": len(history.processes),
+        "none_served": sum(row.served_none for row in history.processes.values()),
         "ended_by_early_signals": sum(
             _was_ended_early(row, timed=False) for row in history.processes.values()
         ),
--- a/tests/soak_gateways.py
+++ b/tests/soak_gateways.py
@@ -39,6 +39,7 @@
     check_quota_sums,
 )
 from tests.soak_rig import SoakGateway, SoakRig
+from tests.soak_serving import check_serving
 from tests.soak_shape import SHAPES, SMALL, SoakShape
 from tests.standin_replica import ACCOUNT_HEADER, KEY_HEADER
 
@@ -93,6 +94,7 @@
         found["accounts"] = list(check_accounts(self.rig.history))
         found["quota_sums"] = list(check_quota_sums(self.rig.history))
         if timed:
+            found |= check_serving(self.rig.history)
             found["withdrawn"] = list(check_withdrawn(self.rig.history))
             found["keys_in_time"] = list(check_keys_in_time(self.rig.history))
             found["quota_refusals"] = list(check_quota_refusals(self.rig.history))
--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -524,7 +524,7 @@
         while True:
             for gateway in self.gateways:
                 if gateway.row is not None and gateway.is_running:
-                    gateway.row.sample()
+                    gateway.row.sample(self.loop.time())
             await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
 
     async def _measure_lag(self) -> None:
@@ -544,9 +544,10 @@
         try:
             url = f"http://{LOOPBACK}:{gateway.ready_port}/ready"
             is_ready = (await self._client.get(url)).status_code == 200
+            answered_at_seconds: float | None = self.loop.time()
         except httpx.HTTPError:
             # Not reachable counts like not ready.
-            is_ready = False
+            is_ready, answered_at_seconds = False, None
         gateway.missed_checks = 0 if is_ready else gateway.missed_checks + 1
         if is_ready:
             gateway.in_rotation = True
@@ -554,3 +555,5 @@
                 row.note_ready(self.loop.time())
         elif gateway.missed_checks >= MAX_MISSED_CHECKS:
             gateway.in_rotation = False
+        if row is not None and answered_at_seconds is not None:
+            row.note_answer(answered_at_seconds)
--- a/tests/test_soak_gateways.py
+++ b/tests/test_soak_gateways.py
@@ -17,7 +17,7 @@
     check_keys_in_time,
     configure_accounts,
 )
-from tests.soak_ends import ProcessRow, SignalRow, check_processes
+from tests.soak_ends import ProcessRow, SampleRow, SignalRow, check_processes
 from tests.soak_faults import FaultAction
 from tests.soak_gateways import SoakRun, run_soak
 from tests.soak_history import (
@@ -28,6 +28,7 @@
     check_history,
 )
 from tests.soak_rig import SoakRig
+from tests.soak_serving import check_serving
 from tests.soak_shape import SoakShape
 from tests.soak_starts import START_FAULTS
 
@@ -424,6 +425,92 @@
     assert broken_process_rules(history) == set()
 
 
+def broken_serving_rules(history: SoakHistory) -> set[str]:
+    return {name for name, rows in check_serving(history).items() if rows}
+
+
+def unserving_history(
+    *, status: int | None = 503, seconds: float = 7.0, other_requests: int = 5
+) -> SoakHistory:
+    """Return requests of a process that serves none, beside another that does."""
+    history = SoakHistory()
+    add_process(history, None)
+    for number in range(8):
+        at_seconds = 3.0 + number * seconds / 7.0
+        response = respond(status) if status is not None else None
+        add_request(history, f"r-{number}", response, at_seconds=at_seconds)
+    for number in range(other_requests):
+        add_request(history, f"o-{number}", respond(), at_seconds=4.0 + 0.1 * number)
+        history.requests[-1].gateway = "g-1", 1
+    return history
+
+
+def test_ready_process_that_serves_nothing_is_found() -> None:
+    for status in (503, 502, 500, 504, None):
+        assert broken_serving_rules(unserving_history(status=status)) == {
+            "serves_nothing"
+        }, status
+    for status in (200, 404, 401, 429):
+        assert not broken_serving_rules(unserving_history(status=status)), status
+    assert not broken_serving_rules(unserving_history(seconds=5.9))
+    assert not broken_serving_rules(unserving_history(other_requests=4))
+    history = unserving_history()
+    add_request(history, "served", respond(), at_seconds=6.5)
+    assert not broken_serving_rules(history)
+    history = unserving_history()
+    history.processes[GATEWAY].ready_at_seconds = None
+    assert not broken_serving_rules(history)
+    history = unserving_history()
+    history.lags = [(5.0, 1.5)]
+    assert not broken_serving_rules(history)
+    for harmed, expected in (("g-0", set()), ("g-1", {"serves_nothing"})):
+        history = unserving_history()
+        history.disturbed.append((harmed, 4.0, 5.0))
+        assert broken_serving_rules(history) == expected
+
+
+def test_process_that_answers_no_readiness_check_is_found() -> None:
+    for times, expected in (
+        ([3.0, 7.1], {"silent"}),
+        ([3.0, 5.0, 7.1], set()),
+        ([3.0], set()),
+    ):
+        history = SoakHistory()
+        add_process(history, None).answered_at_seconds = times
+        assert broken_serving_rules(history) == expected, times
+    history = SoakHistory(disturbed=[("g-0", 4.0, 5.0)])
+    add_process(history, None).answered_at_seconds = [3.0, 7.1]
+    assert not broken_serving_rules(history)
+    history = SoakHistory()
+    row = add_process(history, None)
+    row.answered_at_seconds = [3.0, 7.1]
+    row.samples = [
+        SampleRow(at_seconds=at, used_seconds=0.0, queued_seconds=queued)
+        for at, queued in ((2.9, 0.0), (4.0, 0.1), (7.2, 0.3))
+    ]
+    assert not broken_serving_rules(history)
+
+
+def test_process_that_is_busy_for_long_is_found() -> None:
+    for share, queued_share, count, expected in (
+        (1.0, 0.0, 6, {"busy"}),
+        (0.5, 0.5, 12, {"busy"}),
+        (1.0, 0.0, 5, set()),
+        (0.9, 0.0, 20, set()),
+        (0.0, 1.0, 20, set()),
+    ):
+        history = SoakHistory()
+        add_process(history, None).samples = [
+            SampleRow(
+                at_seconds=2.0 + number,
+                used_seconds=share * number,
+                queued_seconds=queued_share * number,
+            )
+            for number in range(count)
+        ]
+        assert broken_serving_rules(history) == expected, (share, count)
+
+
 async def end_from_outside(folder: Path) -> SoakHistory:
     rig = SoakRig(folder=folder, rng=random.Random(1), shape=TINY)
     try:
