--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -347,11 +347,12 @@
         self.configure()
         self.loop.net.on_reset = self._reset_store_connections
         self._store_port = store_port
-        for _ in range(self.shape.gateway_count):
-            await self.add_gateway()
+        # Before the starts, whose time is measured.
         self._tasks.append(asyncio.create_task(self._balance()))
         measures = [self._sample(), self._measure_lag()]
         self._measures = [asyncio.create_task(item) for item in measures]
+        for _ in range(self.shape.gateway_count):
+            await self.add_gateway()
         if self.shape.stall_seconds:
             self._tasks.append(asyncio.create_task(self._stall_in_turn()))
         async with asyncio.timeout(MAX_START_SECONDS):
