Count a process of the soak as starting until it is ready, for quotas

A process is an owner of accounts 8 s after it has registered, but the rule counted its 10 s from when the rig started the process. A refusal within 10 s after a process became ready is now left out, as one after its start was; the bounds stay.

The new test in test_soak_quotas fails on the rule before.

--- a/tests/soak_quotas.py
+++ b/tests/soak_quotas.py
@@ -18,8 +18,8 @@
     "bounds.quotaOverage": str(OVERAGE_RATIO),
     "bounds.quotaSlack": str(SLACK_COUNT),
 }
-# Time without faults after which accounts get their quota; a process that starts is
-# an owner after 8 s.
+# Time without faults after which accounts get their quota; a process that has become
+# ready is an owner after 8 s.
 SETTLED_SECONDS: Final = 10.0
 LIGHT_SHARE: Final = 1.0 / 3.0  # of its quota, below which an account is not refused
 QUOTA_EXCEEDED: Final = 429
@@ -111,8 +111,13 @@
 
 
 def _was_faulty(history: SoakHistory, start: float, end: float) -> bool:
-    """Whether there was a fault or a start of a process, until shortly before."""
+    """Whether there was a fault, or a process became ready, until shortly before."""
     starts = [(started_at, started_at) for started_at in history.starts.values()]
+    starts += [
+        (process.started_at_seconds, process.ready_at_seconds)
+        for process in history.processes.values()
+        if process.ready_at_seconds is not None
+    ]
     return any(
         since <= end and until + SETTLED_SECONDS >= start
         for since, until in [*history.faults, *starts]
--- a/tests/test_soak_quotas.py
+++ b/tests/test_soak_quotas.py
@@ -1,7 +1,10 @@
 """Tests of the rules by which the gateways' soak checks quotas."""
 
+from pathlib import Path
+
 from tests.fixtures_gateway import Response
 from tests.soak_accounts import GALLERY, LIBRARY, MUSEUM, KeyRow
+from tests.soak_ends import ProcessRow
 from tests.soak_history import ArrivalRow, RequestRow, SoakHistory
 from tests.soak_quotas import (
     SETTLED_SECONDS,
@@ -118,3 +121,18 @@
         history = SoakHistory(starts={("g-0", 2): started_at})
         add_refusal(history, GALLERY, at_seconds=30.0)
         assert len(list(check_quota_refusals(history))) == expected
+
+
+def test_slow_start_is_over_once_the_process_is_ready() -> None:
+    for ready_at, expected in ((19.9, 1), (20.1, 0), (31.0, 0), (None, 1)):
+        history = SoakHistory()
+        history.processes["g-0", 2] = ProcessRow(
+            gateway=("g-0", 2),
+            pid=1,
+            started_at_seconds=10.0,
+            ready_at_seconds=ready_at,
+            log=Path("g-0-2.log"),
+            errors=Path("g-0-2.err"),
+        )
+        add_refusal(history, GALLERY, at_seconds=30.0)
+        assert len(list(check_quota_refusals(history))) == expected, ready_at
