--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -347,11 +347,12 @@
         self.configure()
         self.loop.net.on_reset = self._reset_store_connections
         self._store_port = store_port
-        for _ in range(self.shape.gateway_count):
-            await self.add_gateway()
+        # Before the starts, whose time is measured.
         self._tasks.append(asyncio.create_task(self._balance()))
         measures = [self._sample(), self._measure_lag()]
         self._measures = [asyncio.create_task(item) for item in measures]
+        for _ in range(self.shape.gateway_count):
+            await self.add_gateway()
         if self.shape.stall_seconds:
             self._tasks.append(asyncio.create_task(self._stall_in_turn()))
         async with asyncio.timeout(MAX_START_SECONDS):
@@ -524,7 +525,7 @@
         while True:
             for gateway in self.gateways:
                 if gateway.row is not None and gateway.is_running:
-                    gateway.row.sample()
+                    gateway.row.sample(self.loop.time())
             await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
 
     async def _measure_lag(self) -> None:
@@ -544,9 +545,10 @@
         try:
             url = f"http://{LOOPBACK}:{gateway.ready_port}/ready"
             is_ready = (await self._client.get(url)).status_code == 200
+            answered_at_seconds: float | None = self.loop.time()
         except httpx.HTTPError:
             # Not reachable counts like not ready.
-            is_ready = False
+            is_ready, answered_at_seconds = False, None
         gateway.missed_checks = 0 if is_ready else gateway.missed_checks + 1
         if is_ready:
             gateway.in_rotation = True
@@ -554,3 +556,5 @@
                 row.note_ready(self.loop.time())
         elif gateway.missed_checks >= MAX_MISSED_CHECKS:
             gateway.in_rotation = False
+        if row is not None and answered_at_seconds is not None:
+            row.note_answer(answered_at_seconds)
