--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -6,9 +6,10 @@
 import signal
 import sys
 import sysconfig
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from types import MappingProxyType
 from typing import Any
 
 import httpx
@@ -108,6 +109,7 @@
     during_start: Callable[[RealGateway], Awaitable[None]] = do_nothing,
     is_ready: bool = True,
     before_start: Callable[[GatewayPlace], None] = lambda place: None,
+    configuration: Mapping[str, Any] = MappingProxyType({}),
     **process_options: Any,
 ) -> None:
     async def main() -> None:
@@ -131,6 +133,7 @@
             "version": 3,
             "routes": [make_route("r-read", READ_PATH, service="s", timeoutMs=5_000)],
             "services": [{"name": "s", "connectionLimit": 25}],
+            **configuration,
         }
         store.put("op/config", document)
         with TemporaryDirectory() as folder:
