Free what a connection has received as soon as its exchange ends

Callers lose all requests of a process that exceeds its memory, which a few replicas that send without end achieve within seconds, on each instance that uses them and again after each start.

Cause: a connection and its parser refer to each other, and the connection kept its parser, headers and parts of the body after the exchange. What was counted as released was freed only by a collection of cycles, which is started by the number of objects and not by bytes: a reply of 16 MB is some hundred objects. The same holds for calls to peers and the store, which use the class too.

The connection now drops all of it whenever an exchange ends: complete, failed, abandoned or lost. The future of a call is dropped with its frame, since the traceback of its exception refers to that frame.

Ruled out as the cause: the bound on unfinished bytes, which was kept all the time.

--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -151,16 +151,15 @@
         self.proven = False
         self.closed = False
         self.closed_by_server = False
-        self._parser: Any = None
         self._head_request = False
+        self._parser: Any = None
+        self._headers: Headers = []
+        self._body: list[bytes] = []
         self._reset()
 
     def _reset(self) -> None:
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._has_head = False
         self._release_memory()
+        self._has_head = False
         self._status = 0
         # Whether an interim reply (1xx) was received for the current exchange.
         self.interim_seen = False
@@ -221,9 +220,9 @@
         self.closed_by_server = not self.closed
         self.closed = True
         observer, self.observer = self.observer, None
+        started = self._status or self._headers
         self._release_memory()
         if observer is not None:
-            started = self._status or self._headers
             observer.on_failure(
                 self, ExchangeFailure.TRUNCATED if started else ExchangeFailure.LOST
             )
@@ -299,6 +298,7 @@
     def abandon(self) -> None:
         """Close the connection without notifying the observer."""
         self.observer = None
+        self._release_memory()
         self.close()
 
     def close(self) -> None:
@@ -318,15 +318,20 @@
         )
 
     def _release_memory(self) -> None:
+        """Drop what was received; the parser refers to the connection in a cycle."""
+        self._parser = None
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
         self.reply_memory.used_bytes -= self._received_bytes
         self._received_bytes = 0
 
     def _finish(self) -> None:
         observer, self.observer = self.observer, None
-        self._release_memory()
         reply = HttpReply(
             status=self._status, headers=self._headers, body=b"".join(self._body)
         )
+        self._release_memory()
         reusable = (
             not self._trailing
             and self._keep_alive
@@ -334,7 +339,7 @@
             and not self.transport.get_write_buffer_size()
         )
         if reusable:
-            self._record_keep_alive_timeout()
+            self._record_keep_alive_timeout(reply.headers)
             self.idle_since_seconds = self.loop.time()
         else:
             self.close()
@@ -352,8 +357,8 @@
         if observer is not None:
             observer.on_failure(self, failure)
 
-    def _record_keep_alive_timeout(self) -> None:
-        for name, value in self._headers:
+    def _record_keep_alive_timeout(self, headers: Headers) -> None:
+        for name, value in headers:
             if name == KEEP_ALIVE_HEADER and value.startswith(TIMEOUT_PARAMETER):
                 seconds = value[len(TIMEOUT_PARAMETER) :].split(b",")[0].strip()
                 if seconds.isdigit():
--- a/src/bronzebeam/transport/reply_future.py
+++ b/src/bronzebeam/transport/reply_future.py
@@ -50,3 +50,6 @@
     except asyncio.CancelledError:
         connection.abandon()
         raise
+    finally:
+        # The exception's traceback would refer to it in a cycle.
+        del future
