Bound the memory of all unfinished replies, and give up the largest first

Callers lose all requests of a process that exceeds its memory. One bound of 24 MB held for the replies of replicas, but each connection to peers and to the store had one of its own; a reply below 256 KB was never given up, and several hundred connections may receive one each; only bytes were counted, and a header of 3 bytes takes 80 and more; the bound did not follow the limit of the process; and the reply that came last was given up, however small it was.

All connections of a process now share one `ReplyMemory`, of 24 MB and at most a tenth of `limits.memoryMb`. It counts each header with its objects, and no header is kept beyond the limit on heads. When it is exceeded, the largest reply is given up, and the next, until the rest fits, so that no allowance for small replies is needed.

The count of documented metrics is 27 instead of 26.

--- a/src/bronzebeam/gateway/change_feed.py
+++ b/src/bronzebeam/gateway/change_feed.py
@@ -215,7 +215,9 @@
             return
         record = self.rng.choice(usable)
         self._source = record.instance
-        self._client = HttpCallClient(host=record.host, port=record.port)
+        self._client = HttpCallClient(
+            host=record.host, port=record.port, reply_memory=self.peers.reply_memory
+        )
         self.log.event("feed_chosen", source=record.instance)
 
     def _disconnect(self) -> None:
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -61,7 +61,7 @@
 from bronzebeam.telemetry.unhandled_errors import UnhandledErrors
 from bronzebeam.transport.caller_connection import CallerServer
 from bronzebeam.transport.caller_request import HttpRequest
-from bronzebeam.transport.http_reply import ClientConnection
+from bronzebeam.transport.http_reply import ClientConnection, ReplyMemory
 from bronzebeam.transport.stall_clock import StallClock
 from bronzebeam.units import MS_PER_SECOND
 
@@ -107,6 +107,7 @@
     :ivar create_store: creates the client of the platform's store.
     :ivar rng: source of all random choices of the process.
     :ivar boot_seconds: a clock that goes on while the process is suspended.
+    :ivar reply_memory: for the replies of replicas, peers and the store.
     :ivar background_tasks: tasks that run until the process ends.
     """
 
@@ -121,6 +122,7 @@
     rng: random.Random = field(factory=random.Random)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     boot_seconds: Callable[[], float] = boot_seconds
+    reply_memory: ReplyMemory = field(factory=ReplyMemory)
     _loop: asyncio.AbstractEventLoop = field(init=False)
     _state: FleetState = field(init=False)
     _caller_server: CallerServer = field(init=False)
@@ -177,7 +179,10 @@
             change_log=self._change_log,
             change_bound_seconds=self.settings.change_bound_seconds,
             peer_configurations=PeerConfigurations(
-                instance=self.settings.instance, log=self.log, rng=self.rng
+                instance=self.settings.instance,
+                log=self.log,
+                rng=self.rng,
+                reply_memory=self.reply_memory,
             ),
             feed=ChangeFeedClient(
                 change_bound_seconds=self.settings.change_bound_seconds,
@@ -284,6 +289,7 @@
             instance=settings.instance,
             loop=loop,
             connect=open_connection,
+            reply_memory=self.reply_memory,
             log=self.log,
             limits=settings.repeats,
             rng=self.rng,
@@ -466,7 +472,8 @@
             self.metrics.set_evacuated(self._state.evacuations.counts())
             self.metrics.process.set_resources(
                 self._resources,
-                unfinished_reply_bytes=self._state.replicas.reply_memory.used_bytes,
+                unfinished_reply_bytes=self.reply_memory.used_bytes,
+                replies_given_up=self.reply_memory.given_up_count,
             )
             text = self.metrics.registry.render(now_seconds=self._loop.time())
             request.respond(
@@ -518,7 +525,7 @@
             self._reload_if_changed()
         # Not less often: memory can grow by hundreds of megabytes within a second.
         self._resources.check_memory(
-            unfinished_reply_bytes=self._state.replicas.reply_memory.used_bytes
+            unfinished_reply_bytes=self.reply_memory.used_bytes
         )
         if self._ticks % TICKS_PER_RESOURCE_CHECK == 0:
             self._resources.check_descriptors()
--- a/src/bronzebeam/gateway/fleet_state.py
+++ b/src/bronzebeam/gateway/fleet_state.py
@@ -46,6 +46,7 @@
 from bronzebeam.routing.shard_owners import ShardOwners
 from bronzebeam.routing.weighted_split import WeightedSplit
 from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.transport.http_reply import ReplyMemory
 from bronzebeam.units import MS_PER_SECOND
 
 # A request may take this much longer than the longest timeout of a route.
@@ -85,6 +86,7 @@
     :ivar boot_seconds: a clock that goes on while the process is suspended.
     :ivar quota_members: the live instances as owners of accounts; kept only while the
         configuration has quotas.
+    :ivar reply_memory: see `Gateway`.
     :ivar suspects: requests suspected of crashing replicas.
     """
 
@@ -111,6 +113,7 @@
     peers: PeerSet = field(init=False)
     evacuations: Evacuations = field(init=False)
     _older_copy: OlderCopy = field(init=False)
+    reply_memory: ReplyMemory = field(factory=ReplyMemory)
     started_at_seconds: float = 0.0
     synced_at_seconds: float = -math.inf
     suspects: CrashSuspects = field(factory=CrashSuspects)
@@ -145,6 +148,7 @@
             connect=self.connect,
             log=self.log,
             rng=self.rng,
+            reply_memory=self.reply_memory,
         )
         self.replicas = ReplicaSet(
             own_domain=self.own_domain,
@@ -152,6 +156,7 @@
             connect=self.connect,
             log=self.log,
             rng=self.rng,
+            reply_memory=self.reply_memory,
             last_use=self.last_use,
             limits=ReplicaLimits(
                 loop=self.loop, log=self.log, rng=self.rng, share_of=self._limit_share
--- a/src/bronzebeam/gateway/peer_configuration.py
+++ b/src/bronzebeam/gateway/peer_configuration.py
@@ -25,6 +25,7 @@
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.transport.http_call import CallFailed, HttpCallClient
+from bronzebeam.transport.http_reply import ReplyMemory
 
 CONFIGURATION_PATH: Final = b"/configuration"
 VERSION_PARAMETER: Final = "newer_than="
@@ -60,11 +61,14 @@
     A store that has come back from an older copy has lost the latest configuration,
     which live instances keep in force. Without them, an instance that starts would
     serve keys that have been removed.
+
+    :ivar reply_memory: shared with the other connections of the process.
     """
 
     instance: str
     log: DecisionLog
     rng: random.Random
+    reply_memory: ReplyMemory
 
     async def confirm_accounts(
         self, snapshot: StoreSnapshot, *, store: GatewayStore, may_be_stale: bool
@@ -115,7 +119,9 @@
         return newest
 
     async def _ask(self, peer: InstanceRecord, version: int) -> RouteTable | None:
-        client = HttpCallClient(host=peer.host, port=peer.port)
+        client = HttpCallClient(
+            host=peer.host, port=peer.port, reply_memory=self.reply_memory
+        )
         try:
             reply = await client.call(
                 "GET",
--- a/src/bronzebeam/gateway/peers.py
+++ b/src/bronzebeam/gateway/peers.py
@@ -10,6 +10,7 @@
 from bronzebeam.gateway.connection_pool import Connect, ConnectionPool
 from bronzebeam.gateway.records import InstanceRecord
 from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.transport.http_reply import ReplyMemory
 from bronzebeam.units import MS_PER_SECOND
 
 MAX_CONNECTIONS: Final = 4  # for each peer; bounds concurrent delegations to it
@@ -79,6 +80,7 @@
     The registered live instances, including this one.
 
     :ivar instance: name of this instance.
+    :ivar reply_memory: shared with the connections to replicas.
     :ivar records: registrations by the name of the instance.
     :ivar _unconfirmed: instances that an older copy of the store lacks, and the
         monotonic time at which they count as gone.
@@ -90,6 +92,7 @@
     connect: Connect
     log: DecisionLog
     rng: random.Random
+    reply_memory: ReplyMemory = field(factory=ReplyMemory)
     records: dict[str, InstanceRecord] = field(factory=dict)
     _peers: dict[str, Peer] = field(factory=dict)
     _reached_at_seconds: float = 0.0
@@ -212,6 +215,7 @@
             connect=self.connect,
             log=self.log,
             max_connections=max_connections,
+            reply_memory=self.reply_memory,
         )
 
     def _update_reach(self, record: InstanceRecord) -> None:
--- a/src/bronzebeam/gateway/process_metrics.py
+++ b/src/bronzebeam/gateway/process_metrics.py
@@ -28,6 +28,7 @@
     _descriptors: MetricFamily[Gauge] = field(init=False)
     _descriptor_limit: MetricFamily[Gauge] = field(init=False)
     _unfinished_replies: MetricFamily[Gauge] = field(init=False)
+    _given_up_replies: MetricFamily[Gauge] = field(init=False)
     _tick_delay: MetricFamily[LatencyMetric] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -50,7 +51,11 @@
         )
         self._unfinished_replies = self.registry.gauge(
             name="bronzebeam_gateway_unfinished_reply_bytes",
-            help_text="Bytes received of replies that are not complete.",
+            help_text="Memory used by replies that are not complete.",
+        )
+        self._given_up_replies = self.registry.gauge(
+            name="bronzebeam_gateway_replies_given_up_count",
+            help_text="Replies given up since they would have exceeded the memory.",
         )
         self._tick_delay = self.registry.latency(
             name="bronzebeam_gateway_tick_delay_seconds",
@@ -66,16 +71,22 @@
         self._tick_delay.labels().record(seconds=seconds)
 
     def set_resources(
-        self, resources: ProcessResources, *, unfinished_reply_bytes: int
+        self,
+        resources: ProcessResources,
+        *,
+        unfinished_reply_bytes: int,
+        replies_given_up: int,
     ) -> None:
         """
         Set what the process uses now; what is unknown is left out.
 
-        :param unfinished_reply_bytes: received of replies that are not complete.
+        :param unfinished_reply_bytes: used by replies that are not complete.
+        :param replies_given_up: see `ReplyMemory`.
         """
         for family, value in (
             (self._memory, resident_bytes()),
             (self._unfinished_replies, unfinished_reply_bytes),
+            (self._given_up_replies, replies_given_up),
             (self._descriptors, open_descriptors()),
             (self._descriptor_limit, resources.allowed_descriptors),
         ):
--- a/src/bronzebeam/platform/gateway_main.py
+++ b/src/bronzebeam/platform/gateway_main.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+from functools import partial
 from typing import Final
 
 from bronzebeam.findings import FindingsError
@@ -28,14 +29,21 @@
 from bronzebeam.telemetry.decisions import DecisionLog, open_standard_output
 from bronzebeam.telemetry.error_place import place_of
 from bronzebeam.transport.http_call import HttpCallClient
+from bronzebeam.transport.http_reply import ReplyMemory
 
 UNKNOWN_INSTANCE: Final = "unknown"  # in the log, until the settings are read
 HANDLED_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-def create_store(settings: GatewaySettings, log: DecisionLog) -> GatewayStore:
+def create_store(
+    settings: GatewaySettings, log: DecisionLog, *, reply_memory: ReplyMemory
+) -> GatewayStore:
     """Create the client of the store that the settings name."""
-    client = HttpCallClient(host=settings.store.address, port=settings.store.port)
+    client = HttpCallClient(
+        host=settings.store.address,
+        port=settings.store.port,
+        reply_memory=reply_memory,
+    )
     return PlatformStore(client=client, log=log, era=StoreEra(log=log))
 
 
@@ -74,13 +82,15 @@
     log.instance = settings.instance
     listen = settings.caller_listen
     start.keep_caller_socket_at(listen.address, listen.port)
+    reply_memory = ReplyMemory.of_process(settings.memory_limit_bytes)
     gateway = Gateway(
         settings=settings,
         start=start,
         read_settings=lambda: read_settings(path),
         loaded_settings_version=version,
         settings_version=lambda: _modified_at_ns(path),
-        create_store=create_store,
+        create_store=partial(create_store, reply_memory=reply_memory),
+        reply_memory=reply_memory,
         header_codec=PlatformHeaderCodec(),
         log=log,
     )
--- a/src/bronzebeam/transport/http_call.py
+++ b/src/bronzebeam/transport/http_call.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from bronzebeam.transport.http_reply import ClientConnection, HttpReply
+from bronzebeam.transport.http_reply import ClientConnection, HttpReply, ReplyMemory
 from bronzebeam.transport.reply_future import ExchangeFailed, exchange
 
 # Many round trips; during a network partition, connecting hangs instead of failing.
@@ -25,11 +25,13 @@
     Idle connections are reused; concurrent calls use separate connections.
 
     :ivar call_count: calls made so far.
+    :ivar reply_memory: shared with the other connections of the process.
     """
 
     host: str
     port: int
     call_count: int = 0
+    reply_memory: ReplyMemory = field(factory=ReplyMemory)
     _idle_connections: list[ClientConnection] = field(factory=list)
     _connections: set[ClientConnection] = field(factory=set)
 
@@ -82,7 +84,11 @@
             connection.close()
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(owner=self, loop=loop), self.host, self.port
+                lambda: ClientConnection(
+                    owner=self, loop=loop, reply_memory=self.reply_memory
+                ),
+                self.host,
+                self.port,
             )
         self._connections.add(connection)
         return connection
--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -5,7 +5,7 @@
 from typing import Any, Final, Protocol, cast
 
 import httptools
-from attrs import define
+from attrs import define, field
 
 from bronzebeam.transport.socket_options import enable_dead_peer_detection
 
@@ -13,7 +13,8 @@
 MAX_HEAD_BYTES: Final = 64 * 1024  # of one reply, with its interim replies
 # All replies that are being received; a small instance has 300 MB.
 MAX_UNFINISHED_BYTES: Final = 24 * 1024 * 1024
-SMALL_REPLY_BYTES: Final = 256 * 1024  # received also if others use the memory
+MAX_UNFINISHED_SHARE: Final = 0.1  # of the memory limit of the process
+HEADER_OBJECT_BYTES: Final = 160  # used by a header in addition to its text
 KEEP_ALIVE_HEADER: Final = b"keep-alive"
 TIMEOUT_PARAMETER: Final = b"timeout="
 FIRST_FINAL_STATUS: Final = 200
@@ -53,18 +54,46 @@
 @define(kw_only=True, eq=False, repr=False)
 class ReplyMemory:
     """
-    The memory used by replies that are being received on several connections.
+    The memory used by replies that are being received on all connections.
 
     Protects against servers that send without end: each reply alone may be large, but
     not those of many servers at the same time.
+
+    :ivar given_up_count: replies given up since they would have exceeded the memory.
     """
 
     max_bytes: int = MAX_UNFINISHED_BYTES
     used_bytes: int = 0
+    given_up_count: int = 0
+    _unfinished: "set[ClientConnection]" = field(factory=set)
+
+    @classmethod
+    def of_process(cls, memory_limit_bytes: float) -> "ReplyMemory":
+        """
+        Return the memory for the replies of a process.
+
+        :param memory_limit_bytes: memory that the process may use; 0 if unknown.
+        """
+        memory = cls()
+        if memory_limit_bytes > 0:
+            share_bytes = int(MAX_UNFINISHED_SHARE * memory_limit_bytes)
+            memory.max_bytes = min(memory.max_bytes, share_bytes)
+        return memory
+
+    def add(self, connection: "ClientConnection") -> None:
+        """Add a connection that waits for a reply."""
+        self._unfinished.add(connection)
+
+    def remove(self, connection: "ClientConnection") -> None:
+        """Remove a connection whose reply is complete or was given up."""
+        self.used_bytes -= connection.held_bytes
+        self._unfinished.discard(connection)
 
-    def is_exceeded_by(self, reply_bytes: int) -> bool:
-        """Whether a reply has to be given up, of which so much was received."""
-        return self.used_bytes > self.max_bytes and reply_bytes > SMALL_REPLY_BYTES
+    def limit(self) -> None:
+        """Give up replies, the largest first, until the rest fits."""
+        while self.used_bytes > self.max_bytes and self._unfinished:
+            self.given_up_count += 1
+            max(self._unfinished, key=lambda item: item.held_bytes).give_up()
 
 
 class ExchangeObserver(Protocol):
@@ -117,7 +146,9 @@
         "_headers",
         "_body",
         "_body_bytes",
+        "held_bytes",
         "_received_bytes",
+        "_head_bytes",
         "_has_head",
         "_status",
         "_complete",
@@ -139,7 +170,8 @@
         self.owner = owner
         self.reply_max_bytes = reply_max_bytes
         self.reply_memory = ReplyMemory() if reply_memory is None else reply_memory
-        self._received_bytes = 0
+        # Memory used by the reply that is being received.
+        self.held_bytes = 0
         self.loop = loop
         self.transport: asyncio.Transport | None = None
         self.observer: ExchangeObserver | None = None
@@ -188,7 +220,7 @@
             self.close()
             return
         self._received_bytes += len(data)
-        self.reply_memory.used_bytes += len(data)
+        self._hold(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -206,6 +238,8 @@
             self._fail(ExchangeFailure.MALFORMED)
         elif self._complete:
             self._finish()
+        else:
+            self.reply_memory.limit()
 
     def eof_received(self) -> bool:
         """Complete a reply whose body is delimited by the end of the connection."""
@@ -237,7 +271,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
-        if not self._complete:
+        self._head_bytes += len(name) + len(value)
+        if not self._complete and self._head_bytes <= MAX_HEAD_BYTES:
+            self._hold(HEADER_OBJECT_BYTES)
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -292,6 +328,7 @@
         self._head_request = is_head
         self._parser = httptools.HttpResponseParser(self)
         self.observer = observer
+        self.reply_memory.add(self)
         self.sent_at_seconds = self.loop.time()
         self.transport.write(data)
 
@@ -301,6 +338,10 @@
         self._release_memory()
         self.close()
 
+    def give_up(self) -> None:
+        """Fail the exchange, since its reply uses too much memory."""
+        self._fail(ExchangeFailure.MALFORMED)
+
     def close(self) -> None:
         """Close the connection; a current exchange fails."""
         self.closed = True
@@ -312,10 +353,12 @@
         # Counts all bytes: a reply may grow without a byte of body.
         received_bytes = self._received_bytes
         return (
-            (not self._has_head and received_bytes > MAX_HEAD_BYTES)
-            or received_bytes > self.reply_max_bytes + MAX_HEAD_BYTES
-            or self.reply_memory.is_exceeded_by(received_bytes)
-        )
+            not self._has_head and received_bytes > MAX_HEAD_BYTES
+        ) or received_bytes > self.reply_max_bytes + MAX_HEAD_BYTES
+
+    def _hold(self, count: int) -> None:
+        self.held_bytes += count
+        self.reply_memory.used_bytes += count
 
     def _release_memory(self) -> None:
         """Drop what was received; the parser refers to the connection in a cycle."""
@@ -323,8 +366,10 @@
         self._headers = []
         self._body = []
         self._body_bytes = 0
-        self.reply_memory.used_bytes -= self._received_bytes
+        self.reply_memory.remove(self)
+        self.held_bytes = 0
         self._received_bytes = 0
+        self._head_bytes = 0
 
     def _finish(self) -> None:
         observer, self.observer = self.observer, None
--- a/tests/fixtures_gateway.py
+++ b/tests/fixtures_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any, TypeVar
 
 import httptools
@@ -15,6 +16,7 @@
 from bronzebeam.platform.headers import PlatformHeaderCodec
 from bronzebeam.platform.node_settings import parse_settings
 from bronzebeam.telemetry.decisions import DecisionLog
+from bronzebeam.transport.http_reply import ReplyMemory
 from tests.standin_replica import ATTEMPT_ID_HEADER, StandinReplica
 from tests.standin_store import StandinStore
 from tests.virtual_net import VirtualLoop, context_of_host, run_in_virtual_time
@@ -274,11 +276,14 @@
             return 0.0 if started is None else started.suspended_seconds
 
         text = make_settings_text(name, host, domain, **overrides)
+        settings = parse_settings(text, subject="test")
+        reply_memory = ReplyMemory.of_process(settings.memory_limit_bytes)
         gateway = Gateway(
-            settings=parse_settings(text, subject="test"),
+            settings=settings,
             read_settings=read,
             settings_version=lambda: running.settings_version,
-            create_store=create_store,
+            create_store=partial(create_store, reply_memory=reply_memory),
+            reply_memory=reply_memory,
             header_codec=PlatformHeaderCodec(),
             log=DecisionLog(
                 instance=name, write=write, monotonic_seconds=self.loop.time
--- a/tests/test_gateway_resources.py
+++ b/tests/test_gateway_resources.py
@@ -465,7 +465,7 @@
         assert resources.allowed_descriptors == 100
         metrics = GatewayMetrics()
         metrics.process.set_resources(
-            ProcessResources(log=log), unfinished_reply_bytes=7
+            ProcessResources(log=log), unfinished_reply_bytes=7, replies_given_up=0
         )
         assert (
             "\nbronzebeam_gateway_allowed_descriptors_count "
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -205,5 +205,5 @@
     for module in ("gateway_metrics.py", "quota_metrics.py", "process_metrics.py"):
         source = (SOURCE_FOLDER / "gateway" / module).read_text()
         names += re.findall(r'name="(bronzebeam_[a-z_]+)"', source)
-    assert len(names) == 26
+    assert len(names) == 27
     assert [name for name in names if name not in page] == []
