Keep the body of a reply in one piece while it is received

A reply in chunks of 2 bytes was kept as a list of parts, of which each takes 43 bytes and counted as 7 received ones. Servers that send such chunks, without end or on several hundred connections, took a process beyond its memory though the count stayed under the bound; callers lose all requests of such a process.

Parts are now appended to one buffer, so that the bytes received are an upper bound of what the body takes, but for the spare room of the buffer.

--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -145,7 +145,6 @@
         "_parser",
         "_headers",
         "_body",
-        "_body_bytes",
         "held_bytes",
         "_received_bytes",
         "_head_bytes",
@@ -186,7 +185,8 @@
         self._head_request = False
         self._parser: Any = None
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # Parts are joined at once: one of 2 bytes alone would take 43.
+        self._body = bytearray()
         self._reset()
 
     def _reset(self) -> None:
@@ -232,7 +232,7 @@
                 self._fail(ExchangeFailure.MALFORMED)
                 return
             self._trailing = True
-        if self._body_bytes > self.reply_max_bytes or (
+        if len(self._body) > self.reply_max_bytes or (
             not self._complete and self._may_be_endless()
         ):
             self._fail(ExchangeFailure.MALFORMED)
@@ -293,8 +293,7 @@
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
         if not self._complete:
-            self._body.append(body)
-            self._body_bytes += len(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete, unless it is an interim reply."""
@@ -303,7 +302,6 @@
         if self._status < FIRST_FINAL_STATUS:
             self.interim_seen = True
             self._headers = []
-            self._body = []
             self._status = 0
             self._until_end = False
             return
@@ -364,8 +362,7 @@
         """Drop what was received; the parser refers to the connection in a cycle."""
         self._parser = None
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self.reply_memory.remove(self)
         self.held_bytes = 0
         self._received_bytes = 0
@@ -374,7 +371,7 @@
     def _finish(self) -> None:
         observer, self.observer = self.observer, None
         reply = HttpReply(
-            status=self._status, headers=self._headers, body=b"".join(self._body)
+            status=self._status, headers=self._headers, body=bytes(self._body)
         )
         self._release_memory()
         reusable = (
