Ignore the trailers of a reply, and bound what brings its body no further

The parser reports what follows the last chunk as headers. So a trailer could state the signature of a replica, its load or its pause after the fact, as if it had been in the head, and headers were kept until the bound on the whole reply, 16 MB, was met; the parser itself keeps one trailer without end for as long.

Trailers are now ignored. A reply of which more than 64 KB come without a byte of body, as in trailers or in the extension of a chunk, is given up.

Both new tests failed on the code before.

--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -148,6 +148,7 @@
         "held_bytes",
         "_received_bytes",
         "_head_bytes",
+        "_unused_bytes",
         "_has_head",
         "_status",
         "_complete",
@@ -187,6 +188,8 @@
         self._headers: Headers = []
         # Parts are joined at once: one of 2 bytes alone would take 43.
         self._body = bytearray()
+        # Received since the last byte of the body; the parser keeps a trailer.
+        self._unused_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -221,6 +224,7 @@
             return
         self._received_bytes += len(data)
         self._hold(len(data))
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -232,6 +236,10 @@
                 self._fail(ExchangeFailure.MALFORMED)
                 return
             self._trailing = True
+        if self._has_head and len(self._body) == body_bytes:
+            self._unused_bytes += len(data)
+        else:
+            self._unused_bytes = 0
         if len(self._body) > self.reply_max_bytes or (
             not self._complete and self._may_be_endless()
         ):
@@ -270,7 +278,9 @@
             self._trailing = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; trailers after the last chunk are ignored."""
+        if self._has_head:
+            return
         self._head_bytes += len(name) + len(value)
         if not self._complete and self._head_bytes <= MAX_HEAD_BYTES:
             self._hold(HEADER_OBJECT_BYTES)
@@ -351,8 +361,10 @@
         # Counts all bytes: a reply may grow without a byte of body.
         received_bytes = self._received_bytes
         return (
-            not self._has_head and received_bytes > MAX_HEAD_BYTES
-        ) or received_bytes > self.reply_max_bytes + MAX_HEAD_BYTES
+            (not self._has_head and received_bytes > MAX_HEAD_BYTES)
+            or self._unused_bytes > MAX_HEAD_BYTES
+            or received_bytes > self.reply_max_bytes + MAX_HEAD_BYTES
+        )
 
     def _hold(self, count: int) -> None:
         self.held_bytes += count
@@ -367,6 +379,7 @@
         self.held_bytes = 0
         self._received_bytes = 0
         self._head_bytes = 0
+        self._unused_bytes = 0
 
     def _finish(self) -> None:
         observer, self.observer = self.observer, None
--- a/tests/test_reply_memory.py
+++ b/tests/test_reply_memory.py
@@ -12,6 +12,7 @@
 )
 from tests.test_client_connection_ends import Loop, Observer, Owner, Transport
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
@@ -88,6 +89,32 @@
     assert observer.failures == [ExchangeFailure.MALFORMED]
 
 
+def test_trailers_are_not_taken_for_headers() -> None:
+    connection, observer = open_exchange(ReplyMemory())
+    body = b"4\r\nbody\r\n0\r\n"
+    connection.data_received(CHUNKED_HEAD + body + b"X-Signature: forged\r\n\r\n")
+    (reply,) = observer.replies
+    assert reply.body == b"body"
+    assert [name for name, _ in reply.headers] == [b"transfer-encoding"]
+
+
+def test_reply_without_progress_of_its_body_is_given_up() -> None:
+    for start, part in (
+        (b"1\r\nx\r\n0\r\nx-long: ", b"x"),
+        (b"1\r\nx\r\n0\r\n", b"a:\r\n"),
+        (b"1\r\nx\r\n5;x=", b"x"),
+    ):
+        memory = ReplyMemory()
+        connection, observer = open_exchange(memory)
+        connection.data_received(CHUNKED_HEAD + start)
+        sent_bytes = 0
+        while not observer.failures and sent_bytes <= 2 * MAX_HEAD_BYTES:
+            connection.data_received(part * 1_000)
+            sent_bytes += len(part) * 1_000
+        assert observer.failures == [ExchangeFailure.MALFORMED], start
+        assert memory.used_bytes == 0
+
+
 def test_bound_follows_the_memory_limit_of_the_process() -> None:
     limit_bytes = 100 * 1024 * 1024
     assert ReplyMemory.of_process(limit_bytes).max_bytes == limit_bytes // 10
