--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -5,7 +5,7 @@
 from typing import Any, Final, Protocol, cast
 
 import httptools
-from attrs import define
+from attrs import define, field
 
 from bronzebeam.transport.socket_options import enable_dead_peer_detection
 
@@ -13,7 +13,8 @@
 MAX_HEAD_BYTES: Final = 64 * 1024  # of one reply, with its interim replies
 # All replies that are being received; a small instance has 300 MB.
 MAX_UNFINISHED_BYTES: Final = 24 * 1024 * 1024
-SMALL_REPLY_BYTES: Final = 256 * 1024  # received also if others use the memory
+MAX_UNFINISHED_SHARE: Final = 0.1  # of the memory limit of the process
+HEADER_OBJECT_BYTES: Final = 160  # used by a header in addition to its text
 KEEP_ALIVE_HEADER: Final = b"keep-alive"
 TIMEOUT_PARAMETER: Final = b"timeout="
 FIRST_FINAL_STATUS: Final = 200
@@ -53,18 +54,46 @@
 @define(kw_only=True, eq=False, repr=False)
 class ReplyMemory:
     """
-    The memory used by replies that are being received on several connections.
+    The memory used by replies that are being received on all connections.
 
     Protects against servers that send without end: each reply alone may be large, but
     not those of many servers at the same time.
+
+    :ivar given_up_count: replies given up since they would have exceeded the memory.
     """
 
     max_bytes: int = MAX_UNFINISHED_BYTES
     used_bytes: int = 0
+    given_up_count: int = 0
+    _unfinished: "set[ClientConnection]" = field(factory=set)
+
+    @classmethod
+    def of_process(cls, memory_limit_bytes: float) -> "ReplyMemory":
+        """
+        Return the memory for the replies of a process.
+
+        :param memory_limit_bytes: memory that the process may use; 0 if unknown.
+        """
+        memory = cls()
+        if memory_limit_bytes > 0:
+            share_bytes = int(MAX_UNFINISHED_SHARE * memory_limit_bytes)
+            memory.max_bytes = min(memory.max_bytes, share_bytes)
+        return memory
+
+    def add(self, connection: "ClientConnection") -> None:
+        """Add a connection that waits for a reply."""
+        self._unfinished.add(connection)
 
-    def is_exceeded_by(self, reply_bytes: int) -> bool:
-        """Whether a reply has to be given up, of which so much was received."""
-        return self.used_bytes > self.max_bytes and reply_bytes > SMALL_REPLY_BYTES
+    def remove(self, connection: "ClientConnection") -> None:
+        """Remove a connection whose reply is complete or was given up."""
+        self.used_bytes -= connection.held_bytes
+        self._unfinished.discard(connection)
+
+    def limit(self) -> None:
+        """Give up replies, the largest first, until the rest fits."""
+        while self.used_bytes > self.max_bytes and self._unfinished:
+            self.given_up_count += 1
+            max(self._unfinished, key=lambda item: item.held_bytes).give_up()
 
 
 class ExchangeObserver(Protocol):
@@ -116,8 +145,10 @@
         "_parser",
         "_headers",
         "_body",
-        "_body_bytes",
+        "held_bytes",
         "_received_bytes",
+        "_head_bytes",
+        "_unused_bytes",
         "_has_head",
         "_status",
         "_complete",
@@ -139,7 +170,8 @@
         self.owner = owner
         self.reply_max_bytes = reply_max_bytes
         self.reply_memory = ReplyMemory() if reply_memory is None else reply_memory
-        self._received_bytes = 0
+        # Memory used by the reply that is being received.
+        self.held_bytes = 0
         self.loop = loop
         self.transport: asyncio.Transport | None = None
         self.observer: ExchangeObserver | None = None
@@ -151,16 +183,18 @@
         self.proven = False
         self.closed = False
         self.closed_by_server = False
-        self._parser: Any = None
         self._head_request = False
+        self._parser: Any = None
+        self._headers: Headers = []
+        # Parts are joined at once: one of 2 bytes alone would take 43.
+        self._body = bytearray()
+        # Received since the last byte of the body; the parser keeps a trailer.
+        self._unused_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._has_head = False
         self._release_memory()
+        self._has_head = False
         self._status = 0
         # Whether an interim reply (1xx) was received for the current exchange.
         self.interim_seen = False
@@ -189,7 +223,8 @@
             self.close()
             return
         self._received_bytes += len(data)
-        self.reply_memory.used_bytes += len(data)
+        self._hold(len(data))
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -201,12 +236,18 @@
                 self._fail(ExchangeFailure.MALFORMED)
                 return
             self._trailing = True
-        if self._body_bytes > self.reply_max_bytes or (
+        if self._has_head and len(self._body) == body_bytes:
+            self._unused_bytes += len(data)
+        else:
+            self._unused_bytes = 0
+        if len(self._body) > self.reply_max_bytes or (
             not self._complete and self._may_be_endless()
         ):
             self._fail(ExchangeFailure.MALFORMED)
         elif self._complete:
             self._finish()
+        else:
+            self.reply_memory.limit()
 
     def eof_received(self) -> bool:
         """Complete a reply whose body is delimited by the end of the connection."""
@@ -221,9 +262,9 @@
         self.closed_by_server = not self.closed
         self.closed = True
         observer, self.observer = self.observer, None
+        started = self._status or self._headers
         self._release_memory()
         if observer is not None:
-            started = self._status or self._headers
             observer.on_failure(
                 self, ExchangeFailure.TRUNCATED if started else ExchangeFailure.LOST
             )
@@ -237,8 +278,12 @@
             self._trailing = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        if not self._complete:
+        """Collect a header; trailers after the last chunk are ignored."""
+        if self._has_head:
+            return
+        self._head_bytes += len(name) + len(value)
+        if not self._complete and self._head_bytes <= MAX_HEAD_BYTES:
+            self._hold(HEADER_OBJECT_BYTES)
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -258,8 +303,7 @@
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
         if not self._complete:
-            self._body.append(body)
-            self._body_bytes += len(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete, unless it is an interim reply."""
@@ -268,7 +312,6 @@
         if self._status < FIRST_FINAL_STATUS:
             self.interim_seen = True
             self._headers = []
-            self._body = []
             self._status = 0
             self._until_end = False
             return
@@ -293,14 +336,20 @@
         self._head_request = is_head
         self._parser = httptools.HttpResponseParser(self)
         self.observer = observer
+        self.reply_memory.add(self)
         self.sent_at_seconds = self.loop.time()
         self.transport.write(data)
 
     def abandon(self) -> None:
         """Close the connection without notifying the observer."""
         self.observer = None
+        self._release_memory()
         self.close()
 
+    def give_up(self) -> None:
+        """Fail the exchange, since its reply uses too much memory."""
+        self._fail(ExchangeFailure.MALFORMED)
+
     def close(self) -> None:
         """Close the connection; a current exchange fails."""
         self.closed = True
@@ -313,20 +362,31 @@
         received_bytes = self._received_bytes
         return (
             (not self._has_head and received_bytes > MAX_HEAD_BYTES)
+            or self._unused_bytes > MAX_HEAD_BYTES
             or received_bytes > self.reply_max_bytes + MAX_HEAD_BYTES
-            or self.reply_memory.is_exceeded_by(received_bytes)
         )
 
+    def _hold(self, count: int) -> None:
+        self.held_bytes += count
+        self.reply_memory.used_bytes += count
+
     def _release_memory(self) -> None:
-        self.reply_memory.used_bytes -= self._received_bytes
+        """Drop what was received; the parser refers to the connection in a cycle."""
+        self._parser = None
+        self._headers = []
+        self._body = bytearray()
+        self.reply_memory.remove(self)
+        self.held_bytes = 0
         self._received_bytes = 0
+        self._head_bytes = 0
+        self._unused_bytes = 0
 
     def _finish(self) -> None:
         observer, self.observer = self.observer, None
-        self._release_memory()
         reply = HttpReply(
-            status=self._status, headers=self._headers, body=b"".join(self._body)
+            status=self._status, headers=self._headers, body=bytes(self._body)
         )
+        self._release_memory()
         reusable = (
             not self._trailing
             and self._keep_alive
@@ -334,7 +394,7 @@
             and not self.transport.get_write_buffer_size()
         )
         if reusable:
-            self._record_keep_alive_timeout()
+            self._record_keep_alive_timeout(reply.headers)
             self.idle_since_seconds = self.loop.time()
         else:
             self.close()
@@ -352,8 +412,8 @@
         if observer is not None:
             observer.on_failure(self, failure)
 
-    def _record_keep_alive_timeout(self) -> None:
-        for name, value in self._headers:
+    def _record_keep_alive_timeout(self, headers: Headers) -> None:
+        for name, value in headers:
             if name == KEEP_ALIVE_HEADER and value.startswith(TIMEOUT_PARAMETER):
                 seconds = value[len(TIMEOUT_PARAMETER) :].split(b",")[0].strip()
                 if seconds.isdigit():
