Drop the replies of a request once it is answered

Requests and their attempts refer to each other, so that only a collection of cycles frees them, and with them the complete replies of replicas and peers, which the bound on unfinished replies does not count. Memory therefore grew by what ordinary requests had received since the last collection.

The replies are dropped as soon as the request is answered or given up, and a reply that comes after that is not kept.

The cycles themselves stay; what else they hold is the request.

--- a/src/bronzebeam/gateway/attempt.py
+++ b/src/bronzebeam/gateway/attempt.py
@@ -112,7 +112,8 @@
             connection.close()
             self._end(AttemptResult.UNKNOWN, "reply_to_another_request")
             return
-        self.reply, self.reply_metadata = reply, metadata
+        if not self.ended:
+            self.reply, self.reply_metadata = reply, metadata
         is_own_reply = reply.status != MISDIRECTED_STATUS
         if is_own_reply and (metadata.limit or self.replica.limited is not None):
             self.context.state.replicas.limits.record(
--- a/src/bronzebeam/gateway/base_attempt.py
+++ b/src/bronzebeam/gateway/base_attempt.py
@@ -89,6 +89,11 @@
             return self.reached_replica
         return self.result.may_have_run
 
+    def drop_reply(self) -> None:
+        """Drop the reply, which is not needed any more."""
+        # The handler refers to the attempt in a cycle, which is collected late.
+        self.reply = None
+
     @property
     @abstractmethod
     def target_name(self) -> str:
--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -549,6 +549,7 @@
         self._outcome(cause="caller_left").log(
             self.context, self.routed, status=None, good=False
         )
+        self._drop_replies()
 
     def _answer_if_complete(self) -> None:
         """Answer or fail if there is nothing left to wait for."""
@@ -576,6 +577,7 @@
             records=self._progress.merge_records(self._delegator.delegations),
             outcome=self._outcome(),
         )
+        self._drop_replies()
 
     def _fail(self, *, cause: str, status: int) -> None:
         # A missed deadline indicates queueing; an earlier failure indicates unavailable
@@ -587,6 +589,7 @@
             outcome=self._outcome(cause=cause),
             return_seconds=self._chooser.return_after_seconds(),
         )
+        self._drop_replies()
 
     def _finish(self, *, sample_elapsed: bool) -> None:
         """
@@ -630,6 +633,14 @@
                     attempt.discard()
         self._delegator.discard()
 
+    def _drop_replies(self) -> None:
+        for shard in self._progress.shards:
+            shard.body = None
+            for attempt in shard.attempts:
+                attempt.drop_reply()
+        for delegation in self._delegator.delegations:
+            delegation.body = b""
+
     def _outcome(self, *, cause: str = "") -> Outcome:
         return Outcome(
             attempts=[
--- a/src/bronzebeam/gateway/forward.py
+++ b/src/bronzebeam/gateway/forward.py
@@ -235,6 +235,7 @@
         answer_reply(
             self.context, self.routed, attempt.reply, self._outcome(attempt.cause)
         )
+        self._drop_replies()
 
     def _fail(self, cause: str) -> None:
         self._finish()
@@ -252,6 +253,7 @@
             outcome=self._outcome(cause),
             return_seconds=return_seconds,
         )
+        self._drop_replies()
 
     def _on_deadline(self) -> None:
         if self._done:
@@ -264,6 +266,7 @@
             status=504 if sent else 503,
             outcome=self._outcome("deadline_passed"),
         )
+        self._drop_replies()
 
     def _on_caller_disconnected(self) -> None:
         if self._done:
@@ -278,6 +281,7 @@
         self._outcome("caller_left").log(
             self.context, self.routed, status=None, good=False
         )
+        self._drop_replies()
 
     def _finish(self) -> None:
         self._done = True
@@ -298,5 +302,9 @@
             if not attempt.ended:
                 attempt.discard()
 
+    def _drop_replies(self) -> None:
+        for attempt in self.attempts:
+            attempt.drop_reply()
+
     def _outcome(self, cause: str) -> Outcome:
         return Outcome(attempts=self.attempts, cause=cause)
--- a/src/bronzebeam/gateway/relay.py
+++ b/src/bronzebeam/gateway/relay.py
@@ -134,7 +134,8 @@
             self.peer.record_reply()
         reply.headers = [item for item in reply.headers if item[0] not in REPLY_HEADERS]
         self._record_signals(outcome, reply)
-        self.reply = reply
+        if not self.ended:
+            self.reply = reply
         self.connection_lost = outcome.connection_lost
         if self.connection_lost and not self.ended:
             self.crash_check = self.context.loop.create_task(
--- a/src/bronzebeam/gateway/relay_handler.py
+++ b/src/bronzebeam/gateway/relay_handler.py
@@ -105,6 +105,7 @@
             connection_lost=attempt.connection_lost,
             replica=replica,
         )
+        attempt.drop_reply()
 
     def _send(self, cause: str) -> None:
         """
--- a/tests/fixtures_endless.py
+++ b/tests/fixtures_endless.py
@@ -140,6 +140,7 @@
     timeout_ms: int = 800,
     max_attempts: int = 2,
     requests_per_caller: int = REQUESTS_PER_CALLER,
+    callers: int = CALLERS,
 ) -> None:
     """
     Let callers use a route whose servers reply with a form.
@@ -209,7 +210,7 @@
             for number in range(requests_per_caller):
                 await send(1 + caller * requests_per_caller + number)
 
-        await asyncio.gather(*(call(number) for number in range(CALLERS)))
+        await asyncio.gather(*(call(number) for number in range(callers)))
     for name, server in servers:
         await server.close()
 
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -11,6 +11,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+SIGNED = OK + b"X-Bronzebeam-Replica-Signature: s\r\n"
 LARGE = b"x" * 65_536
 LARGE_CHUNK = b"10000\r\n" + LARGE + b"\r\n"
 TINY_CHUNK = b"2\r\nxy\r\n"
@@ -94,14 +95,22 @@
 
 def test_many_large_replies_that_are_complete_stay_within_the_memory() -> None:
     async def use(gateway: RealGateway) -> None:
-        start = OK + b"X-Bronzebeam-Replica-Signature: s\r\n"
-        start += b"Content-Length: %d\r\n\r\n" % (4 * MEGABYTE)
+        start = SIGNED + b"Content-Length: %d\r\n\r\n" % (4 * MEGABYTE)
         form = ReplyForm(name="large", start=start, part=LARGE, repeats=64)
         await call_servers(gateway, form, shards=10, requests_per_caller=1)
 
     run_with_limited_memory(use)
 
 
+def test_complete_replies_are_not_kept_after_their_request() -> None:
+    async def use(gateway: RealGateway) -> None:
+        start = SIGNED + b"Content-Length: %d\r\n\r\n" % (MEGABYTE // 2)
+        form = ReplyForm(name="kept", start=start, part=LARGE, repeats=8)
+        await call_servers(gateway, form, shards=10, callers=1, requests_per_caller=40)
+
+    run_with_limited_memory(use)
+
+
 def test_store_that_sends_without_end_stays_within_the_memory() -> None:
     async def use(gateway: RealGateway) -> None:
         form = ReplyForm(name="store", start=CHUNKED, part=LARGE_CHUNK)
