Read settings without waiting while a process serves, and up to 1 MB

A gateway whose settings file is replaced by a named pipe stopped answering callers and readiness checks for good at the next SIGHUP: open waits for a writer on the event loop (a process on the loopback interface, no answer to three checks of 3 s). An endless file, such as a link to /dev/zero, was read into memory until that ran out, at a start and at a reload.

A process that serves now opens the file without waiting, and each read of it ends with an error after 1 MB; the platform's files are below 64 KB. The earlier settings stay in force, and reload_failed has the cause.

--- a/src/bronzebeam/platform/gateway_main.py
+++ b/src/bronzebeam/platform/gateway_main.py
@@ -56,7 +56,7 @@
         nonlocal version
         # Before the text, so that a change in between is noticed.
         version = _modified_at_ns(path)
-        return read_settings_text(path)
+        return read_settings_text(path, may_wait=True)
 
     try:
         settings = wait_for_settings(
--- a/src/bronzebeam/platform/node_settings.py
+++ b/src/bronzebeam/platform/node_settings.py
@@ -8,7 +8,11 @@
 from bronzebeam.findings import Finding, FindingsError
 from bronzebeam.gateway.settings import GatewaySettings
 from bronzebeam.platform.constants import READY_PATH
-from bronzebeam.platform.settings_file import CALLER_ADDRESS_FIELD, parse_fields
+from bronzebeam.platform.settings_file import (
+    CALLER_ADDRESS_FIELD,
+    parse_fields,
+    read_text,
+)
 from bronzebeam.routing.cold_limits import ColdTolerance
 from bronzebeam.routing.quotas import QuotaTolerance
 from bronzebeam.routing.repeat_budget import RepeatLimits
@@ -36,25 +40,25 @@
 
 def read_settings(path: str) -> GatewaySettings:
     """
-    Read and validate the settings file.
+    Read and validate the settings file, without waiting.
 
     Unknown fields are ignored, since later platform versions may add some.
 
     :raises FindingsError: with all errors; also if the file can't be read.
     """
-    return parse_settings(read_settings_text(path), subject=path)
+    return parse_settings(read_settings_text(path, may_wait=False), subject=path)
 
 
-def read_settings_text(path: str) -> str:
+def read_settings_text(path: str, *, may_wait: bool) -> str:
     """
     Read the settings file.
 
+    :param may_wait: see `read_text`.
     :raises FindingsError: if it can't be read.
     """
     try:
-        with open(path, encoding="utf-8") as file:
-            return file.read()
-    except (OSError, UnicodeDecodeError) as error:
+        return read_text(path, may_wait=may_wait)
+    except (OSError, ValueError) as error:
         finding = Finding(place="", message=f"The file cannot be read: {error}.")
         raise FindingsError(subject=path, findings=[finding]) from error
 
--- a/src/bronzebeam/platform/settings_file.py
+++ b/src/bronzebeam/platform/settings_file.py
@@ -10,6 +10,7 @@
 SETTINGS_VARIABLE = "BRONZEBEAM_NODE_FILE"
 SETTINGS_PATH = "/etc/bronzebeam/node.conf"
 CALLER_ADDRESS_FIELD = "listenAddresses.frontendAddress"
+MAX_TEXT_BYTES = 1024 * 1024  # the platform's files are below 64 KB
 LISTEN_BACKLOG = 1_024  # if the queue is full, a caller's connect takes seconds
 
 
@@ -28,11 +29,33 @@
     return fields
 
 
+def read_text(path: str, *, may_wait: bool) -> str:
+    """
+    Read the text of the settings.
+
+    :param may_wait: wait for the writer if the path is a named pipe.
+    :raises OSError: if they can't be read.
+    :raises ValueError: if they are too long, or not in UTF-8.
+    """
+    waiting = 0 if may_wait else os.O_NONBLOCK
+    descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC | waiting)
+    try:
+        parts = []
+        size = 0
+        while part := os.read(descriptor, MAX_TEXT_BYTES):
+            parts.append(part)
+            size += len(part)
+            if size > MAX_TEXT_BYTES:
+                raise ValueError(f"longer than {MAX_TEXT_BYTES} bytes")
+    finally:
+        os.close(descriptor)
+    return b"".join(parts).decode()
+
+
 def read_first_text(path: str) -> str | None:
     """Read the settings for the first time; None if they can't be read yet."""
     try:
-        with open(path, encoding="utf-8") as file:
-            return file.read()
+        return read_text(path, may_wait=True)
     except (OSError, ValueError):
         return None
 
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -89,6 +89,7 @@
     "read_settings",
     "read_settings_text",
     "read_first_text",
+    "read_text",
 }
 ODD_TEXTS = (
     "",
