Keep writing the log without blocking if another process makes the output block

Whether a pipe or terminal blocks is one setting for all processes that have inherited it. A gateway set it once at its start. When another process set it back, and nobody read the output, the gateway stopped for good in the next write of its log: after 679 requests of a trial on the loopback interface, callers and readiness checks got no answer any more.

The setting is now made before each write, to standard error too. Ruled out: opening the output again through /proc, which fails for sockets and for files of other users; a thread that writes, which would hold up the end of the process. A change of the setting between the two calls, with a full pipe, would still block.

The new test in test_gateway_hangs fails on the code before (TimeoutError).

--- a/src/bronzebeam/gateway/process_end.py
+++ b/src/bronzebeam/gateway/process_end.py
@@ -18,6 +18,7 @@
     Make sure that output which nobody reads neither blocks nor ends the process.
 
     A stream that is closed is opened, since a socket would get its number otherwise.
+    The interpreter itself may write to standard error.
     """
     for descriptor in STANDARD_STREAMS:
         try:
@@ -32,6 +33,7 @@
     data = text.encode(errors="replace")
     try:
         while data:
+            os.set_blocking(STANDARD_ERROR, False)
             data = data[os.write(STANDARD_ERROR, data) :]
     except OSError:
         # Nobody reads it; there is no other place to report that.
--- a/src/bronzebeam/telemetry/decisions.py
+++ b/src/bronzebeam/telemetry/decisions.py
@@ -31,11 +31,12 @@
 
 
 def open_standard_output() -> NonBlockingWrite:
-    """Make standard output non-blocking and return a function that writes to it."""
+    """Return a function that writes to standard output without blocking."""
     descriptor = 1
-    os.set_blocking(descriptor, False)
 
     def write(data: bytes) -> int:
+        # Other processes may share the output, and make it blocking again.
+        os.set_blocking(descriptor, False)
         return os.write(descriptor, data)
 
     return write
--- a/tests/test_gateway_hangs.py
+++ b/tests/test_gateway_hangs.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import threading
 from collections.abc import Callable
 from pathlib import Path
 
@@ -83,3 +84,37 @@
 
 def test_start_waits_for_settings_in_place_of_a_pipe_without_a_writer() -> None:
     start_without_a_settings_file(os.mkfifo)
+
+
+def test_unread_output_that_another_process_lets_block_does_not_block_this_one() -> (
+    None
+):
+    reader, writer = os.pipe()
+
+    async def use(gateway: RealGateway) -> None:
+        # The pipe is one for all processes that have inherited it.
+        os.set_blocking(writer, True)
+        for number in range(900):
+            async with asyncio.timeout(MAX_ANSWER_SECONDS):
+                response = await gateway.send_request(f"p-{number}")
+            assert response.status_code == 200
+            if number % 3 == 0:
+                gateway.process.send_signal(signal.SIGHUP)
+            if number % 50 == 0:
+                os.set_blocking(writer, True)
+        await check_serves(gateway, "last")
+        # What is kept is written once somebody reads.
+        threading.Thread(target=drain, args=(reader,), daemon=True).start()
+        gateway.process.send_signal(signal.SIGTERM)
+        assert await gateway.process.wait() == 0
+
+    try:
+        run_with_gateway(use, stdout=writer)
+    finally:
+        os.close(writer)
+
+
+def drain(descriptor: int) -> None:
+    while os.read(descriptor, 65_536):
+        pass
+    os.close(descriptor)
