Apply settings that changed once their file is no longer being written

A gateway that read its settings between two writes applied them as they were: cut within the port of the store's address they are valid, and name another address. Until the next check, up to a second later, the store was not reached and bounds had their defaults.

A changed file is now read once its time of modification has stayed the same from one tick to the next, 250 ms apart; a SIGHUP for an unchanged file still acts at once. The check comes before the rest of the tick, so that a fault there does not hold it up. A writer that pauses for longer is not told apart from one that has finished.

test_settings_that_are_being_written_are_not_applied fails on the code before: the port of the store was 810.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -143,6 +143,8 @@
     background_tasks: list[asyncio.Task[None]] = field(factory=list, init=False)
     _store: GatewayStore = field(init=False)
     _ticks: int = 0
+    _reload_requested: bool = False
+    _awaited_settings_version: int | None = None
     _ports: PortOpener = field(init=False)
     _ports_open: asyncio.Event = field(factory=asyncio.Event, init=False)
     _context: GatewayContext = field(init=False)
@@ -164,7 +166,7 @@
         self._store = store = self._build_components()
         loop.add_signal_handler(signal.SIGTERM, self._request_stop)
         loop.add_signal_handler(signal.SIGINT, self._request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._request_reload)
         if self.start.stop_requested_at_seconds is not None:
             self._stop_requested_at_seconds = self.start.stop_requested_at_seconds
             self._stop_requested.set()
@@ -498,6 +500,7 @@
         self._ticks += 1
         self._log_stall()
         self._context.served.check(self.log, self._loop.time())
+        self._reload_if_due()
         if self._ticks == GC_FREEZE_TICK:
             # Objects created at start-up are permanent: exclude them from collections.
             gc.collect()
@@ -510,7 +513,6 @@
         if self._ticks % TICKS_PER_SLOW_CHECK == 0:
             for server in (self._caller_server, self._peer_server, self._ready_server):
                 server.close_timed_out()
-            self._reload_if_changed()
         if self._ticks % TICKS_PER_RESOURCE_CHECK == 0:
             self._resources.check()
             self._caller_connection_limit.update()
@@ -522,14 +524,32 @@
             self.log.event("process_stalled", stalled_ms=stalled_ms)
         self._stall_clock.beat()
 
-    def _reload_if_changed(self) -> None:
-        # The settings may change without a SIGHUP.
+    def _request_reload(self) -> None:
+        version = self.settings_version()
+        if version and version == self.loaded_settings_version:
+            self._reload(version)
+        else:
+            self._reload_requested = True
+
+    def _reload_if_due(self) -> None:
+        """Read changed settings once they stay the same from one tick to the next."""
+        if not self._reload_requested and self._ticks % TICKS_PER_SLOW_CHECK:
+            return
         version = self.settings_version()
+        # The settings may change without a SIGHUP.
         if version and version != self.loaded_settings_version:
-            self._reload()
+            self._reload_requested = True
+        if not self._reload_requested:
+            return
+        if version != self._awaited_settings_version:
+            self._awaited_settings_version = version
+            return
+        self._reload_requested = False
+        self._awaited_settings_version = None
+        self._reload(version)
 
-    def _reload(self) -> None:
-        self.loaded_settings_version = self.settings_version()
+    def _reload(self, version: int) -> None:
+        self.loaded_settings_version = version
         try:
             settings = self.read_settings()
         except FindingsError as error:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -470,6 +470,32 @@
     run_scenario(scenario)
 
 
+def test_settings_that_are_being_written_are_not_applied() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        text = gateway.settings_text
+        [reload] = cluster.loop.signal_handlers[signal.SIGHUP]
+        # Ends within the port of the store, and is valid.
+        gateway.settings_text = text[: text.index(":8100") + len(":810")]
+        for length in range(12):
+            gateway.settings_version += 1
+            if length % 4 == 0:
+                reload()
+            await asyncio.sleep(0.1)
+        store = gateway.gateway.settings.store
+        assert store.port == 8_100 and not gateway.log_lines("reloaded")
+        gateway.settings_text = text.replace("Slack=50", "Slack=7")
+        gateway.settings_version += 1
+        await asyncio.sleep(1.5)
+        [line] = gateway.log_lines("reloaded")
+        assert "changed=true" in line
+        assert gateway.gateway.settings.repeats.slack_count == 7.0
+        reload()
+        assert len(gateway.log_lines("reloaded")) == 2
+
+    run_scenario(scenario)
+
+
 def test_changed_store_address_is_used() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_small_cluster(cluster)
