Give back the room of a request whose start fails

An exception while an admitted request was started left it counted as in flight for good. After 24 of them, the limit at the start, an instance refused every request to the same services, and stayed ready. Among accounts it also left the requests that were to start in the same step without an answer, and requests that waited for the first configuration behind a faulty one: such starts come from timers, where nobody answered 500.

The router answers the request, logs the error and releases the permit, on each way to a start. A permit counts its release once, since the deadline of a request whose start failed midway still ends it.

test_requests_whose_start_fails_do_not_use_up_the_room_of_others fails on the code before. The other test passes there too; it guards against a release that counts twice.

--- a/src/bronzebeam/gateway/admission.py
+++ b/src/bronzebeam/gateway/admission.py
@@ -23,6 +23,12 @@
     route: Route
     log: DecisionLog
     refused_count: int = 0
+    _is_released: bool = False
+
+    def take_release(self) -> bool:
+        """Return whether this is the first call; a request may end after a fault."""
+        is_first, self._is_released = not self._is_released, True
+        return is_first
 
     def release(self, *, elapsed_ms: float | None, now_seconds: float) -> None:
         """
@@ -31,6 +37,8 @@
         :param elapsed_ms: time until the request could be answered, or its whole
             duration if it never could; None if it does not depend on the load.
         """
+        if not self.take_release():
+            return
         self.limit.leave()
         if elapsed_ms is None:
             return
--- a/src/bronzebeam/gateway/competing_admission.py
+++ b/src/bronzebeam/gateway/competing_admission.py
@@ -61,6 +61,8 @@
 
     def release(self, *, elapsed_ms: float | None, now_seconds: float) -> None:
         """Release the permit; the next request is started soon after."""
+        if not self.take_release():
+            return
         was_reduced = self.limit.is_reduced
         sub_requests = len(self.route.shards) or 1
         service_ms = elapsed_ms
--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -69,11 +69,19 @@
     def handle(self, request: HttpRequest) -> None:
         """Route a request, or reject it at once."""
         self.context.served.record_received(self.context.loop.time())
+        self._route_or_fail(request)
+
+    def _route_or_fail(self, request: HttpRequest) -> None:
         try:
             self._route(request)
-        except Exception:
-            self.context.served.record_end(status=None, cause=INTERNAL_ERROR)
-            raise
+        except Exception as error:
+            self._fail(request, error)
+
+    def _fail(self, request: HttpRequest, error: Exception) -> None:
+        """Answer a request that met a fault of the program; the others go on."""
+        self.context.loop.call_exception_handler({"exception": error, "protocol": self})
+        self.context.served.record_end(status=None, cause=INTERNAL_ERROR)
+        request.respond(status=500, headers=[], body=b"internal error\n")
 
     def _route(self, request: HttpRequest) -> None:
         table = self.context.state.table
@@ -116,7 +124,7 @@
         queued, self._queued = self._queued, []
         for request in queued:
             if not request.disconnected and not request.responded:
-                self._route(request)
+                self._route_or_fail(request)
 
     def _routed_request(
         self,
@@ -191,6 +199,13 @@
             self._send(routed, permit)
 
     def _send(self, routed: RoutedRequest, permit: AdmissionPermit) -> None:
+        try:
+            self._send_admitted(routed, permit)
+        except Exception as error:
+            permit.release(elapsed_ms=None, now_seconds=self.context.loop.time())
+            self._fail(routed.request, error)
+
+    def _send_admitted(self, routed: RoutedRequest, permit: AdmissionPermit) -> None:
         route = routed.route
         if route.shards:
             FanOutRequest(
--- /dev/null
+++ b/tests/test_gateway_faulty_starts.py
@@ -0,0 +1,82 @@
+"""Tests that faults at the start of single requests leave the others served."""
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+from bronzebeam.gateway.forward import ReplicaRequest
+from tests.fixtures_gateway import (
+    BOOKING_PATH,
+    READ_PATH,
+    Cluster,
+    RunningGateway,
+    run_scenario,
+    start_small_cluster,
+)
+
+FAULT_COUNT = 60  # above the limit on requests in flight at the start
+KEY_HEADERS = {"X-Bronzebeam-Key": "secret-1"}
+ACCOUNTS: tuple[list[Any], ...] = (
+    [],
+    [{"name": "library", "apiKeys": ["secret-1"]}],
+)
+
+
+async def start_cluster(cluster: Cluster, accounts: list[Any]) -> RunningGateway:
+    gateway = await start_small_cluster(cluster)
+    cluster.configure(*cluster.routes, tenants=accounts)
+    await asyncio.sleep(3.0)
+    return gateway
+
+
+def test_requests_whose_start_fails_do_not_use_up_the_room_of_others() -> None:
+    for accounts in ACCOUNTS:
+
+        async def scenario(cluster: Cluster) -> None:
+            gateway = await start_cluster(cluster, accounts)
+            start = ReplicaRequest.start
+
+            def fail(request: ReplicaRequest) -> None:
+                if request.routed.route.name == "r-book":
+                    raise RuntimeError("a fault of the program")
+                start(request)
+
+            with mock.patch.object(ReplicaRequest, "start", fail):
+                for _ in range(FAULT_COUNT):
+                    response = await cluster.send_request(
+                        gateway, BOOKING_PATH, headers=KEY_HEADERS
+                    )
+                    assert response is not None and response.status == 500
+                responses = await asyncio.gather(
+                    *(
+                        cluster.send_request(gateway, READ_PATH, headers=KEY_HEADERS)
+                        for _ in range(20)
+                    )
+                )
+            assert {item.status for item in responses if item} == {200}
+
+        run_scenario(scenario)
+
+
+def test_fault_after_a_start_has_set_its_deadline_is_counted_once() -> None:
+    for accounts in ACCOUNTS:
+
+        async def scenario(cluster: Cluster) -> None:
+            gateway = await start_cluster(cluster, accounts)
+
+            def fail(*_: Any, **__: Any) -> bool:
+                raise RuntimeError("a fault of the program")
+
+            with mock.patch.object(ReplicaRequest, "_send", fail):
+                response = await cluster.send_request(
+                    gateway, READ_PATH, headers=KEY_HEADERS
+                )
+            assert response is not None and response.status == 500
+            await asyncio.sleep(2.0)  # past its deadline
+            assert len(gateway.log_lines("unhandled_error")) == 1
+            response = await cluster.send_request(
+                gateway, READ_PATH, headers=KEY_HEADERS
+            )
+            assert response is not None and response.status == 200
+
+        run_scenario(scenario)
