Refuse requests on a route without a service instead of failing

A route of the configuration that names neither a service nor shards raised IndexError for each request: callers got 500, and each left a line unhandled_error, as if the program were at fault. They now get 503 with the cause no_service, and the time to come back: the request has not run, and a later configuration may name a service.

test_route_without_a_service_is_refused_without_an_error fails on the code before (status 500).

--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -40,6 +40,7 @@
 STARTUP_RETRY_MS: Final = 400.0  # an instance reads its configuration in less time
 MISSING_KEY: Final = "missing_key"
 UNKNOWN_KEY: Final = "unknown_key"
+NO_SERVICE: Final = "no_service"
 INTERNAL_ERROR: Final = "internal_error"
 KEY_UNCONFIRMED: Final = "key_unconfirmed"
 
@@ -172,8 +173,10 @@
         )
 
     def _refusal_cause(self, routed: RoutedRequest, metadata: RequestMetadata) -> str:
-        """Return why a request can't be answered in time; empty if it can."""
+        """Return why a request can't be served, or not in time; empty if it can."""
         route, now_seconds = routed.route, self.context.loop.time()
+        if not route.services:
+            return NO_SERVICE
         answer_by_seconds = self.context.answer_by_seconds
         if answer_by_seconds == math.inf:
             # The process may have been suspended since the request came.
--- a/tests/test_gateway_faulty_starts.py
+++ b/tests/test_gateway_faulty_starts.py
@@ -7,9 +7,11 @@
 from bronzebeam.gateway.forward import ReplicaRequest
 from tests.fixtures_gateway import (
     BOOKING_PATH,
+    BOOKING_SERVICE,
     READ_PATH,
     Cluster,
     RunningGateway,
+    make_route,
     run_scenario,
     start_small_cluster,
 )
@@ -80,3 +82,25 @@
             assert response is not None and response.status == 200
 
         run_scenario(scenario)
+
+
+def test_route_without_a_service_is_refused_without_an_error() -> None:
+    for accounts in ACCOUNTS:
+
+        async def scenario(cluster: Cluster) -> None:
+            gateway = await start_small_cluster(cluster)
+            cluster.configure(
+                make_route("r-odd", "/odd/"),
+                make_route("r-read", READ_PATH, service=BOOKING_SERVICE),
+                tenants=accounts,
+            )
+            await asyncio.sleep(3.0)
+            for _ in range(FAULT_COUNT):
+                response = await cluster.send_request(
+                    gateway, "/odd/", headers=KEY_HEADERS
+                )
+                assert response is not None and response.status == 503
+                assert response.body == b"no_service\n"
+            assert not gateway.log_lines("unhandled_error")
+
+        run_scenario(scenario)
