Don't apply limits and times of the configuration that no request can meet

With maxHeaderBytes below 0, every request of every caller was refused with 431 by every instance, all of them ready; a negative maxBodyBytes, timeoutMs or targetLatencyMs refused, or hurried, the requests that it applied to. A value of 0 already counted as missing.

A value that is not above 0, or not finite, now counts as missing. Ruled out: to reject such a configuration as malformed, since its other routes would not come into force either.

test_limits_that_no_request_can_meet_are_not_applied fails on the code before (maxHeaderBytes).

--- a/src/bronzebeam/platform/configuration.py
+++ b/src/bronzebeam/platform/configuration.py
@@ -78,14 +78,14 @@
         elif item.get("service"):
             service = read_name(item["service"])
             destinations = (WeightedService(service=service, weight=1.0),)
-        timeout_ms = float(item.get("timeoutMs") or DEFAULT_TIMEOUT_MS)
+        timeout_ms = _positive(item, "timeoutMs", DEFAULT_TIMEOUT_MS)
         yield Route(
             name=read_name(item["name"]),
             host=read_name(item["host"]),
             path_prefix=item["pathPrefix"].encode(),
             idempotent=item.get("routeKind") == IDEMPOTENT_KIND,
             timeout_ms=timeout_ms,
-            target_latency_ms=float(item.get("targetLatencyMs") or timeout_ms),
+            target_latency_ms=_positive(item, "targetLatencyMs", timeout_ms),
             max_attempts=int(item.get("maxAttempts") or DEFAULT_ATTEMPTS),
             priority=int(item.get("priority") or 0),
             destinations=destinations,
@@ -154,13 +154,23 @@
     return max(0.0, float(value))
 
 
+def _positive(item: dict[str, Any], name: str, default: float) -> float:
+    """
+    Return a number above 0, or the default.
+
+    With any other one, no request would be served.
+    """
+    value = float(item.get(name) or 0.0)
+    return value if 0.0 < value < math.inf else default
+
+
 def _parse_limits(item: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        header_max_bytes=int(item.get("maxHeaderBytes") or default.header_max_bytes),
-        body_max_bytes=int(item.get("maxBodyBytes") or default.body_max_bytes),
-        header_timeout_ms=float(
-            item.get("headerTimeoutMs") or default.header_timeout_ms
+        header_max_bytes=int(
+            _positive(item, "maxHeaderBytes", default.header_max_bytes)
         ),
-        idle_timeout_ms=float(item.get("idleTimeoutMs") or default.idle_timeout_ms),
+        body_max_bytes=int(_positive(item, "maxBodyBytes", default.body_max_bytes)),
+        header_timeout_ms=_positive(item, "headerTimeoutMs", default.header_timeout_ms),
+        idle_timeout_ms=_positive(item, "idleTimeoutMs", default.idle_timeout_ms),
     )
--- a/tests/test_gateway_faulty_starts.py
+++ b/tests/test_gateway_faulty_starts.py
@@ -104,3 +104,28 @@
             assert not gateway.log_lines("unhandled_error")
 
         run_scenario(scenario)
+
+
+def test_limits_that_no_request_can_meet_are_not_applied() -> None:
+    for name in (
+        "maxHeaderBytes",
+        "maxBodyBytes",
+        "headerTimeoutMs",
+        "idleTimeoutMs",
+        "timeoutMs",
+        "targetLatencyMs",
+    ):
+
+        async def scenario(cluster: Cluster, name: str = name) -> None:
+            gateway = await start_small_cluster(cluster)
+            routes = [{**route, name: -1} for route in cluster.routes]
+            cluster.configure(*routes, limits={name: -1})
+            await asyncio.sleep(3.0)
+            table = gateway.gateway._state.table
+            assert table is not None and table.version == cluster.version
+            response = await cluster.send_request(
+                gateway, BOOKING_PATH, method="POST", body=b"one chair"
+            )
+            assert response is not None and response.status == 200, name
+
+        run_scenario(scenario)
