Don't take a stop that is noticed late for one of the next process

It now marks the process that it waited for, whose bound is checked as before, and kills only that one. The new test in test_soak_gateways fails on the code before.

--- a/tests/soak_rig.py
+++ b/tests/soak_rig.py
@@ -274,17 +274,20 @@
 
     async def wait_ended(self) -> None:
         """Wait until its process has ended, or kill it when that is overdue."""
-        if self.ended is None or self.row is None:
+        row, ended = self.row, self.ended
+        if ended is None or row is None:
             return
         try:
             async with asyncio.timeout(STOP_BOUND_SECONDS):
-                await asyncio.shield(self.ended)
+                await asyncio.shield(ended)
         except TimeoutError:
+            row.overdue = True
+            if ended.done():
+                return  # another process may have been started since
             now = asyncio.get_running_loop().time()
             self.history.disturbed.append((self.name, now, now + 1.0))
-            self.row.overdue = True
             self.send_signal(signal.SIGKILL)
-            await self.ended
+            await ended
 
     async def _wait(
         self, process: asyncio.subprocess.Process, row: ProcessRow, descriptor: int
--- a/tests/test_soak_gateways.py
+++ b/tests/test_soak_gateways.py
@@ -4,10 +4,13 @@
 import os
 import random
 import signal
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest import mock
 
+from tests import soak_rig
 from tests.fixtures_gateway import Response
 from tests.soak_accounts import (
     BOUND_SECONDS,
@@ -27,7 +30,8 @@
     SoakHistory,
     check_history,
 )
-from tests.soak_rig import SoakRig
+from tests.soak_link import Link
+from tests.soak_rig import SoakGateway, SoakRig
 from tests.soak_serving import check_serving
 from tests.soak_shape import SoakShape
 from tests.soak_starts import START_FAULTS
@@ -541,6 +545,36 @@
         assert text in found["unasked_end"][0], text
 
 
+async def end_late_beside_a_new_start(folder: Path) -> SoakGateway:
+    gateway = SoakGateway(
+        name="g-0",
+        settings=folder / "g-0.conf",
+        settings_text="",
+        caller_port=1,
+        ready_port=2,
+        peer_port=3,
+        store_link=Link(server_port=4),
+        history=SoakHistory(),
+    )
+    first = gateway.row = add_process(gateway.history, None, "TERM")
+    gateway.ended = asyncio.create_task(asyncio.sleep(0.05))
+    with mock.patch.object(soak_rig, "STOP_BOUND_SECONDS", 0.05):
+        wait = asyncio.create_task(gateway.wait_ended())
+        await asyncio.sleep(0.0)
+        gateway.row = add_process(gateway.history, None)
+        time.sleep(0.1)  # the rig is late, so that the end and its bound come together
+        await wait
+    assert first.overdue
+    return gateway
+
+
+def test_stop_that_is_noticed_late_is_not_taken_for_one_of_the_next_process() -> None:
+    with TemporaryDirectory() as folder:
+        gateway = asyncio.run(end_late_beside_a_new_start(Path(folder)))
+    assert gateway.row is not None and not gateway.row.overdue
+    assert not gateway.history.disturbed
+
+
 def run_short_soak(
     *, seed: int, seconds: float, faults: Sequence[FaultAction] = ()
 ) -> SoakRun:
