--- a/src/bronzebeam/gateway/router.py
+++ b/src/bronzebeam/gateway/router.py
@@ -40,6 +40,7 @@
 STARTUP_RETRY_MS: Final = 400.0  # an instance reads its configuration in less time
 MISSING_KEY: Final = "missing_key"
 UNKNOWN_KEY: Final = "unknown_key"
+NO_SERVICE: Final = "no_service"
 INTERNAL_ERROR: Final = "internal_error"
 KEY_UNCONFIRMED: Final = "key_unconfirmed"
 
@@ -69,11 +70,19 @@
     def handle(self, request: HttpRequest) -> None:
         """Route a request, or reject it at once."""
         self.context.served.record_received(self.context.loop.time())
+        self._route_or_fail(request)
+
+    def _route_or_fail(self, request: HttpRequest) -> None:
         try:
             self._route(request)
-        except Exception:
-            self.context.served.record_end(status=None, cause=INTERNAL_ERROR)
-            raise
+        except Exception as error:
+            self._fail(request, error)
+
+    def _fail(self, request: HttpRequest, error: Exception) -> None:
+        """Answer a request that met a fault of the program; the others go on."""
+        self.context.loop.call_exception_handler({"exception": error, "protocol": self})
+        self.context.served.record_end(status=None, cause=INTERNAL_ERROR)
+        request.respond(status=500, headers=[], body=b"internal error\n")
 
     def _route(self, request: HttpRequest) -> None:
         table = self.context.state.table
@@ -116,7 +125,7 @@
         queued, self._queued = self._queued, []
         for request in queued:
             if not request.disconnected and not request.responded:
-                self._route(request)
+                self._route_or_fail(request)
 
     def _routed_request(
         self,
@@ -164,8 +173,10 @@
         )
 
     def _refusal_cause(self, routed: RoutedRequest, metadata: RequestMetadata) -> str:
-        """Return why a request can't be answered in time; empty if it can."""
+        """Return why a request can't be served, or not in time; empty if it can."""
         route, now_seconds = routed.route, self.context.loop.time()
+        if not route.services:
+            return NO_SERVICE
         answer_by_seconds = self.context.answer_by_seconds
         if answer_by_seconds == math.inf:
             # The process may have been suspended since the request came.
@@ -191,6 +202,13 @@
             self._send(routed, permit)
 
     def _send(self, routed: RoutedRequest, permit: AdmissionPermit) -> None:
+        try:
+            self._send_admitted(routed, permit)
+        except Exception as error:
+            permit.release(elapsed_ms=None, now_seconds=self.context.loop.time())
+            self._fail(routed.request, error)
+
+    def _send_admitted(self, routed: RoutedRequest, permit: AdmissionPermit) -> None:
         route = routed.route
         if route.shards:
             FanOutRequest(
