Free what a caller's connection has received when it ends

Callers without limits fill a process that has long closed their connections. Connection and parser refer to each other, and hold headers, body and what the parser keeps, until a collection of cycles, which starts by the number of objects and not of bytes. What was counted was released at once.

The connection drops its parser and what it has received when it ends.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -223,6 +223,10 @@
         self.server.unread.pop(self, None)
         self._hold(-self._held_body_bytes)
         self._pending_requests.clear()
+        self._reset_request()
+        # Parser and connection refer to each other, and hold what was received until a
+        # collection of cycles, which no number of bytes starts.
+        self._parser = None
         request, self.request = self.request, None
         if request is not None:
             request.handle_disconnect()
