Limit what a parser keeps of a request without reporting it

A head without end, in one header, is kept by the parser until the header is whole; only then was it counted. The same holds for the name of a header, a chunk's extension, a trailer, and empty lines before a request, which also kept their connection open for ever.

Bytes reach the parser in pieces of 1 KB. If it has had more than the limit on headers and a piece since its last callback, the request is refused with 431. What it may keep counts as memory meanwhile. Empty lines do not count as use of the connection. A parser that has refused a request gets nothing more.

Of the new tests, two failed before; the third, a request at the limits, is a guard. What the parser keeps is at most the limit on headers and 1 KB, so that no request inside the limits meets it.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -27,6 +27,8 @@
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 SMALL_BODY_BYTES: Final = 16 * 1024  # received also if others use the memory
 OBJECT_BYTES: Final = 150  # memory of a request or a header, beside its text
+# Fed to the parser at once, so that what it keeps is known after each piece.
+PIECE_BYTES: Final = 1024
 # Added to the idle limit, so that a caller with the same limit closes first.
 IDLE_MARGIN_SECONDS: Final = 0.5
 DEFAULT_ROUND_TRIP_MS: Final = 7.0  # if the operating system reports none
@@ -169,6 +171,9 @@
         self._received_any = False
         self._request_started_at_seconds: float | None = None
         self._rejection: tuple[int, str] | None = None
+        # Bytes that the parser has received since its last callback, and may keep.
+        self._unreported_bytes = 0
+        self._has_reported = False
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -178,6 +183,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._request_bytes = 0
+        self._kept_bytes = 0  # of these, what the parser may keep
 
     # Callbacks of the event loop.
 
@@ -193,18 +199,19 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; complete requests are handled one after the other."""
-        if self._closing:
+        if self._closing or self._rejection is not None:
             return
-        self.active_at_seconds = self.server.loop.time()
         try:
-            self._parser.feed_data(data)
+            for offset in range(0, len(data), PIECE_BYTES):
+                self._parse(data[offset : offset + PIECE_BYTES])
+                if self._rejection is not None:
+                    break
         except httptools.HttpParserUpgrade:
             # The request is handled without the upgrade; the bytes after it belong to
             # the other protocol.
             self._close_after_last_request()
         except httptools.HttpParserError as error:
-            if self._rejection is None:
-                self._rejection = (400, f"malformed request: {error}")
+            self._reject(400, f"malformed request: {error}")
         self._handle_next()
         if (
             len(self._pending_requests) >= MAX_PIPELINED_REQUESTS
@@ -245,6 +252,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._has_reported = True
         self._reset_request()
         self._hold_request(OBJECT_BYTES)
         clock = self.server.stall_clock
@@ -253,11 +261,13 @@
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
+        self._has_reported = True
         self._target += url
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
+        self._has_reported = True
         if self._rejection is not None:
             return
         self._hold_request(len(name) + len(value) + OBJECT_BYTES)
@@ -266,13 +276,19 @@
 
     def on_headers_complete(self) -> None:
         """Send `100 Continue` if the caller expects it before the body."""
+        self._has_reported = True
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 if self._transport is not None and self.request is None:
                     self._transport.write(CONTINUE)
 
+    def on_chunk_header(self) -> None:
+        """Note that the parser has received the size of a chunk."""
+        self._has_reported = True
+
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        self._has_reported = True
         if self._rejection is not None:
             return
         self._body.append(body)
@@ -283,6 +299,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
+        self._has_reported = True
         if self._rejection is not None:
             return
         started_at_seconds = self._request_started_at_seconds
@@ -392,6 +409,24 @@
             )
         return self._measured_round_trip_ms or DEFAULT_ROUND_TRIP_MS
 
+    def _parse(self, piece: bytes) -> None:
+        """Feed bytes to the parser, and limit what it keeps without reporting it."""
+        self._has_reported = False
+        self._parser.feed_data(piece)
+        if self._has_reported:
+            self._unreported_bytes = 0
+        self._unreported_bytes += len(piece)
+        is_receiving = self._request_started_at_seconds is not None
+        if self._has_reported or is_receiving:
+            # Empty lines before a request do not keep the connection open.
+            self.active_at_seconds = self.server.loop.time()
+        kept_bytes = self._unreported_bytes if is_receiving else 0
+        self._hold_request(kept_bytes - self._kept_bytes)
+        self._kept_bytes = kept_bytes
+        # The first bytes of the piece may belong to what was reported.
+        if self._unreported_bytes > self.server.limits.header_max_bytes + PIECE_BYTES:
+            self._reject(431, "the headers are larger than the limit")
+
     def _count_header_bytes(self, count: int) -> None:
         self._header_bytes += count
         if self._header_bytes > self.server.limits.header_max_bytes:
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -92,3 +92,68 @@
             gc.enable()
 
     run_in_virtual_time(main)
+
+
+def test_bytes_that_the_parser_keeps_are_limited_at_each_stage_of_a_request() -> None:
+    endless = {
+        "method": (b"", b"A"),
+        "target": (b"GET /", b"a"),
+        "header name": (b"GET / HTTP/1.1\r\n", b"a"),
+        "header value": (b"GET / HTTP/1.1\r\nA: ", b"a"),
+        "spaces": (b"GET / HTTP/1.1\r\nA:", b" "),
+        "headers": (b"GET / HTTP/1.1\r\n", b"a:\r\n"),
+        "empty lines": (b"", b"\r\n"),
+        "empty lines after a request": (encode_request("/"), b"\r\n"),
+        "chunk extension": (CHUNKED_HEAD + b"1;", b"a"),
+        "trailer": (CHUNKED_HEAD + b"0\r\nA: ", b"a"),
+        "trailers": (CHUNKED_HEAD + b"0\r\n", b"a:\r\n"),
+    }
+
+    async def main(loop: VirtualLoop) -> None:
+        for name, (start, part) in endless.items():
+            rig = ServerRig(loop=loop)
+            await rig.start()
+            caller = await rig.send(start)
+            sent_bytes = 0
+            while not caller.ended and sent_bytes < 10 * LIMITS.header_max_bytes:
+                await rig.send(512 // len(part) * part, caller)
+                sent_bytes += 512
+                for request in rig.requests:
+                    request.respond(status=200, headers=[], body=b"")
+            assert sent_bytes <= 2 * LIMITS.header_max_bytes, name
+            statuses = [await status_of(caller) for _ in range(len(rig.requests) + 1)]
+            assert statuses[-1] in (431, 400), name
+            rig.loop.net.listeners.clear()
+
+    run_in_virtual_time(main)
+
+
+def test_empty_lines_do_not_keep_a_connection_open() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start()
+        caller = await rig.connect()
+        for _ in range(20):
+            await rig.send(b"\r\n", caller)
+            await asyncio.sleep(1.0)
+            rig.server.close_timed_out()
+        assert caller.ended
+
+    run_in_virtual_time(main)
+
+
+def test_request_at_the_limits_is_served() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start()
+        long = "a" * (LIMITS.header_max_bytes - 200)
+        caller = await rig.send(b"\r\n" + encode_request("/", headers={"X-Long": long}))
+        rig.answer()
+        assert await status_of(caller) == 200
+        await rig.send(CHUNKED_HEAD + LIMITS.body_max_bytes * b"1\r\na\r\n", caller)
+        await rig.send(b"0\r\n\r\n", caller)
+        rig.answer()
+        assert await status_of(caller) == 200
+        assert rig.requests[-1].body == LIMITS.body_max_bytes * b"a"
+
+    run_in_virtual_time(main)
