Collect the body of a request in one buffer

A chunk of 2 bytes counted 2 and took some 55 in a list of parts, so that bodies in small chunks held 27 times what was counted. The parts are added to one buffer now. The new test failed before.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -180,8 +180,7 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()  # a list would take fifty bytes for each small chunk
         self._request_bytes = 0
         self._kept_bytes = 0  # of these, what the parser may keep
 
@@ -291,9 +290,8 @@
         self._has_reported = True
         if self._rejection is not None:
             return
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits.body_max_bytes:
+        self._body += body
+        if len(self._body) > self.server.limits.body_max_bytes:
             self._reject(413, "the body is larger than the limit")
         self._hold_request(len(body))
 
@@ -309,7 +307,7 @@
                 method=self._parser.get_method(),
                 target=self._target,
                 headers=self._headers,
-                body=b"".join(self._body),
+                body=bytes(self._body),
                 arrived_at_seconds=started_at_seconds or self.active_at_seconds,
                 writer=self,
                 round_trip_ms=self._round_trip_ms(),
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -157,3 +157,17 @@
         assert rig.requests[-1].body == LIMITS.body_max_bytes * b"a"
 
     run_in_virtual_time(main)
+
+
+def test_body_in_small_chunks_takes_no_more_memory_than_its_bytes() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start()
+        await rig.send(CHUNKED_HEAD + 4_000 * b"2\r\nab\r\n")
+        [connection] = rig.server.connections
+        gc.collect()
+        kept = gc.get_referents(connection) + gc.get_referents(connection._body)
+        assert len(connection._body) == 8_000
+        assert sum(isinstance(item, bytes) for item in kept) < 10
+
+    run_in_virtual_time(main)
