Parse requests behind one in work only when it is answered

Up to 256 KB were read at once and parsed to the end, also behind a request in work: 14,000 requests of one connection, of which only 16 made reading pause, and a turn of the loop of 0.1 s and more in which no other caller was served.

16 KB are read at once, into a buffer that all connections share. What comes behind a request is kept unparsed, with the time at which it was read, and reading pauses at 16 KB of it. The next request is parsed when the earlier one is answered; its deadline still counts from when it was read. At a stop it is parsed and answered in its turn, as before.

test_requests_sent_before_earlier_ones_are_answered_take_bounded_memory has the stricter bound of the requests in one piece instead of those in 256 KB and 16.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -18,7 +18,10 @@
 from bronzebeam.transport.stall_clock import StallClock
 from bronzebeam.units import MS_PER_SECOND
 
-MAX_PIPELINED_REQUESTS: Final = 16  # per connection; reading then pauses
+# Read at once into a buffer that all connections share.
+READ_BYTES: Final = 16 * 1024
+# Of one connection, received behind a request in work; reading then pauses.
+MAX_BACKLOG_BYTES: Final = 16 * 1024
 # Of one connection; its next request is handled once less than this is unread.
 MAX_UNREAD_BYTES: Final = 16 * 1024
 # Of all connections; a small instance has 300 MB.
@@ -29,6 +32,7 @@
 OBJECT_BYTES: Final = 150  # memory of a request or a header, beside its text
 # Fed to the parser at once, so that what it keeps is known after each piece.
 PIECE_BYTES: Final = 1024
+LINE_END: Final = b"\r\n"
 # Added to the idle limit, so that a caller with the same limit closes first.
 IDLE_MARGIN_SECONDS: Final = 0.5
 DEFAULT_ROUND_TRIP_MS: Final = 7.0  # if the operating system reports none
@@ -80,6 +84,7 @@
     _full_until_seconds: float = -math.inf
     body_bytes: int = 0
     unread: dict["CallerConnection", None] = field(factory=dict)
+    read_buffer: bytearray = field(factory=lambda: bytearray(READ_BYTES))
 
     @property
     def in_flight(self) -> int:
@@ -154,7 +159,7 @@
                 connection.close_if_unused()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection from a caller; responds to requests in the order received."""
 
     def __init__(self, *, server: CallerServer) -> None:
@@ -163,7 +168,14 @@
         self.active_at_seconds = server.loop.time()
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpRequestParser(self)
+        # More than one only if they came in the same piece of bytes.
         self._pending_requests: deque[HttpRequest] = deque()
+        # What is received behind a request in work, with the time of each read.
+        self._backlog: deque[tuple[bytes, float]] = deque()
+        self._backlog_offset = 0  # of the first read, parsed already
+        self._backlog_bytes = 0
+        self._is_reading_paused = False
+        self._read_at_seconds = 0.0  # when the bytes that are parsed were read
         self._measured_round_trip_ms: float | None = None
         self._closing = False
         self._held_body_bytes = 0
@@ -196,26 +208,25 @@
         self._transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
         enable_dead_peer_detection(transport.get_extra_info("socket"))
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return self.server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read out of the shared buffer."""
+        self.data_received(bytes(memoryview(self.server.read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """Feed the parser; complete requests are handled one after the other."""
+        """Parse `data`, or keep it until the earlier requests are answered."""
         if self._closing or self._rejection is not None:
             return
-        try:
-            for offset in range(0, len(data), PIECE_BYTES):
-                self._parse(data[offset : offset + PIECE_BYTES])
-                if self._rejection is not None:
-                    break
-        except httptools.HttpParserUpgrade:
-            # The request is handled without the upgrade; the bytes after it belong to
-            # the other protocol.
-            self._close_after_last_request()
-        except httptools.HttpParserError as error:
-            self._reject(400, f"malformed request: {error}")
+        clock = self.server.stall_clock
+        waited_seconds = clock.stalled_seconds() if clock is not None else 0.0
+        self._backlog.append((data, self.server.loop.time() - waited_seconds))
+        self._hold_backlog(len(data) + OBJECT_BYTES)
         self._handle_next()
-        if (
-            len(self._pending_requests) >= MAX_PIPELINED_REQUESTS
-            and self._transport is not None
-        ):
+        if self._backlog_bytes >= MAX_BACKLOG_BYTES and self._transport is not None:
+            self._is_reading_paused = True
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -229,6 +240,7 @@
         self.server.unread.pop(self, None)
         self._hold(-self._held_body_bytes)
         self._pending_requests.clear()
+        self._drop_backlog()
         self._reset_request()
         # Parser and connection refer to each other, and hold what was received until a
         # collection of cycles, which no number of bytes starts.
@@ -254,9 +266,7 @@
         self._has_reported = True
         self._reset_request()
         self._hold_request(OBJECT_BYTES)
-        clock = self.server.stall_clock
-        waited_seconds = clock.stalled_seconds() if clock is not None else 0.0
-        self._request_started_at_seconds = self.server.loop.time() - waited_seconds
+        self._request_started_at_seconds = self._read_at_seconds
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -338,9 +348,7 @@
             self._closing = True
             transport.close()
             return
-        if len(self._pending_requests) < MAX_PIPELINED_REQUESTS:
-            transport.resume_reading()
-        if self._pending_requests:
+        if self._pending_requests or self._backlog:
             self.server.loop.call_soon(self._handle_next)
 
     def write_interim_response(self, request: HttpRequest) -> None:
@@ -398,7 +406,11 @@
     @property
     def _is_between_requests(self) -> bool:
         """Whether nothing was received beyond the current request."""
-        return not self._pending_requests and self._request_started_at_seconds is None
+        return (
+            not self._pending_requests
+            and not self._backlog
+            and self._request_started_at_seconds is None
+        )
 
     def _round_trip_ms(self) -> float:
         if self._measured_round_trip_ms is None and self._transport is not None:
@@ -407,24 +419,74 @@
             )
         return self._measured_round_trip_ms or DEFAULT_ROUND_TRIP_MS
 
+    def _parse_next_request(self) -> None:
+        """Parse the backlog up to the next complete request."""
+        try:
+            while self._backlog and self._rejection is None:
+                if self._request_started_at_seconds is None:
+                    self._skip_empty_lines()
+                if self._pending_requests or not self._backlog:
+                    break
+                self._parse(self._next_piece())
+        except httptools.HttpParserUpgrade:
+            # The request is handled without the upgrade; the bytes after it belong to
+            # the other protocol.
+            self._close_after_last_request()
+        except httptools.HttpParserError as error:
+            self._reject(400, f"malformed request: {error}")
+
+    def _skip_empty_lines(self) -> None:
+        data, _ = self._backlog[0]
+        received = data[self._backlog_offset :]
+        skipped_bytes = len(received) - len(received.lstrip(LINE_END))
+        self._advance(skipped_bytes)
+        self._count_unreported(skipped_bytes)
+
     def _parse(self, piece: bytes) -> None:
         """Feed bytes to the parser, and limit what it keeps without reporting it."""
         self._has_reported = False
         self._parser.feed_data(piece)
         if self._has_reported:
             self._unreported_bytes = 0
-        self._unreported_bytes += len(piece)
         is_receiving = self._request_started_at_seconds is not None
         if self._has_reported or is_receiving:
             # Empty lines before a request do not keep the connection open.
             self.active_at_seconds = self.server.loop.time()
+        self._count_unreported(len(piece))
         kept_bytes = self._unreported_bytes if is_receiving else 0
         self._hold_request(kept_bytes - self._kept_bytes)
         self._kept_bytes = kept_bytes
-        # The first bytes of the piece may belong to what was reported.
+
+    def _count_unreported(self, count: int) -> None:
+        self._unreported_bytes += count
+        # The first bytes of a piece may belong to what was reported.
         if self._unreported_bytes > self.server.limits.header_max_bytes + PIECE_BYTES:
             self._reject(431, "the headers are larger than the limit")
 
+    def _next_piece(self) -> bytes:
+        data, self._read_at_seconds = self._backlog[0]
+        piece = data[self._backlog_offset : self._backlog_offset + PIECE_BYTES]
+        self._advance(len(piece))
+        return piece
+
+    def _advance(self, count: int) -> None:
+        """Remove bytes from the start of the backlog."""
+        self._backlog_offset += count
+        self._hold_backlog(-count)
+        if self._backlog_offset == len(self._backlog[0][0]):
+            self._backlog.popleft()
+            self._backlog_offset = 0
+            self._hold_backlog(-OBJECT_BYTES)
+
+    def _drop_backlog(self) -> None:
+        self._backlog.clear()
+        self._backlog_offset = 0
+        self._hold_backlog(-self._backlog_bytes)
+
+    def _hold_backlog(self, count: int) -> None:
+        self._backlog_bytes += count
+        self._hold(count)
+
     def _count_header_bytes(self, count: int) -> None:
         self._header_bytes += count
         if self._header_bytes > self.server.limits.header_max_bytes:
@@ -452,14 +514,18 @@
             self._rejection = (status, detail)
             self._hold(-self._request_bytes)
             self._reset_request()
+            self._drop_backlog()
 
     def _close_after_last_request(self) -> None:
+        self._drop_backlog()
         if self._pending_requests:
             self._pending_requests[-1].keep_alive = False
 
     def _handle_next(self) -> None:
         if self.request is not None or self._closing or self in self.server.unread:
             return
+        if not self._pending_requests:
+            self._parse_next_request()
         if self._pending_requests:
             request = self._pending_requests.popleft()
             self.request = request
@@ -473,6 +539,9 @@
                 request.respond(status=500, headers=[], body=b"internal error\n")
         elif self._rejection is not None:
             self._respond_with_error(*self._rejection)
+        if not self._backlog and self._is_reading_paused and not self._closing:
+            self._is_reading_paused = False
+            cast(asyncio.Transport, self._transport).resume_reading()
 
     def _respond_with_error(self, status: int, detail: str) -> None:
         self._closing = True
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -8,7 +8,11 @@
 from attrs import define, field
 
 from bronzebeam.routing.routes import CallerLimits
-from bronzebeam.transport.caller_connection import CallerServer
+from bronzebeam.transport.caller_connection import (
+    MAX_BACKLOG_BYTES,
+    PIECE_BYTES,
+    CallerServer,
+)
 from bronzebeam.transport.caller_request import HttpRequest
 from tests.fixtures_gateway import Caller, encode_request
 from tests.virtual_net import VirtualLoop, run_in_virtual_time
@@ -171,3 +175,45 @@
         assert sum(isinstance(item, bytes) for item in kept) < 10
 
     run_in_virtual_time(main)
+
+
+def test_requests_behind_one_in_work_are_parsed_when_it_is_answered() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start()
+        started_at = loop.time()
+        caller = await rig.send(encode_request("/first"))
+        for _ in range(500):
+            await rig.send(20 * encode_request("/more"), caller)
+        [connection] = rig.server.connections
+        assert len(rig.requests) == 1 and not connection._pending_requests
+        assert connection._backlog_bytes < 2 * MAX_BACKLOG_BYTES
+        for number in range(1, 10_001):
+            rig.answer()
+            assert await status_of(caller) == 200
+            await asyncio.sleep(0.0)
+            assert len(rig.requests) == number + 1
+            assert len(connection._pending_requests) < PIECE_BYTES
+        last = rig.requests[-1]
+        assert last.target == b"/more" and last.arrived_at_seconds > started_at + 4.0
+        rig.answer()
+        assert await status_of(caller) == 200
+        await asyncio.sleep(1.0)
+        assert not connection._backlog and connection._backlog_bytes == 0
+
+    run_in_virtual_time(main)
+
+
+def test_request_read_behind_one_in_work_counts_as_received_then() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start()
+        caller = await rig.send(encode_request("/first"))
+        sent_at = loop.time()
+        await rig.send(encode_request("/second"), caller)
+        await asyncio.sleep(2.0)
+        rig.answer()
+        await asyncio.sleep(0.1)
+        assert sent_at <= rig.requests[-1].arrived_at_seconds <= sent_at + 0.01
+
+    run_in_virtual_time(main)
--- a/tests/test_gateway_resources.py
+++ b/tests/test_gateway_resources.py
@@ -24,7 +24,7 @@
 from bronzebeam.transport.caller_connection import (
     MAX_ALL_UNREAD_BYTES,
     MAX_BODY_BYTES,
-    MAX_PIPELINED_REQUESTS,
+    PIECE_BYTES,
     SMALL_BODY_BYTES,
     CallerServer,
 )
@@ -217,7 +217,7 @@
             request = await handled.get()
             [connection] = server.connections
             waiting = len(connection._pending_requests)
-            assert waiting < read_bytes / len(encoded) + MAX_PIPELINED_REQUESTS
+            assert waiting <= PIECE_BYTES / len(encoded)
             await asyncio.sleep(0.005)
             request.respond(status=200, headers=[], body=b"")
         writer.transport.abort()
