Limit the memory of all callers, peers and checks together

All ports share one account. Its limits are a fifth and 0.15 of the memory that the process may use, and the former 64 and 48 MB at most. If it is exceeded, a request that grows beyond 16 KB is refused as before; a small one makes the largest ones of all connections be refused instead, and none below 4 KB. So a crowd of small bodies has a bound in sum, and shuts out no ordinary request.

The new tests failed before: the account of a connection was kept beside that of its server, and no limit on the sum of small requests existed.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -60,6 +60,7 @@
 from bronzebeam.telemetry.process_resources import ProcessResources
 from bronzebeam.telemetry.unhandled_errors import UnhandledErrors
 from bronzebeam.transport.caller_connection import CallerServer
+from bronzebeam.transport.caller_memory import CallerMemory
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.transport.http_reply import ClientConnection, ReplyMemory
 from bronzebeam.transport.stall_clock import StallClock
@@ -357,8 +358,12 @@
         )
         self._state.on_first_configuration = router.on_first_configuration
         self._stall_clock = StallClock(boot_seconds=self.boot_seconds)
+        memory = CallerMemory.for_process(settings.memory_limit_bytes)
         self._caller_server = CallerServer(
-            handle=router.handle, loop=loop, stall_clock=self._stall_clock
+            handle=router.handle,
+            loop=loop,
+            stall_clock=self._stall_clock,
+            memory=memory,
         )
         self._caller_connection_limit = CallerConnectionLimit(
             server=self._caller_server, resources=self._resources, log=self.log
@@ -371,10 +376,13 @@
             change_log=self._change_log, can_serve=self._can_serve_changes, loop=loop
         )
         self._peer_server = CallerServer(
-            handle=self._handle_peer_request, loop=loop, stall_clock=self._stall_clock
+            handle=self._handle_peer_request,
+            loop=loop,
+            stall_clock=self._stall_clock,
+            memory=memory,
         )
         self._ready_server = CallerServer(
-            handle=self._handle_internal_request, loop=loop
+            handle=self._handle_internal_request, loop=loop, memory=memory
         )
         return self.create_store(settings, self.log)
 
--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from bronzebeam.routing.routes import CallerLimits
+from bronzebeam.transport.caller_memory import CallerMemory
 from bronzebeam.transport.caller_request import HttpRequest, encode_response
 from bronzebeam.transport.http_reply import Headers
 from bronzebeam.transport.socket_options import enable_dead_peer_detection
@@ -24,12 +25,8 @@
 MAX_BACKLOG_BYTES: Final = 16 * 1024
 # Of one connection; its next request is handled once less than this is unread.
 MAX_UNREAD_BYTES: Final = 16 * 1024
-# Of all connections; a small instance has 300 MB.
-MAX_ALL_UNREAD_BYTES: Final = 48 * 1024 * 1024
-# Requests of all connections that are received, or wait or are handled.
-MAX_BODY_BYTES: Final = 64 * 1024 * 1024
-SMALL_BODY_BYTES: Final = 16 * 1024  # received also if others use the memory
-OBJECT_BYTES: Final = 150  # memory of a request or a header, beside its text
+OBJECT_BYTES: Final = 150  # memory of a header or a read, beside its text
+REQUEST_BYTES: Final = 600  # likewise, of a request
 # Fed to the parser at once, so that what it keeps is known after each piece.
 PIECE_BYTES: Final = 1024
 LINE_END: Final = b"\r\n"
@@ -68,8 +65,7 @@
     :ivar max_connections: beyond these, idle ones are closed, or new ones refused.
     :ivar idle_closed_count: idle connections closed because there were too many.
     :ivar refused_count: new connections refused because none was idle.
-    :ivar body_bytes: of all requests that are received, or wait or are handled.
-    :ivar unread: connections whose callers do not read fast enough, the longest first.
+    :ivar memory: shared with the other servers of the process.
     """
 
     handle: RequestHandler
@@ -82,8 +78,7 @@
     idle_closed_count: int = 0
     refused_count: int = 0
     _full_until_seconds: float = -math.inf
-    body_bytes: int = 0
-    unread: dict["CallerConnection", None] = field(factory=dict)
+    memory: CallerMemory = field(factory=CallerMemory)
     read_buffer: bytearray = field(factory=lambda: bytearray(READ_BYTES))
 
     @property
@@ -101,6 +96,7 @@
             self.refused_count += 1
             return False
         self.connections.add(connection)
+        self.memory.users.add(connection)
         return True
 
     def _make_room(self) -> bool:
@@ -115,20 +111,16 @@
         )
         for connection in idle:
             connection.close_if_unused()
-            self.connections.discard(connection)
+            self.forget(connection)
         self.idle_closed_count += len(idle)
         if not idle:
             self._full_until_seconds = now_seconds + FULL_SECONDS
         return bool(idle)
 
-    def limit_unread(self) -> None:
-        """Close the connections that are unread for longest if all take too much."""
-        unread_bytes = sum(item.unread_bytes for item in self.unread)
-        for connection in list(self.unread):
-            if unread_bytes <= MAX_ALL_UNREAD_BYTES:
-                break
-            unread_bytes -= connection.unread_bytes
-            connection.abort()
+    def forget(self, connection: "CallerConnection") -> None:
+        """Remove a connection that is closed, or being closed."""
+        self.connections.discard(connection)
+        self.memory.users.discard(connection)
 
     def end_requests(self) -> list[Exception]:
         """
@@ -178,7 +170,7 @@
         self._read_at_seconds = 0.0  # when the bytes that are parsed were read
         self._measured_round_trip_ms: float | None = None
         self._closing = False
-        self._held_body_bytes = 0
+        self._held_bytes = 0
         self._last_unread_bytes = 0
         self._received_any = False
         self._request_started_at_seconds: float | None = None
@@ -236,12 +228,12 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the current request that the caller has disconnected."""
         self._closing = True
-        self.server.connections.discard(self)
-        self.server.unread.pop(self, None)
-        self._hold(-self._held_body_bytes)
+        self.server.forget(self)
+        self.server.memory.unread.pop(self, None)
         self._pending_requests.clear()
         self._drop_backlog()
         self._reset_request()
+        self._hold(-self._held_bytes)
         # Parser and connection refer to each other, and hold what was received until a
         # collection of cycles, which no number of bytes starts.
         self._parser = None
@@ -251,12 +243,12 @@
 
     def pause_writing(self) -> None:
         """Handle no further request until the caller reads its responses."""
-        self.server.unread[self] = None
-        self.server.limit_unread()
+        self.server.memory.unread[self] = None
+        self.server.memory.limit_unread()
 
     def resume_writing(self) -> None:
         """Handle the next request."""
-        self.server.unread.pop(self, None)
+        self.server.memory.unread.pop(self, None)
         self.server.loop.call_soon(self._handle_next)
 
     # Callbacks of the parser.
@@ -265,7 +257,7 @@
         """Start a request."""
         self._has_reported = True
         self._reset_request()
-        self._hold_request(OBJECT_BYTES)
+        self._hold_request(REQUEST_BYTES)
         self._request_started_at_seconds = self._read_at_seconds
 
     def on_url(self, url: bytes) -> None:
@@ -388,6 +380,11 @@
             if self._transport is not None:
                 self._transport.close()
 
+    def refuse_for_memory(self) -> None:
+        """Refuse what is being received, and release its memory."""
+        self._reject(NO_ROOM_STATUS, "too many large requests are being received")
+        self.server.loop.call_soon(self._handle_next)
+
     def abort(self) -> None:
         """Close the connection now; what is unread is lost."""
         if self._transport is not None:
@@ -398,6 +395,11 @@
         """Return how much of the responses the operating system has not taken."""
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
+    @property
+    def receiving_bytes(self) -> int:
+        """Return the memory of what is received and not handled yet."""
+        return self._request_bytes + self._backlog_bytes
+
     @property
     def can_be_closed(self) -> bool:
         """Whether it is open, and no request is being received or handled."""
@@ -493,20 +495,16 @@
             self._reject(431, "the headers are larger than the limit")
 
     def _hold(self, count: int) -> None:
-        self._held_body_bytes += count
-        self.server.body_bytes += count
+        self._held_bytes += count
+        self.server.memory.received_bytes += count
+        if count > 0:
+            self.server.memory.limit_received(self)
 
     def _hold_request(self, count: int) -> None:
         """Count memory of the request that is being received, unless it is rejected."""
-        if self._rejection is not None:
-            return
-        self._request_bytes += count
-        self._hold(count)
-        if (
-            self.server.body_bytes > MAX_BODY_BYTES
-            and self._held_body_bytes > SMALL_BODY_BYTES
-        ):
-            self._reject(NO_ROOM_STATUS, "too many large requests are being received")
+        if self._rejection is None:
+            self._request_bytes += count
+            self._hold(count)
 
     def _reject(self, status: int, detail: str) -> None:
         """Answer with an error after the earlier requests, and receive no more."""
@@ -522,7 +520,11 @@
             self._pending_requests[-1].keep_alive = False
 
     def _handle_next(self) -> None:
-        if self.request is not None or self._closing or self in self.server.unread:
+        if (
+            self.request is not None
+            or self._closing
+            or self in self.server.memory.unread
+        ):
             return
         if not self._pending_requests:
             self._parse_next_request()
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -13,8 +13,15 @@
     PIECE_BYTES,
     CallerServer,
 )
+from bronzebeam.transport.caller_memory import CallerMemory
 from bronzebeam.transport.caller_request import HttpRequest
-from tests.fixtures_gateway import Caller, encode_request
+from tests.fixtures_gateway import (
+    Caller,
+    Cluster,
+    encode_request,
+    run_scenario,
+    start_small_cluster,
+)
 from tests.virtual_net import VirtualLoop, run_in_virtual_time
 
 ADDRESS = ("10.9.0.1", 80)
@@ -217,3 +224,68 @@
         assert sent_at <= rig.requests[-1].arrived_at_seconds <= sent_at + 0.01
 
     run_in_virtual_time(main)
+
+
+def test_memory_is_released_however_a_request_ends() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start()
+        parts = (
+            b"GET / HTTP/1.1\r\nX-Long: abc",
+            CHUNKED_HEAD + b"2\r\nab",
+            encode_request("/") + encode_request("/behind") + b"GET /",
+            encode_request("/", headers={"X-Long": "a" * LIMITS.header_max_bytes}),
+            encode_request("/", method="POST", body=bytes(2 * LIMITS.body_max_bytes)),
+            b"no request\r\n\r\n",
+            encode_request("/") + b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\nother bytes",
+        )
+        for part in parts:
+            caller = await rig.send(part)
+            caller.transport.abort()
+            await asyncio.sleep(0.1)
+            assert rig.server.memory.received_bytes == 0, part
+            caller = await rig.send(part)
+            for request in rig.requests:
+                request.respond(status=200, headers=[], body=b"")
+            await asyncio.sleep(0.1)
+            caller.transport.abort()
+            await asyncio.sleep(0.1)
+            assert rig.server.memory.received_bytes == 0, part
+            assert not rig.server.memory.users
+
+    run_in_virtual_time(main)
+
+
+def test_small_requests_of_many_connections_take_bounded_memory_in_sum() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        memory = CallerMemory(max_received_bytes=256 * 1024)
+        await rig.start(memory=memory)
+        part = encode_request("/", method="POST", headers={"Content-Length": "8000"})
+        callers = [await rig.send(part + bytes(7_000)) for _ in range(200)]
+        assert memory.received_bytes <= memory.max_received_bytes
+        refused = [caller for caller in callers if not caller.responses.empty()]
+        assert len(refused) == memory.refused_count > 0
+        for caller in refused:
+            assert await status_of(caller) == 503
+        await rig.send(encode_request("/ordinary"))
+        assert [request.target for request in rig.requests] == [b"/ordinary"]
+
+    run_in_virtual_time(main)
+
+
+def test_limits_on_memory_follow_that_of_the_process() -> None:
+    for limit_bytes, received_bytes in ((0.0, 64), (300e6, 57), (100e6, 19)):
+        memory = CallerMemory.for_process(limit_bytes)
+        assert memory.max_received_bytes // (1024 * 1024) == received_bytes
+        assert memory.max_unread_bytes <= 48 * 1024 * 1024
+
+    async def scenario(cluster: Cluster) -> None:
+        settings = {"limits.memoryMb": "200"}
+        cluster_gateway = await start_small_cluster(cluster, gateway_settings=settings)
+        gateway = cluster_gateway.gateway
+        servers = gateway._caller_server, gateway._peer_server, gateway._ready_server
+        [memory] = {server.memory for server in servers}
+        assert memory.max_received_bytes < 64 * 1024 * 1024
+
+    run_scenario(scenario)
--- a/tests/test_gateway_resources.py
+++ b/tests/test_gateway_resources.py
@@ -21,12 +21,11 @@
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.telemetry.process_resources import ProcessResources
 from bronzebeam.telemetry.unhandled_errors import LINES_BURST
-from bronzebeam.transport.caller_connection import (
+from bronzebeam.transport.caller_connection import PIECE_BYTES, CallerServer
+from bronzebeam.transport.caller_memory import (
     MAX_ALL_UNREAD_BYTES,
     MAX_BODY_BYTES,
-    PIECE_BYTES,
     SMALL_BODY_BYTES,
-    CallerServer,
 )
 from bronzebeam.transport.caller_request import HttpRequest
 from bronzebeam.transport.http_reply import ClientConnection
@@ -188,7 +187,7 @@
         for _ in range(2):
             server.close_timed_out()
         await asyncio.sleep(0.1)
-        assert not server.connections and not server.unread
+        assert not server.connections and not server.memory.unread
         listener.close()
         for caller in callers:
             caller.close()
@@ -245,7 +244,7 @@
 
         limit = server.limits.body_max_bytes
         callers = [await send(bytes(limit)) for _ in range(100)]
-        assert server.body_bytes <= MAX_BODY_BYTES + SMALL_BODY_BYTES
+        assert server.memory.received_bytes <= MAX_BODY_BYTES + SMALL_BODY_BYTES
         response = await callers[-1].responses.get()
         assert response is not None and response.status == 503
         assert response.headers["retry-after"] == "1"
@@ -256,7 +255,7 @@
         for caller in callers:
             caller.transport.close()
         await asyncio.sleep(1.0)
-        assert server.body_bytes == 0
+        assert server.memory.received_bytes == 0
 
     run_scenario(scenario)
 
@@ -282,7 +281,7 @@
         for caller in callers:
             caller.transport.close()
         await asyncio.sleep(0.5)
-        assert server.body_bytes == 0
+        assert server.memory.received_bytes == 0
 
     run_scenario(scenario)
 
