Do not pass trailers of a request on as headers

Replicas got the trailers of a chunked request as headers of the request: the parser reports both alike, and the connection collected them without looking whether the head was over. A caller could so add a header after its body, behind every check that reads the head alone.

Trailers are dropped now (RFC 9110, 6.5.1); their bytes count against the limit on headers as before.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -184,6 +184,7 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
+        self._has_head = False
         self._body = bytearray()  # a list would take fifty bytes for each small chunk
         self._request_bytes = 0
         self._kept_bytes = 0  # of these, what the parser may keep
@@ -271,13 +272,16 @@
         self._has_reported = True
         if self._rejection is not None:
             return
-        self._hold_request(len(name) + len(value) + OBJECT_BYTES)
-        self._headers.append((name.lower(), value))
         self._count_header_bytes(len(name) + len(value) + 4)
+        if not self._has_head:
+            # After the body come trailers, which nobody asks for (RFC 9110, 6.5.1).
+            self._hold_request(len(name) + len(value) + OBJECT_BYTES)
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Send `100 Continue` if the caller expects it before the body."""
         self._has_reported = True
+        self._has_head = True
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 if self._transport is not None and self.request is None:
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -71,6 +71,31 @@
     run_scenario(scenario)
 
 
+def test_trailers_of_a_request_are_not_passed_on_as_headers() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        caller = await cluster.connect(gateway)
+        head = encode_request(
+            BOOKING_PATH, method="POST", headers={"Transfer-Encoding": "chunked"}
+        )
+        caller.send(head + b"3\r\nabc\r\n0\r\nX-Late: 1\r\nX-Later: 2\r\n\r\n")
+        answer = await caller.responses.get()
+        assert answer is not None and answer.status == 200
+        caller.send(encode_request(READ_PATH, attempt_id="a-2"))
+        answer = await caller.responses.get()
+        assert answer is not None and answer.status == 200
+        received = [
+            name.lower()
+            for replica in cluster.replicas.values()
+            for headers in replica.received_headers
+            for name in headers
+        ]
+        assert "x-bronzebeam-attempt-id" in received
+        assert "x-late" not in received and "x-later" not in received
+
+    run_scenario(scenario)
+
+
 def test_configured_header_and_body_limits_are_enforced() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_small_cluster(cluster)
