Close the slowest callers if there are too many connections

Connections that each send a part of a request, or do not read their answers, count as used, so that none could be closed for a new one: a crowd of them shut out all others until each had timed out. Idle connections with unread answers were closed, forgotten, and kept their descriptor.

If there are too many, those whose callers have taken more than 1 s for a request (answered with 408) or for reading go too, the slowest first, a twentieth at a time. Idle ones that still have an answer to send are among these, and are reset. The new test failed before.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -39,6 +39,9 @@
 TCP_INFO_RTT_OFFSET: Final = 68
 # Of all connections, closed together if there are too many: to find them takes time.
 IDLE_SHARE_CLOSED: Final = 0.05
+# Of a request that is being received, or a response that is not read; if there are too
+# many connections, those of ordinary callers take a fraction of it.
+SLOW_CALLER_SECONDS: Final = 1.0
 NO_ROOM_STATUS: Final = 503
 FULL_SECONDS: Final = 0.1  # after none was found; new connections are then refused
 US_PER_MS: Final = 1_000.0
@@ -64,7 +67,9 @@
     :ivar closing: whether each response announces that the connection will be closed.
     :ivar max_connections: beyond these, idle ones are closed, or new ones refused.
     :ivar idle_closed_count: idle connections closed because there were too many.
-    :ivar refused_count: new connections refused because none was idle.
+    :ivar slow_closed_count: connections closed for the same reason whose callers took
+        long to send a request or to read a response.
+    :ivar refused_count: new connections refused because none could be closed.
     :ivar memory: shared with the other servers of the process.
     """
 
@@ -76,6 +81,7 @@
     connections: set["CallerConnection"] = field(factory=set)
     max_connections: float = math.inf
     idle_closed_count: int = 0
+    slow_closed_count: int = 0
     refused_count: int = 0
     _full_until_seconds: float = -math.inf
     memory: CallerMemory = field(factory=CallerMemory)
@@ -91,7 +97,7 @@
         return CallerConnection(server=self)
 
     def accept(self, connection: "CallerConnection") -> bool:
-        """Register a connection; False if there are too many, and none is idle."""
+        """Register a connection; False if there are too many, and none is unused."""
         if len(self.connections) >= self.max_connections and not self._make_room():
             self.refused_count += 1
             return False
@@ -100,22 +106,40 @@
         return True
 
     def _make_room(self) -> bool:
-        """Close the connections that are idle for longest."""
+        """Close the connections that are idle, or wait for their callers, longest."""
         now_seconds = self.loop.time()
         if now_seconds < self._full_until_seconds:
             return False
+        count = math.ceil(IDLE_SHARE_CLOSED * self.max_connections)
         idle = heapq.nsmallest(
-            math.ceil(IDLE_SHARE_CLOSED * self.max_connections),
-            [item for item in self.connections if item.can_be_closed],
+            count,
+            [
+                item
+                for item in self.connections
+                if item.can_be_closed and not item.unread_bytes
+            ],
             key=lambda item: item.active_at_seconds,
         )
         for connection in idle:
             connection.close_if_unused()
-            self.forget(connection)
         self.idle_closed_count += len(idle)
-        if not idle:
+        slow = heapq.nsmallest(
+            count - len(idle),
+            [
+                item
+                for item in self.connections
+                if item.awaits_caller_since_seconds < now_seconds - SLOW_CALLER_SECONDS
+            ],
+            key=lambda item: item.awaits_caller_since_seconds,
+        )
+        for connection in slow:
+            connection.close_slow()
+        self.slow_closed_count += len(slow)
+        for connection in (*idle, *slow):
+            self.forget(connection)
+        if not idle and not slow:
             self._full_until_seconds = now_seconds + FULL_SECONDS
-        return bool(idle)
+        return bool(idle or slow)
 
     def forget(self, connection: "CallerConnection") -> None:
         """Remove a connection that is closed, or being closed."""
@@ -384,6 +408,13 @@
             if self._transport is not None:
                 self._transport.close()
 
+    def close_slow(self) -> None:
+        """Close the connection, since its caller takes long and others wait."""
+        if self.unread_bytes:
+            self.abort()
+        else:
+            self._respond_with_error(408, "the request was not received in time")
+
     def refuse_for_memory(self) -> None:
         """Refuse what is being received, and release its memory."""
         self._reject(NO_ROOM_STATUS, "too many large requests are being received")
@@ -404,6 +435,16 @@
         """Return the memory of what is received and not handled yet."""
         return self._request_bytes + self._backlog_bytes
 
+    @property
+    def awaits_caller_since_seconds(self) -> float:
+        """Return since when its caller has to send or read; infinite if it has not."""
+        if self.request is not None or self._closing:
+            return math.inf
+        if self.unread_bytes:
+            return self.active_at_seconds
+        started_at_seconds = self._request_started_at_seconds
+        return math.inf if started_at_seconds is None else started_at_seconds
+
     @property
     def can_be_closed(self) -> bool:
         """Whether it is open, and no request is being received or handled."""
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -289,3 +289,21 @@
         assert memory.max_received_bytes < 64 * 1024 * 1024
 
     run_scenario(scenario)
+
+
+def test_slow_callers_make_room_for_others_if_all_connections_are_taken() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start(max_connections=20)
+        slow = [await rig.send(b"GET / HTTP/1.1\r\n") for _ in range(20)]
+        assert (await rig.connect()).ended  # all of them may be ordinary still
+        await asyncio.sleep(1.1)
+        caller = await rig.send(encode_request("/"))
+        rig.answer()
+        assert await status_of(caller) == 200
+        assert await status_of(slow[0]) == 408
+        assert sum(item.ended for item in slow) == 1
+        assert rig.server.slow_closed_count == 1
+        assert len(rig.server.connections) <= 20
+
+    run_in_virtual_time(main)
