Limit the connections of peers and readiness checks

Only the callers' port had a limit on connections; the others could take all descriptors of the process. A fleet of 900 instances needs some hundred connections of peers. The new test failed before: there was no limit.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -12,7 +12,12 @@
 from bronzebeam.findings import FindingsError
 from bronzebeam.gateway.admission import Admission
 from bronzebeam.gateway.boot_clock import boot_seconds
-from bronzebeam.gateway.caller_connection_limit import CallerConnectionLimit
+from bronzebeam.gateway.caller_connection_limit import (
+    CALLER_SHARE,
+    PEER_SHARE,
+    READINESS_SHARE,
+    CallerConnectionLimit,
+)
 from bronzebeam.gateway.change_feed import FEED_PATH, ChangeFeedClient, ChangeFeedServer
 from bronzebeam.gateway.change_log import ChangeLog
 from bronzebeam.gateway.connection_pool import ConnectionPool
@@ -153,7 +158,7 @@
     _context: GatewayContext = field(init=False)
     _stall_clock: StallClock = field(init=False)
     _resources: ProcessResources = field(init=False)
-    _caller_connection_limit: CallerConnectionLimit = field(init=False)
+    _connection_limits: list[CallerConnectionLimit] = field(init=False)
 
     async def run(self) -> int:
         """Serve until a graceful shutdown is complete; return the exit code."""
@@ -365,9 +370,6 @@
             stall_clock=self._stall_clock,
             memory=memory,
         )
-        self._caller_connection_limit = CallerConnectionLimit(
-            server=self._caller_server, resources=self._resources, log=self.log
-        )
         self._delegation_handler = DelegationRequestHandler(context=context)
         self._relay_handler = RelayRequestHandler(context=context)
         self._crash_query_handler = CrashQueryHandler(context=context)
@@ -384,6 +386,20 @@
         self._ready_server = CallerServer(
             handle=self._handle_internal_request, loop=loop, memory=memory
         )
+        self._connection_limits = [
+            CallerConnectionLimit(
+                port=port,
+                share=share,
+                server=server,
+                resources=self._resources,
+                log=self.log,
+            )
+            for port, share, server in (
+                ("callers", CALLER_SHARE, self._caller_server),
+                ("peers", PEER_SHARE, self._peer_server),
+                ("ready", READINESS_SHARE, self._ready_server),
+            )
+        ]
         return self.create_store(settings, self.log)
 
     async def _listen_until_stop(self) -> None:
@@ -540,7 +556,8 @@
         )
         if self._ticks % TICKS_PER_RESOURCE_CHECK == 0:
             self._resources.check_descriptors()
-            self._caller_connection_limit.update()
+            for limit in self._connection_limits:
+                limit.update()
 
     def _log_stall(self) -> None:
         stalled_seconds = self._stall_clock.stalled_seconds()
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -16,6 +16,8 @@
 from bronzebeam.transport.caller_memory import CallerMemory
 from bronzebeam.transport.caller_request import HttpRequest
 from tests.fixtures_gateway import (
+    PEER_PORT,
+    READY_PORT,
     Caller,
     Cluster,
     encode_request,
@@ -307,3 +309,21 @@
         assert len(rig.server.connections) <= 20
 
     run_in_virtual_time(main)
+
+
+def test_each_port_has_a_limit_on_connections() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        for port, server in (
+            (PEER_PORT, gateway.gateway._peer_server),
+            (READY_PORT, gateway.gateway._ready_server),
+        ):
+            allowed = gateway.gateway._resources.allowed_descriptors
+            assert 1 <= server.max_connections <= 0.2 * allowed
+            server.max_connections = 5
+            for _ in range(20):
+                await cluster.connect(gateway, port=port)
+            assert len(server.connections) <= 5
+            assert server.idle_closed_count == 15
+
+    run_scenario(scenario)
