Log when the limits on the memory of callers are reached

The log did not say that requests were refused, or connections closed, since all of them together took too much memory. The new test failed before.

--- a/src/bronzebeam/gateway/caller_connection_limit.py
+++ b/src/bronzebeam/gateway/caller_connection_limit.py
@@ -1,4 +1,4 @@
-"""Divides the descriptors between the ports, and keeps some for other uses."""
+"""Limits of all ports: descriptors for each, and memory in total."""
 
 from typing import Final
 
@@ -7,6 +7,7 @@
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.telemetry.process_resources import ProcessResources
 from bronzebeam.transport.caller_connection import CallerServer
+from bronzebeam.transport.caller_memory import CallerMemory
 
 # The rest is for replicas and the store, and for the connections that are accepted
 # together before a limit is applied.
@@ -57,3 +58,27 @@
                 slow_closed=slow_closed,
             )
             self._logged = counts
+
+
+@define(kw_only=True, eq=False, repr=False)
+class CallerMemoryLog:
+    """Logs when the limits on the memory of all ports are reached."""
+
+    memory: CallerMemory
+    log: DecisionLog
+    _logged: tuple[int, int] = (0, 0)
+
+    def update(self) -> None:
+        """Log what was refused or closed; to be called every few seconds."""
+        memory = self.memory
+        counts = memory.refused_count, memory.unread_closed_count
+        if counts != self._logged:
+            self.log.event(
+                "caller_memory_limited",
+                received_bytes=memory.received_bytes,
+                limit=memory.max_received_bytes,
+                refused=counts[0] - self._logged[0],
+                unread_limit=memory.max_unread_bytes,
+                unread_closed=counts[1] - self._logged[1],
+            )
+            self._logged = counts
--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -17,6 +17,7 @@
     PEER_SHARE,
     READINESS_SHARE,
     CallerConnectionLimit,
+    CallerMemoryLog,
 )
 from bronzebeam.gateway.change_feed import FEED_PATH, ChangeFeedClient, ChangeFeedServer
 from bronzebeam.gateway.change_log import ChangeLog
@@ -159,6 +160,7 @@
     _stall_clock: StallClock = field(init=False)
     _resources: ProcessResources = field(init=False)
     _connection_limits: list[CallerConnectionLimit] = field(init=False)
+    _memory_log: CallerMemoryLog = field(init=False)
 
     async def run(self) -> int:
         """Serve until a graceful shutdown is complete; return the exit code."""
@@ -364,6 +366,7 @@
         self._state.on_first_configuration = router.on_first_configuration
         self._stall_clock = StallClock(boot_seconds=self.boot_seconds)
         memory = CallerMemory.for_process(settings.memory_limit_bytes)
+        self._memory_log = CallerMemoryLog(memory=memory, log=self.log)
         self._caller_server = CallerServer(
             handle=router.handle,
             loop=loop,
@@ -558,6 +561,7 @@
             self._resources.check_descriptors()
             for limit in self._connection_limits:
                 limit.update()
+            self._memory_log.update()
 
     def _log_stall(self) -> None:
         stalled_seconds = self._stall_clock.stalled_seconds()
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -16,6 +16,7 @@
 from bronzebeam.transport.caller_memory import CallerMemory
 from bronzebeam.transport.caller_request import HttpRequest
 from tests.fixtures_gateway import (
+    BOOKING_PATH,
     PEER_PORT,
     READY_PORT,
     Caller,
@@ -327,3 +328,18 @@
             assert server.idle_closed_count == 15
 
     run_scenario(scenario)
+
+
+def test_reached_limits_on_memory_are_logged() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        memory = gateway.gateway._caller_server.memory
+        memory.max_received_bytes = 20_000
+        caller = await cluster.connect(gateway)
+        caller.send(encode_request(BOOKING_PATH, method="POST", body=bytes(30_000)))
+        assert await status_of(caller) == 503
+        await asyncio.sleep(10.0)
+        [line] = gateway.log_lines("caller_memory_limited")
+        assert " limit=20000 refused=1 " in line
+
+    run_scenario(scenario)
