Count the memory of a caller's connection once for each piece

The connection now keeps three sums (what is read, what is received, what is complete) and compares them with what it has counted after each piece.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -194,6 +194,7 @@
         self._read_at_seconds = 0.0  # when the bytes that are parsed were read
         self._measured_round_trip_ms: float | None = None
         self._closing = False
+        self._queued_bytes = 0  # of complete requests until they are answered
         self._held_bytes = 0
         self._last_unread_bytes = 0
         self._received_any = False
@@ -240,8 +241,9 @@
         clock = self.server.stall_clock
         waited_seconds = clock.stalled_seconds() if clock is not None else 0.0
         self._backlog.append((data, self.server.loop.time() - waited_seconds))
-        self._hold_backlog(len(data) + OBJECT_BYTES)
+        self._backlog_bytes += len(data) + OBJECT_BYTES
         self._handle_next()
+        self._update_memory()
         if self._backlog_bytes >= MAX_BACKLOG_BYTES and self._transport is not None:
             self._is_reading_paused = True
             self._transport.pause_reading()
@@ -258,7 +260,8 @@
         self._pending_requests.clear()
         self._drop_backlog()
         self._reset_request()
-        self._hold(-self._held_bytes)
+        self._queued_bytes = 0
+        self._update_memory()
         # Parser and connection refer to each other, and hold what was received until a
         # collection of cycles, which no number of bytes starts.
         self._parser = None
@@ -282,7 +285,7 @@
         """Start a request."""
         self._has_reported = True
         self._reset_request()
-        self._hold_request(REQUEST_BYTES)
+        self._request_bytes = REQUEST_BYTES
         self._request_started_at_seconds = self._read_at_seconds
 
     def on_url(self, url: bytes) -> None:
@@ -299,7 +302,7 @@
         self._count_header_bytes(len(name) + len(value) + 4)
         if not self._has_head:
             # After the body come trailers, which nobody asks for (RFC 9110, 6.5.1).
-            self._hold_request(len(name) + len(value) + OBJECT_BYTES)
+            self._request_bytes += len(name) + len(value) + OBJECT_BYTES
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -323,7 +326,7 @@
         self._body += body
         if len(self._body) > self.server.limits.body_max_bytes:
             self._reject(413, "the body is larger than the limit")
-        self._hold_request(len(body))
+        self._request_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -347,6 +350,7 @@
             )
         )
         self._received_any = True
+        self._queued_bytes += self._request_bytes
         self._reset_request()
 
     # Methods for requests and the server.
@@ -357,7 +361,8 @@
         """Write a response and schedule the next request."""
         transport = self._transport
         self.request = None
-        self._hold(-request.held_bytes)
+        self._queued_bytes -= request.held_bytes
+        self._update_memory()
         self.active_at_seconds = self.server.loop.time()
         if transport is None or transport.is_closing():
             return
@@ -500,9 +505,10 @@
             # Empty lines before a request do not keep the connection open.
             self.active_at_seconds = self.server.loop.time()
         self._count_unreported(len(piece))
-        kept_bytes = self._unreported_bytes if is_receiving else 0
-        self._hold_request(kept_bytes - self._kept_bytes)
-        self._kept_bytes = kept_bytes
+        if is_receiving:
+            self._request_bytes += self._unreported_bytes - self._kept_bytes
+            self._kept_bytes = self._unreported_bytes
+        self._update_memory()
 
     def _count_unreported(self, count: int) -> None:
         self._unreported_bytes += count
@@ -519,45 +525,38 @@
     def _advance(self, count: int) -> None:
         """Remove bytes from the start of the backlog."""
         self._backlog_offset += count
-        self._hold_backlog(-count)
         if self._backlog_offset == len(self._backlog[0][0]):
             self._backlog.popleft()
+            self._backlog_bytes -= self._backlog_offset + OBJECT_BYTES
             self._backlog_offset = 0
-            self._hold_backlog(-OBJECT_BYTES)
 
     def _drop_backlog(self) -> None:
         self._backlog.clear()
-        self._backlog_offset = 0
-        self._hold_backlog(-self._backlog_bytes)
-
-    def _hold_backlog(self, count: int) -> None:
-        self._backlog_bytes += count
-        self._hold(count)
+        self._backlog_offset = self._backlog_bytes = 0
 
     def _count_header_bytes(self, count: int) -> None:
         self._header_bytes += count
         if self._header_bytes > self.server.limits.header_max_bytes:
             self._reject(431, "the headers are larger than the limit")
 
-    def _hold(self, count: int) -> None:
-        self._held_bytes += count
-        self.server.memory.received_bytes += count
-        if count > 0:
-            self.server.memory.limit_received(self)
-
-    def _hold_request(self, count: int) -> None:
-        """Count memory of the request that is being received, unless it is rejected."""
-        if self._rejection is None:
-            self._request_bytes += count
-            self._hold(count)
+    def _update_memory(self) -> None:
+        """Count the memory that the connection holds now."""
+        held_bytes = self._backlog_bytes + self._request_bytes + self._queued_bytes
+        change_bytes = held_bytes - self._held_bytes
+        if change_bytes:
+            memory = self.server.memory
+            self._held_bytes = held_bytes
+            memory.received_bytes += change_bytes
+            if change_bytes > 0 and memory.received_bytes > memory.max_received_bytes:
+                memory.limit_received(self)
 
     def _reject(self, status: int, detail: str) -> None:
         """Answer with an error after the earlier requests, and receive no more."""
         if self._rejection is None:
             self._rejection = (status, detail)
-            self._hold(-self._request_bytes)
             self._reset_request()
             self._drop_backlog()
+            self._update_memory()
 
     def _close_after_last_request(self) -> None:
         self._drop_backlog()
