Accept few connections at a time

asyncio accepts as many connections at once as its queue may hold, 1,024, and each takes a descriptor for some turns of the loop before it can be counted or refused. A crowd that connects and resets took 1,474 descriptors where 300 were allowed, and none was left for replicas.

16 are accepted at a time; the operating system still queues 1,024.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -35,7 +35,7 @@
     GracefulShutdown,
 )
 from bronzebeam.gateway.header_codec import HeaderCodec
-from bronzebeam.gateway.listening import Port, PortOpener
+from bronzebeam.gateway.listening import ACCEPT_BATCH, Port, PortOpener
 from bronzebeam.gateway.peer_codec import DELEGATION_HEADER, RELAY_HEADER
 from bronzebeam.gateway.peer_configuration import (
     CONFIGURATION_PATH,
@@ -74,7 +74,6 @@
 
 # Log lines are written, and lost connections replaced, with at most this delay.
 TICK_INTERVAL_SECONDS: Final = 0.25
-LISTEN_BACKLOG: Final = 1_024  # if the queue is full, a caller's connect takes seconds
 TASK_RESTART_DELAY_SECONDS: Final = 0.5
 METRICS_PATH: Final = b"/metrics"
 TICKS_PER_SLOW_CHECK: Final = 4  # ticks between checks of idle callers and settings
@@ -445,7 +444,7 @@
             ports[0].listen = lambda: self._loop.create_server(
                 self._caller_server.new_connection,
                 sock=caller_socket,
-                backlog=LISTEN_BACKLOG,
+                backlog=ACCEPT_BATCH,
             )
         if settings.ready_listen is not None:
             ports.append(self._port("ready", self._ready_server, settings.ready_listen))
@@ -461,7 +460,7 @@
                 server.new_connection,
                 address.address,
                 address.port,
-                backlog=LISTEN_BACKLOG,
+                backlog=ACCEPT_BATCH,
             ),
         )
 
--- a/src/bronzebeam/gateway/listening.py
+++ b/src/bronzebeam/gateway/listening.py
@@ -1,6 +1,8 @@
 """Opens the ports of a gateway, and waits for those that can't be opened yet."""
 
 import asyncio
+import os
+import socket
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
@@ -13,6 +15,20 @@
 
 RETRY_INTERVAL_SECONDS: Final = 0.05
 LOG_INTERVAL_SECONDS: Final = 5.0
+LISTEN_BACKLOG: Final = 1_024  # if the queue is full, a caller's connect takes seconds
+# Accepted at once; more would take descriptors before a limit can be applied.
+ACCEPT_BATCH: Final = 16
+
+
+def extend_accept_queue(server: asyncio.AbstractServer) -> None:
+    """
+    Let the operating system queue more connections than are accepted at once.
+
+    asyncio has one parameter for both.
+    """
+    for transport_socket in getattr(server, "sockets", ()):
+        with socket.socket(fileno=os.dup(transport_socket.fileno())) as listener:
+            listener.listen(LISTEN_BACKLOG)
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -63,7 +79,7 @@
 
     async def _try_open(self, port: Port) -> bool:
         try:
-            self.listeners.append(await port.listen())
+            listener = await port.listen()
         except OSError as error:
             if error.errno not in PASSING_ERRORS:
                 address = f"{port.address.address}:{port.address.port}"
@@ -71,6 +87,8 @@
                 raise OSError(error.errno, f"{message}: {error.strerror}") from error
             self._log_wait(port, error)
             return False
+        extend_accept_queue(listener)
+        self.listeners.append(listener)
         if port._first_tried_at_seconds is not None:
             waited_seconds = self.loop.time() - port._first_tried_at_seconds
             self.log.event(
