Limit what the operating system keeps of connections that are not read yet

The users' platform counts bytes that were received and not read as memory of the process. The operating system lets its buffers grow to 1.3 MB for each connection of a crowd that sends faster than it is read.

Accepted connections have a receive buffer of 32 KB, which Linux doubles.

--- a/src/bronzebeam/gateway/listening.py
+++ b/src/bronzebeam/gateway/listening.py
@@ -15,20 +15,29 @@
 
 RETRY_INTERVAL_SECONDS: Final = 0.05
 LOG_INTERVAL_SECONDS: Final = 5.0
-LISTEN_BACKLOG: Final = 1_024  # if the queue is full, a caller's connect takes seconds
+# If the queue is full, a caller's connect takes seconds.
+LISTEN_BACKLOG: Final = 1_024
 # Accepted at once; more would take descriptors before a limit can be applied.
 ACCEPT_BATCH: Final = 16
+# Of one connection, for bytes that were received and not read yet, which count as
+# memory of the process on the users' platform. Linux doubles it, and by default lets it
+# grow to megabytes.
+RECEIVE_BUFFER_BYTES: Final = 32 * 1024
 
 
-def extend_accept_queue(server: asyncio.AbstractServer) -> None:
+def set_queue_limits(server: asyncio.AbstractServer) -> None:
     """
-    Let the operating system queue more connections than are accepted at once.
+    Limit what the operating system queues: connections, and bytes of each.
 
-    asyncio has one parameter for both.
+    More connections may wait than are accepted at once, for which asyncio has one
+    parameter. Connections inherit the size of the buffer.
     """
     for transport_socket in getattr(server, "sockets", ()):
         with socket.socket(fileno=os.dup(transport_socket.fileno())) as listener:
             listener.listen(LISTEN_BACKLOG)
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -87,7 +96,7 @@
                 raise OSError(error.errno, f"{message}: {error.strerror}") from error
             self._log_wait(port, error)
             return False
-        extend_accept_queue(listener)
+        set_queue_limits(listener)
         self.listeners.append(listener)
         if port._first_tried_at_seconds is not None:
             waited_seconds = self.loop.time() - port._first_tried_at_seconds
