Answer a refusal behind a request in work

A request that was malformed, over a limit or refused for lack of memory was never answered if it had been read behind a request in work: its connection forgot what was behind when it refused it, and after the earlier answer looked only for that. The connection stayed open, ignored all further bytes, and was closed without an answer at a planned stop.

A pending refusal is answered after the earlier requests, and the connection is not between requests until then.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -375,7 +375,7 @@
             self._closing = True
             transport.close()
             return
-        if self._pending_requests or self._backlog:
+        if self._pending_requests or self._backlog or self._rejection is not None:
             self.server.loop.call_soon(self._handle_next)
 
     def write_interim_response(self, request: HttpRequest) -> None:
@@ -470,6 +470,7 @@
         return (
             not self._pending_requests
             and not self._backlog
+            and self._rejection is None
             and self._request_started_at_seconds is None
         )
 
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -341,3 +341,39 @@
         assert " limit=20000 refused=1 " in line
 
     run_scenario(scenario)
+
+
+def test_refusal_behind_a_request_in_work_is_answered() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        behind = (
+            (b"no request\r\n\r\n", 400),
+            (encode_request("/", method="POST", body=bytes(9_000)), 413),
+        )
+        for data, status in behind:
+            for is_closing in (False, True):
+                rig = ServerRig(loop=loop)
+                await rig.start()
+                caller = await rig.send(encode_request("/") + data)
+                rig.server.closing = is_closing
+                rig.answer()
+                assert await status_of(caller) == 200
+                assert await status_of(caller) == status
+                assert await status_of(caller) is None
+                rig.loop.net.listeners.clear()
+
+    run_in_virtual_time(main)
+
+
+def test_request_refused_for_memory_behind_one_in_work_is_answered() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start(memory=CallerMemory(max_received_bytes=20_000))
+        caller = await rig.send(encode_request("/"))
+        body = encode_request("/", method="POST", body=bytes(7_000))
+        await rig.send(body, caller)
+        for _ in range(4):
+            await rig.send(body[:-1])
+        rig.requests[0].respond(status=200, headers=[], body=b"")
+        assert [await status_of(caller) for _ in range(2)] == [200, 503]
+
+    run_in_virtual_time(main)
