Do not count the time in which reading was paused against a caller

A request whose first bytes were read behind one in work counted as being sent since then, though reading had paused at 16 KB. If the earlier request took longer than the limit on receiving, and a check came before the rest had arrived, the caller got 408 for a request inside the limits.

The caller is waited for since the request was parsed; its deadline still counts from when it was read.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -201,6 +201,8 @@
         self._last_unread_bytes = 0
         self._received_any = False
         self._request_started_at_seconds: float | None = None
+        # Later than that if the request was read behind another one.
+        self._awaited_since_seconds = 0.0
         self._rejection: tuple[int, str] | None = None
         # Bytes that the parser has received since its last callback, and may keep.
         self._unreported_bytes = 0
@@ -289,6 +291,7 @@
         self._reset_request()
         self._request_bytes = REQUEST_BYTES
         self._request_started_at_seconds = self._read_at_seconds
+        self._awaited_since_seconds = self.server.loop.time()
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -400,7 +403,7 @@
         if self._closing:
             return
         if self._request_started_at_seconds is not None:
-            waited_ms = (now_seconds - self._request_started_at_seconds) * MS_PER_SECOND
+            waited_ms = (now_seconds - self._awaited_since_seconds) * MS_PER_SECOND
             if waited_ms > limits.header_timeout_ms + MS_PER_SECOND:
                 self._respond_with_error(408, "the request was not received in time")
             return
@@ -456,8 +459,9 @@
             return math.inf
         if self.unread_bytes:
             return self.active_at_seconds
-        started_at_seconds = self._request_started_at_seconds
-        return math.inf if started_at_seconds is None else started_at_seconds
+        if self._request_started_at_seconds is None:
+            return math.inf
+        return self._awaited_since_seconds
 
     @property
     def can_be_closed(self) -> bool:
--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import httptools
-from attrs import define, field
+from attrs import define, evolve, field
 
 from bronzebeam.routing.routes import CallerLimits
 from bronzebeam.transport.caller_connection import (
@@ -377,3 +377,22 @@
         assert [await status_of(caller) for _ in range(2)] == [200, 503]
 
     run_in_virtual_time(main)
+
+
+def test_time_in_which_reading_was_paused_does_not_count_against_the_caller() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        rig = ServerRig(loop=loop)
+        await rig.start()
+        rig.server.limits = evolve(LIMITS, body_max_bytes=100_000)
+        caller = await rig.send(encode_request("/"))
+        upload = encode_request("/", method="POST", body=bytes(60_000))
+        await rig.send(upload[:20_000], caller)
+        await asyncio.sleep(LIMITS.header_timeout_ms / 1_000 + 1.5)
+        rig.answer()
+        assert await status_of(caller) == 200
+        rig.server.close_timed_out()
+        await rig.send(upload[20_000:], caller)
+        rig.answer()
+        assert await status_of(caller) == 200 and len(rig.requests) == 2
+
+    run_in_virtual_time(main)
