Limit the memory of callers again once requests in work have released it

After requests in work had taken more than the limit, so that nothing could be refused, small requests were not refused below that amount for the rest of the process's life: the amount at which to search again was reset only on a path that was never reached.

The account resets it whenever the sum is below the limit.

--- a/src/bronzebeam/transport/caller_connection.py
+++ b/src/bronzebeam/transport/caller_connection.py
@@ -558,11 +558,8 @@
         held_bytes = self._backlog_bytes + self._request_bytes + self._queued_bytes
         change_bytes = held_bytes - self._held_bytes
         if change_bytes:
-            memory = self.server.memory
             self._held_bytes = held_bytes
-            memory.received_bytes += change_bytes
-            if change_bytes > 0 and memory.received_bytes > memory.max_received_bytes:
-                memory.limit_received(self)
+            self.server.memory.add_received(self, change_bytes)
 
     def _reject(self, status: int, detail: str) -> None:
         """Answer with an error after the earlier requests, and receive no more."""
--- a/src/bronzebeam/transport/caller_memory.py
+++ b/src/bronzebeam/transport/caller_memory.py
@@ -73,12 +73,17 @@
             ),
         )
 
-    def limit_received(self, user: MemoryUser) -> None:
-        """Refuse requests if too much is received, after `user` has received more."""
-        freed_bytes = int(FREED_SHARE * self.max_received_bytes)
+    def add_received(self, user: MemoryUser, change_bytes: int) -> None:
+        """Count what `user` holds more, or less; refuse requests if it is too much."""
+        self.received_bytes += change_bytes
         if self.received_bytes <= self.max_received_bytes:
             self._searched_at_bytes = 0
-        elif user.receiving_bytes > SMALL_BODY_BYTES:
+        elif change_bytes > 0:
+            self._limit_received(user)
+
+    def _limit_received(self, user: MemoryUser) -> None:
+        freed_bytes = int(FREED_SHARE * self.max_received_bytes)
+        if user.receiving_bytes > SMALL_BODY_BYTES:
             self._refuse(user)
         elif self.received_bytes >= self._searched_at_bytes:
             for largest in sorted(
