Keep only the greatest records of a large part until a search is answered

Whole replies are not limited in sum: a search kept each part until the last one had come, and the merge took it apart into records of 16 bytes first.

The new test failed before: the replies of 11 shards were held whole.

--- a/src/bronzebeam/gateway/fan_out.py
+++ b/src/bronzebeam/gateway/fan_out.py
@@ -37,6 +37,7 @@
 from bronzebeam.routing.domain_groups import group_by_domain
 from bronzebeam.routing.fan_out_timing import partial_answer_at_seconds
 from bronzebeam.routing.hedge_timing import peer_timeout_ms
+from bronzebeam.routing.record_merge import reduce_part
 from bronzebeam.units import MS_PER_SECOND
 
 BAD_GATEWAY: Final = 502
@@ -145,11 +146,14 @@
         if self._done or shard.signature is not None:
             return
         if result is AttemptResult.ANSWERED:
-            assert attempt.reply is not None and attempt.reply_metadata is not None
+            reply = attempt.reply
+            assert reply is not None and attempt.reply_metadata is not None
+            # Whole replies are not limited in sum, and wait here for the others.
+            reply.body = reduce_part(reply.body, count=self.routed.route.top_records)
             self._progress.include(
                 shard,
                 attempt.reply_metadata.signature,
-                attempt.reply.body,
+                reply.body,
                 self.context.loop.time(),
             )
             self._record_reply()
--- a/tests/test_gateway_endless_replies.py
+++ b/tests/test_gateway_endless_replies.py
@@ -1,7 +1,11 @@
 """Tests of replicas that send bytes without end, in virtual time."""
 
 import asyncio
+import gc
+import random
 
+from bronzebeam.routing.record_merge import merge_greatest
+from bronzebeam.transport.http_reply import HttpReply
 from tests.fixtures_gateway import (
     BOOKING_SERVICE,
     FAN_OUT_PATH,
@@ -91,3 +95,27 @@
                 assert answer is not None and answer.status in (502, 503, 504)
 
         run_scenario(scenario)
+
+
+def test_large_parts_that_wait_for_the_other_shards_take_bounded_memory() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_search_cluster(
+            cluster, shards=SHARDS, domains=("zone-a",), least=1.0, top=50
+        )
+        rng = random.Random(1)
+        replicas = list(cluster.replicas.values())
+        for replica in replicas:
+            replica.records = [rng.randbytes(16) for _ in range(20_000)]
+        replicas[0].work_seconds = 0.4
+        search = asyncio.ensure_future(cluster.send_request(gateway, FAN_OUT_PATH))
+        await asyncio.sleep(0.3)
+        held_bytes = sum(
+            len(item.body) for item in gc.get_objects() if type(item) is HttpReply
+        )
+        assert held_bytes < SHARDS * 1_000
+        answer = await search
+        assert answer is not None and answer.status == 200
+        parts = [b"".join(replica.records) for replica in replicas]
+        assert answer.body == merge_greatest(parts, count=50)
+
+    run_scenario(scenario)
