List what is held of requests that are over, and not counted

Requests form cycles with their attempts, so that bodies of answered requests are freed only by a collection of cycles; and a request that goes on after its caller has left holds its body uncounted.

--- a/tests/test_caller_connection_bounds.py
+++ b/tests/test_caller_connection_bounds.py
@@ -18,6 +18,7 @@
 from tests.fixtures_gateway import (
     BOOKING_PATH,
     PEER_PORT,
+    READ_PATH,
     READY_PORT,
     Caller,
     Cluster,
@@ -429,3 +430,45 @@
         for user in users:
             user.receive(1_000)
             assert memory.received_bytes <= memory.max_received_bytes
+
+
+def test_finished_requests_are_freed_without_a_collection_of_cycles() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        caller = await cluster.connect(gateway)
+        gc.collect()
+        gc.disable()
+        try:
+            for number, path in enumerate((READ_PATH, BOOKING_PATH)):
+                caller.send(
+                    encode_request(
+                        path, attempt_id=f"a-{number}", method="POST", body=bytes(9_000)
+                    )
+                )
+                assert await status_of(caller) == 200
+            await asyncio.sleep(6.0)
+            bodies = [
+                len(item.body) for item in gc.get_objects() if type(item) is HttpRequest
+            ]
+            assert bodies.count(9_000) == 0
+        finally:
+            gc.enable()
+
+    run_scenario(scenario)
+
+
+def test_bodies_of_callers_that_have_left_count_while_they_are_held() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        for replica in cluster.replicas.values():
+            replica.work_seconds = 2.0
+        caller = await cluster.connect(gateway)
+        caller.send(encode_request(BOOKING_PATH, method="POST", body=bytes(9_000)))
+        await asyncio.sleep(0.5)
+        caller.transport.abort()
+        await asyncio.sleep(0.5)
+        held = [item for item in gc.get_objects() if type(item) is HttpRequest]
+        held_bytes = sum(len(item.body) for item in held)
+        assert gateway.gateway._caller_server.memory.received_bytes >= held_bytes
+
+    run_scenario(scenario)
