Decode the latest of several configurations in a response once

A store that returns several configurations at once, after an outage or a series of changes, had the last one decoded twice: once to find out which earlier ones it replaces, and again to apply it. Meanwhile the process does nothing else, and callers wait.

The configuration decoded first is now the one that is applied. Versions of the replaced ones are still read, as they decide what is replaced.

--- a/src/bronzebeam/platform/store.py
+++ b/src/bronzebeam/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's key-value store."""
 
 import base64
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import Any, Final
 
 import orjson
@@ -59,6 +60,7 @@
 GONE: Final = 410
 NOT_FOUND: Final = 404
 MAX_LOGGED_CAUSE_CHARACTERS: Final = 200
+NO_TABLES: Final[Mapping[int, RouteTable]] = MappingProxyType({})
 MAX_PUTS: Final = 32  # limit of the store for one transaction
 # Header of each response; rises by one when the store returns from an older copy.
 ERA_HEADER: Final = b"store-era"
@@ -140,14 +142,16 @@
         if era is not None and era != self.era.number:
             raise HistoryLost(f"the store was restored; era {self.era.number}")
         response = _parse_object(reply)
-        events = _without_replaced_configurations(_list_field(response, "events"))
+        events, tables = _without_replaced_configurations(
+            _list_field(response, "events")
+        )
         revision = _int_field(response, "atRevision")
         if revision < after:
             raise HistoryLost(f"the store went back from revision {after}")
         if not events and revision > after:
             # The watch covers all keys, so every revision should have an event.
             raise HistoryLost(f"no event between revisions {after} and {revision}")
-        return revision, list(self._decode_changes(events))
+        return revision, list(self._decode_changes(events, tables))
 
     async def latest_revision(self) -> int:
         """Return the store's revision."""
@@ -304,11 +308,22 @@
         if not self.era.observe(era):
             raise StoreUnavailable(f"{target}: response from era {era}")
 
-    def _decode_changes(self, items: Iterable[Any]) -> Iterable[Change]:
-        for item in items:
+    def _decode_changes(
+        self, items: Iterable[Any], tables: Mapping[int, RouteTable] = NO_TABLES
+    ) -> Iterable[Change]:
+        """
+        Decode items; those that can't be decoded are logged.
+
+        :param tables: configurations that are decoded already, by index.
+        """
+        for index, item in enumerate(items):
             key = _key_field(item)
+            table = tables.get(index)
             try:
-                change = decode_change(key, item)
+                if table is None:
+                    change = decode_change(key, item)
+                else:
+                    change = Change(kind=RecordKind.CONFIGURATION, name="", value=table)
             except MalformedRecord as error:
                 self._log_malformed(key, error)
                 change = _deletion(key)
@@ -377,11 +392,16 @@
     return None
 
 
-def _without_replaced_configurations(items: list[Any]) -> list[Any]:
+def _without_replaced_configurations(
+    items: list[Any],
+) -> tuple[list[Any], Mapping[int, RouteTable]]:
     """
     Leave out configurations that a later one of no lower version replaces.
 
     Each takes time and memory, and a store may return many at once.
+
+    :return: the other items, and the configurations among them that had to be decoded,
+        by index.
     """
     indexes = [
         index
@@ -391,18 +411,28 @@
     replaced = set()
     latest_version: int | None = None
     if len(indexes) < 2:
-        return items
+        return items, NO_TABLES
+    decoded: dict[int, RouteTable] = {}
     for index in reversed(indexes):
         try:
             value = _decode_value(items[index])
             if latest_version is not None and decode_version(value) <= latest_version:
                 replaced.add(index)
             else:
-                latest_version = decode_configuration(value).version
+                decoded[index] = decode_configuration(value)
+                latest_version = decoded[index].version
         except MalformedRecord:
             # It replaces none, and is logged when it is decoded again.
             continue
-    return [item for index, item in enumerate(items) if index not in replaced]
+    kept: list[Any] = []
+    tables: dict[int, RouteTable] = {}
+    for index, item in enumerate(items):
+        if index in replaced:
+            continue
+        if index in decoded:
+            tables[len(kept)] = decoded[index]
+        kept.append(item)
+    return kept, tables
 
 
 def _deletion(key: str) -> Change | None:
--- a/tests/test_gateway_resources.py
+++ b/tests/test_gateway_resources.py
@@ -17,6 +17,7 @@
 from bronzebeam.gateway.fleet_state import FleetState
 from bronzebeam.gateway.gateway_metrics import MAX_ROUTE_NAMES, GatewayMetrics
 from bronzebeam.gateway.records import Change, RecordKind
+from bronzebeam.platform.configuration import decode_configuration
 from bronzebeam.routing.routes import CallerLimits, RouteTable
 from bronzebeam.telemetry.decisions import DecisionLog
 from bronzebeam.telemetry.process_resources import ProcessResources
@@ -417,6 +418,25 @@
     run_scenario(scenario)
 
 
+def test_configuration_that_comes_with_earlier_ones_is_decoded_once() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+        await asyncio.sleep(3.0)
+        with patch(
+            "bronzebeam.platform.store.decode_configuration",
+            wraps=decode_configuration,
+        ) as decode:
+            for _ in range(5):
+                cluster.configure(*cluster.routes)
+            await asyncio.sleep(4.0)
+        [*_, line] = gateway.log_lines("configuration_in_force")
+        assert f" version={cluster.version} " in line
+        values = [call.args[0] for call in decode.call_args_list]
+        assert len(values) == len(set(values))
+
+    run_scenario(scenario)
+
+
 def test_connection_that_fails_for_lack_of_memory_does_not_keep_its_place() -> None:
     async def scenario(cluster: Cluster) -> None:
         gateway = await start_small_cluster(cluster)
