Stop the parser where heads or trailers pass their limit

A read of up to 256 KB was parsed to its end before the limit of 64 KB on heads was checked: 60,000 headers, trailers or interim replies of a server that sends without end, during which the process does nothing else. The callback that passes the limit now raises, so that the parser stops; the exchange fails as before. Each header counts with the two bytes that it has at least around its text, so that no head within the limit is refused.

The new test counts the callbacks and failed on the code before.

--- a/src/bronzebeam/transport/http_reply.py
+++ b/src/bronzebeam/transport/http_reply.py
@@ -10,7 +10,9 @@
 from bronzebeam.transport.socket_options import enable_dead_peer_detection
 
 MAX_REPLY_BYTES: Final = 16 * 1024 * 1024  # limits the memory used by one reply
-MAX_HEAD_BYTES: Final = 64 * 1024  # of one reply, with its interim replies
+MAX_HEAD_BYTES: Final = 64 * 1024  # of one reply, with interim replies and trailers
+MIN_HEADER_FRAMING_BYTES: Final = 2  # a colon and a line feed
+MIN_INTERIM_BYTES: Final = 14  # a status line without a reason, and an empty line
 # All replies that are being received; a small instance has 300 MB.
 MAX_UNFINISHED_BYTES: Final = 24 * 1024 * 1024
 MAX_UNFINISHED_SHARE: Final = 0.1  # of the memory limit of the process
@@ -23,6 +25,10 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class HeadTooLarge(Exception):
+    """The head of a reply, with its interim replies and trailers, is too large."""
+
+
 class ExchangeFailure(Enum):
     """
     Why an exchange ended without a usable reply.
@@ -279,10 +285,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers after the last chunk are ignored."""
-        if self._has_head:
+        if self._complete:
             return
-        self._head_bytes += len(name) + len(value)
-        if not self._complete and self._head_bytes <= MAX_HEAD_BYTES:
+        self._count_head_bytes(len(name) + len(value) + MIN_HEADER_FRAMING_BYTES)
+        if not self._has_head:
             self._hold(HEADER_OBJECT_BYTES)
             self._headers.append((name.lower(), value))
 
@@ -310,6 +316,7 @@
         if self._complete:
             return
         if self._status < FIRST_FINAL_STATUS:
+            self._count_head_bytes(MIN_INTERIM_BYTES)
             self.interim_seen = True
             self._headers = []
             self._status = 0
@@ -366,6 +373,12 @@
             or received_bytes > self.reply_max_bytes + MAX_HEAD_BYTES
         )
 
+    def _count_head_bytes(self, count: int) -> None:
+        """Count bytes of heads and trailers; beyond the limit, stop the parser."""
+        self._head_bytes += count
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise HeadTooLarge
+
     def _hold(self, count: int) -> None:
         self.held_bytes += count
         self.reply_memory.used_bytes += count
--- a/tests/test_reply_memory.py
+++ b/tests/test_reply_memory.py
@@ -115,6 +115,38 @@
         assert memory.used_bytes == 0
 
 
+def test_parser_stops_where_heads_or_trailers_pass_the_limit() -> None:
+    for start, part in (
+        (b"HTTP/1.1 200 OK\r\n", b"a:\r\n"),
+        (CHUNKED_HEAD + b"1\r\nx\r\n0\r\n", b"a:\r\n"),
+        (b"", b"HTTP/1.1 102 P\r\n\r\n"),
+    ):
+        calls = []
+
+        class Traced(ClientConnection):
+            def on_header(self, name: bytes, value: bytes) -> None:
+                calls.append(name)
+                super().on_header(name, value)
+
+            def on_message_complete(self) -> None:
+                calls.append(b"")
+                super().on_message_complete()
+
+        connection, observer = open_exchange(ReplyMemory(), connection_class=Traced)
+        connection.data_received(start + part * 60_000)
+        assert observer.failures == [ExchangeFailure.MALFORMED]
+        assert len(calls) < MAX_HEAD_BYTES / 2, start
+
+
+def test_head_within_the_limit_is_complete() -> None:
+    lines = b"a:\r\n" * ((MAX_HEAD_BYTES - 100) // 4)
+    connection, observer = open_exchange(ReplyMemory())
+    connection.data_received(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n")
+    connection.eof_received()
+    (reply,) = observer.replies
+    assert len(reply.headers) == len(lines) // 4
+
+
 def test_bound_follows_the_memory_limit_of_the_process() -> None:
     limit_bytes = 100 * 1024 * 1024
     assert ReplyMemory.of_process(limit_bytes).max_bytes == limit_bytes // 10
