Go on with the rest of the periodic work after a fault in one part

An exception in one step of the tick kept the later steps from running, each time. No such fault is known.

test_fault_in_periodic_work_does_not_keep_connections_open fails on the code before. The test module has a wider name, since it is about faults in several places.

--- a/src/bronzebeam/gateway/daemon.py
+++ b/src/bronzebeam/gateway/daemon.py
@@ -497,22 +497,51 @@
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
     def _tick(self) -> None:
+        """
+        Do all periodic work.
+
+        :raises Exception: the first error, once all steps have been done.
+        """
         self._ticks += 1
-        self._log_stall()
+        errors: list[Exception] = []
+        for step in (
+            self._log_stall,
+            self._check_served,
+            self._reload_if_due,
+            self._freeze_objects,
+            self._apply_table,
+            self._state.maintain,
+            self._introduction.update,
+            self._close_timed_out,
+            self._check_resources,
+        ):
+            try:
+                step()
+            except Exception as error:
+                errors.append(error)
+        if errors:
+            raise errors[0]
+
+    def _check_served(self) -> None:
         self._context.served.check(self.log, self._loop.time())
-        self._reload_if_due()
+
+    def _freeze_objects(self) -> None:
         if self._ticks == GC_FREEZE_TICK:
             # Objects created at start-up are permanent: exclude them from collections.
             gc.collect()
             gc.freeze()
+
+    def _apply_table(self) -> None:
         if self._state.table is not None:
             self._caller_server.limits = self._state.table.limits
             self.metrics.set_table(self._state.table)
-        self._state.maintain()
-        self._introduction.update()
+
+    def _close_timed_out(self) -> None:
         if self._ticks % TICKS_PER_SLOW_CHECK == 0:
             for server in (self._caller_server, self._peer_server, self._ready_server):
                 server.close_timed_out()
+
+    def _check_resources(self) -> None:
         if self._ticks % TICKS_PER_RESOURCE_CHECK == 0:
             self._resources.check()
             self._caller_connection_limit.update()
--- a/tests/test_gateway_faulty_starts.py
+++ b/tests/test_gateway_faults.py
@@ -1,10 +1,11 @@
-"""Tests that faults at the start of single requests leave the others served."""
+"""Tests that a fault in one place leaves callers served."""
 
 import asyncio
 from typing import Any
 from unittest import mock
 
 from bronzebeam.gateway.forward import ReplicaRequest
+from bronzebeam.gateway.peers import PeerSet
 from tests.fixtures_gateway import (
     BOOKING_PATH,
     BOOKING_SERVICE,
@@ -129,3 +130,21 @@
             assert response is not None and response.status == 200, name
 
         run_scenario(scenario)
+
+
+def test_fault_in_periodic_work_does_not_keep_connections_open() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        gateway = await start_small_cluster(cluster)
+
+        def fail(*_: Any, **__: Any) -> None:
+            raise RuntimeError("a fault of the program")
+
+        with mock.patch.object(PeerSet, "maintain", fail):
+            caller = await cluster.connect(gateway)
+            caller.send(b"GET /half HT")
+            await asyncio.sleep(8.0)
+        assert caller.ended
+        failed = gateway.log_lines("task_failed")
+        assert failed and all("task=timers" in line for line in failed)
+
+    run_scenario(scenario)
