--- a/tests/test_soak_gateways.py
+++ b/tests/test_soak_gateways.py
@@ -515,6 +515,13 @@
         assert broken_serving_rules(history) == expected, (share, count)
 
 
+def test_end_of_a_killed_process_may_be_noticed_late_if_the_rig_is_late() -> None:
+    for lag_seconds, expected in ((1.1, set()), (0.9, {"unasked_end"})):
+        history = SoakHistory(lags=[(12.0, lag_seconds)])
+        add_process(history, -9, "KILL").overdue = True
+        assert broken_process_rules(history) == expected, lag_seconds
+
+
 async def end_from_outside(folder: Path) -> SoakHistory:
     rig = SoakRig(folder=folder, rng=random.Random(1), shape=TINY)
     try:
