--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -7,9 +7,13 @@
 import httpx
 
 from bronzebeam.entry.server import serve_http
-from tests.fixtures_serving import find_free_port
+from tests.fixtures_serving import find_free_port, wait_until_listening
 
 LOOPBACK = "127.0.0.1"
+UNFINISHED_REQUEST = (
+    b"POST / HTTP/1.1\r\nHost: entry\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"2\r\nxx\r\n" * 100
+)
 
 
 async def app(scope: Any, receive: Any, send: Any) -> None:
@@ -65,3 +69,24 @@
                     stop.set()
 
     anyio.run(main)
+
+
+def test_connection_ends_after_the_answer_to_a_body_that_nothing_reads() -> None:
+    async def main() -> None:
+        port, stop = find_free_port(), anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(_serve, port, stop)
+            await anyio.to_thread.run_sync(wait_until_listening, port)
+            ended = False
+            async with await anyio.connect_tcp(LOOPBACK, port) as stream:
+                await stream.send(UNFINISHED_REQUEST)
+                with anyio.move_on_after(20.0):
+                    try:
+                        while True:
+                            await stream.receive()
+                    except anyio.EndOfStream:
+                        ended = True
+            stop.set()
+        assert ended, "the connection is still open"
+
+    anyio.run(main)
