End connections of the entry whose request body nothing reads

A caller that sent more than ten body parts to a path that reads none, or more than the limit of bodies, kept its connection open for ever; the handler never ended either, and so such a request counted as in flight until the shutdown timeout.

Hypercorn puts body parts into a queue of ten, and at the end of a response a last message; it waits for room in the queue before it closes the connection. Nothing empties the queue once the handler is sending its answer.

--- a/src/bronzebeam/entry/server.py
+++ b/src/bronzebeam/entry/server.py
@@ -8,6 +8,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from bronzebeam.entry.unread_bodies import UnreadBodyApp
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.transport.port_errors import PASSING_ERRORS
 
@@ -45,7 +46,11 @@
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_SECONDS
     config.graceful_timeout = graceful_timeout_seconds
     config.shutdown_timeout = graceful_timeout_seconds
-    await serve(cast(Any, app), config, shutdown_trigger=cast(Any, shutdown_trigger))
+    await serve(
+        cast(Any, UnreadBodyApp(app=app)),
+        config,
+        shutdown_trigger=cast(Any, shutdown_trigger),
+    )
 
 
 async def _open_port(
