Limit what the system holds unread for each connection of the entry

Callers that sent faster than the entry read, or that left answers unread while sending on, had the system hold up to some 0.8 MB for each connection: its automatic receive buffer grows to several MB.

The listening sockets now have a fixed receive buffer of 64 KiB, which accepted sockets inherit; the system doubles it for its overhead. Callers beyond it wait, as before.

--- a/src/bronzebeam/entry/server.py
+++ b/src/bronzebeam/entry/server.py
@@ -14,6 +14,7 @@
 
 KEEP_ALIVE_TIMEOUT_SECONDS: Final = 75.0
 BACKLOG: Final = 512
+RECEIVE_BUFFER_BYTES: Final = 65_536
 RETRY_INTERVAL_SECONDS: Final = 0.05
 RETRIES_PER_LINE: Final = 100
 
@@ -76,6 +77,10 @@
             else:
                 group.cancel_scope.cancel()
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                # Accepted sockets inherit this size, which the system then keeps.
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                )
                 return sock
             attempts += 1
             await anyio.sleep(RETRY_INTERVAL_SECONDS)
