Limit the unfinished request bodies of the entry on each port

Callers that stopped short of the end of a body kept up to the largest body each in the entry, for as long as they stayed connected.

BodyMemory counts the bodies that are being received. A body is now kept in one buffer instead of a list of its parts. One limit for each connection alone was ruled out, since it must allow the largest body.

Suspected, not traced: what the HTTP server buffers for each of the 400 connections, which is not counted here, and memory of displaced bodies that is not given back at once.

--- a/src/bronzebeam/entry/asgi.py
+++ b/src/bronzebeam/entry/asgi.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
+from bronzebeam.entry.body_memory import BodyDisplaced, BodyMemory, UnfinishedBody
+
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -16,26 +18,39 @@
     """The caller disconnected before it had sent the whole request."""
 
 
-async def read_body(receive: Receive, *, max_bytes: int) -> bytes:
+async def read_body(receive: Receive, *, max_bytes: int, memory: BodyMemory) -> bytes:
     """
     Read the whole request body.
 
+    :param memory: of all bodies that are being received.
     :raises BodyTooLarge: once more than `max_bytes` have been received.
+    :raises BodyDisplaced: if the body is displaced from `memory`.
     :raises CallerDisconnected: if the caller disconnects before the end of the body.
     """
-    chunks: list[bytes] = []
-    size_bytes = 0
+    body = memory.open()
+    try:
+        with body.scope:
+            return await _read_parts(receive, max_bytes, memory, body)
+    finally:
+        memory.close(body)
+    raise BodyDisplaced
+
+
+async def _read_parts(
+    receive: Receive, max_bytes: int, memory: BodyMemory, body: UnfinishedBody
+) -> bytes:
+    content = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerDisconnected
-        chunk = message.get("body", b"")
-        size_bytes += len(chunk)
-        if size_bytes > max_bytes:
+        part = message.get("body", b"")
+        if len(content) + len(part) > max_bytes:
             raise BodyTooLarge
-        chunks.append(chunk)
+        content += part
         if not message.get("more_body", False):
-            return b"".join(chunks)
+            return bytes(content)
+        memory.grow(body, len(part))
 
 
 async def send_response(
--- a/src/bronzebeam/entry/caller_app.py
+++ b/src/bronzebeam/entry/caller_app.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from bronzebeam.clock import Clock
 from bronzebeam.documents.model import AcceptedDocument
@@ -18,6 +18,7 @@
     read_body,
     send_response,
 )
+from bronzebeam.entry.body_memory import BodyDisplaced, BodyMemory
 from bronzebeam.entry.chain_guard import run_chain
 from bronzebeam.entry.headers import parse_headers, response_request_id
 from bronzebeam.entry.lifecycle import Lifecycle
@@ -58,6 +59,7 @@
     metrics: QueryMetrics
     clock: Clock
     body_max_bytes: int
+    body_memory: BodyMemory = field(factory=BodyMemory)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
@@ -116,7 +118,15 @@
                 detail="no configuration is in force here yet",
             )
         try:
-            body = await read_body(receive, max_bytes=self.body_max_bytes)
+            body = await read_body(
+                receive, max_bytes=self.body_max_bytes, memory=self.body_memory
+            )
+        except BodyDisplaced:
+            return NotRun(
+                reason=Reason.OVERLOADED,
+                retry_after_ms=NOT_READY_RETRY_MS,
+                detail="too many requests are being received",
+            )
         except BodyTooLarge:
             return NotRun(
                 reason=Reason.BODY_TOO_LARGE,
--- a/src/bronzebeam/entry/peer_app.py
+++ b/src/bronzebeam/entry/peer_app.py
@@ -1,6 +1,6 @@
 """ASGI application that serves the peer protocol."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import orjson
@@ -16,6 +16,15 @@
     push_from_json,
     push_reply_to_json,
 )
+from bronzebeam.entry.asgi import (
+    BodyTooLarge,
+    CallerDisconnected,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+)
+from bronzebeam.entry.body_memory import BodyDisplaced, BodyMemory
 from bronzebeam.findings import FindingsError, one_finding
 from bronzebeam.telemetry.traffic import ControlChannel, ControlTraffic
 from bronzebeam.transport.peer import (
@@ -25,10 +34,6 @@
     STATUS_PATH,
 )
 
-Scope = Mapping[str, Any]
-Receive = Callable[[], Awaitable[Mapping[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
 
 @frozen(kw_only=True)
 class PeerResponse:
@@ -45,14 +50,6 @@
 RouteHandler = Callable[[bytes], Awaitable[PeerResponse]]
 
 
-class RequestTooLarge(Exception):
-    """The request body exceeds `MAX_MESSAGE_BYTES`."""
-
-
-class PeerDisconnected(Exception):
-    """The peer disconnected before it had sent the whole request."""
-
-
 class PeerApp:
     """
     Serves the peer protocol.
@@ -74,6 +71,7 @@
         self._configuration = configuration
         self._gossip = gossip
         self.traffic = traffic or ControlTraffic()
+        self._body_memory = BodyMemory()
         self.routes: dict[tuple[str, str], RouteHandler] = {
             ("POST", EXCHANGE_PATH): self._handle_exchange,
             ("POST", PUSH_PATH): self._handle_push,
@@ -90,7 +88,7 @@
             return
         try:
             response = await self._dispatch(scope, receive)
-        except PeerDisconnected:
+        except CallerDisconnected:
             return
         self.traffic.count_served(
             ControlChannel.PEER,
@@ -105,11 +103,17 @@
         if route is None:
             return _error_response(404, "request", "there is no such route")
         try:
-            return await route(await _read_body(receive))
-        except RequestTooLarge:
+            return await route(
+                await read_body(
+                    receive, max_bytes=MAX_MESSAGE_BYTES, memory=self._body_memory
+                )
+            )
+        except BodyTooLarge:
             return _error_response(
                 413, "request", f"is above {MAX_MESSAGE_BYTES} bytes"
             )
+        except BodyDisplaced:
+            return _error_response(503, "request", "too many are being received")
         except orjson.JSONDecodeError as error:
             return _error_response(400, "request", f"is not JSON: {error}")
         except FindingsError as error:
@@ -149,19 +153,6 @@
         )
 
 
-async def _read_body(receive: Receive) -> bytes:
-    body = bytearray()
-    while True:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            raise PeerDisconnected
-        body += event.get("body", b"")
-        if len(body) > MAX_MESSAGE_BYTES:
-            raise RequestTooLarge
-        if not event.get("more_body", False):
-            return bytes(body)
-
-
 async def _send_response(send: Send, response: PeerResponse) -> None:
     headers = [
         (b"content-type", b"application/json"),
