--- a/src/bronzebeam/entry/server.py
+++ b/src/bronzebeam/entry/server.py
@@ -8,11 +8,13 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from bronzebeam.entry.unread_bodies import UnreadBodyApp
 from bronzebeam.telemetry.logs import log_event
 from bronzebeam.transport.port_errors import PASSING_ERRORS
 
 KEEP_ALIVE_TIMEOUT_SECONDS: Final = 75.0
 BACKLOG: Final = 512
+RECEIVE_BUFFER_BYTES: Final = 65_536
 RETRY_INTERVAL_SECONDS: Final = 0.05
 RETRIES_PER_LINE: Final = 100
 
@@ -45,7 +47,11 @@
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_SECONDS
     config.graceful_timeout = graceful_timeout_seconds
     config.shutdown_timeout = graceful_timeout_seconds
-    await serve(cast(Any, app), config, shutdown_trigger=cast(Any, shutdown_trigger))
+    await serve(
+        cast(Any, UnreadBodyApp(app=app)),
+        config,
+        shutdown_trigger=cast(Any, shutdown_trigger),
+    )
 
 
 async def _open_port(
@@ -71,6 +77,10 @@
             else:
                 group.cancel_scope.cancel()
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                # Accepted sockets inherit this size, which the system then keeps.
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                )
                 return sock
             attempts += 1
             await anyio.sleep(RETRY_INTERVAL_SECONDS)
