--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A tenant's priority changes while its requests wait for tokens of its quota."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -30,6 +31,7 @@
             "burst": RATE,
         }
         for number, priority in enumerate(priorities)
+        if priority is not None
     ]
 
 
@@ -72,8 +74,10 @@
         stage.replicas[replica.name] = replica
         await replica.start()
         replica.register()
-    # Two tenants of three have priority 2 until the operator gives them priority 0.
-    ranked, raised = [2, 2, 1] * (TENANTS // 3), [0, 0, 1] * (TENANTS // 3)
+    # Two tenants of three have priority 2 until the operator gives them priority 0, or,
+    # in the variant, takes them with their keys out of the configuration.
+    other = None if os.environ.get("VARIANT") == "keys" else 0
+    ranked, raised = [2, 2, 1] * (TENANTS // 3), [other, other, 1] * (TENANTS // 3)
     stage.configure(routes=routes(), tenants=tenants(ranked))
     for number in range(4):
         gateway = Gateway(stage, f"front-{number}", stage.zones[number % 2])
