Name the record of each case of the second review in the case itself

Cause: the shared stand-ins named record.txt, so that nothing in the folders 7 to 9 showed that it is written.

Checks, bounds and disruptions are the same.

--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -467,10 +467,9 @@
     }
     zones = ("zone-a", "zone-b")
 
-    def __init__(self, case_folder):
+    def __init__(self, record_path):
         self.folder = Path(tempfile.mkdtemp(prefix="bronzebeam-case-"))
-        self.record_path = Path(case_folder) / "record.txt"
-        self.lines = open(self.record_path, "w")
+        self.lines = open(record_path, "w")
         self.began = now()
         self.store = Store()
         self.replicas = {}
@@ -574,8 +573,12 @@
         return self.ended - self.sent
 
 
-def run_case(case_folder, play):
-    """Play a case; exit with 1 if the rule was broken, 0 if not, 2 if it can't run."""
+def run_case(record_path, play):
+    """
+    Play a case, and write to a file what was sent, answered and run.
+
+    Exits with 1 if the rule was broken, 0 if it was not, and 2 if the case can't run.
+    """
 
     async def main():
         # Connections that are open at the end are cancelled, which is no finding.
@@ -583,7 +586,7 @@
         if not (ROOT / "target" / "deps" / "bronzebeam").exists():
             print("target/deps is missing: run deploy/build.sh first")
             return 2
-        stage = Stage(case_folder)
+        stage = Stage(record_path)
         try:
             await stage.store.start()
             async with asyncio.timeout(115):
